Route requests of the users' platform on the product's own path

Cause: the product reached endpoints through agents only, by a signed bundle. The users' platform has neither: endpoints are called directly, and the configuration lies in a store that can only be read.

Change: route tables by host and prefix (route), direct dispatch with the endpoint's own "not run" mark, a relay of routed answers byte for byte, keys that count only while knowledge of them is fresh (admit), a follower of a read-only source (follow, directory), and the adapter platform/. Pipeline, pool, membership, attempts and retry policy are the product's own.

--- a/cmd/coveferryd/main.go
+++ b/cmd/coveferryd/main.go
@@ -11,11 +11,13 @@
 	"coveferry/internal/cli"
 	"coveferry/internal/daemon"
 	"coveferry/internal/settings"
+	"coveferry/platform"
 )
 
 type program struct {
 	Router        roleCmd          `cmd:"" help:"Take callers' requests and send them to the agents of endpoints. Runs on an entry VM."`
 	Agent         agentCmd         `cmd:"" help:"Own the queue of the one endpoint on this VM."`
+	Direct        directCmd        `cmd:"" help:"Take callers' requests and send them straight to endpoints, by what the platform's store says. Runs on an entry VM without agents."`
 	Standalone    standaloneCmd    `cmd:"" help:"Run router, agents and stand-in engines in one process: the way to try coveferry."`
 	CheckSettings checkSettingsCmd `cmd:"" help:"Report every fault of a settings file with its place, and exit with 2 if there is one."`
 	Completion    cli.Completion   `cmd:"" help:"Print what a shell needs to complete commands."`
@@ -35,6 +37,50 @@
 // Run implements kong's command.
 func (c *agentCmd) Run(env *cli.Env) error { return daemon.Agent(env, c.Settings) }
 
+type directCmd struct {
+	MetricsPort int `help:"Port for metrics, on the VM's own address; 0 serves none." default:"0"`
+}
+
+// Run implements kong's command.
+func (c *directCmd) Run(env *cli.Env) error {
+	path := platform.SettingsPath()
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return cli.BadInput(err)
+	}
+	cfg := daemon.Direct{
+		VM:           s.VM,
+		Callers:      s.Callers.String(),
+		Ready:        s.Ready.String(),
+		ReadyPattern: platform.PathReady,
+		Source:       platform.NewStore(s.Store.String()),
+		Protocol:     platform.Protocol{},
+		Health:       platform.Health,
+		Bounds:       boundsOf(s),
+		Reload: func() (daemon.DirectBounds, error) {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return daemon.DirectBounds{}, err
+			}
+			return boundsOf(s), nil
+		},
+	}
+	if c.MetricsPort > 0 {
+		cfg.Metrics = netip.AddrPortFrom(s.IP, uint16(c.MetricsPort)).String()
+	}
+	return daemon.RunDirect(env, cfg)
+}
+
+func boundsOf(s *platform.Settings) daemon.DirectBounds {
+	return daemon.DirectBounds{
+		RevokeWithin: s.RevokeWithin,
+		DrainWithin:  s.DrainWithin,
+		StopWithin:   s.StopWithin,
+		RetryRatio:   s.RetryRatio,
+		RetryWindow:  s.RetryWindow,
+	}
+}
+
 type standaloneCmd struct {
 	Settings string `arg:"" optional:"" help:"Settings file, JSON with comments; without one, defaults serve. See examples/settings/standalone.jsonc."`
 	Listen   string `help:"IP and port for callers, in place of the settings'." placeholder:"IP:PORT"`
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -60,6 +60,9 @@
 	Run wire.Run `json:"run"`
 	// RetryAfter is when to come back; 0 if coming back doesn't help.
 	RetryAfter time.Duration `json:"-"`
+	// Fractions gives RetryAfter in fractions of a second, for callers that take
+	// them because their deadlines are short.
+	Fractions bool `json:"-"`
 	RequestID  string        `json:"request_id,omitempty"`
 	// Earlier is the request that used the idempotency key before, or says
 	// that one can't be ruled out. For a duplicate Run tells of that one.
@@ -88,14 +91,22 @@
 	return b
 }
 
+// formatRetryAfter is in whole seconds, rounded up, as RFC 9110 asks, or in
+// fractions for callers that take them.
+func (e *Error) formatRetryAfter() string {
+	if e.Fractions {
+		return strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', -1, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds())))
+}
+
 // Write sends the error as a whole answer.
 func (e *Error) Write(w http.ResponseWriter) {
 	GiveTime(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		h.Set(HeaderRetryAfter, strconv.Itoa(seconds))
+		h.Set(HeaderRetryAfter, e.formatRetryAfter())
 	}
 	w.WriteHeader(e.Status)
 	_, _ = w.Write(e.JSON()) // the caller may have left
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coveferry/internal/load"
+	"coveferry/internal/prompt"
 )
 
 // Request is what the choice of an endpoint depends on.
@@ -17,6 +18,11 @@
 	// Prefix is a hash of the start of the prompt; requests that share it
 	// profit from the same endpoint's prefix cache. 0 means none.
 	Prefix uint64
+	// Prompt is the shape of the prompt, where the caller tells it.
+	Prompt prompt.Prompt
+	// MaxGap is the longest pause between two events of a stream that is on
+	// time; 0 if none is stated.
+	MaxGap time.Duration
 }
 
 // View is what a router knows of one endpoint at one moment.
@@ -25,6 +31,9 @@
 	FailureDomain string
 	// Inflight counts this router's own requests at the endpoint.
 	Inflight int
+	// Prefill is how many prompt tokens this router sent that the endpoint
+	// isn't known to have read.
+	Prefill int
 	// SinceReport counts those of this router's requests that were sent after
 	// the last report arrived and haven't ended, so that the report misses them.
 	SinceReport int
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -141,6 +141,34 @@
 	sh.state(endpoint).sent()
 }
 
+// Work is what a request asks of its endpoint.
+type Work struct {
+	// PromptTokens is how many tokens are likely to be prefilled.
+	PromptTokens int
+}
+
+// SentWork is Sent for a request whose work is known.
+func (p *Pool) SentWork(now time.Time, endpoint string, w Work) {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st := sh.state(endpoint)
+	st.sent()
+	st.prefill += w.PromptTokens
+}
+
+// Prefilled returns the function that notes that a request's prompt has been
+// read or needs to be read no more. Only its first call counts.
+func (p *Pool) Prefilled(endpoint string, w Work) func() {
+	return sync.OnceFunc(func() {
+		sh := p.shard(endpoint)
+		sh.mu.Lock()
+		defer sh.mu.Unlock()
+		st := sh.state(endpoint)
+		st.prefill = max(0, st.prefill-w.PromptTokens)
+	})
+}
+
 // Report takes in the load report of an endpoint. One with an older Seq than
 // the last is ignored.
 func (p *Pool) Report(now time.Time, endpoint string, r load.Report) {
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -1,7 +1,5 @@
 package balance
 
-import "github.com/cespare/xxhash/v2"
-
 // prefixHome finds the endpoint that all routers prefer for a prefix: the one
 // with the highest rendezvous hash of prefix and endpoint. It returns false
 // for a request without a prefix.
@@ -15,7 +13,7 @@
 		if views[i].Weight < 1 {
 			continue // its cache is cold, or it is shed
 		}
-		rank := mix(prefix ^ xxhash.Sum64String(views[i].Endpoint))
+		rank := rendezvous(prefix, views[i].Endpoint)
 		if !found || rank > best {
 			home, best, found = i, rank, true
 		}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -41,6 +41,7 @@
 type state struct {
 	inflight    int
 	sinceReport int
+	prefill     int // tokens of prompts sent that aren't known to be read
 	load        load.Report
 	reportedAt  time.Time
 	firstToken  time.Duration
@@ -57,6 +58,7 @@
 		Endpoint:      c.Name,
 		FailureDomain: c.FailureDomain,
 		Inflight:      st.inflight,
+		Prefill:       st.prefill,
 		SinceReport:   st.sinceReport,
 		Load:          st.load,
 		ReportedAt:    st.reportedAt,
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,105 @@
+// Package directory holds which endpoints exist, as an outside list tells it. A
+// list may be read stale, in part, or right after it lost entries that will
+// return; Merge decides what to believe of it.
+package directory
+
+import (
+	"time"
+
+	"coveferry/internal/bundle"
+)
+
+// Entry is an endpoint as the list shows it.
+type Entry struct {
+	Endpoint bundle.Endpoint
+	// Draining says that the endpoint takes no new work.
+	Draining bool
+}
+
+// Reading is one whole reading of the list.
+type Reading struct {
+	Entries []Entry
+	// Revision is the list's own counter of changes at the time of reading.
+	Revision uint64
+}
+
+// Directory is an immutable set of endpoints.
+type Directory struct {
+	entries   map[string]Entry
+	byService map[string][]*bundle.Endpoint
+	revision  uint64
+}
+
+// Empty is a directory without endpoints.
+func Empty() *Directory { return build(nil, 0) }
+
+func build(entries map[string]Entry, revision uint64) *Directory {
+	d := &Directory{entries: entries, byService: make(map[string][]*bundle.Endpoint), revision: revision}
+	for _, name := range sortedNames(entries) {
+		e := entries[name]
+		for _, service := range e.Endpoint.Services {
+			d.byService[service] = append(d.byService[service], &e.Endpoint)
+		}
+	}
+	return d
+}
+
+// For lists the endpoints of a service by their names, draining ones included.
+func (d *Directory) For(service string) []*bundle.Endpoint { return d.byService[service] }
+
+// Entry returns what the list says of an endpoint; false if it has none.
+func (d *Directory) Entry(endpoint string) (Entry, bool) {
+	e, ok := d.entries[endpoint]
+	return e, ok
+}
+
+// Entries lists all endpoints by their names.
+func (d *Directory) Entries() []Entry {
+	entries := make([]Entry, 0, len(d.entries))
+	for _, name := range sortedNames(d.entries) {
+		entries = append(entries, d.entries[name])
+	}
+	return entries
+}
+
+// Len is the number of endpoints.
+func (d *Directory) Len() int { return len(d.entries) }
+
+// Revision is that of the newest reading.
+func (d *Directory) Revision() uint64 { return d.revision }
+
+// Merge returns the directory that follows from a reading, and whether it
+// differs. A reading older than the last one changes nothing. Before
+// keepAbsentUntil an endpoint that the reading lacks stays: after an outage the
+// list has lost entries of endpoints that live and will be back.
+func (d *Directory) Merge(r Reading, now, keepAbsentUntil time.Time) (*Directory, bool) {
+	if r.Revision < d.revision {
+		return d, false
+	}
+	next := make(map[string]Entry, len(r.Entries))
+	for _, e := range r.Entries {
+		next[e.Endpoint.Name] = e
+	}
+	if now.Before(keepAbsentUntil) {
+		d.keepAbsent(next)
+	}
+	if sameEntries(d.entries, next) {
+		d = &Directory{entries: d.entries, byService: d.byService, revision: r.Revision}
+		return d, false
+	}
+	return build(next, r.Revision), true
+}
+
+// keepAbsent adds the endpoints that the next directory lacks, but for those
+// whose address another one has taken over.
+func (d *Directory) keepAbsent(next map[string]Entry) {
+	taken := make(map[string]bool, len(next))
+	for _, e := range next {
+		taken[e.Endpoint.Address] = true
+	}
+	for name, e := range d.entries {
+		if _, listed := next[name]; !listed && !taken[e.Endpoint.Address] {
+			next[name] = e
+		}
+	}
+}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -22,6 +22,17 @@
 // word, which says for certain whether the request ran.
 const deadlineGrace = 250 * time.Millisecond
 
+// directGrace is the same where there is no agent: only the way back of the
+// endpoint's own answer at the deadline, since the caller is kept waiting.
+const directGrace = 100 * time.Millisecond
+
+func graceOf(r *request.Request) time.Duration {
+	if r.Kind == wire.KindRouted {
+		return directGrace
+	}
+	return deadlineGrace
+}
+
 // DeadlineError is a request whose deadline passed without an agent's word.
 type DeadlineError struct{ Cause error }
 
@@ -68,7 +79,7 @@
 // Do returns nil once the caller has the whole answer, or else the error of
 // the attempt that says most.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(deadlineGrace))
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(graceOf(r)))
 	defer cancel()
 	err := f.repeat(ctx, r, next)
 	switch {
@@ -113,6 +124,8 @@
 		Tier:       r.Tier,
 		Outcome:    what.outcome,
 		Idempotent: !r.NonIdempotent,
+		Runs:       h.runs,
+		MaxRuns:    r.MaxRuns,
 		Delivered:  held,
 		Free:       what.free,
 		Overloaded: what.overloaded,
--- a/internal/filters/attempts/history.go
+++ b/internal/filters/attempts/history.go
@@ -26,6 +26,8 @@
 	// made counts the attempts since the request last came back to endpoints
 	// that it had tried. One may ask two endpoints.
 	made int
+	// runs counts the attempts that ran or may have.
+	runs int
 	// returns counts how often endpoints were tried again.
 	returns int
 }
@@ -44,7 +46,11 @@
 		return // none was sent
 	}
 	h.made++
-	switch judge(err, false).outcome {
+	outcome := judge(err, false).outcome
+	if outcome != retry.OutcomeNotRun {
+		h.runs++
+	}
+	switch outcome {
 	case retry.OutcomeNotRun:
 	case retry.OutcomeUnknown:
 		if h.run == wire.RunNot {
--- a/internal/filters/attempts/judge.go
+++ b/internal/filters/attempts/judge.go
@@ -32,6 +32,7 @@
 	var refused *dispatch.RefusedError
 	var lost *dispatch.LostError
 	var brk *relay.BrokenError
+	var answer *relay.AnswerError
 	var expired *dispatch.ExpiredError
 	var pinned *choose.PinnedError
 	switch {
@@ -45,6 +46,8 @@
 		return judgement{outcome: retry.OutcomeNotRun, final: true, reason: retry.ReasonDeadline}
 	case errors.As(err, &lost):
 		return judgement{outcome: outcomeOf(lost.Run()), free: !lost.Sent}
+	case errors.As(err, &answer):
+		return judgement{outcome: retry.OutcomeRan}
 	case errors.As(err, &brk):
 		return judgeBroken(brk)
 	default:
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -11,7 +11,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/balance"
-	"coveferry/internal/filters/narrow"
+	"coveferry/internal/bundle"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
@@ -45,16 +45,20 @@
 // Filter implements pipeline.Filter.
 type Filter struct {
 	pool   *balance.Pool
-	narrow *narrow.Filter
+	latest Latest
 	homes  *homes // nil leaves keys out of account
 	late   bool
 }
 
+// Latest lists the endpoints that may serve a request by now.
+type Latest func(r *request.Request) []*bundle.Endpoint
+
 // Config says how a Filter chooses.
 type Config struct {
 	Pool *balance.Pool
-	// Narrow leaves the endpoints to choose among after a failed attempt.
-	Narrow *narrow.Filter
+	// Latest lists the endpoints to choose among after a failed attempt; nil
+	// leaves the request those that it began with.
+	Latest Latest
 	// IgnoreKeys sends requests with an idempotency key anywhere rather than
 	// to the key's home, to compare.
 	IgnoreKeys bool
@@ -65,7 +69,7 @@
 
 // New returns a filter that chooses from the pool.
 func New(cfg Config) *Filter {
-	f := &Filter{pool: cfg.Pool, narrow: cfg.Narrow, late: cfg.LateBinding}
+	f := &Filter{pool: cfg.Pool, latest: cfg.Latest, late: cfg.LateBinding}
 	if !cfg.IgnoreKeys {
 		f.homes = &homes{}
 	}
@@ -91,7 +95,13 @@
 
 // choose sets the request's endpoint, or two where it may wait at both.
 func (f *Filter) choose(r *request.Request) error {
-	ask := balance.Request{Tier: r.Tier, Class: r.Class.Name, Prefix: r.Prefix}
+	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt}
+	if r.Class != nil {
+		ask.Class = r.Class.Name
+	}
+	if r.Route != nil {
+		ask.MaxGap = r.Route.MaxGap
+	}
 	pair, err := f.pick(r, ask)
 	if err != nil {
 		return &Error{Cause: err}
@@ -105,7 +115,7 @@
 }
 
 func (f *Filter) pick(r *request.Request, ask balance.Request) (balance.Pair, error) {
-	if f.late && r.Kind != wire.KindService {
+	if f.late && r.Kind != wire.KindService && r.Kind != wire.KindRouted {
 		return f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
 	}
 	e, err := f.pool.Choose(time.Now(), ask, r.Candidates, r.TriedEndpoint)
@@ -116,11 +126,10 @@
 // there when the request arrived may have been replaced. All else stays by the
 // bundle that the request began with. One that names no endpoint is passed over.
 func (f *Filter) refresh(r *request.Request) {
-	if r.Latest == nil {
+	if f.latest == nil {
 		return
 	}
-	latest := r.Latest()
-	if candidates := f.narrow.Candidates(latest, r); len(candidates) > 0 {
+	if candidates := f.latest(r); len(candidates) > 0 {
 		r.Candidates = candidates
 	}
 }
--- /dev/null
+++ b/internal/filters/dispatch/direct.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/load"
+	"coveferry/internal/pipeline"
+	"coveferry/internal/request"
+	"coveferry/internal/sched"
+	"coveferry/internal/upstream"
+	"coveferry/internal/wire"
+)
+
+// direct is how endpoints without an agent are reached.
+type direct struct {
+	protocol upstream.Protocol
+	client   *http.Client
+}
+
+// Direct has requests of kind KindRouted sent to their endpoints themselves, by
+// the protocol and the client. It must be called before the filter is used.
+func (f *Filter) Direct(p upstream.Protocol, client *http.Client) {
+	f.direct = direct{protocol: p, client: client}
+}
+
+// exchangeDirect sends an attempt to an endpoint that has no agent, and judges
+// by the endpoint's own mark whether it ran.
+func (f *Filter) exchangeDirect(ctx context.Context, r *request.Request, next pipeline.Next) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := f.directRequest(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return err
+	}
+	resp, err := f.direct.client.Do(req)
+	if err != nil {
+		return &LostError{Sent: connected, Cause: err}
+	}
+	defer resp.Body.Close()
+	reply := f.direct.protocol.Decode(resp)
+	if reply.ID != r.CallerID {
+		// An answer to an earlier request on the connection, which is closed
+		// with its body unread.
+		return &LostError{Sent: true, Cause: errors.Newf("the answer belongs to request %q", reply.ID)}
+	}
+	if reply.Moved {
+		f.observer.Failed(r.Endpoint.Name, false)
+		return refusedDirect(resp.StatusCode, reply)
+	}
+	f.learnDirect(r.Endpoint.Name, reply)
+	if reply.NotRun {
+		return refusedDirect(resp.StatusCode, reply)
+	}
+	if !reply.Signed {
+		return &LostError{Sent: true, Cause: errors.Newf("an answer with status %d that the endpoint did not sign", resp.StatusCode)}
+	}
+	r.Answer = resp
+	defer func() { r.Answer = nil }()
+	return next(ctx, r)
+}
+
+// learnDirect takes in what the head of an answer says of its endpoint.
+func (f *Filter) learnDirect(endpoint string, reply upstream.Reply) {
+	now := time.Now()
+	var report load.Report
+	if reply.Load != nil {
+		report = *reply.Load
+	}
+	// Answers carry no number of their own; they are read in their order.
+	report.Seq = uint64(f.answers.Add(1))
+	counts := f.observer.Answered(endpoint, wire.Clock{Incarnation: endpoint}, report)
+	if counts && reply.Load != nil {
+		f.pool.Report(now, endpoint, report)
+	}
+}
+
+func refusedDirect(status int, reply upstream.Reply) error {
+	refusal := wire.Refusal{Run: wire.RunNot}
+	switch {
+	case reply.Moved:
+		refusal.Reason = wire.ReasonNotHere
+	case status == http.StatusBadRequest:
+		refusal.Reason = wire.ReasonBadEnvelope
+	default:
+		refusal.Reason = string(sched.ReasonQueueFull)
+	}
+	return &RefusedError{Refusal: refusal}
+}
+
+// directRequest is the caller's request with what the protocol adds.
+func (f *Filter) directRequest(ctx context.Context, r *request.Request) (*http.Request, error) {
+	path, query, _ := strings.Cut(r.Target, "?")
+	target := &url.URL{Scheme: "http", Host: r.Endpoint.Address, Opaque: path, RawQuery: query}
+	if strings.HasPrefix(path, "//") {
+		// The library would take what follows for a host.
+		target.Opaque = ""
+		target.Path = path
+	}
+	body, getBody := bodyOf(r)
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+"/", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
+	}
+	req.URL = target
+	req.Host = r.Host
+	req.Body = body
+	req.GetBody = getBody
+	req.ContentLength = int64(len(r.Body))
+	req.Header = endToEnd(r.Header)
+	if req.Header.Get("User-Agent") == "" {
+		req.Header["User-Agent"] = nil // the library would add its own
+	}
+	f.direct.protocol.Encode(req.Header, upstream.Attempt{
+		ID:        r.CallerID,
+		Endpoint:  r.Endpoint.Name,
+		Team:      r.TeamName,
+		Tier:      r.Tier,
+		Left:      max(time.Millisecond, r.Left(f.clock())),
+		LastEvent: r.Delivered.LastEvent,
+	})
+	return req, nil
+}
+
+// bodyOf returns the body and, where that can't make the request run twice, the
+// way to have it again. The HTTP library repeats requests by itself: any that
+// has such a way if nothing of it was written, and those that it takes for
+// idempotent by their method or a header even if they may have run. The latter
+// are only left to it where the route allows.
+func bodyOf(r *request.Request) (io.ReadCloser, func() (io.ReadCloser, error)) {
+	again := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(r.Body)), nil }
+	body, _ := again()
+	looksIdempotent := len(r.Body) == 0 ||
+		r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+	if r.NonIdempotent && looksIdempotent {
+		return body, nil
+	}
+	if len(r.Body) == 0 {
+		return http.NoBody, nil
+	}
+	return body, again
+}
+
+// hopByHop are the headers that concern one connection only, by RFC 9110 and
+// older practice.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd copies the headers that don't concern one connection only.
+func endToEnd(from http.Header) http.Header {
+	h := from.Clone()
+	for _, list := range from["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+	delete(h, "Expect")
+	return h
+}
+
+// workOf is what an attempt asks of its endpoint.
+func workOf(r *request.Request) balance.Work {
+	if r.Kind != wire.KindRouted {
+		return balance.Work{}
+	}
+	return balance.Work{PromptTokens: r.Prompt.Own()}
+}
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,9 @@
 	heard  *readings
 	// observer learns of endpoints' membership.
 	observer Observer
+	direct   direct
+	// answers numbers the answers of endpoints without an agent.
+	answers atomic.Int64
 }
 
 // New returns a filter that reaches agents by the client, with the scheme
@@ -67,7 +71,17 @@
 
 func (f *Filter) sendOne(ctx context.Context, r *request.Request, body []byte, next pipeline.Next) error {
 	sent := time.Now()
-	f.pool.Sent(sent, r.Endpoint.Name)
+	work := workOf(r)
+	f.pool.SentWork(sent, r.Endpoint.Name, work)
+	if r.Kind == wire.KindRouted {
+		r.Began = f.pool.Prefilled(r.Endpoint.Name, work)
+		err := f.exchangeDirect(ctx, r, next)
+		r.Began()
+		r.Began = nil
+		// Times to the first token differ by prompts, not by endpoints.
+		f.settle(ctx, r.Endpoint.Name, err, 0)
+		return err
+	}
 	err := f.exchange(ctx, r, body, next)
 	f.settle(ctx, r.Endpoint.Name, err, firstToken(r, sent))
 	return err
@@ -128,7 +142,7 @@
 
 // attemptBody is the caller's body, changed to go on from what was delivered.
 func attemptBody(r *request.Request) ([]byte, error) {
-	if r.Kind == wire.KindService {
+	if r.Kind == wire.KindService || r.Kind == wire.KindRouted {
 		return r.Body, nil
 	}
 	body, err := completion.Continue(r.Kind, r.Body, string(r.Delivered.Text), r.Delivered.Tokens)
--- a/internal/filters/narrow/narrow.go
+++ b/internal/filters/narrow/narrow.go
@@ -28,6 +28,15 @@
 	return next(ctx, r)
 }
 
+// Latest are the endpoints of the snapshot in force that this router uses for
+// the request; none if the request keeps the snapshot that it began with.
+func (f *Filter) Latest(r *request.Request) []*bundle.Endpoint {
+	if r.Latest == nil {
+		return nil
+	}
+	return f.Candidates(r.Latest(), r)
+}
+
 // Candidates are the endpoints of a snapshot that this router uses for the
 // request.
 func (f *Filter) Candidates(s *bundle.Snapshot, r *request.Request) []*bundle.Endpoint {
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -28,6 +28,9 @@
 // Do relays the answer. nil means that the caller has the whole of it; the
 // other errors are *BrokenError and *CallerError.
 func (Filter) Do(_ context.Context, r *request.Request, _ pipeline.Next) error {
+	if r.Kind == wire.KindRouted {
+		return relayRouted(r)
+	}
 	if r.Kind == wire.KindService {
 		return relayService(r)
 	}
@@ -114,7 +117,7 @@
 // answer would have to add a token.
 func EndAtLimit(r *request.Request) (bool, error) {
 	d := &r.Delivered
-	if r.MaxTokens <= 0 || d.Tokens < r.MaxTokens || d.Unresumable {
+	if r.Kind == wire.KindRouted || r.MaxTokens <= 0 || d.Tokens < r.MaxTokens || d.Unresumable {
 		return false, nil
 	}
 	end, err := completion.EndAtLimit(r.Kind, d.Last)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"coveferry/internal/settings"
 )
@@ -43,6 +44,19 @@
 	return zerolog.New(w).Level(level).With().Timestamp().Logger()
 }
 
+// queuedLines bounds the lines that wait to be written by NewBounded.
+const queuedLines = 512
+
+// NewBounded returns a logger whose lines never keep their writer waiting: they
+// queue, and where the queue is full the oldest are dropped, which a line counts.
+func NewBounded(w io.Writer) zerolog.Logger {
+	plain := zerolog.New(w).With().Timestamp().Logger()
+	queue := diode.NewWriter(w, queuedLines, 0, func(missed int) {
+		plain.Warn().Int("lines", missed).Msg("log lines were dropped")
+	})
+	return zerolog.New(queue).With().Timestamp().Logger()
+}
+
 // Request names a request on all lines about it. Empty members are left out.
 type Request struct {
 	ID    string
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -27,8 +27,17 @@
 	tracker *Tracker
 	client  *http.Client
 	scheme  string
+	// health asks an endpoint without an agent; nil if all have one.
+	health Health
 }
 
+// Health asks an endpoint that has no agent whether it is healthy. sent says
+// that a connection was had.
+type Health func(ctx context.Context, endpoint string) (sent bool, err error)
+
+// NewHealthProber returns a prober of endpoints that have no agent.
+func NewHealthProber(t *Tracker, h Health) *Prober { return &Prober{tracker: t, health: h} }
+
 // NewProber returns a prober that reaches agents as the router's attempts do.
 func NewProber(t *Tracker, client *http.Client, scheme string) *Prober {
 	return &Prober{tracker: t, client: client, scheme: scheme}
@@ -70,6 +79,9 @@
 
 // ask asks once. Its error is a *ProbeError.
 func (p *Prober) ask(ctx context.Context, name string) (wire.Status, error) {
+	if p.health != nil {
+		return p.askHealth(ctx, name)
+	}
 	sent := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
@@ -86,6 +98,16 @@
 	return status, nil
 }
 
+// askHealth turns the word of an endpoint without an agent into a status. The
+// endpoint's name is that of one incarnation.
+func (p *Prober) askHealth(ctx context.Context, name string) (wire.Status, error) {
+	sent, err := p.health(ctx, name)
+	if err != nil {
+		return wire.Status{}, &ProbeError{Endpoint: name, Sent: sent, Cause: err}
+	}
+	return wire.Status{Endpoint: name, Clock: wire.Clock{Incarnation: name}}, nil
+}
+
 // address is that of an endpoint in the bundle in force, empty if it has none.
 func (t *Tracker) address(endpoint string) string {
 	t.mu.Lock()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -10,6 +10,8 @@
 	"coveferry/internal/bundle"
 	"coveferry/internal/completion"
 	"coveferry/internal/once"
+	"coveferry/internal/prompt"
+	"coveferry/internal/route"
 	"coveferry/internal/wire"
 )
 
@@ -29,8 +31,24 @@
 	Service string
 	Path    string
 
-	// Set by authenticate.
-	Team *bundle.Team
+	// Table is the route table that a request of kind KindRouted keeps for its
+	// whole life. Host and Target are those that its caller named, unchanged.
+	Table  *route.Table
+	Host   string
+	Target string
+
+	// Set by match, for a request of kind KindRouted.
+	Route *route.Route
+	// CallerID names the request on the wire, as its caller does.
+	CallerID string
+	Prompt   prompt.Prompt
+	// MaxRuns is the most endpoints at which the request may run; 0 is the
+	// retry policy's own bound.
+	MaxRuns int
+
+	// Set by authenticate. TeamName is that of a routed request.
+	Team     *bundle.Team
+	TeamName string
 
 	// Set by classify.
 	Class          *bundle.Class
@@ -61,6 +79,8 @@
 	// Round is where the present round of Tried begins: a request that comes
 	// back to endpoints it has tried begins a new one.
 	Round int
+	// Runs counts the attempts that ran, or may have.
+	Runs int
 	// Latest returns the snapshot in force, whose endpoints an attempt after
 	// the first may use; nil is that of the request.
 	Latest func() *bundle.Snapshot
@@ -115,6 +135,8 @@
 	// from, such as part of a tool call.
 	Unresumable bool
 	FirstToken  time.Time
+	// LastEvent is the id of the last event of a routed stream.
+	LastEvent string
 }
 
 // KeyTarget is the model or service as package once names it.
--- a/internal/retry/outcome.go
+++ b/internal/retry/outcome.go
@@ -44,6 +44,8 @@
 	ReasonNotIdempotent Reason = "not_idempotent"
 	// ReasonAttempts: the most attempts for one request were made.
 	ReasonAttempts Reason = "attempts"
+	// ReasonRuns: it ran, or may have, at as many endpoints as it may.
+	ReasonRuns Reason = "runs"
 	// ReasonDeadline: its deadline comes before another attempt could.
 	ReasonDeadline Reason = "deadline"
 	// ReasonOverload: endpoints refused it for want of room, and coming back
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -27,6 +27,9 @@
 	Outcome Outcome
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Runs is how many attempts ran or may have, and MaxRuns the most that
+	// may; 0 is no bound of the request's own.
+	Runs, MaxRuns int
 	// Delivered says that a part of the answer has reached the caller.
 	Delivered bool
 	// Free says that the attempt ended by no fault of the load, such as at an
@@ -62,6 +65,9 @@
 	// further one doubles it, up to MaxReturnDelay.
 	FirstReturnDelay time.Duration
 	MaxReturnDelay   time.Duration
+	// ChargeAll charges the budget for every further attempt, where a bound
+	// from outside counts what endpoints receive, whatever the reason.
+	ChargeAll bool
 	// Budget bounds the retries of all requests together; nil is no bound.
 	Budget *Budget
 }
@@ -123,7 +129,10 @@
 // charged says whether another attempt counts as a retry. One that resumes an
 // answer doesn't: it is the rest of work that was accepted, not work on top.
 func (p *Policy) charged(a Attempt) bool {
-	return p.Budget != nil && !a.Free && !a.Delivered
+	if p.Budget == nil {
+		return false
+	}
+	return p.ChargeAll || !a.Free && !a.Delivered
 }
 
 // refusal says why the attempt can't be followed by another at any time.
@@ -136,6 +145,9 @@
 	if mayHaveRun && !a.Idempotent {
 		return ReasonNotIdempotent
 	}
+	if mayHaveRun && a.MaxRuns > 0 && a.Runs >= a.MaxRuns {
+		return ReasonRuns
+	}
 	if a.Number >= cmp.Or(p.MaxAttempts, defaultMaxAttempts) {
 		return ReasonAttempts
 	}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,233 @@
+// Package route holds immutable tables of routes: which service answers for a
+// host and a path prefix, for whom, and with which promises. A table is built
+// once, checked, and then swapped whole; readers need no lock.
+package route
+
+import (
+	"strings"
+	"time"
+)
+
+// Repeat says how often a request may run.
+type Repeat uint8
+
+const (
+	// NonIdempotent requests may run at most once.
+	NonIdempotent Repeat = iota
+	// Idempotent requests may run any number of times.
+	Idempotent
+)
+
+// Route is what a table says of the requests under a host and a path prefix.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Targets share the route's requests by their weights.
+	Targets []Target
+	Repeat  Repeat
+	// Stream says that the answer is a series of events.
+	Stream bool
+	// Resumable streams can go on at another endpoint behind the last event
+	// that the caller has.
+	Resumable bool
+	// Tier is the rank that the route's requests are served by, 0 the highest.
+	// A team's own tier goes before it.
+	Tier int
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which the answer, or the first event of a
+	// stream, is on time.
+	Objective time.Duration
+	// MaxGap is the longest pause between two events of a stream that is on
+	// time; 0 if the route states none.
+	MaxGap time.Duration
+	// MaxRuns is the most endpoints at which one request may run.
+	MaxRuns int
+	// Public routes need no key.
+	Public bool
+}
+
+// Target is a service that answers a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Pick returns the service for a request; x is a random number from [0, 1).
+func (r *Route) Pick(x float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := int(x * float64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Team is an organisation that calls.
+type Team struct {
+	Name string
+	// Tier goes before that of a route; nil leaves the route's.
+	Tier *int
+}
+
+// Service is what a table says of a group of endpoints.
+type Service struct {
+	Name string
+	// HealthPath is where an endpoint tells whether it is healthy.
+	HealthPath string
+	// MaxConnections is how many connections an endpoint takes from all
+	// routers together; 0 if it states no limit.
+	MaxConnections int
+	// Engine describes model engines; nil for a plain service.
+	Engine *Engine
+}
+
+// Engine is what a table says of the engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// CacheTokens is the memory that running requests and cached parts share.
+	CacheTokens int
+	// Stride is how many tokens an event of a stream holds.
+	Stride int
+}
+
+// Limits bound what callers may send. Zero fields are no limit.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is what a table is built from.
+type Config struct {
+	// Version orders tables; a table is never replaced by one of a lower
+	// version.
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	// Teams holds the team of each key. With no keys at all, routes need none.
+	Teams  map[string]*Team
+	Limits Limits
+}
+
+// Table answers which route a request takes. It is immutable.
+type Table struct {
+	version  uint64
+	limits   Limits
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+	teams    map[string]*Team
+	routes   []Route
+}
+
+// NewTable builds a table. Its error is an *Error that names the faulty place.
+func NewTable(c Config) (*Table, error) {
+	t := &Table{
+		version:  c.Version,
+		limits:   c.Limits,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+		teams:    c.Teams,
+		routes:   c.Routes,
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		if err := t.add(&c.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) add(r *Route) error {
+	if err := t.check(r); err != nil {
+		return err
+	}
+	host := normalHost(r.Host)
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		prefixes = make(map[string]*Route)
+		t.hosts[host] = prefixes
+	}
+	if prefixes[r.Prefix] != nil {
+		return &Error{Route: r.Name, Reason: "another route has the same host and prefix"}
+	}
+	prefixes[r.Prefix] = r
+	return nil
+}
+
+func (t *Table) check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return &Error{Route: r.Name, Reason: "the prefix must begin and end with a slash"}
+	}
+	if len(r.Targets) == 0 {
+		return &Error{Route: r.Name, Reason: "it names no service"}
+	}
+	for _, target := range r.Targets {
+		if t.services[target.Service] == nil {
+			return &Error{Route: r.Name, Reason: "service " + target.Service + " is not defined"}
+		}
+	}
+	return nil
+}
+
+// Version orders tables.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits bound what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Size is the number of routes.
+func (t *Table) Size() int { return len(t.routes) }
+
+// Match returns the route of the longest prefix that begins the path, nil if
+// there is none. The path is the request's own, not unescaped.
+func (t *Table) Match(host, path string) *Route {
+	prefixes := t.hosts[normalHost(host)]
+	for len(prefixes) > 0 {
+		end := strings.LastIndexByte(path, '/')
+		if end < 0 {
+			return nil
+		}
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+		path = path[:end]
+	}
+	return nil
+}
+
+// NeedsKeys says whether routes that aren't public need a key.
+func (t *Table) NeedsKeys() bool { return t.teams != nil }
+
+// Team returns the team that holds a key, nil if none does.
+func (t *Table) Team(key string) *Team { return t.teams[key] }
+
+// Service returns what the table says of a service, nil if it doesn't know it.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// normalHost is a host without its port, in lower case.
+func normalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Error is a route that a table can't hold.
+type Error struct{ Route, Reason string }
+
+// Error implements error.
+func (e *Error) Error() string { return "route " + e.Route + ": " + e.Reason }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -57,6 +57,9 @@
 // record counts and logs how a request ended.
 func (rt *Router) record(r *request.Request, err error) {
 	class, team := names(r)
+	if r.Route != nil {
+		class = r.Route.Name
+	}
 	result := resultOf(err)
 	rt.metrics.requests.WithLabelValues(class, result).Inc()
 	rt.metrics.attempts.Add(float64(len(r.Tried)))
@@ -64,6 +67,10 @@
 		rt.metrics.tokens.WithLabelValues(class).Add(float64(r.Delivered.Tokens))
 		rt.metrics.firstToken.WithLabelValues(class).Observe(r.Delivered.FirstToken.Sub(r.Arrived).Seconds())
 	}
+	if r.Kind == wire.KindRouted {
+		rt.logRouted(r, err, result)
+		return
+	}
 	rt.recordService(r, err)
 	rt.cfg.Log.Debug().Err(err).Str("request", r.ID).Str("team", team).Str("class", class).
 		Str("result", result).Stringers("trail", trail(r)).Int("tokens", r.Delivered.Tokens).
--- /dev/null
+++ b/internal/router/routed.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/api"
+	"coveferry/internal/bundle"
+	"coveferry/internal/filters/admit"
+	"coveferry/internal/filters/attempts"
+	"coveferry/internal/filters/choose"
+	"coveferry/internal/filters/match"
+	"coveferry/internal/filters/relay"
+	"coveferry/internal/logging"
+	"coveferry/internal/pipeline"
+	"coveferry/internal/request"
+	"coveferry/internal/route"
+	"coveferry/internal/upstream"
+	"coveferry/internal/wire"
+)
+
+// Routing has a router serve requests by a route table, from endpoints that it
+// reaches without agents.
+type Routing struct {
+	// Table is the table in force, nil while there is none.
+	Table     func() *route.Table
+	Endpoints match.Endpoints
+	Protocol  upstream.Protocol
+	// Client reaches endpoints.
+	Client *http.Client
+	// KeyAge is how old the knowledge of keys is, and MaxKeyAge the age up to
+	// which keys are trusted; 0 trusts them always.
+	KeyAge    func() time.Duration
+	MaxKeyAge time.Duration
+}
+
+// routedRetryAfter is when the caller of a routed request that was refused may
+// come back: by then a queue of a few requests has moved on, and it is short
+// beside the objectives of interactive routes.
+const routedRetryAfter = 100 * time.Millisecond
+
+// routedPipe is the path of every routed request.
+func (rt *Router) routedPipe() pipeline.Next {
+	c := rt.cfg.Routing
+	return pipeline.Compose(
+		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand), // which route does it take?
+		admit.New(admit.Config{ // may its key use the route?
+			Protocol: c.Protocol, Age: c.KeyAge, MaxAge: c.MaxKeyAge,
+		}),
+		attempts.New(rt.cfg.Retry, rt.cfg.Rand), // repeat the rest where that is safe
+		choose.New(choose.Config{ // which endpoint?
+			Pool: rt.cfg.Pool, IgnoreKeys: true,
+			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
+		}),
+		rt.dispatch(rt.cfg.Client), // send it there
+		relay.Filter{},             // pass the answer on
+	)
+}
+
+// ServeRouted answers a request by the route table.
+func (rt *Router) ServeRouted(w http.ResponseWriter, req *http.Request) {
+	rt.serve(w, req, &request.Request{
+		Kind:   wire.KindRouted,
+		Method: req.Method,
+		Host:   req.Host,
+		Target: req.RequestURI,
+		Table:  rt.cfg.Routing.Table(),
+	})
+}
+
+// notReadyError is a request that came before the first route table.
+type notReadyError struct{}
+
+func (notReadyError) Error() string { return "router: no route table yet" }
+
+// API implements api.Convertible.
+func (notReadyError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "not_ready",
+		Message: "this router has just started and knows no routes yet", Run: wire.RunNot,
+		RetryAfter: routedRetryAfter,
+	}
+}
+
+// answerRouted tells the caller of a routed request how it ended.
+func answerRouted(r *request.Request, err error) {
+	if r.Delivered.Started {
+		panic(http.ErrAbortHandler) // the only sign that the answer isn't whole
+	}
+	var answer *relay.AnswerError
+	if errors.As(err, &answer) {
+		_ = answer.Write(r.Writer) // the caller may have left
+		return
+	}
+	out := *api.From(err)
+	out.RequestID = r.ID
+	out.Fractions = true
+	out.Status = honestStatus(out.Status, out.Run)
+	if out.Run == wire.RunNot && out.RetryAfter > 0 {
+		out.RetryAfter = min(out.RetryAfter, routedRetryAfter)
+	}
+	out.Write(r.Writer)
+}
+
+// honestStatus keeps those statuses which callers take for the promise that a
+// request didn't run from requests of which that isn't certain.
+func honestStatus(status int, run wire.Run) int {
+	if run == wire.RunNot {
+		return status
+	}
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// logRouted writes the one line that explains how a routed request ended.
+func (rt *Router) logRouted(r *request.Request, err error, result string) {
+	log := rt.cfg.Log.Info()
+	if log == nil {
+		return
+	}
+	log.Err(err).Str(logging.FieldRequest, r.CallerID).Str("route", routeName(r)).
+		Str(logging.FieldTeam, r.TeamName).Int(logging.FieldTier, r.Tier).
+		Str(logging.FieldResult, result).Int("candidates", len(r.Candidates)).
+		Array("attempts", trailArray(r.Trail)).
+		Uint64("version", versionOf(r.Table)).Dur("key_age", rt.cfg.Routing.KeyAge()).
+		Dur("left", time.Until(r.Deadline)).Dur(logging.FieldTook, time.Since(r.Arrived)).
+		Msg("request ended")
+}
+
+func routeName(r *request.Request) string {
+	if r.Route == nil {
+		return ""
+	}
+	return r.Route.Name
+}
+
+func versionOf(t *route.Table) uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.Version()
+}
+
+// trailArray logs a request's attempts without making a list of strings first.
+type trailArray []request.Step
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (t trailArray) MarshalZerologArray(a *zerolog.Array) {
+	for _, step := range t {
+		a.Str(step.String())
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,8 @@
 	// Service counts how requests of each class and tier met their targets;
 	// nil counts nothing.
 	Service *slo.Tracker
+	// Routing serves requests by a route table; nil serves none.
+	Routing *Routing
 	Log     zerolog.Logger
 	Metrics prometheus.Registerer
 }
@@ -84,6 +86,7 @@
 	cfg      Config
 	snapshot atomic.Pointer[bundle.Snapshot]
 	run      pipeline.Next
+	routed   pipeline.Next // nil without Routing
 	room     *room
 	metrics  *metrics
 	drain    *drain
@@ -111,6 +114,9 @@
 	}
 	rt.Swap(cfg.Snapshot)
 	rt.run = rt.pipe()
+	if cfg.Routing != nil {
+		rt.routed = rt.routedPipe()
+	}
 	return rt
 }
 
@@ -136,12 +142,15 @@
 	if rt.cfg.Observer != nil {
 		f.Observe(rt.cfg.Observer)
 	}
+	if rt.cfg.Routing != nil {
+		f.Direct(rt.cfg.Routing.Protocol, rt.cfg.Routing.Client)
+	}
 	return f
 }
 
 func (rt *Router) choose(near *narrow.Filter) *choose.Filter {
 	return choose.New(choose.Config{
-		Pool: rt.cfg.Pool, Narrow: near,
+		Pool: rt.cfg.Pool, Latest: near.Latest,
 		IgnoreKeys: rt.cfg.IgnoreKeys, LateBinding: rt.cfg.LateBinding,
 	})
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -69,13 +69,24 @@
 	r.Body = body
 	ctx, done := rt.drain.follow(req.Context())
 	defer done()
-	err = rt.run(ctx, r)
+	err = rt.runPipe(ctx, r)
 	if err != nil && errors.Is(context.Cause(ctx), errEnded) {
 		return &endedError{cause: err}
 	}
 	return err
 }
 
+// runPipe takes the request through the pipe of its kind.
+func (rt *Router) runPipe(ctx context.Context, r *request.Request) error {
+	if r.Kind != wire.KindRouted {
+		return rt.run(ctx, r)
+	}
+	if r.Table == nil {
+		return notReadyError{}
+	}
+	return rt.routed(ctx, r)
+}
+
 // answerError tells the caller of an error, in the way that is still open: a
 // whole answer before the stream began, an event in it afterwards. A plain
 // service's answer that was cut off ends the connection, as its only sign.
@@ -84,6 +95,10 @@
 	if errors.As(err, &gone) {
 		return
 	}
+	if r.Kind == wire.KindRouted {
+		answerRouted(r, err)
+		return
+	}
 	out := api.From(err)
 	out.RequestID = r.ID
 	if !r.Delivered.Started {
@@ -131,10 +146,24 @@
 	}).Write(w)
 }
 
+// defaultBodyBytes bounds a body where no configuration does.
+const defaultBodyBytes = 4 << 20
+
+// bodyLimit is the most bytes that the request's body may have.
+func bodyLimit(r *request.Request) int64 {
+	if r.Kind != wire.KindRouted {
+		return int64(r.Snapshot.Bundle().Limits.RequestBytes)
+	}
+	if r.Table == nil || r.Table.Limits().BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return r.Table.Limits().BodyBytes
+}
+
 // receiveBody reads the caller's body within its time, its size and the room
 // that all bodies share.
 func (rt *Router) receiveBody(req *http.Request, r *request.Request) ([]byte, error) {
-	limit := int64(r.Snapshot.Bundle().Limits.RequestBytes)
+	limit := bodyLimit(r)
 	if req.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -49,6 +49,45 @@
 	return &http.Client{Transport: t}
 }
 
+// Bounds of the client that reaches endpoints without agents.
+const (
+	// deadPeerIdle, deadPeerProbe and deadPeerProbes find a peer that is gone
+	// without a word, such as a VM that lost power, within some five seconds.
+	// Silence of a peer whose VM lives ends nothing.
+	deadPeerIdle   = 2 * time.Second
+	deadPeerProbe  = time.Second
+	deadPeerProbes = 3
+	// directDialTimeout is long beside the milliseconds of a connection that
+	// comes about, and short enough to try another endpoint.
+	directDialTimeout = 500 * time.Millisecond
+	// directIdle is shorter than the idle timeouts of usual servers, which
+	// begin at five seconds: a request that meets a closing connection is lost.
+	directIdle = 4 * time.Second
+)
+
+// NewDirectClient returns a client for endpoints that are reached over plain
+// HTTP/1.1, each answer on a connection of its own while it lasts.
+func NewDirectClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout: directDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: deadPeerIdle, Interval: deadPeerProbe, Count: deadPeerProbes,
+		},
+		Control: setUserTimeout,
+	}
+	t := newTransport()
+	t.DialContext = dialer.DialContext
+	t.IdleConnTimeout = directIdle
+	t.HTTP2 = nil
+	t.Protocols = new(http.Protocols)
+	t.Protocols.SetHTTP1(true)
+	return &http.Client{
+		Transport: t,
+		// An endpoint's redirect is the caller's to follow.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // TCP returns the dial of the machine's own network.
 func TCP() Dial {
 	return (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
--- /dev/null
+++ b/internal/server/usertimeout.go
@@ -0,0 +1,22 @@
+package server
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// sendTimeout is how long bytes that were sent may stay unacknowledged before
+// their connection counts as broken.
+const sendTimeout = deadPeerIdle + deadPeerProbes*deadPeerProbe
+
+// setUserTimeout sets TCP_USER_TIMEOUT on a socket that is about to connect.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(sendTimeout/time.Millisecond))
+	})
+	return errors.Wrap(errors.CombineErrors(err, failed), "server: set TCP_USER_TIMEOUT")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -43,6 +43,8 @@
 	KindChat       Kind = "chat"
 	KindCompletion Kind = "completion"
 	KindService    Kind = "service"
+	// KindRouted requests go by a route table to endpoints without an agent.
+	KindRouted Kind = "routed"
 )
 
 // Envelope says what an agent has to know of an attempt. Times are given as
