Split a model's endpoints by measured demand and choose by cost

Change: the part kept follows the decaying demand of both kinds; within a part the endpoint is chosen at which reading, waiting and slots cost least; after its notice a stopping router refuses new requests.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -62,8 +62,8 @@
 	RetryAfter time.Duration `json:"-"`
 	// Fractions gives RetryAfter in fractions of a second, for callers that take
 	// them because their deadlines are short.
-	Fractions bool `json:"-"`
-	RequestID  string        `json:"request_id,omitempty"`
+	Fractions bool   `json:"-"`
+	RequestID string `json:"request_id,omitempty"`
 	// Earlier is the request that used the idempotency key before, or says
 	// that one can't be ruled out. For a duplicate Run tells of that one.
 	Earlier *wire.Earlier `json:"earlier,omitempty"`
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,6 +23,8 @@
 	// MaxGap is the longest pause between two events of a stream that is on
 	// time; 0 if none is stated.
 	MaxGap time.Duration
+	// Stride is how many tokens an event of the stream holds; 0 if unknown.
+	Stride int
 }
 
 // View is what a router knows of one endpoint at one moment.
@@ -34,6 +36,9 @@
 	// Prefill is how many prompt tokens this router sent that the endpoint
 	// isn't known to have read.
 	Prefill int
+	// Cached is how many tokens at the start of the request's prompt this
+	// router sent there lately.
+	Cached int
 	// SinceReport counts those of this router's requests that were sent after
 	// the last report arrived and haven't ended, so that the report misses them.
 	SinceReport int
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -8,6 +8,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/load"
+	"coveferry/internal/prompt"
 )
 
 // Pool is what one router knows of the endpoints it uses. It is safe for
@@ -62,7 +63,7 @@
 // choose returns the place of the chosen view in the scratch.
 func (p *Pool) choose(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (int, error) {
 	s.pcg.Seed(p.cfg.Seed, p.choices.Add(1))
-	skipped, leaving := p.collect(s, now, candidates, skip)
+	skipped, leaving := p.collect(s, now, req, candidates, skip)
 	reviveIfAllShed(s.views)
 	i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
 	if !ok {
@@ -72,7 +73,7 @@
 }
 
 // collect fills the scratch with the views of the usable candidates.
-func (p *Pool) collect(s *scratch, now time.Time, candidates []*bundle.Endpoint, skip func(string) bool) (skipped, leaving int) {
+func (p *Pool) collect(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (skipped, leaving int) {
 	s.views = s.views[:0]
 	s.from = s.from[:0]
 	for i, c := range candidates {
@@ -82,7 +83,7 @@
 		}
 		s.views = append(s.views, View{})
 		v := &s.views[len(s.views)-1]
-		if !p.view(now, c, v) {
+		if !p.view(now, c, v, req.Prompt) {
 			s.views = s.views[:len(s.views)-1]
 			leaving++
 			continue
@@ -106,7 +107,7 @@
 }
 
 // view fills v and returns false if the endpoint accepts no new work.
-func (p *Pool) view(now time.Time, c *bundle.Endpoint, v *View) bool {
+func (p *Pool) view(now time.Time, c *bundle.Endpoint, v *View, pr prompt.Prompt) bool {
 	sh := p.shard(c.Name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -115,6 +116,7 @@
 		st.group = peerGroup(c)
 	}
 	st.view(c, v)
+	v.Cached = st.recent.cached(now, pr)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
 	if st.suspect {
 		v.Weight = 0
@@ -127,7 +129,7 @@
 func (p *Pool) Views(now time.Time, candidates []*bundle.Endpoint) []View {
 	views := make([]View, len(candidates))
 	for i, c := range candidates {
-		p.view(now, c, &views[i])
+		p.view(now, c, &views[i], prompt.Prompt{})
 	}
 	return views
 }
@@ -143,29 +145,37 @@
 
 // Work is what a request asks of its endpoint.
 type Work struct {
-	// PromptTokens is how many tokens are likely to be prefilled.
-	PromptTokens int
+	Prompt prompt.Prompt
 }
 
-// SentWork is Sent for a request whose work is known.
-func (p *Pool) SentWork(now time.Time, endpoint string, w Work) {
+// SentWork is Sent for a request whose work is known. It returns the function
+// that notes that the prompt has been read or needs to be read no more, of which
+// only the first call counts.
+func (p *Pool) SentWork(now time.Time, endpoint string, w Work) func() {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(endpoint)
 	st.sent()
-	st.prefill += w.PromptTokens
+	if w.Prompt.Tokens == 0 {
+		return func() {}
+	}
+	tokens := w.Prompt.Tokens - st.recent.cached(now, w.Prompt)
+	if st.recent == nil {
+		st.recent = make(recentParts)
+	}
+	st.recent.use(now, w.Prompt)
+	st.prefill += tokens
+	return p.prefilled(endpoint, tokens)
 }
 
-// Prefilled returns the function that notes that a request's prompt has been
-// read or needs to be read no more. Only its first call counts.
-func (p *Pool) Prefilled(endpoint string, w Work) func() {
+func (p *Pool) prefilled(endpoint string, tokens int) func() {
 	return sync.OnceFunc(func() {
 		sh := p.shard(endpoint)
 		sh.mu.Lock()
 		defer sh.mu.Unlock()
 		st := sh.state(endpoint)
-		st.prefill = max(0, st.prefill-w.PromptTokens)
+		st.prefill = max(0, st.prefill-tokens)
 	})
 }
 
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -5,42 +5,46 @@
 	"time"
 )
 
-// Defaults of PromptAware.
+// Times of an engine, in milliseconds, by which PromptAware weighs its choices.
+// They are measured at engines of the kind that the users run; what matters is
+// their proportion.
 const (
-	// defaultTightShare is the part of the endpoints kept for streams with a
-	// tight gap; a fifth was best of 15 to 35% in the trial that the users'
-	// platform page reports.
-	defaultTightShare = 0.2
-	// defaultTightGap is the pause up to which a stream's gap counts as tight:
-	// a prompt's chunk between two tokens then takes most of it.
-	defaultTightGap = 300 * time.Millisecond
-	// defaultSlack is how far above the mean load an endpoint may be and still
-	// be chosen for its cache, as in consistent hashing with bounded loads.
-	defaultSlack = 1.25
-	// smallPrompt is the size in tokens of a prompt that hardly delays others.
-	smallPrompt = 1024
+	// readPerToken is what the prefill of one prompt token takes.
+	readPerToken = 0.0176
+	// streamCost is what one more stream in a batch costs those in it.
+	streamCost = 2.0
+	// fullCost is added where all slots are taken: a request waits there for
+	// another one's end.
+	fullCost = 500.0
+	// rereadFactor is how much more a token that is read again counts than its
+	// time: it delays the streams beside it as well, and is work done twice.
+	rereadFactor = 2.0
+	// chunkPause is the time between two tokens of a stream while a long prompt
+	// is read beside it, chunk by chunk, with a quarter in reserve.
+	chunkPause = 57 * time.Millisecond
+	// tightHeadroom is how much more room tight streams get than their part of
+	// the work, since they are late by pauses and not by queues.
+	tightHeadroom = 1.3
+	// spillShare is the part of the slots from which endpoints kept for tight
+	// streams count as full, so that others take some.
+	spillShare = 0.85
 )
 
 // PromptAware chooses by what a prompt costs those that run beside it. Prompts
 // are read in chunks between the tokens of all running streams, so that a long
 // one makes each of them pause. It therefore keeps some endpoints for streams
-// whose gaps are tight, the same ones at all routers, and brings prompts that
-// share parts together while loads stay near their mean.
-type PromptAware struct {
-	// TightShare is the part of the endpoints kept for tight streams.
-	TightShare float64
-	// TightGap is the gap up to which a stream is tight.
-	TightGap time.Duration
-	// Slack bounds the load of an endpoint chosen for its cache, as a
-	// multiple of the mean.
-	Slack float64
-}
+// whose gaps are tight, as many as their part of the demand asks for and the
+// same ones at all routers, and brings prompts that share parts together.
+type PromptAware struct{ demand *demand }
+
+// NewPromptAware returns a policy that has seen no demand yet.
+func NewPromptAware() PromptAware { return PromptAware{demand: &demand{}} }
 
 // Name implements Policy.
 func (PromptAware) Name() string { return "prompt-aware" }
 
 // Choose implements Policy.
-func (p PromptAware) Choose(_ time.Time, req Request, views []View, rnd *rand.Rand) (int, bool) {
+func (p PromptAware) Choose(now time.Time, req Request, views []View, rnd *rand.Rand) (int, bool) {
 	usable := usableViews(views)
 	if len(usable) == 0 {
 		return 0, false
@@ -48,66 +52,89 @@
 	if req.Prompt.Tokens == 0 {
 		return leastBusy(views, usable, rnd), true
 	}
-	group := p.group(req, views, usable)
-	if home := req.Prompt.Home(); home != 0 {
-		return p.byCache(home, views, group), true
-	}
-	return leastBusy(views, group, rnd), true
+	return cheapest(req, views, p.group(now, req, views, usable), rnd), true
 }
 
-func (p PromptAware) tight(req Request) bool {
-	gap := p.TightGap
-	if gap <= 0 {
-		gap = defaultTightGap
-	}
-	return req.MaxGap > 0 && req.MaxGap <= gap
+// isTight says whether a long prompt beside it would make the stream late.
+func isTight(req Request) bool {
+	return req.MaxGap > 0 && req.MaxGap < time.Duration(max(req.Stride, 1))*chunkPause
 }
 
 // group is the part of the endpoints that the request's kind uses.
-func (p PromptAware) group(req Request, views []View, usable []int) []int {
-	share := p.TightShare
-	if share == 0 {
-		share = defaultTightShare
-	}
-	kept := int(share*float64(len(usable)) + 0.5)
-	if len(usable) > 1 {
-		kept = max(kept, 1)
-	}
+func (p PromptAware) group(now time.Time, req Request, views []View, usable []int) []int {
+	tight := isTight(req)
+	work := float64(req.Prompt.Own()) + outputWeight*float64(req.Prompt.Output)
+	kept := p.demand.add(now, work, tight, len(usable), tightHeadroom)
 	ranked := rankForTight(views, usable)
-	if p.tight(req) {
-		return ranked[:max(kept, 1)]
+	if !tight {
+		return ranked[min(kept, len(ranked)-1):]
 	}
-	return ranked[min(kept, len(ranked)-1):]
+	group := ranked[:max(kept, 1)]
+	if allFull(views, group) {
+		return ranked
+	}
+	return group
 }
 
-// byCache is the first endpoint in the home's own order whose load is near the
-// mean.
-func (p PromptAware) byCache(home uint64, views []View, group []int) int {
-	slack := p.Slack
-	if slack == 0 {
-		slack = defaultSlack
-	}
-	total := 0.0
+func allFull(views []View, group []int) bool {
 	for _, i := range group {
-		total += views[i].promptLoad()
+		if views[i].requests() < spillShare*views[i].slots() {
+			return false
+		}
 	}
-	bound := slack*total/float64(len(group)) + 1
-	best, found := group[0], false
-	var bestRank uint64
-	for _, i := range group {
-		rank := rendezvous(home, views[i].Endpoint)
-		if views[i].promptLoad() <= bound && (!found || rank > bestRank) {
-			best, bestRank, found = i, rank, true
+	return true
+}
+
+// cheapest is the endpoint at which the request costs itself and others the
+// least time.
+func cheapest(req Request, views []View, group []int, rnd *rand.Rand) int {
+	home := homeOf(req, views, group)
+	start := rnd.IntN(len(group))
+	best, bestCost := group[start], 0.0
+	for n := range group {
+		i := group[(start+n)%len(group)]
+		cost := promptCost(req, &views[i], i == home)
+		if n == 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// promptLoad is the load of a model's endpoint in requests: those that run or
-// wait there, and the prompts that it has yet to read.
-func (v *View) promptLoad() float64 {
+// homeOf is the endpoint that all routers prefer for the prompt's shared parts,
+// -1 if it has none.
+func homeOf(req Request, views []View, group []int) int {
+	key := req.Prompt.Home()
+	if key == 0 {
+		return -1
+	}
+	home := group[0]
+	for _, i := range group[1:] {
+		if rendezvous(key, views[i].Endpoint) > rendezvous(key, views[home].Endpoint) {
+			home = i
+		}
+	}
+	return home
+}
+
+// promptCost is in milliseconds.
+func promptCost(req Request, v *View, home bool) float64 {
+	reread := max(0, req.Prompt.Shared()-v.Cached)
+	if home {
+		reread = 0 // read there already, or to be read there now
+	}
+	waiting := readPerToken * float64(v.Prefill)
+	cost := waiting + readPerToken*rereadFactor*float64(reread) + streamCost*v.requests()
+	if v.requests() >= v.slots() {
+		cost += fullCost
+	}
+	return cost
+}
+
+// requests are those that run or wait at the endpoint.
+func (v *View) requests() float64 {
 	n := v.Load.TotalQueued() + v.Load.TotalRunning() + v.SinceReport
-	return float64(max(n, v.Inflight)) + float64(v.Prefill)/smallPrompt
+	return float64(max(n, v.Inflight))
 }
 
 // usableViews are the endpoints that are healthy, or all if none is.
--- a/internal/balance/refuse.go
+++ b/internal/balance/refuse.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/prompt"
 )
 
 // MayRefuse says whether a router may refuse a request of the tier on its own
@@ -14,7 +15,7 @@
 func (p *Pool) MayRefuse(now time.Time, tier int, candidates []*bundle.Endpoint) bool {
 	var v View
 	for _, c := range candidates {
-		if !p.view(now, c, &v) {
+		if !p.view(now, c, &v, prompt.Prompt{}) {
 			continue
 		}
 		if v.canTake(now, tier, p.cfg.RefuseAge) {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -41,6 +41,7 @@
 type state struct {
 	inflight    int
 	sinceReport int
+	recent      recentParts
 	prefill     int // tokens of prompts sent that aren't known to be read
 	load        load.Report
 	reportedAt  time.Time
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -99,6 +99,9 @@
 	// directNotice is how long the balancer goes on sending connections after a
 	// router has said that it takes no more: two questions a second apart.
 	directNotice = 2500 * time.Millisecond
+	// directMargin is what a stop leaves for callers to be told that their
+	// answers end early, and again for the process to end by itself.
+	directMargin = 200 * time.Millisecond
 	// directLinger is the quiet after which a stopping router closes
 	// connections.
 	directLinger = 300 * time.Millisecond
@@ -142,7 +145,7 @@
 func newDirect(cfg Direct, log zerolog.Logger) (*directRouter, error) {
 	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
 	d.ready = telemetry.NewReadiness(gateServing)
-	pool := balance.NewPool(balance.Config{Policy: balance.PromptAware{}, Seed: uint64(os.Getpid())})
+	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware(), Seed: uint64(os.Getpid())})
 	d.members = newMembers(cfg.VM, pool, d.reg, log)
 	d.follower = follow.New(follow.Config{
 		Source: cfg.Source, Timing: timing(cfg.Bounds), Log: log,
@@ -293,8 +296,11 @@
 func (d *directRouter) stop() error {
 	d.log.Info().Msg("stopping: new connections go elsewhere, open requests are finished")
 	d.ready.Close(gateServing)
-	plan := server.Plan{Notice: directNotice, Grace: d.cfg.Bounds.StopWithin - directNotice - endMargin/2, Margin: endMargin / 2}
-	return plan.Run(d.router.Leave, d.router.EndOpen, func() error { return d.callers.StopWithin(plan.Grace) })
+	plan := server.Plan{Notice: directNotice, Grace: d.cfg.Bounds.StopWithin - directNotice - directMargin, Margin: directMargin}
+	return plan.Run(d.router.Leave, d.router.EndOpen, func() error {
+		d.router.Refuse()
+		return d.callers.StopWithin(plan.Grace)
+	})
 }
 
 // reloadOnHangup reads the settings again at each SIGHUP.
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -101,6 +101,7 @@
 	}
 	if r.Route != nil {
 		ask.MaxGap = r.Route.MaxGap
+		ask.Stride = stride(r)
 	}
 	pair, err := f.pick(r, ask)
 	if err != nil {
@@ -114,6 +115,15 @@
 	return nil
 }
 
+// stride is how many tokens an event holds, as the table says of the service.
+func stride(r *request.Request) int {
+	s := r.Table.Service(r.Service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.Stride
+}
+
 func (f *Filter) pick(r *request.Request, ask balance.Request) (balance.Pair, error) {
 	if f.late && r.Kind != wire.KindService && r.Kind != wire.KindRouted {
 		return f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -34,6 +34,17 @@
 	f.direct = direct{protocol: p, client: client}
 }
 
+// sendDirect sends an attempt and keeps the pool's account of it.
+func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
+	r.Began = f.pool.SentWork(sent, r.Endpoint.Name, balance.Work{Prompt: r.Prompt})
+	err := f.exchangeDirect(ctx, r, next)
+	r.Began()
+	r.Began = nil
+	// Times to the first token differ by prompts, not by endpoints.
+	f.settle(ctx, r.Endpoint.Name, err, 0)
+	return err
+}
+
 // exchangeDirect sends an attempt to an endpoint that has no agent, and judges
 // by the endpoint's own mark whether it ran.
 func (f *Filter) exchangeDirect(ctx context.Context, r *request.Request, next pipeline.Next) error {
@@ -174,11 +185,3 @@
 	delete(h, "Expect")
 	return h
 }
-
-// workOf is what an attempt asks of its endpoint.
-func workOf(r *request.Request) balance.Work {
-	if r.Kind != wire.KindRouted {
-		return balance.Work{}
-	}
-	return balance.Work{PromptTokens: r.Prompt.Own()}
-}
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -71,17 +71,10 @@
 
 func (f *Filter) sendOne(ctx context.Context, r *request.Request, body []byte, next pipeline.Next) error {
 	sent := time.Now()
-	work := workOf(r)
-	f.pool.SentWork(sent, r.Endpoint.Name, work)
 	if r.Kind == wire.KindRouted {
-		r.Began = f.pool.Prefilled(r.Endpoint.Name, work)
-		err := f.exchangeDirect(ctx, r, next)
-		r.Began()
-		r.Began = nil
-		// Times to the first token differ by prompts, not by endpoints.
-		f.settle(ctx, r.Endpoint.Name, err, 0)
-		return err
+		return f.sendDirect(ctx, r, sent, next)
 	}
+	f.pool.Sent(sent, r.Endpoint.Name)
 	err := f.exchange(ctx, r, body, next)
 	f.settle(ctx, r.Endpoint.Name, err, firstToken(r, sent))
 	return err
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -18,8 +18,10 @@
 	Parts []Part
 	// Tokens is the size of the whole prompt.
 	Tokens int
-	// MaxOutput is the most tokens that the answer may have.
+	// MaxOutput is the most tokens that the answer may have, and Output how
+	// many it is likely to have.
 	MaxOutput int
+	Output    int
 }
 
 // Home is the id of the last part that other requests share, by which requests
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -17,6 +17,8 @@
 // drain is how far a router's planned stop has come.
 type drain struct {
 	leaving atomic.Bool
+	// refusing says that new requests are refused.
+	refusing atomic.Bool
 	// over ends when open requests are to end.
 	over context.Context
 	end  context.CancelCauseFunc
@@ -32,6 +34,23 @@
 // stops: a request sent on an idle connection as it closes would be lost.
 func (rt *Router) Leave() { rt.drain.leaving.Store(true) }
 
+// Refuse has new requests refused from now on, so that what is under way has the
+// rest of the time of a planned stop.
+func (rt *Router) Refuse() { rt.drain.refusing.Store(true) }
+
+// stoppingError is a request that came when the router took no more.
+type stoppingError struct{}
+
+func (stoppingError) Error() string { return "router: stopping, takes no new requests" }
+
+// API implements api.Convertible.
+func (stoppingError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "router_stopping",
+		Message: "this router is stopping; others serve on", Run: wire.RunNot, RetryAfter: retryAfterFull,
+	}
+}
+
 // EndOpen ends the requests still open with a typed error, for what the time of
 // a planned stop doesn't suffice.
 func (rt *Router) EndOpen() { rt.drain.end(errEnded) }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -57,6 +57,9 @@
 }
 
 func (rt *Router) receiveAndRun(req *http.Request, r *request.Request) error {
+	if rt.drain.refusing.Load() {
+		return stoppingError{}
+	}
 	if err := rt.room.enter(); err != nil {
 		return err
 	}
