Weigh endpoints by what is unread there, and size the tight part by work sent

Change: demand of tight streams goes up fast and down slowly; a long prompt counts the tight streams beside it; unread prompts are scaled by this router's part of all requests; work counts tokens really sent.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -20,11 +20,8 @@
 	Prefix uint64
 	// Prompt is the shape of the prompt, where the caller tells it.
 	Prompt prompt.Prompt
-	// MaxGap is the longest pause between two events of a stream that is on
-	// time; 0 if none is stated.
-	MaxGap time.Duration
-	// Stride is how many tokens an event of the stream holds; 0 if unknown.
-	Stride int
+	// Tight says that long prompts beside it would make the stream late.
+	Tight bool
 }
 
 // View is what a router knows of one endpoint at one moment.
@@ -34,8 +31,10 @@
 	// Inflight counts this router's own requests at the endpoint.
 	Inflight int
 	// Prefill is how many prompt tokens this router sent that the endpoint
-	// isn't known to have read.
-	Prefill int
+	// isn't known to have read, of each tier.
+	Prefill [load.MaxTiers]int
+	// Tight is how many of this router's tight streams run there.
+	Tight int
 	// Cached is how many tokens at the start of the request's prompt this
 	// router sent there lately.
 	Cached int
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -6,44 +6,72 @@
 	"time"
 )
 
-// demandHalfLife is the age at which a request counts half in the demand. Bursts
-// last seconds, so a shorter memory follows them and a much shorter one is noise.
-const demandHalfLife = 1500 * time.Millisecond
+// Half-lives of the demand: the age at which a request counts half. A router
+// sees some ten requests of a kind a second, so that a memory of one second is
+// noisy by a third; a longer one lags behind bursts, which last seconds.
+const (
+	slowHalfLife = 2 * time.Second
+	fastHalfLife = time.Second
+)
 
 // outputWeight is how many prompt tokens cost an engine as much time as one
 // token of output does, in a batch of usual size.
 const outputWeight = 10
 
 // demand measures how much work two kinds of request ask for, as decaying sums.
-// It is safe for concurrent use.
+// That of tight streams is followed fast upward and slowly downward, because an
+// endpoint that takes long prompts while such streams still run there makes them
+// late. It is safe for concurrent use.
 type demand struct {
-	mu    sync.Mutex
-	at    time.Time
-	tight float64
-	bulk  float64
-	kept  int // endpoints for tight streams, as last worked out
+	mu   sync.Mutex
+	at   time.Time
+	slow work
+	fast work
+	kept int // endpoints for tight streams, as last worked out
+}
+
+// work is in prompt tokens.
+type work struct{ tight, bulk float64 }
+
+func (w *work) decay(age, halfLife time.Duration) {
+	left := math.Exp2(-age.Seconds() / halfLife.Seconds())
+	w.tight *= left
+	w.bulk *= left
+}
+
+func (w *work) add(amount float64, tight bool) {
+	if tight {
+		w.tight += amount
+		return
+	}
+	w.bulk += amount
 }
 
-// add notes a request's work and returns how many of n endpoints are for tight
-// streams now.
-func (d *demand) add(now time.Time, work float64, tight bool, n int, headroom float64) int {
+// add notes a request's work.
+func (d *demand) add(now time.Time, amount float64, tight bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	if tight {
-		d.tight += work
-	} else {
-		d.bulk += work
-	}
-	d.kept = split(d.kept, n, headroom*d.tight, d.bulk)
+	d.slow.add(amount, tight)
+	d.fast.add(amount, tight)
+}
+
+// split is how many of n endpoints are for tight streams now.
+func (d *demand) split(now time.Time, n int, headroom float64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay(now)
+	// Sums over different memories compare as rates.
+	scale := slowHalfLife.Seconds() / fastHalfLife.Seconds()
+	asked := max(d.slow.tight, scale*d.fast.tight)
+	d.kept = split(d.kept, n, headroom*asked, d.slow.bulk)
 	return d.kept
 }
 
 func (d *demand) decay(now time.Time) {
 	if !d.at.IsZero() && now.After(d.at) {
-		left := math.Exp2(-now.Sub(d.at).Seconds() / demandHalfLife.Seconds())
-		d.tight *= left
-		d.bulk *= left
+		d.slow.decay(now.Sub(d.at), slowHalfLife)
+		d.fast.decay(now.Sub(d.at), fastHalfLife)
 	}
 	d.at = now
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -60,6 +60,28 @@
 	return candidates[s.from[i]], nil
 }
 
+// Waiter is a Policy that can tell how long a request will probably wait for its
+// first token at the endpoint that it chose.
+type Waiter interface {
+	Wait(req Request, views []View, chosen int) time.Duration
+}
+
+// ChooseTimed is Choose that also tells how long the request will probably wait
+// for its first token; 0 if the policy can't tell.
+func (p *Pool) ChooseTimed(now time.Time, req Request, candidates []*bundle.Endpoint, skip func(endpoint string) bool) (*bundle.Endpoint, time.Duration, error) {
+	s := p.scratch.Get().(*scratch)
+	defer p.scratch.Put(s)
+	i, err := p.choose(s, now, req, candidates, skip)
+	if err != nil {
+		return nil, 0, err
+	}
+	var wait time.Duration
+	if w, ok := p.cfg.Policy.(Waiter); ok {
+		wait = w.Wait(req, s.views, i)
+	}
+	return candidates[s.from[i]], wait, nil
+}
+
 // choose returns the place of the chosen view in the scratch.
 func (p *Pool) choose(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (int, error) {
 	s.pcg.Seed(p.cfg.Seed, p.choices.Add(1))
@@ -143,42 +165,6 @@
 	sh.state(endpoint).sent()
 }
 
-// Work is what a request asks of its endpoint.
-type Work struct {
-	Prompt prompt.Prompt
-}
-
-// SentWork is Sent for a request whose work is known. It returns the function
-// that notes that the prompt has been read or needs to be read no more, of which
-// only the first call counts.
-func (p *Pool) SentWork(now time.Time, endpoint string, w Work) func() {
-	sh := p.shard(endpoint)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	st := sh.state(endpoint)
-	st.sent()
-	if w.Prompt.Tokens == 0 {
-		return func() {}
-	}
-	tokens := w.Prompt.Tokens - st.recent.cached(now, w.Prompt)
-	if st.recent == nil {
-		st.recent = make(recentParts)
-	}
-	st.recent.use(now, w.Prompt)
-	st.prefill += tokens
-	return p.prefilled(endpoint, tokens)
-}
-
-func (p *Pool) prefilled(endpoint string, tokens int) func() {
-	return sync.OnceFunc(func() {
-		sh := p.shard(endpoint)
-		sh.mu.Lock()
-		defer sh.mu.Unlock()
-		st := sh.state(endpoint)
-		st.prefill = max(0, st.prefill-tokens)
-	})
-}
-
 // Report takes in the load report of an endpoint. One with an older Seq than
 // the last is ignored.
 func (p *Pool) Report(now time.Time, endpoint string, r load.Report) {
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -3,14 +3,17 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"coveferry/internal/load"
 )
 
 // Times of an engine, in milliseconds, by which PromptAware weighs its choices.
 // They are measured at engines of the kind that the users run; what matters is
 // their proportion.
 const (
-	// readPerToken is what the prefill of one prompt token takes.
-	readPerToken = 0.0176
+	// readPerToken is what the prefill of one prompt token takes, beside the
+	// tokens of the streams that run meanwhile.
+	readPerToken = 0.02
 	// streamCost is what one more stream in a batch costs those in it.
 	streamCost = 2.0
 	// fullCost is added where all slots are taken: a request waits there for
@@ -22,12 +25,19 @@
 	// chunkPause is the time between two tokens of a stream while a long prompt
 	// is read beside it, chunk by chunk, with a quarter in reserve.
 	chunkPause = 57 * time.Millisecond
-	// tightHeadroom is how much more room tight streams get than their part of
-	// the work, since they are late by pauses and not by queues.
-	tightHeadroom = 1.3
+	// pausePenalty is what a long prompt costs each tight stream that runs
+	// beside it: the stream is probably late.
+	pausePenalty = 80.0
+	// tightHeadroom weighs the work of tight streams. It is under 1 because they
+	// are late by pauses and not by queues, and run well in full batches.
+	tightHeadroom = 0.8
 	// spillShare is the part of the slots from which endpoints kept for tight
 	// streams count as full, so that others take some.
 	spillShare = 0.85
+	// ownSightShare is the part of all requests that a router must send for
+	// what it sent to one endpoint to tell what all have sent there. Below it
+	// the mean of all endpoints tells more.
+	ownSightShare = 0.33
 )
 
 // PromptAware chooses by what a prompt costs those that run beside it. Prompts
@@ -52,21 +62,53 @@
 	if req.Prompt.Tokens == 0 {
 		return leastBusy(views, usable, rnd), true
 	}
-	return cheapest(req, views, p.group(now, req, views, usable), rnd), true
+	group := p.group(now, req, views, usable)
+	home := homeOf(req, views, group)
+	chosen := cheapest(req, views, group, home, rnd)
+	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
+	p.demand.add(now, float64(read)+outputWeight*float64(req.Prompt.Output), req.Tight)
+	return chosen, true
+}
+
+// Wait implements Waiter. Prompts of a higher tier are read first, so only those
+// of the request's own tier and above count as ahead.
+func (p PromptAware) Wait(req Request, views []View, chosen int) time.Duration {
+	if req.Prompt.Tokens == 0 {
+		return 0
+	}
+	part := ownPart(views)
+	mean := 0.0
+	for i := range views {
+		mean += float64(views[i].aheadOf(req.Tier)) / float64(len(views))
+	}
+	sight := min(1, part/ownSightShare)
+	ahead := float64(views[chosen].aheadOf(req.Tier))*sight + mean*(1-sight)
+	read := float64(max(0, req.Prompt.Tokens-views[chosen].Cached))
+	ms := readPerToken * (ahead/part + read)
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// isTight says whether a long prompt beside it would make the stream late.
-func isTight(req Request) bool {
-	return req.MaxGap > 0 && req.MaxGap < time.Duration(max(req.Stride, 1))*chunkPause
+// aheadOf is how many prompt tokens this router sent to the endpoint that are
+// read before those of a new request of the tier.
+func (v *View) aheadOf(tier int) int {
+	tokens := 0
+	for _, n := range v.Prefill[:min(tier, load.MaxTiers-1)+1] {
+		tokens += n
+	}
+	return tokens
+}
+
+// IsTight says whether a long prompt beside it would make a stream late whose
+// events may be maxGap apart and hold stride tokens. A maxGap of 0 is no bound.
+func IsTight(maxGap time.Duration, stride int) bool {
+	return maxGap > 0 && maxGap < time.Duration(max(stride, 1))*chunkPause
 }
 
 // group is the part of the endpoints that the request's kind uses.
 func (p PromptAware) group(now time.Time, req Request, views []View, usable []int) []int {
-	tight := isTight(req)
-	work := float64(req.Prompt.Own()) + outputWeight*float64(req.Prompt.Output)
-	kept := p.demand.add(now, work, tight, len(usable), tightHeadroom)
+	kept := p.demand.split(now, len(usable), tightHeadroom)
 	ranked := rankForTight(views, usable)
-	if !tight {
+	if !req.Tight {
 		return ranked[min(kept, len(ranked)-1):]
 	}
 	group := ranked[:max(kept, 1)]
@@ -87,13 +129,13 @@
 
 // cheapest is the endpoint at which the request costs itself and others the
 // least time.
-func cheapest(req Request, views []View, group []int, rnd *rand.Rand) int {
-	home := homeOf(req, views, group)
+func cheapest(req Request, views []View, group []int, home int, rnd *rand.Rand) int {
+	part := ownPart(views)
 	start := rnd.IntN(len(group))
 	best, bestCost := group[start], 0.0
 	for n := range group {
 		i := group[(start+n)%len(group)]
-		cost := promptCost(req, &views[i], i == home)
+		cost := promptCost(req, &views[i], i == home, part)
 		if n == 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -117,14 +159,34 @@
 	return home
 }
 
-// promptCost is in milliseconds.
-func promptCost(req Request, v *View, home bool) float64 {
-	reread := max(0, req.Prompt.Shared()-v.Cached)
+// ownPart is this router's part, from 0 to 1, of the requests at the endpoints.
+func ownPart(views []View) float64 {
+	own, all := 1.0, 1.0
+	for i := range views {
+		own += float64(views[i].Inflight)
+		all += views[i].requests()
+	}
+	return own / all
+}
+
+// reread is how many tokens an endpoint would read again. At the home they were
+// read already, or are to be read once anyway.
+func reread(req Request, v *View, home bool) int {
 	if home {
-		reread = 0 // read there already, or to be read there now
+		return 0
+	}
+	return max(0, req.Prompt.Shared()-v.Cached)
+}
+
+// promptCost is in milliseconds. Routers choose alike, so that what this one sent
+// to the endpoint tells what all have sent there.
+func promptCost(req Request, v *View, home bool, part float64) float64 {
+	waiting := readPerToken * float64(v.aheadOf(load.MaxTiers)) / max(part, ownSightShare)
+	again := readPerToken * rereadFactor * float64(reread(req, v, home))
+	cost := waiting + again + streamCost*v.requests()
+	if !req.Tight {
+		cost += pausePenalty * float64(v.Tight)
 	}
-	waiting := readPerToken * float64(v.Prefill)
-	cost := waiting + readPerToken*rereadFactor*float64(reread) + streamCost*v.requests()
 	if v.requests() >= v.slots() {
 		cost += fullCost
 	}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -41,8 +41,9 @@
 type state struct {
 	inflight    int
 	sinceReport int
+	tight       int // streams with a tight gap that run
 	recent      recentParts
-	prefill     int // tokens of prompts sent that aren't known to be read
+	prefill     [load.MaxTiers]int // tokens of prompts sent that aren't known to be read
 	load        load.Report
 	reportedAt  time.Time
 	firstToken  time.Duration
@@ -60,6 +61,7 @@
 		FailureDomain: c.FailureDomain,
 		Inflight:      st.inflight,
 		Prefill:       st.prefill,
+		Tight:         st.tight,
 		SinceReport:   st.sinceReport,
 		Load:          st.load,
 		ReportedAt:    st.reportedAt,
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -95,14 +95,13 @@
 
 // choose sets the request's endpoint, or two where it may wait at both.
 func (f *Filter) choose(r *request.Request) error {
-	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt}
+	if r.Route != nil {
+		r.Tight = balance.IsTight(r.Route.MaxGap, stride(r))
+	}
+	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Tight: r.Tight}
 	if r.Class != nil {
 		ask.Class = r.Class.Name
 	}
-	if r.Route != nil {
-		ask.MaxGap = r.Route.MaxGap
-		ask.Stride = stride(r)
-	}
 	pair, err := f.pick(r, ask)
 	if err != nil {
 		return &Error{Cause: err}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -36,10 +36,11 @@
 
 // sendDirect sends an attempt and keeps the pool's account of it.
 func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
-	r.Began = f.pool.SentWork(sent, r.Endpoint.Name, balance.Work{Prompt: r.Prompt})
+	account := f.pool.SentWork(sent, r.Endpoint.Name, balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight})
+	r.Began = account.Read
 	err := f.exchangeDirect(ctx, r, next)
-	r.Began()
 	r.Began = nil
+	account.Ended()
 	// Times to the first token differ by prompts, not by endpoints.
 	f.settle(ctx, r.Endpoint.Name, err, 0)
 	return err
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -162,6 +163,7 @@
 	if err := rc.Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
+	notePause(r)
 	// Every event counts, as the tokens in it aren't known.
 	r.Delivered.Tokens += bytes.Count(events, eventEnd)
 	if id := lastEventID(events); id != "" {
@@ -170,6 +172,16 @@
 	return nil
 }
 
+// notePause keeps the longest pause of the stream, by which it may be late.
+func notePause(r *request.Request) {
+	d := &r.Delivered
+	now := time.Now()
+	if !d.LastAt.IsZero() {
+		d.MaxGap = max(d.MaxGap, now.Sub(d.LastAt))
+	}
+	d.LastAt = now
+}
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -42,6 +42,8 @@
 	// CallerID names the request on the wire, as its caller does.
 	CallerID string
 	Prompt   prompt.Prompt
+	// Tight says that long prompts beside it would make the stream late.
+	Tight bool
 	// MaxRuns is the most endpoints at which the request may run; 0 is the
 	// retry policy's own bound.
 	MaxRuns int
@@ -137,6 +139,10 @@
 	FirstToken  time.Time
 	// LastEvent is the id of the last event of a routed stream.
 	LastEvent string
+	// LastAt is when the caller was last sent a part of the answer, and MaxGap
+	// the longest pause between two parts.
+	LastAt time.Time
+	MaxGap time.Duration
 }
 
 // KeyTarget is the model or service as package once names it.
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -130,10 +130,20 @@
 		Str(logging.FieldResult, result).Int("candidates", len(r.Candidates)).
 		Array("attempts", trailArray(r.Trail)).
 		Uint64("version", versionOf(r.Table)).Dur("key_age", rt.cfg.Routing.KeyAge()).
+		Dur("first", firstAfter(r)).Dur("max_gap", r.Delivered.MaxGap).
 		Dur("left", time.Until(r.Deadline)).Dur(logging.FieldTook, time.Since(r.Arrived)).
 		Msg("request ended")
 }
 
+// firstAfter is the time from a request's arrival to the first part of its
+// answer, 0 if there was none.
+func firstAfter(r *request.Request) time.Duration {
+	if r.Delivered.FirstToken.IsZero() {
+		return 0
+	}
+	return r.Delivered.FirstToken.Sub(r.Arrived)
+}
+
 func routeName(r *request.Request) string {
 	if r.Route == nil {
 		return ""
