Refuse at once what would wait longer than any objective of its service

Cause: in overload all prompts waited two seconds and all were late.

Change: the choice tells how long a request will wait for its first token; above the longest objective of its service it is refused with the time to come back.

--- a/internal/filters/attempts/judge.go
+++ b/internal/filters/attempts/judge.go
@@ -35,11 +35,14 @@
 	var answer *relay.AnswerError
 	var expired *dispatch.ExpiredError
 	var pinned *choose.PinnedError
+	var late *choose.LateError
 	switch {
 	case err == nil:
 		return judgement{outcome: retry.OutcomeCompleted}
 	case errors.As(err, &pinned):
 		return judgement{outcome: outcomeOf(pinned.Run()), final: true, reason: reasonFinal}
+	case errors.As(err, &late):
+		return judgement{outcome: retry.OutcomeNotRun, final: true, reason: retry.ReasonOverload}
 	case errors.As(err, &refused):
 		return judgeRefusal(refused, held)
 	case errors.As(err, &expired):
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -48,6 +48,8 @@
 	latest Latest
 	homes  *homes // nil leaves keys out of account
 	late   bool
+	// refuseLate is Config.RefuseLate.
+	refuseLate float64
 }
 
 // Latest lists the endpoints that may serve a request by now.
@@ -65,11 +67,15 @@
 	// LateBinding has a request wait at two endpoints where none is known to
 	// have room, and run at the one that has room first.
 	LateBinding bool
+	// RefuseLate refuses a request whose answer would probably begin later
+	// than its route's objective, times this factor; 0 refuses none. Where all
+	// wait, all are late; refusing some at once lets the others be on time.
+	RefuseLate float64
 }
 
 // New returns a filter that chooses from the pool.
 func New(cfg Config) *Filter {
-	f := &Filter{pool: cfg.Pool, latest: cfg.Latest, late: cfg.LateBinding}
+	f := &Filter{pool: cfg.Pool, latest: cfg.Latest, late: cfg.LateBinding, refuseLate: cfg.RefuseLate}
 	if !cfg.IgnoreKeys {
 		f.homes = &homes{}
 	}
@@ -102,10 +108,13 @@
 	if r.Class != nil {
 		ask.Class = r.Class.Name
 	}
-	pair, err := f.pick(r, ask)
+	pair, wait, err := f.pick(r, ask)
 	if err != nil {
 		return &Error{Cause: err}
 	}
+	if err := f.checkWait(r, wait); err != nil {
+		return err
+	}
 	r.Endpoint, r.Second = pair.First, pair.Second
 	r.Tried = append(r.Tried, r.Endpoint.Name)
 	if r.Second != nil {
@@ -123,12 +132,13 @@
 	return s.Engine.Stride
 }
 
-func (f *Filter) pick(r *request.Request, ask balance.Request) (balance.Pair, error) {
+func (f *Filter) pick(r *request.Request, ask balance.Request) (balance.Pair, time.Duration, error) {
 	if f.late && r.Kind != wire.KindService && r.Kind != wire.KindRouted {
-		return f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
+		pair, err := f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
+		return pair, 0, err
 	}
-	e, err := f.pool.Choose(time.Now(), ask, r.Candidates, r.TriedEndpoint)
-	return balance.Pair{First: e}, err
+	e, wait, err := f.pool.ChooseTimed(time.Now(), ask, r.Candidates, r.TriedEndpoint)
+	return balance.Pair{First: e}, wait, err
 }
 
 // refresh takes the endpoints of the bundle in force, since those that were
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -128,6 +128,7 @@
 	services map[string]*Service
 	teams    map[string]*Team
 	routes   []Route
+	longest  map[string]time.Duration
 }
 
 // NewTable builds a table. Its error is an *Error that names the faulty place.
@@ -139,6 +140,7 @@
 		services: make(map[string]*Service, len(c.Services)),
 		teams:    c.Teams,
 		routes:   c.Routes,
+		longest:  make(map[string]time.Duration, len(c.Services)),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -165,6 +167,9 @@
 		return &Error{Route: r.Name, Reason: "another route has the same host and prefix"}
 	}
 	prefixes[r.Prefix] = r
+	for _, target := range r.Targets {
+		t.longest[target.Service] = max(t.longest[target.Service], r.Objective)
+	}
 	return nil
 }
 
@@ -218,6 +223,9 @@
 // Service returns what the table says of a service, nil if it doesn't know it.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// LongestObjective is that of all routes to a service; 0 if none states one.
+func (t *Table) LongestObjective(service string) time.Duration { return t.longest[service] }
+
 // normalHost is a host without its port, in lower case.
 func normalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -42,6 +42,10 @@
 // beside the objectives of interactive routes.
 const routedRetryAfter = 100 * time.Millisecond
 
+// refuseLate is how many times its objective the answer to a routed request may
+// probably take to begin before the request is refused.
+const refuseLate = 1.0
+
 // routedPipe is the path of every routed request.
 func (rt *Router) routedPipe() pipeline.Next {
 	c := rt.cfg.Routing
@@ -52,7 +56,7 @@
 		}),
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand), // repeat the rest where that is safe
 		choose.New(choose.Config{ // which endpoint?
-			Pool: rt.cfg.Pool, IgnoreKeys: true,
+			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
 		}),
 		rt.dispatch(rt.cfg.Client), // send it there
@@ -99,7 +103,8 @@
 	out.RequestID = r.ID
 	out.Fractions = true
 	out.Status = honestStatus(out.Status, out.Run)
-	if out.Run == wire.RunNot && out.RetryAfter > 0 {
+	var late *choose.LateError
+	if out.Run == wire.RunNot && out.RetryAfter > 0 && !errors.As(err, &late) {
 		out.RetryAfter = min(out.RetryAfter, routedRetryAfter)
 	}
 	out.Write(r.Writer)
