--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -34,10 +34,9 @@
 	// spillShare is the part of the slots from which endpoints kept for tight
 	// streams count as full, so that others take some.
 	spillShare = 0.85
-	// ownSightShare is the part of all requests that a router must send for
-	// what it sent to one endpoint to tell what all have sent there. Below it
-	// the mean of all endpoints tells more.
-	ownSightShare = 0.33
+	// queuedCost is what one request costs that waits in an endpoint's queue: the
+	// time in which a usual prompt is read.
+	queuedCost = 50.0
 )
 
 // PromptAware chooses by what a prompt costs those that run beside it. Prompts
@@ -76,15 +75,15 @@
 	if req.Prompt.Tokens == 0 {
 		return 0
 	}
-	part := ownPart(views)
 	mean := 0.0
 	for i := range views {
 		mean += float64(views[i].aheadOf(req.Tier)) / float64(len(views))
 	}
-	sight := min(1, part/ownSightShare)
-	ahead := float64(views[chosen].aheadOf(req.Tier))*sight + mean*(1-sight)
+	// What others have sent there isn't known; on the whole it is like this
+	// router's own.
+	others := mean * (1/ownPart(views) - 1)
 	read := float64(max(0, req.Prompt.Tokens-views[chosen].Cached))
-	ms := readPerToken * (ahead/part + read)
+	ms := readPerToken * (float64(views[chosen].aheadOf(req.Tier)) + others + read)
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -130,12 +129,11 @@
 // cheapest is the endpoint at which the request costs itself and others the
 // least time.
 func cheapest(req Request, views []View, group []int, home int, rnd *rand.Rand) int {
-	part := ownPart(views)
 	start := rnd.IntN(len(group))
 	best, bestCost := group[start], 0.0
 	for n := range group {
 		i := group[(start+n)%len(group)]
-		cost := promptCost(req, &views[i], i == home, part)
+		cost := promptCost(req, &views[i], i == home)
 		if n == 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -178,10 +176,9 @@
 	return max(0, req.Prompt.Shared()-v.Cached)
 }
 
-// promptCost is in milliseconds. Routers choose alike, so that what this one sent
-// to the endpoint tells what all have sent there.
-func promptCost(req Request, v *View, home bool, part float64) float64 {
-	waiting := readPerToken * float64(v.aheadOf(load.MaxTiers)) / max(part, ownSightShare)
+// promptCost is in milliseconds.
+func promptCost(req Request, v *View, home bool) float64 {
+	waiting := readPerToken*float64(v.aheadOf(load.MaxTiers)) + queuedCost*float64(v.Load.TotalQueued())
 	again := readPerToken * rereadFactor * float64(reread(req, v, home))
 	cost := waiting + again + streamCost*v.requests()
 	if !req.Tight {
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -112,6 +112,7 @@
 	if err != nil {
 		return &Error{Cause: err}
 	}
+	r.Wait = wait
 	if err := f.checkWait(r, wait); err != nil {
 		return err
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -42,6 +42,9 @@
 	// CallerID names the request on the wire, as its caller does.
 	CallerID string
 	Prompt   prompt.Prompt
+	// Wait is how long the answer of the latest attempt was expected to take to
+	// begin.
+	Wait time.Duration
 	// Tight says that long prompts beside it would make the stream late.
 	Tight bool
 	// MaxRuns is the most endpoints at which the request may run; 0 is the
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -135,6 +135,7 @@
 		Str(logging.FieldResult, result).Int("candidates", len(r.Candidates)).
 		Array("attempts", trailArray(r.Trail)).
 		Uint64("version", versionOf(r.Table)).Dur("key_age", rt.cfg.Routing.KeyAge()).
+		Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Dur("expected", r.Wait).
 		Dur("first", firstAfter(r)).Dur("max_gap", r.Delivered.MaxGap).
 		Dur("left", time.Until(r.Deadline)).Dur(logging.FieldTook, time.Since(r.Arrived)).
 		Msg("request ended")
