Tune the price of leaving a prompt's home and the room of tight streams

Cause: with fetching, too many prompts left their homes; tight streams run well in fuller batches than they were given.

--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -21,7 +21,7 @@
 	fullCost = 500.0
 	// rereadFactor is how much more a token that is read again counts than its
 	// time: it delays the streams beside it as well, and is work done twice.
-	rereadFactor = 0.4
+	rereadFactor = 2.5
 	// minFetch is the least number of tokens to fetch from another endpoint's
 	// cache rather than read.
 	minFetch = 256
@@ -33,7 +33,7 @@
 	pausePenalty = 80.0
 	// tightHeadroom weighs the work of tight streams. It is under 1 because they
 	// are late by pauses and not by queues, and run well in full batches.
-	tightHeadroom = 0.8
+	tightHeadroom = 0.6
 	// spillShare is the part of the slots from which endpoints kept for tight
 	// streams count as full, so that others take some.
 	spillShare = 0.85
