--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -101,7 +101,7 @@
 	directNotice = 2500 * time.Millisecond
 	// directMargin is what a stop leaves for callers to be told that their
 	// answers end early, and again for the process to end by itself.
-	directMargin = 200 * time.Millisecond
+	directMargin = 400 * time.Millisecond
 	// directLinger is the quiet after which a stopping router closes
 	// connections.
 	directLinger = 300 * time.Millisecond
