Prove the routed path: what arrives, who may call, what runs again

Cause: the path served two sites without a test of its own.

They found that a reading sent at the follower's first instant counted as none.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -50,12 +50,11 @@
 // Follower holds what was read last. It is safe for concurrent use.
 type Follower struct {
 	cfg       Config
-	began     time.Time
 	table     atomic.Pointer[route.Table]
 	directory atomic.Pointer[directory.Directory]
-	// confirmed is when the reading was sent that last confirmed the table, as
-	// nanoseconds since began by the monotonic clock; 0 before the first.
-	confirmed atomic.Int64
+	// confirmed is when the reading was sent that last confirmed the table, by
+	// the monotonic clock; nil before the first.
+	confirmed atomic.Pointer[time.Time]
 	// revision is the source's newest that was heard of.
 	revision atomic.Uint64
 	source   link
@@ -64,7 +63,7 @@
 
 // New returns a follower that knows nothing until Run.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, began: time.Now()}
+	f := &Follower{cfg: cfg}
 	f.directory.Store(directory.Empty())
 	f.source = link{name: "configuration", log: cfg.Log}
 	f.list = link{name: "list of endpoints", log: cfg.Log}
@@ -83,10 +82,10 @@
 // Age is how long ago the table was certainly the newest.
 func (f *Follower) Age() time.Duration {
 	at := f.confirmed.Load()
-	if at == 0 {
+	if at == nil {
 		return never
 	}
-	return time.Since(f.began) - time.Duration(at)
+	return time.Since(*at)
 }
 
 // Run follows the source until ctx ends.
@@ -133,7 +132,7 @@
 			return 0, err
 		}
 	}
-	f.confirmed.Store(int64(sent.Sub(f.began)))
+	f.confirmed.Store(&sent)
 	f.heard(r.Revision)
 	f.source.worked()
 	return r.Revision, nil
--- /dev/null
+++ b/internal/router/routed_test.go
@@ -0,0 +1,506 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
+	"coveferry/internal/memnet"
+	"coveferry/internal/prompt"
+	"coveferry/internal/retry"
+	"coveferry/internal/route"
+	"coveferry/internal/router"
+	"coveferry/internal/server"
+	"coveferry/internal/upstream"
+)
+
+// plainProtocol names things on the wire for these tests.
+type plainProtocol struct{}
+
+func (plainProtocol) Incoming(h http.Header) upstream.Incoming {
+	in := upstream.Incoming{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	if h.Get("Patience") != "" {
+		in.Patience, _ = time.ParseDuration(h.Get("Patience"))
+	}
+	if h.Get("Prompt") != "" {
+		in.Prompt = prompt.Prompt{Tokens: 100}
+	}
+	return in
+}
+
+func (plainProtocol) Encode(h http.Header, a upstream.Attempt) {
+	h.Del("Key")
+	h.Set("Team", a.Team)
+	h.Set("Meant-For", a.Endpoint)
+	h.Set("Left", a.Left.String())
+	h.Set("Tier", fmt.Sprint(a.Tier))
+	if a.LastEvent != "" {
+		h.Set("Last", a.LastEvent)
+	}
+}
+
+func (plainProtocol) Decode(resp *http.Response) upstream.Reply {
+	return upstream.Reply{
+		ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
+		Moved: resp.StatusCode == http.StatusMisdirectedRequest, Signed: resp.Header.Get("Signed") != "",
+	}
+}
+
+// arrival is a request as an endpoint got it.
+type arrival struct {
+	endpoint string
+	header   http.Header
+	target   string
+	host     string
+	body     string
+}
+
+// world is a router with stand-in endpoints.
+type world struct {
+	net      *memnet.Net
+	router   *router.Router
+	mu       sync.Mutex
+	arrivals []arrival
+	age      time.Duration
+	table    *route.Table
+	// answer is what an endpoint does with a request; it gets the connection.
+	answer func(endpoint string, req *http.Request, conn net.Conn)
+}
+
+const (
+	maxKeyAge = 4 * time.Second
+	routeHost = "api.example"
+)
+
+func testTable() *route.Table {
+	s := []route.Target{{Service: "s", Weight: 1}}
+	tab, err := route.NewTable(route.Config{
+		Version:  3,
+		Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{
+			{Name: "once", Host: routeHost, Prefix: "/once/", Targets: s, Timeout: time.Second, MaxRuns: 1},
+			{Name: "safe", Host: routeHost, Prefix: "/safe/", Targets: s, Timeout: time.Second, MaxRuns: 2, Repeat: route.Idempotent},
+			{Name: "stream", Host: routeHost, Prefix: "/stream/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 1, Stream: true},
+			{Name: "resume", Host: routeHost, Prefix: "/resume/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 2, Stream: true, Resumable: true},
+			{Name: "open", Host: routeHost, Prefix: "/open/", Targets: s, Timeout: time.Second, Public: true},
+		},
+		Teams: map[string]*route.Team{"k": {Name: "acme"}, "vip": {Name: "vip", Tier: new(int)}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return tab
+}
+
+// playRouted runs play against a router in a bubble of fake time.
+func playRouted(t *testing.T, play func(g *WithT, w *world, client *http.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &world{net: memnet.New(), table: testTable()}
+		w.answer = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
+		var endpoints []*bundle.Endpoint
+		var stops []func()
+		for _, name := range []string{"e1", "e2", "e3"} {
+			l, err := w.net.Listen("10.0.0." + name[1:] + ":80")
+			g.Expect(err).NotTo(HaveOccurred())
+			endpoints = append(endpoints, &bundle.Endpoint{Name: name, Address: l.Addr().String(), Services: []string{"s"}, Slots: 4})
+			stops = append(stops, w.serveEndpoint(name, l))
+		}
+		client := server.NewClient(nil, w.net.Dialer("router"))
+		w.router = router.New(router.Config{
+			Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client,
+			Retry: &retry.Policy{ChargeAll: true}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
+			Rand: func() float64 { return 0 },
+			Routing: &router.Routing{
+				Table:     func() *route.Table { return w.table },
+				Endpoints: func(string) []*bundle.Endpoint { return endpoints },
+				Protocol:  plainProtocol{}, Client: client,
+				KeyAge: func() time.Duration { return w.age }, MaxKeyAge: maxKeyAge,
+			},
+		})
+		l, err := w.net.Listen(address)
+		g.Expect(err).NotTo(HaveOccurred())
+		srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(w.router.ServeRouted), Grace: time.Minute, HeaderTimeout: time.Second})
+		go func() { _ = srv.Run() }()
+		caller := server.NewClient(nil, w.net.Dialer("caller"))
+		play(g, w, caller)
+		caller.CloseIdleConnections()
+		g.Expect(srv.Stop()).To(Succeed())
+		client.CloseIdleConnections()
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
+
+// serveEndpoint reads requests by hand, so that answers may be wrong in any way.
+func (w *world) serveEndpoint(name string, l net.Listener) (stop func()) {
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go w.serveConn(name, conn)
+		}
+	}()
+	return func() { _ = l.Close() }
+}
+
+func (w *world) serveConn(name string, conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		w.mu.Lock()
+		w.arrivals = append(w.arrivals, arrival{name, req.Header, req.RequestURI, req.Host, string(body)})
+		w.mu.Unlock()
+		w.answer(name, req, conn)
+	}
+}
+
+func (w *world) arrived() []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.arrivals
+}
+
+func (w *world) count() int { return len(w.arrived()) }
+
+func writeOK(conn net.Conn, req *http.Request, body string) {
+	writeAnswer(conn, 200, "Id: "+req.Header.Get("Id")+"\r\nSigned: x\r\n", body)
+}
+
+func writeAnswer(conn net.Conn, status int, header, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// reply is an answer as a caller reads it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func call(g *WithT, client *http.Client, method, path, body string, header ...string) reply {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Host = routeHost
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "k")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(text), err}
+}
+
+func TestARequestArrivesUnchangedAndItsAnswerToo(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		got := call(g, client, "POST", "/once/a%2Fb//c?x=1&y=%20", "body", "X-Own", "1", "Team", "forged", "Te", "trailers")
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(got.body).To(Equal("fine"))
+		g.Expect(got.header.Get("Signed")).To(Equal("x"))
+		at := w.arrived()[0]
+		g.Expect(at.target).To(Equal("/once/a%2Fb//c?x=1&y=%20"))
+		g.Expect(at.host).To(Equal(routeHost))
+		g.Expect(at.body).To(Equal("body"))
+		g.Expect(at.header.Get("X-Own")).To(Equal("1"))
+		g.Expect(at.header.Get("Team")).To(Equal("acme"))
+		g.Expect(at.header.Get("Meant-For")).To(Equal(at.endpoint))
+		g.Expect(at.header).NotTo(HaveKey("Key"))
+		g.Expect(at.header).NotTo(HaveKey("Te"))
+	})
+}
+
+func TestWhoMayCall(t *testing.T) {
+	for _, c := range []struct {
+		name, path, key string
+		age             time.Duration
+		noTable         bool
+		status, runs    int
+	}{
+		{"known key", "/once/", "k", 0, false, 200, 1},
+		{"unknown key", "/once/", "no", 0, false, 401, 0},
+		{"no route", "/none/", "k", 0, false, 404, 0},
+		{"keys as old as they may be", "/once/", "k", maxKeyAge, false, 200, 1},
+		{"keys too old", "/once/", "k", maxKeyAge + 1, false, 503, 0},
+		{"unknown key while keys are too old", "/once/", "no", maxKeyAge + 1, false, 503, 0},
+		{"public route without a key", "/open/", "", maxKeyAge + 1, false, 200, 1},
+		{"no table yet", "/once/", "k", 0, true, 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			playRouted(t, func(g *WithT, w *world, client *http.Client) {
+				w.age = c.age
+				if c.noTable {
+					w.table = nil
+				}
+				got := call(g, client, "POST", c.path, "", "Key", c.key)
+				g.Expect(got.status).To(Equal(c.status))
+				g.Expect(w.count()).To(Equal(c.runs))
+				if c.status == 503 {
+					g.Expect(got.header.Get("Retry-After")).To(Equal("0.1"))
+				}
+			})
+		})
+	}
+}
+
+func TestATeamsTierGoesBeforeTheRoutes(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		g.Expect(call(g, client, "POST", "/once/", "", "Key", "vip").status).To(Equal(200))
+		g.Expect(w.arrived()[0].header.Get("Tier")).To(Equal("0"))
+	})
+}
+
+// TestWhatMayRunAgain plays a first answer and says how often the request then
+// arrives and what its caller gets.
+func TestWhatMayRunAgain(t *testing.T) {
+	notRun := func(_ string, req *http.Request, conn net.Conn) {
+		writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
+	}
+	moved := func(_ string, req *http.Request, conn net.Conn) {
+		writeAnswer(conn, 421, "Id: "+req.Header.Get("Id")+"\r\n", "")
+	}
+	failed := func(_ string, req *http.Request, conn net.Conn) {
+		writeAnswer(conn, 500, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "sorry")
+	}
+	unmarked := func(_ string, req *http.Request, conn net.Conn) {
+		writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "busy")
+	}
+	reset := func(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
+	foreign := func(_ string, _ *http.Request, conn net.Conn) {
+		writeAnswer(conn, 200, "Id: other\r\nSigned: x\r\n", "not yours")
+	}
+	unsigned := func(_ string, req *http.Request, conn net.Conn) {
+		writeAnswer(conn, 200, "Id: "+req.Header.Get("Id")+"\r\n", "between")
+	}
+	garbage := func(_ string, _ *http.Request, conn net.Conn) { _, _ = conn.Write([]byte("garbage\r\n\r\n")) }
+	short := func(_ string, req *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
+		_ = conn.Close()
+	}
+	for _, c := range []struct {
+		name   string
+		first  func(string, *http.Request, net.Conn)
+		path   string
+		method string
+		status int
+		runs   int
+	}{
+		{"not run, non-idempotent", notRun, "/once/", "POST", 200, 2},
+		{"not run, idempotent", notRun, "/safe/", "GET", 200, 2},
+		{"moved", moved, "/once/", "POST", 200, 2},
+		{"failed, non-idempotent", failed, "/once/", "POST", 500, 1},
+		{"failed, idempotent", failed, "/safe/", "GET", 200, 2},
+		{"a refusal without the mark", unmarked, "/once/", "POST", 503, 1},
+		{"reset, non-idempotent", reset, "/once/", "POST", 502, 1},
+		{"reset, non-idempotent without a body", reset, "/once/", "GET", 502, 1},
+		{"reset, idempotent", reset, "/safe/", "GET", 200, 2},
+		{"another's answer, non-idempotent", foreign, "/once/", "POST", 502, 1},
+		{"another's answer, idempotent", foreign, "/safe/", "GET", 200, 2},
+		{"unsigned", unsigned, "/once/", "POST", 502, 1},
+		{"garbage", garbage, "/once/", "POST", 502, 1},
+		{"cut short, non-idempotent", short, "/once/", "POST", 502, 1},
+		{"cut short, idempotent", short, "/safe/", "GET", 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			playRouted(t, func(g *WithT, w *world, client *http.Client) {
+				good := w.answer
+				w.answer = func(e string, req *http.Request, conn net.Conn) {
+					if w.count() == 1 {
+						c.first(e, req, conn)
+						return
+					}
+					good(e, req, conn)
+				}
+				got := call(g, client, c.method, c.path, "x"[:len(c.method)-3])
+				g.Expect(got.status).To(Equal(c.status), got.body)
+				g.Expect(w.count()).To(Equal(c.runs))
+				g.Expect(got.body).NotTo(ContainSubstring("not yours"))
+			})
+		})
+	}
+}
+
+func TestAnIdempotencyHeaderHasTheLibraryRepeatNothing(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		g.Expect(call(g, client, "POST", "/once/", "x").status).To(Equal(200)) // leaves a connection
+		w.answer = func(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
+		for range 3 {
+			before := w.count()
+			got := call(g, client, "POST", "/once/", "x", "Idempotency-Key", "i")
+			g.Expect(got.status).To(Equal(502))
+			g.Expect(w.count()).To(Equal(before + 1))
+		}
+	})
+}
+
+func TestARequestThatRanOftenEnoughEndsWithTheEndpointsAnswer(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			writeAnswer(conn, 500, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "sorry")
+		}
+		got := call(g, client, "GET", "/safe/", "")
+		g.Expect(got.status).To(Equal(500))
+		g.Expect(got.body).To(Equal("sorry"))
+		g.Expect(got.header.Get("Signed")).To(Equal("f"))
+		g.Expect(w.count()).To(Equal(2))
+	})
+}
+
+func TestWhatAllRefuseIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
+		}
+		began := time.Now()
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(BeElementOf(429, 503))
+		g.Expect(got.header.Get("Retry-After")).To(Equal("0.1"))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+}
+
+func TestASilentEndpointIsAnsweredForAtTheDeadline(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(string, *http.Request, net.Conn) { time.Sleep(time.Minute) }
+		began := time.Now()
+		got := call(g, client, "POST", "/once/", "x", "Patience", "700ms")
+		g.Expect(got.status).To(Equal(504))
+		g.Expect(time.Since(began)).To(BeNumerically("~", 750*time.Millisecond, 55*time.Millisecond))
+		left, err := time.ParseDuration(w.arrived()[0].header.Get("Left"))
+		g.Expect(err).NotTo(HaveOccurred())
+		// What is left is counted by the machine's own clock, which no fake stops.
+		g.Expect(left).To(BeNumerically("~", 690*time.Millisecond, 10*time.Millisecond))
+		time.Sleep(time.Minute)
+	})
+}
+
+// events writes the given events and ends the stream, or cuts it off.
+func events(conn net.Conn, req *http.Request, whole bool, texts ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+	for _, text := range texts {
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+	}
+	if whole {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return
+	}
+	_ = conn.Close()
+}
+
+func TestABrokenStreamGoesOnBehindTheLastWholeEvent(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("Last") == "2" {
+				events(conn, req, true, "id: 3\ndata: c\n\n")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\nda")
+		}
+		got := call(g, client, "POST", "/resume/", "x")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
+		g.Expect(w.count()).To(Equal(2))
+		g.Expect(w.arrived()[1].endpoint).NotTo(Equal(w.arrived()[0].endpoint))
+	})
+}
+
+func TestABrokenStreamNeverLooksWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		playRouted(t, func(g *WithT, w *world, client *http.Client) {
+			w.answer = func(_ string, req *http.Request, conn net.Conn) {
+				events(conn, req, false, "id: 1\ndata: a\n\n", "id: 2\n")
+			}
+			got := call(g, client, "POST", path, "x")
+			g.Expect(got.status).To(Equal(200))
+			g.Expect(got.err).To(HaveOccurred())
+			g.Expect(got.body).NotTo(ContainSubstring("id: 2"))
+		})
+	}
+}
+
+func TestAStreamThatEndsInAnEventIsBroken(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			events(conn, req, true, "id: 1\ndata: a\n\nid: 2\nda")
+		}
+		g.Expect(call(g, client, "POST", "/stream/", "x").err).To(HaveOccurred())
+	})
+}
+
+func TestACallerThatLeavesEndsTheWorkAtOnce(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		closed := make(chan struct{})
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1)) // returns when the router closes
+			close(closed)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/stream/", strings.NewReader("x"))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Host = routeHost
+		req.Header.Set("Id", "r1")
+		req.Header.Set("Key", "k")
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			cancel()
+		}()
+		_, err = client.Do(req)
+		g.Expect(err).To(HaveOccurred())
+		select {
+		case <-closed:
+		case <-time.After(500 * time.Millisecond):
+			t.Error("the endpoint still works half a second later")
+		}
+	})
+}
+
+func TestAStoppingRouterRefusesWhatItCouldNotFinish(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.router.Leave()
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(200))
+		w.router.Refuse()
+		got = call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(503))
+		g.Expect(w.count()).To(Equal(1))
+	})
+}
+
+func TestARequestEndedByTheStopIsNoPromise(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(string, *http.Request, net.Conn) { time.Sleep(time.Minute) }
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			w.router.EndOpen()
+		}()
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(502)) // 503 would say that it didn't run
+		time.Sleep(time.Minute)
+	})
+}
