--- a/cmd/coveferryd/main.go
+++ b/cmd/coveferryd/main.go
@@ -43,44 +43,13 @@
 
 // Run implements kong's command.
 func (c *directCmd) Run(env *cli.Env) error {
-	path := platform.SettingsPath()
-	s, err := platform.LoadSettings(path)
+	cfg, err := platform.Direct(platform.SettingsPath(), c.MetricsPort)
 	if err != nil {
 		return cli.BadInput(err)
 	}
-	cfg := daemon.Direct{
-		VM:           s.VM,
-		Callers:      s.Callers.String(),
-		Ready:        s.Ready.String(),
-		ReadyPattern: platform.PathReady,
-		Source:       platform.NewStore(s.Store.String()),
-		Protocol:     platform.Protocol{},
-		Health:       platform.Health,
-		Bounds:       boundsOf(s),
-		Reload: func() (daemon.DirectBounds, error) {
-			s, err := platform.LoadSettings(path)
-			if err != nil {
-				return daemon.DirectBounds{}, err
-			}
-			return boundsOf(s), nil
-		},
-	}
-	if c.MetricsPort > 0 {
-		cfg.Metrics = netip.AddrPortFrom(s.IP, uint16(c.MetricsPort)).String()
-	}
 	return daemon.RunDirect(env, cfg)
 }
 
-func boundsOf(s *platform.Settings) daemon.DirectBounds {
-	return daemon.DirectBounds{
-		RevokeWithin: s.RevokeWithin,
-		DrainWithin:  s.DrainWithin,
-		StopWithin:   s.StopWithin,
-		RetryRatio:   s.RetryRatio,
-		RetryWindow:  s.RetryWindow,
-	}
-}
-
 type standaloneCmd struct {
 	Settings string `arg:"" optional:"" help:"Settings file, JSON with comments; without one, defaults serve. See examples/settings/standalone.jsonc."`
 	Listen   string `help:"IP and port for callers, in place of the settings'." placeholder:"IP:PORT"`
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -84,7 +84,7 @@
 // for anything gets one at least, where there are two.
 func split(last, n int, tight, bulk float64) int {
 	if n < 2 || tight+bulk <= 0 {
-		return n
+		return 0
 	}
 	ideal := float64(n) * tight / (tight + bulk)
 	kept := last
--- /dev/null
+++ b/internal/balance/prompts_test.go
@@ -0,0 +1,217 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"coveferry/internal/bundle"
+	"coveferry/internal/prompt"
+)
+
+// engines are n idle endpoints in three failure domains.
+func engines(n int) []*bundle.Endpoint {
+	all := make([]*bundle.Endpoint, n)
+	for i := range all {
+		all[i] = &bundle.Endpoint{
+			Name: fmt.Sprintf("e%d", i), FailureDomain: fmt.Sprint(i % 3), Services: []string{"llm"}, Slots: 64,
+		}
+	}
+	return all
+}
+
+func long(home uint64) Request {
+	return Request{Prompt: prompt.Prompt{
+		Parts:  []prompt.Part{{ID: 1, Tokens: 2500}, {ID: home, Tokens: 3800}, {ID: home + 1000, Tokens: 2900}},
+		Tokens: 9200, Output: 50,
+	}}
+}
+
+func tight(home uint64) Request {
+	return Request{Tight: true, Prompt: prompt.Prompt{
+		Parts:  []prompt.Part{{ID: 2, Tokens: 100}, {ID: home, Tokens: 70}, {ID: home + 1000, Tokens: 540}},
+		Tokens: 710, Output: 280,
+	}}
+}
+
+// send chooses an endpoint for the request and notes that it was sent.
+func send(p *Pool, now time.Time, req Request, all []*bundle.Endpoint) (string, *Account) {
+	c, err := p.ChooseExpecting(now, req, all, nil)
+	if err != nil {
+		panic(err)
+	}
+	return c.Endpoint.Name, p.SentWork(now, c.Endpoint.Name, Work{Tier: req.Tier, Prompt: req.Prompt, Tight: req.Tight})
+}
+
+// traffic plays seconds of mixed requests at a pool and returns the endpoints
+// that each kind used in the last second.
+func traffic(p *Pool, all []*bundle.Endpoint, seconds, longs, tights int) (longAt, tightAt map[string]int) {
+	now := epoch
+	for s := range seconds {
+		longAt, tightAt = make(map[string]int), make(map[string]int)
+		for i := range 100 {
+			now = now.Add(10 * time.Millisecond)
+			if i%(100/longs) == 0 {
+				name, a := send(p, now, long(uint64(10+(s*100+i)%50)), all)
+				longAt[name]++
+				a.Ended()
+				p.Done(now, name, ResultOK, 0)
+			}
+			if i%(100/tights) == 0 {
+				name, a := send(p, now, tight(uint64(100+i%10)), all)
+				tightAt[name]++
+				a.Ended()
+				p.Done(now, name, ResultOK, 0)
+			}
+		}
+	}
+	return longAt, tightAt
+}
+
+func TestLongPromptsAndTightStreamsUseDifferentEndpoints(t *testing.T) {
+	for _, n := range []int{2, 3, 9, 55} {
+		g := NewWithT(t)
+		longAt, tightAt := traffic(NewPool(Config{Policy: NewPromptAware()}), engines(n), 6, 20, 20)
+		g.Expect(longAt).NotTo(BeEmpty())
+		g.Expect(tightAt).NotTo(BeEmpty())
+		for name := range tightAt {
+			g.Expect(longAt).NotTo(HaveKey(name), "%d endpoints", n)
+		}
+	}
+}
+
+func TestTheTightPartFollowsDemand(t *testing.T) {
+	g := NewWithT(t)
+	_, few := traffic(NewPool(Config{Policy: NewPromptAware()}), engines(12), 6, 50, 5)
+	_, many := traffic(NewPool(Config{Policy: NewPromptAware()}), engines(12), 6, 5, 50)
+	g.Expect(len(many)).To(BeNumerically(">", len(few)+2))
+}
+
+func TestTwoRoutersKeepTheSameEndpointsForTightStreams(t *testing.T) {
+	g := NewWithT(t)
+	_, a := traffic(NewPool(Config{Policy: NewPromptAware(), Seed: 1}), engines(9), 6, 20, 20)
+	_, b := traffic(NewPool(Config{Policy: NewPromptAware(), Seed: 2}), engines(9), 6, 20, 20)
+	for name := range a {
+		g.Expect(b).To(HaveKey(name))
+	}
+}
+
+func TestPromptsThatShareParts(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(9)
+	home := make(map[uint64]string)
+	for i := range 200 {
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		key := uint64(10 + i%20)
+		name, a := send(p, now, long(key), all)
+		a.Ended()
+		p.Done(now, name, ResultOK, 0)
+		if home[key] != "" && i > 100 {
+			g.Expect(name).To(Equal(home[key]), "request %d", i)
+		}
+		home[key] = name
+	}
+}
+
+func TestABusyHomeIsLeftAndItsCacheNamed(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(9)
+	first, _ := send(p, epoch, long(10), all)
+	for range 20 { // prompts that the home has yet to read
+		p.SentWork(epoch, first, Work{Prompt: long(900).Prompt})
+	}
+	c, err := p.ChooseExpecting(epoch, long(10), all, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Endpoint.Name).NotTo(Equal(first))
+	g.Expect(c.Source).NotTo(BeNil())
+	g.Expect(c.Source.Name).To(Equal(first))
+}
+
+func TestAPromptThatIsCachedNeedsNoSource(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(9)
+	name, a := send(p, epoch, long(10), all)
+	a.Ended()
+	p.Done(epoch, name, ResultOK, 0)
+	c, err := p.ChooseExpecting(epoch.Add(time.Second), long(10), all, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Source).To(BeNil())
+}
+
+func TestWaitCountsOwnAndHigherTiersOnly(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(1)
+	for range 10 {
+		p.SentWork(epoch, "e0", Work{Tier: 2, Prompt: long(10).Prompt})
+	}
+	wait := func(tier int) time.Duration {
+		req := long(10)
+		req.Tier = tier
+		c, err := p.ChooseExpecting(epoch, req, all, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		return c.Wait
+	}
+	g.Expect(wait(2)).To(BeNumerically(">", 10*wait(1)/2))
+	g.Expect(wait(1)).To(BeNumerically("<", 200*time.Millisecond))
+}
+
+func TestAnAccountCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(1)
+	a := p.SentWork(epoch, "e0", Work{Prompt: long(10).Prompt, Tight: true})
+	b := p.SentWork(epoch, "e0", Work{Prompt: long(11).Prompt, Tight: true})
+	a.Read()
+	a.Read()
+	a.Ended()
+	a.Ended()
+	v := p.Views(epoch, all)[0]
+	g.Expect(v.Tight).To(Equal(1))
+	g.Expect(v.Prefill[0]).To(Equal(9200 - 2500)) // the first part was sent before
+	b.Ended()
+	v = p.Views(epoch, all)[0]
+	g.Expect(v.Tight).To(BeZero())
+	g.Expect(v.Prefill[0]).To(BeZero())
+}
+
+func TestIsTight(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(IsTight(250*time.Millisecond, 6)).To(BeTrue())
+	g.Expect(IsTight(400*time.Millisecond, 6)).To(BeFalse())
+	g.Expect(IsTight(0, 6)).To(BeFalse())
+}
+
+func TestSplitLeavesSomethingForWhoeverAsks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 400).Draw(t, "n")
+		last := rapid.IntRange(0, 400).Draw(t, "last")
+		tight := rapid.Float64Range(0, 1e6).Draw(t, "tight")
+		bulk := rapid.Float64Range(0, 1e6).Draw(t, "bulk")
+		kept := split(last, n, tight, bulk)
+		if kept < 0 || kept > n {
+			t.Fatalf("%d of %d", kept, n)
+		}
+		if n > 1 && tight > 0 && kept == 0 || n > 1 && bulk > 0 && kept == n {
+			t.Fatalf("%d of %d leave a kind that asks nothing", kept, n)
+		}
+	})
+}
+
+func TestSplitHoldsStillAtItsBoundary(t *testing.T) {
+	g := NewWithT(t)
+	kept := split(0, 9, 3, 6)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 100 {
+		noise := 0.8 + 0.4*rnd.Float64()
+		kept = split(kept, 9, 3*noise, 6)
+		g.Expect(kept).To(Equal(3))
+	}
+}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -78,6 +78,9 @@
 	// budgetShare of the operator's ratio is used for retries: callers' own
 	// count as requests, but those at the window's edges may count twice.
 	budgetShare = 0.75
+	// noticeShare of StopWithin is the most that passes before a stopping
+	// router refuses new requests.
+	noticeShare = 0.33
 	// unreadyShare of the trusted age is where a router asks the balancer to
 	// turn away: it will soon have to refuse.
 	unreadyShare = 0.6
@@ -296,7 +299,8 @@
 func (d *directRouter) stop() error {
 	d.log.Info().Msg("stopping: new connections go elsewhere, open requests are finished")
 	d.ready.Close(gateServing)
-	plan := server.Plan{Notice: directNotice, Grace: d.cfg.Bounds.StopWithin - directNotice - directMargin, Margin: directMargin}
+	notice := min(directNotice, time.Duration(noticeShare*float64(d.cfg.Bounds.StopWithin)))
+	plan := server.Plan{Notice: notice, Grace: d.cfg.Bounds.StopWithin - notice - directMargin, Margin: directMargin}
 	return plan.Run(d.router.Leave, d.router.EndOpen, func() error {
 		d.router.Refuse()
 		return d.callers.StopWithin(plan.Grace)
--- /dev/null
+++ b/internal/filters/choose/late_test.go
@@ -0,0 +1,68 @@
+package choose_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
+	"coveferry/internal/filters/choose"
+	"coveferry/internal/prompt"
+	"coveferry/internal/request"
+	"coveferry/internal/route"
+	"coveferry/internal/wire"
+)
+
+// The second route's objective is longer, and so the limit of both.
+func lateTable(t *testing.T) *route.Table {
+	s := []route.Target{{Service: "s", Weight: 1}}
+	tab, err := route.NewTable(route.Config{
+		Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{
+			{Name: "short", Host: "h", Prefix: "/a/", Targets: s, Objective: 400 * time.Millisecond},
+			{Name: "long", Host: "h", Prefix: "/b/", Targets: s, Objective: 1200 * time.Millisecond},
+		},
+	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return tab
+}
+
+// ask chooses for a request after so many unread prompts of 10,000 tokens, which
+// take a fifth of a second each.
+func ask(t *testing.T, unread int, path string, tried ...string) error {
+	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
+	for range unread {
+		pool.SentWork(time.Now(), "e", balance.Work{Prompt: prompt.Prompt{Tokens: 10_000}})
+	}
+	tab := lateTable(t)
+	r := &request.Request{
+		Kind: wire.KindRouted, Table: tab, Route: tab.Match("h", path), Service: "s", Tried: tried, Epoch: 1,
+		Prompt:     prompt.Prompt{Tokens: 500},
+		Candidates: []*bundle.Endpoint{{Name: "e", Slots: 64}, {Name: "gone", Slots: 64}},
+	}
+	pool.SetLeaving("gone", true)
+	f := choose.New(choose.Config{Pool: pool, IgnoreKeys: true, RefuseLate: 1})
+	return f.Do(context.Background(), r, func(context.Context, *request.Request) error { return nil })
+}
+
+func TestWhatWouldBeginTooLateIsRefusedWithTheTimeToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	var late *choose.LateError
+	g.Expect(errors.As(ask(t, 10, "/b/"), &late)).To(BeTrue())
+	g.Expect(late.API().Run).To(Equal(wire.RunNot))
+	g.Expect(late.API().RetryAfter).To(BeNumerically("~", 800*time.Millisecond, 20*time.Millisecond))
+}
+
+func TestOneLimitHoldsForAllRoutesOfAService(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(ask(t, 5, "/b/")).To(Succeed())
+	g.Expect(ask(t, 5, "/a/")).To(Succeed(), "a short objective gives no right of way to a long one")
+}
+
+func TestWhatWasSentBeforeIsNotRefused(t *testing.T) {
+	NewWithT(t).Expect(ask(t, 10, "/b/", "gone")).To(Succeed())
+}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -95,3 +95,29 @@
 	g.Expect(b.TryRetry(epoch, 0)).To(gomega.BeTrue())
 	g.Expect(b.TryRetry(epoch.Add(defaultWindow), 5)).To(gomega.BeTrue())
 }
+
+func TestARequestRunsAtNoMoreEndpointsThanItMay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &Policy{MaxAttempts: 5}
+	a := Attempt{Number: 2, Outcome: OutcomeRan, Idempotent: true, Runs: 2, MaxRuns: 2}
+	g.Expect(p.Decide(a, time.Now(), 0)).To(gomega.Equal(Decision{Reason: ReasonRuns}))
+	g.Expect(p.Return(a, 0, time.Now(), 0)).To(gomega.Equal(Decision{Reason: ReasonRuns}))
+	a.Runs = 1
+	g.Expect(p.Decide(a, time.Now(), 0).Action).To(gomega.Equal(ActionRetry))
+	a = Attempt{Number: 2, Outcome: OutcomeNotRun, Runs: 1, MaxRuns: 1} // the latest didn't run
+	g.Expect(p.Decide(a, time.Now(), 0).Action).To(gomega.Equal(ActionRetry))
+}
+
+func TestEveryFurtherAttemptIsChargedWhereTheBoundIsFromOutside(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, a := range []Attempt{
+		{Number: 1, Outcome: OutcomeNotRun, Free: true},
+		{Number: 1, Outcome: OutcomeRan, Idempotent: true, Delivered: true},
+	} {
+		used := func() *Budget { return NewBudget(BudgetConfig{Ratio: 1e-9, Floor: 1e-9}) }
+		p := &Policy{Budget: used()}
+		g.Expect(p.Decide(a, time.Now(), 0).Action).NotTo(gomega.Equal(ActionGiveUp))
+		p = &Policy{Budget: used(), ChargeAll: true}
+		g.Expect(p.Decide(a, time.Now(), 0).Reason).To(gomega.Equal(ReasonBudget))
+	}
+}
