Go on from copies after a crash, and ask silent endpoints for their health

Change: an attempt of a tight stream names an endpoint of another failure domain that gets its memory as it grows; after a break the same run goes on there, behind what the caller holds. An endpoint with open requests from which nothing came for a second is suspect and asked for its health; the requests wait on.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -69,6 +69,9 @@
 	// Source probably has cached parts of the prompt that the endpoint lacks;
 	// nil if there is none.
 	Source *bundle.Endpoint
+	// Copy is where to copy the run's memory to as it grows, so that another
+	// endpoint can go on after a crash; nil if that isn't worth its price.
+	Copy *bundle.Endpoint
 }
 
 // Expecter is a Policy that can say more of its choice than the endpoint.
@@ -78,6 +81,9 @@
 	// Source is the place of the endpoint from which to fetch what the chosen
 	// one lacks, -1 if there is none.
 	Source(req Request, views []View, chosen int) int
+	// Copy is the place of the endpoint to which to copy the run's memory, -1
+	// if that isn't worth its price.
+	Copy(req Request, views []View, chosen int) int
 }
 
 // ChooseExpecting is Choose that also tells what is expected of the choice.
@@ -97,6 +103,9 @@
 	if source := e.Source(req, s.views, i); source >= 0 {
 		choice.Source = candidates[s.from[source]]
 	}
+	if copied := e.Copy(req, s.views, i); copied >= 0 {
+		choice.Copy = candidates[s.from[copied]]
+	}
 	return choice, nil
 }
 
@@ -180,7 +189,7 @@
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.state(endpoint).sent()
+	sh.state(endpoint).sent(now)
 }
 
 // Report takes in the load report of an endpoint. One with an older Seq than
@@ -205,6 +214,27 @@
 	p.detect(now, failing)
 }
 
+// Silent lists the endpoints that have open requests of this router and from
+// which nothing was heard for so long. A busy endpoint goes on with others.
+func (p *Pool) Silent(now time.Time, limit time.Duration) []string {
+	var silent []string
+	for i := range p.shards {
+		silent = p.shards[i].silent(silent, now, limit)
+	}
+	return silent
+}
+
+func (sh *shard) silent(list []string, now time.Time, limit time.Duration) []string {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for name, st := range sh.states {
+		if st.inflight > 0 && now.Sub(st.quietSince) > limit {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // SetLeaving notes what membership says of an endpoint. A leaving endpoint is
 // chosen no more, whatever older reports say, until membership says that it
 // has returned (false) or Forget is called.
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -22,6 +22,10 @@
 	// rereadFactor is how much more a token that is read again counts than its
 	// time: it delays the streams beside it as well, and is work done twice.
 	rereadFactor = 2.5
+	// copyRatio is the most prompt tokens for each token of output with which a
+	// run's memory is copied: copying is paid by the token, and what it saves
+	// grows with the time that the stream runs.
+	copyRatio = 5
 	// minFetch is the least number of tokens to fetch from another endpoint's
 	// cache rather than read.
 	minFetch = 256
@@ -110,6 +114,29 @@
 	return best
 }
 
+// Copy implements Expecter. Only tight streams are copied, which are long and of
+// high worth, and only those that take little memory for what they produce. The
+// copy goes to the next endpoint that is kept for them, in another failure domain
+// if there is one.
+func (p PromptAware) Copy(req Request, views []View, chosen int) int {
+	if !req.Tight || req.Prompt.Tokens > copyRatio*req.Prompt.Output {
+		return -1
+	}
+	other := -1
+	for _, i := range rankForTight(views, usableViews(views)) {
+		if i == chosen || views[i].requests() >= views[i].slots() {
+			continue
+		}
+		if views[i].FailureDomain != views[chosen].FailureDomain {
+			return i
+		}
+		if other < 0 {
+			other = i
+		}
+	}
+	return other
+}
+
 // moreCached says whether a has probably more of a prompt cached than b: by what
 // this router sent there, and else by the order that all routers follow.
 func moreCached(key uint64, a, b *View) bool {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -41,7 +41,8 @@
 type state struct {
 	inflight    int
 	sinceReport int
-	tight       int // streams with a tight gap that run
+	tight       int       // streams with a tight gap that run
+	quietSince  time.Time // nothing was heard since, while requests are open
 	recent      recentParts
 	prefill     [load.MaxTiers]int // tokens of prompts sent that aren't known to be read
 	load        load.Report
@@ -73,7 +74,10 @@
 	}
 }
 
-func (st *state) sent() {
+func (st *state) sent(now time.Time) {
+	if st.inflight == 0 {
+		st.quietSince = now
+	}
 	st.inflight++
 	st.sinceReport++
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -32,7 +32,7 @@
 func (p *Pool) SentWork(now time.Time, endpoint string, w Work) *Account {
 	a := &Account{pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight}
 	a.change(func(st *state) {
-		st.sent()
+		st.sent(now)
 		if w.Tight {
 			st.tight++
 		}
@@ -54,6 +54,11 @@
 	return tokens
 }
 
+// Heard notes that a part of an answer came from the endpoint.
+func (a *Account) Heard(now time.Time) {
+	a.change(func(st *state) { st.quietSince = now })
+}
+
 // Read notes that the prompt has been read, or needs to be read no more.
 func (a *Account) Read() {
 	a.read.Do(func() {
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -105,6 +105,12 @@
 	// directMargin is what a stop leaves for callers to be told that their
 	// answers end early, and again for the process to end by itself.
 	directMargin = 400 * time.Millisecond
+	// silenceLimit is the silence, over all open requests at an endpoint, after
+	// which it is asked for its health: longer than the longest prompts take to
+	// be read where nothing else runs, and a third of the time in which the
+	// list drops an endpoint that has gone dark.
+	silenceLimit = time.Second
+	silenceTick  = 200 * time.Millisecond
 	// directLinger is the quiet after which a stopping router closes
 	// connections.
 	directLinger = 300 * time.Millisecond
@@ -139,6 +145,7 @@
 	reg      *prometheus.Registry
 	ready    *telemetry.Readiness
 	follower *follow.Follower
+	pool     *balance.Pool
 	members  *membership.Tracker
 	client   *http.Client
 	router   *router.Router
@@ -149,6 +156,7 @@
 	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
 	d.ready = telemetry.NewReadiness(gateServing)
 	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware(), Seed: uint64(os.Getpid())})
+	d.pool = pool
 	d.members = newMembers(cfg.VM, pool, d.reg, log)
 	d.follower = follow.New(follow.Config{
 		Source: cfg.Source, Timing: timing(cfg.Bounds), Log: log,
@@ -290,6 +298,7 @@
 	}
 	addLoop(&g, d.follower.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.health).Run)
+	addLoop(&g, d.watchSilence)
 	addLoop(&g, d.reloadOnHangup)
 	d.ready.Open(gateServing)
 	return errors.CombineErrors(g.Run(), failed)
@@ -307,6 +316,23 @@
 	})
 }
 
+// watchSilence has endpoints asked for their health from which nothing comes
+// though requests are open there. The requests themselves wait on.
+func (d *directRouter) watchSilence(ctx context.Context) {
+	tick := time.NewTicker(silenceTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, endpoint := range d.pool.Silent(now, silenceLimit) {
+				d.members.Learn(membership.Silence{Endpoint: endpoint})
+			}
+		}
+	}
+}
+
 // reloadOnHangup reads the settings again at each SIGHUP.
 func (d *directRouter) reloadOnHangup(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -104,6 +104,7 @@
 		}
 		decision := f.decide(ctx, r, h)
 		note(r, h.latest, decision)
+		prepare(r, h.last, decision)
 		if decision.Action == retry.ActionGiveUp || !sleep(ctx, decision.Delay) {
 			return h.result()
 		}
@@ -124,6 +125,7 @@
 		Tier:       r.Tier,
 		Outcome:    what.outcome,
 		Idempotent: !r.NonIdempotent,
+		Copied:     goesOnFromCopy(r, what.outcome),
 		Runs:       h.runs,
 		MaxRuns:    r.MaxRuns,
 		Delivered:  held,
@@ -150,6 +152,20 @@
 	return decision
 }
 
+// goesOnFromCopy says whether a stream that broke can go on from the copy of its
+// memory at another endpoint, behind what the caller holds.
+func goesOnFromCopy(r *request.Request, outcome retry.Outcome) bool {
+	return r.Copy != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan
+}
+
+// prepare sets where the next attempt goes on.
+func prepare(r *request.Request, last error, d retry.Decision) {
+	r.Resume = nil
+	if d.Action == retry.ActionResume && goesOnFromCopy(r, judge(last, true).outcome) {
+		r.Resume = r.Copy
+	}
+}
+
 // restart forgets the part of an answer that no engine can go on from, where
 // the caller hasn't been given any of it yet.
 func restart(r *request.Request) {
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -101,6 +101,11 @@
 
 // choose sets the request's endpoint, or two where it may wait at both.
 func (f *Filter) choose(r *request.Request) error {
+	if r.Resume != nil {
+		r.Endpoint, r.Source, r.Copy = r.Resume, nil, nil
+		r.Tried = append(r.Tried, r.Endpoint.Name)
+		return nil
+	}
 	if r.Route != nil {
 		r.Tight = balance.IsTight(r.Route.MaxGap, stride(r))
 	}
@@ -123,6 +128,15 @@
 	return nil
 }
 
+// canCopy says whether the service's engines copy the memory of runs.
+func canCopy(r *request.Request) bool {
+	if r.Route == nil {
+		return false
+	}
+	s := r.Table.Service(r.Service)
+	return s != nil && s.Engine != nil && s.Engine.Backups
+}
+
 // stride is how many tokens an event holds, as the table says of the service.
 func stride(r *request.Request) int {
 	s := r.Table.Service(r.Service)
@@ -137,7 +151,10 @@
 		return f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
 	}
 	c, err := f.pool.ChooseExpecting(time.Now(), ask, r.Candidates, r.TriedEndpoint)
-	r.Wait, r.Source = c.Wait, c.Source
+	r.Wait, r.Source, r.Copy = c.Wait, c.Source, nil
+	if canCopy(r) {
+		r.Copy = c.Copy
+	}
 	return balance.Pair{First: c.Endpoint}, err
 }
 
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -37,9 +37,9 @@
 // sendDirect sends an attempt and keeps the pool's account of it.
 func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
 	account := f.pool.SentWork(sent, r.Endpoint.Name, balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight})
-	r.Began = account.Read
+	r.Began, r.Heard = account.Read, account.Heard
 	err := f.exchangeDirect(ctx, r, next)
-	r.Began = nil
+	r.Began, r.Heard = nil, nil
 	account.Ended()
 	// Times to the first token differ by prompts, not by endpoints.
 	f.settle(ctx, r.Endpoint.Name, err, 0)
@@ -62,6 +62,7 @@
 		return &LostError{Sent: connected, Cause: err}
 	}
 	defer resp.Body.Close()
+	r.Heard(time.Now())
 	reply := f.direct.protocol.Decode(resp)
 	if reply.ID != r.CallerID {
 		// An answer to an earlier request on the connection, which is closed
@@ -144,6 +145,7 @@
 	a := upstream.Attempt{
 		ID:        r.CallerID,
 		Endpoint:  r.Endpoint.Name,
+		Address:   r.Endpoint.Address,
 		Team:      r.TeamName,
 		Tier:      r.Tier,
 		Left:      max(time.Millisecond, r.Left(f.clock())),
@@ -152,6 +154,10 @@
 	if r.Source != nil {
 		a.FetchFrom = r.Source.Address
 	}
+	if r.Copy != nil {
+		a.CopyTo = r.Copy.Address
+	}
+	a.FromCopy = r.Resume != nil
 	return a
 }
 
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -126,6 +126,9 @@
 	for {
 		n, err := r.Answer.Body.Read(piece)
 		held = append(held, piece[:n]...)
+		if n > 0 && r.Heard != nil {
+			r.Heard(time.Now())
+		}
 		end := endOfEvents(held)
 		if end > 0 {
 			if err := deliver(r, rc, held[:end]); err != nil {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -36,6 +36,11 @@
 		if e := c.endpoints[ev.Endpoint]; e != nil && e.hear(now, ev) {
 			return c.judge(now, e, nil)
 		}
+	case Silence:
+		if e := c.endpoints[ev.Endpoint]; e != nil {
+			e.silent = true
+			return c.judge(now, e, nil)
+		}
 	case ConnectionResult:
 		if e := c.endpoints[ev.Endpoint]; e != nil {
 			e.fail(ev.Result)
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -178,3 +178,14 @@
 	s.wait("1h")
 	s.step("unprobed")
 }
+
+func TestASilentEndpointIsSuspectUntilItAnswers(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene(g, 2)
+	s.apply(Silence{Endpoint: "e0"})
+	g.Expect(s.core.Members()[0].State).To(Equal(Suspect))
+	s.wait("600ms")
+	g.Expect(s.core.Probes(s.now)).To(Equal([]string{"e0"}))
+	s.says(ReasonReport, "a", "1", false)
+	g.Expect(s.core.Members()[0].State).To(Equal(Live))
+}
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -33,8 +33,8 @@
 	ReasonReturned   Reason = "returned"   // it came back
 )
 
-// Event is something that was learnt: Bundle, ListRead, ListRenewed, OwnWord or
-// ConnectionResult.
+// Event is something that was learnt: Bundle, ListRead, ListRenewed, OwnWord,
+// ConnectionResult or Silence.
 type Event interface{ event() }
 
 // Place is an endpoint of the bundle, the VM that it runs on and its address.
@@ -90,6 +90,11 @@
 	Result   Result
 }
 
+// Silence says that requests are open at an endpoint from which nothing at all
+// has come for long. It is asked for its health before it gets new work.
+type Silence struct{ Endpoint string }
+
+func (Silence) event()          {}
 func (Bundle) event()           {}
 func (ListRead) event()         {}
 func (ListRenewed) event()      {}
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -38,6 +38,7 @@
 
 	broken  int  // connections in a row
 	refused bool // the last connection was
+	silent  bool // requests are open there and nothing comes
 
 	state  State
 	reason Reason
@@ -91,7 +92,7 @@
 		e.leaving, e.via = true, w.Via
 	}
 	e.answeredAt = now
-	e.broken, e.refused = 0, false
+	e.broken, e.refused, e.silent = 0, false, false
 	return true
 }
 
@@ -126,7 +127,9 @@
 	e.dropped = false
 }
 
-func (e *evidence) isSuspect(t Tuning) bool { return e.refused || e.broken >= t.BrokenLimit }
+func (e *evidence) isSuspect(t Tuning) bool {
+	return e.refused || e.silent || e.broken >= t.BrokenLimit
+}
 
 // judge works out the state. The agent's own word goes first: no one knows
 // better. The list's word on a leaving VM goes before answers, which a leaving
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -48,6 +48,11 @@
 	// Source has probably cached parts of the prompt that Endpoint lacks; nil
 	// if none is known to.
 	Source *bundle.Endpoint
+	// Copy is where the memory of the latest attempt's run is copied to as it
+	// grows; nil if nowhere. Resume is where an attempt goes on from such a
+	// copy, as the same run; nil for one that begins anew.
+	Copy   *bundle.Endpoint
+	Resume *bundle.Endpoint
 	// Tight says that long prompts beside it would make the stream late.
 	Tight bool
 	// MaxRuns is the most endpoints at which the request may run; 0 is the
@@ -107,6 +112,10 @@
 	// Began is called at the first token; nil if nobody asks. Set by shed.
 	Began func()
 
+	// Heard is called for each part of an endpoint's answer; nil if nobody
+	// asks. Set by dispatch.
+	Heard func(now time.Time)
+
 	// Writer is where the caller's answer goes. Used by relay alone.
 	Writer http.ResponseWriter
 }
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -27,6 +27,9 @@
 	Outcome Outcome
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Copied says that another endpoint has a copy of the run's memory: to go
+	// on there is the same run and not another.
+	Copied bool
 	// Runs is how many attempts ran or may have, and MaxRuns the most that
 	// may; 0 is no bound of the request's own.
 	Runs, MaxRuns int
@@ -141,7 +144,7 @@
 		return ReasonCompleted
 	}
 	// Part of an answer delivered contradicts "not run".
-	mayHaveRun := a.Outcome != OutcomeNotRun || a.Delivered
+	mayHaveRun := (a.Outcome != OutcomeNotRun || a.Delivered) && !a.Copied
 	if mayHaveRun && !a.Idempotent {
 		return ReasonNotIdempotent
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,6 +98,9 @@
 	CacheTokens int
 	// Stride is how many tokens an event of a stream holds.
 	Stride int
+	// Backups says that the memory of a run can be copied to another engine
+	// as it grows.
+	Backups bool
 }
 
 // Limits bound what callers may send. Zero fields are no limit.
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -35,7 +35,7 @@
 		in.Patience, _ = time.ParseDuration(h.Get("Patience"))
 	}
 	if h.Get("Prompt") != "" {
-		in.Prompt = prompt.Prompt{Tokens: 100}
+		in.Prompt = prompt.Prompt{Tokens: 100, Output: 50}
 	}
 	return in
 }
@@ -49,6 +49,10 @@
 	if a.LastEvent != "" {
 		h.Set("Last", a.LastEvent)
 	}
+	h.Set("Copy-To", a.CopyTo)
+	if a.FromCopy {
+		h.Set("From-Copy", a.Address)
+	}
 }
 
 func (plainProtocol) Decode(resp *http.Response) upstream.Reply {
@@ -88,12 +92,13 @@
 	s := []route.Target{{Service: "s", Weight: 1}}
 	tab, err := route.NewTable(route.Config{
 		Version:  3,
-		Services: []route.Service{{Name: "s"}},
+		Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4, Stride: 6, Backups: true}}},
 		Routes: []route.Route{
 			{Name: "once", Host: routeHost, Prefix: "/once/", Targets: s, Timeout: time.Second, MaxRuns: 1},
 			{Name: "safe", Host: routeHost, Prefix: "/safe/", Targets: s, Timeout: time.Second, MaxRuns: 2, Repeat: route.Idempotent},
 			{Name: "stream", Host: routeHost, Prefix: "/stream/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 1, Stream: true},
 			{Name: "resume", Host: routeHost, Prefix: "/resume/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 2, Stream: true, Resumable: true},
+			{Name: "tight", Host: routeHost, Prefix: "/tight/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 1, Stream: true, MaxGap: 250 * time.Millisecond},
 			{Name: "open", Host: routeHost, Prefix: "/open/", Targets: s, Timeout: time.Second, Public: true},
 		},
 		Teams: map[string]*route.Team{"k": {Name: "acme"}, "vip": {Name: "vip", Tier: new(int)}},
@@ -430,6 +435,42 @@
 	})
 }
 
+func TestAStreamThatMayNotRunAgainGoesOnFromItsCopy(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("From-Copy") != "" {
+				events(conn, req, true, "id: 2\ndata: b\n\n")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\n")
+		}
+		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		g.Expect(w.count()).To(Equal(2))
+		first, second := w.arrived()[0].header, w.arrived()[1].header
+		g.Expect(first.Get("Copy-To")).NotTo(BeEmpty())
+		g.Expect(second.Get("From-Copy")).To(Equal(first.Get("Copy-To")))
+		g.Expect(second.Get("Last")).To(Equal("1"))
+		g.Expect(second.Get("Copy-To")).To(BeEmpty())
+	})
+}
+
+func TestWithoutItsCopyAStreamThatMayNotRunAgainIsCutOff(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("From-Copy") != "" {
+				writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\n")
+		}
+		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+		g.Expect(got.err).To(HaveOccurred())
+		g.Expect(w.count()).To(Equal(2))
+	})
+}
+
 func TestABrokenStreamNeverLooksWhole(t *testing.T) {
 	for _, path := range []string{"/stream/", "/resume/"} {
 		playRouted(t, func(g *WithT, w *world, client *http.Client) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -41,6 +41,14 @@
 	// FetchFrom is the address of another endpoint from whose cache the parts
 	// of the prompt may be fetched that this one lacks; empty for none.
 	FetchFrom string
+	// CopyTo is the address of another endpoint to which the run's memory is
+	// copied as it grows; empty for none.
+	CopyTo string
+	// FromCopy says that the endpoint has a copy of the run's memory, from
+	// which this attempt goes on.
+	FromCopy bool
+	// Address is the endpoint's own.
+	Address string
 	// LastEvent is where a resumed stream goes on.
 	LastEvent string
 }
