Bound log lines, follow the settings file, split the direct daemon's times

Cause: one line a request had no bound; a hangup read the settings without using them; the daemon's file held its constants, decisions and wiring together.

Change: lines of requests are limited a second and what is left out is counted; bounds on keys and stops follow the file, with or without a signal; requests are counted by kind of route, as routes are hundreds; times in a file of their own.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,7 +23,6 @@
 	"coveferry/internal/follow"
 	"coveferry/internal/logging"
 	"coveferry/internal/membership"
-	"coveferry/internal/retry"
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
@@ -64,66 +64,6 @@
 	RetryWindow time.Duration
 }
 
-// Shares of the operator's bounds by which a direct router sets its own times.
-const (
-	// trustShare of RevokeWithin is how old knowledge of keys may be. What
-	// remains covers the way of a request from its caller.
-	trustShare = 0.94
-	// waitShare of RevokeWithin is how long one call waits for news, so that
-	// several may fail in a row before keys are no longer trusted.
-	waitShare = 0.2
-	// listShare of DrainWithin lies between two readings of the list, so that
-	// one may be lost and another be old.
-	listShare = 0.25
-	// budgetShare of the operator's ratio is used for retries: callers' own
-	// count as requests, but those at the window's edges may count twice.
-	budgetShare = 0.75
-	// noticeShare of StopWithin is the most that passes before a stopping
-	// router refuses new requests.
-	noticeShare = 0.33
-	// unreadyShare of the trusted age is where a router asks the balancer to
-	// turn away: it will soon have to refuse.
-	unreadyShare = 0.6
-)
-
-const (
-	// defaultWait is how long a call waits for news where no bound demands
-	// less, and defaultList the time between two readings of the list.
-	defaultWait = 5 * time.Second
-	defaultList = time.Second
-	// readTimeout bounds one reading; the service answers in milliseconds, in
-	// a quarter of a second when it is slow.
-	readTimeout = 600 * time.Millisecond
-	// watchSlack is the same for a call that waits.
-	watchSlack = 400 * time.Millisecond
-	// listReturn is how long entries may take to be back after the service was
-	// away; the operators say about two seconds.
-	listReturn = 2500 * time.Millisecond
-	// directNotice is how long the balancer goes on sending connections after a
-	// router has said that it takes no more: two questions a second apart.
-	directNotice = 2500 * time.Millisecond
-	// directMargin is what a stop leaves for callers to be told that their
-	// answers end early, and again for the process to end by itself.
-	directMargin = 400 * time.Millisecond
-	// silenceLimit is the silence, over all open requests at an endpoint, after
-	// which it is asked for its health: longer than the longest prompts take to
-	// be read where nothing else runs, and a third of the time in which the
-	// list drops an endpoint that has gone dark.
-	silenceLimit = time.Second
-	silenceTick  = 200 * time.Millisecond
-	// directLinger is the quiet after which a stopping router closes
-	// connections.
-	directLinger = 300 * time.Millisecond
-	// directCollectorPercent keeps the heap small: memory is dear on entry VMs.
-	directCollectorPercent = 100
-	// Bounds on what callers may send before a configuration is known.
-	directHeaderTimeout  = 10 * time.Second
-	directMaxHeaderBytes = 64 << 10
-	directBodyTimeout    = 30 * time.Second
-	directMaxOpen        = 2000
-	directMaxBodyBytes   = 32 << 20
-)
-
 // RunDirect runs a router that reaches its endpoints without agents until the
 // environment's context ends.
 func RunDirect(env *cli.Env, cfg Direct) error {
@@ -141,6 +81,7 @@
 
 type directRouter struct {
 	cfg      Direct
+	bounds   atomic.Pointer[DirectBounds] // as the settings last said
 	log      zerolog.Logger
 	reg      *prometheus.Registry
 	ready    *telemetry.Readiness
@@ -154,6 +95,7 @@
 
 func newDirect(cfg Direct, log zerolog.Logger) (*directRouter, error) {
 	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
+	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
 	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware(), Seed: uint64(os.Getpid())})
 	d.pool = pool
@@ -180,7 +122,7 @@
 			Protocol:  cfg.Protocol,
 			Client:    d.client,
 			KeyAge:    d.follower.Age,
-			MaxKeyAge: d.maxKeyAge(),
+			MaxKeyAge: d.maxKeyAge,
 		},
 	})
 	l, err := net.Listen("tcp", cfg.Callers)
@@ -195,38 +137,14 @@
 	return d, nil
 }
 
-func timing(b DirectBounds) follow.Timing {
-	t := follow.Timing{
-		Wait: defaultWait, Slack: watchSlack, ListEvery: defaultList, Read: readTimeout, Return: listReturn,
-	}
-	if b.RevokeWithin > 0 {
-		t.Wait = time.Duration(waitShare * float64(b.RevokeWithin))
-	}
-	if b.DrainWithin > 0 {
-		t.ListEvery = time.Duration(listShare * float64(b.DrainWithin))
-	}
-	return t
-}
-
-func directRetries(b DirectBounds) *retry.Policy {
-	return &retry.Policy{
-		ChargeAll: true,
-		Budget:    retry.NewBudget(retry.BudgetConfig{Ratio: budgetShare * b.RetryRatio, Window: b.RetryWindow, Floor: retryFloor}),
-	}
-}
-
-// retryFloor is how many retries a second a router may make besides its share
-// of the requests, so that one with little traffic can retry at all. A hundred
-// routers stay within a slack of a hundred in ten seconds.
-const retryFloor = 0.1
-
 func (d *directRouter) maxKeyAge() time.Duration {
-	return time.Duration(trustShare * float64(d.cfg.Bounds.RevokeWithin))
+	return time.Duration(trustShare * float64(d.bounds.Load().RevokeWithin))
 }
 
 // takeDirectory has membership follow the list of endpoints.
 func (d *directRouter) takeDirectory(dir *directory.Directory) {
 	entries := dir.Entries()
+	d.log.Info().Int("endpoints", len(entries)).Uint64("revision", dir.Revision()).Msg("list of endpoints changed")
 	places := make([]membership.Place, len(entries))
 	vms := make([]membership.VM, len(entries))
 	for i, e := range entries {
@@ -299,7 +217,7 @@
 	addLoop(&g, d.follower.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.health).Run)
 	addLoop(&g, d.watchSilence)
-	addLoop(&g, d.reloadOnHangup)
+	addLoop(&g, d.followSettings)
 	d.ready.Open(gateServing)
 	return errors.CombineErrors(g.Run(), failed)
 }
@@ -308,8 +226,7 @@
 func (d *directRouter) stop() error {
 	d.log.Info().Msg("stopping: new connections go elsewhere, open requests are finished")
 	d.ready.Close(gateServing)
-	notice := min(directNotice, time.Duration(noticeShare*float64(d.cfg.Bounds.StopWithin)))
-	plan := server.Plan{Notice: notice, Grace: d.cfg.Bounds.StopWithin - notice - directMargin, Margin: directMargin}
+	plan := stopPlan(d.bounds.Load().StopWithin)
 	return plan.Run(d.router.Leave, d.router.EndOpen, func() error {
 		d.router.Refuse()
 		return d.callers.StopWithin(plan.Grace)
@@ -333,22 +250,39 @@
 	}
 }
 
-// reloadOnHangup reads the settings again at each SIGHUP.
-func (d *directRouter) reloadOnHangup(ctx context.Context) {
+// followSettings reads the settings again at each SIGHUP, and from time to time
+// without one, as they may change silently. The bounds on keys and stops then
+// hold; addresses and the pace of reading are those of the start.
+func (d *directRouter) followSettings(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	tick := time.NewTicker(settingsTick)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+			d.reload(true)
+		case <-tick.C:
+			d.reload(false)
 		}
-		if _, err := d.cfg.Reload(); err != nil {
-			d.log.Error().Err(err).Msg("settings could not be read again; the old ones stay")
-			continue
-		}
-		d.log.Info().Msg("settings read again")
+	}
+}
+
+// reload puts the bounds of the settings in force. asked says that an operator
+// waits for a word.
+func (d *directRouter) reload(asked bool) {
+	bounds, err := d.cfg.Reload()
+	if err != nil {
+		d.log.Error().Err(err).Msg("settings could not be read again; the old ones stay")
+		return
+	}
+	changed := bounds != *d.bounds.Load()
+	d.bounds.Store(&bounds)
+	if asked || changed {
+		d.log.Info().Bool("changed", changed).Dur("max_key_age", d.maxKeyAge()).Msg("settings read again")
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/directtimes.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"time"
+
+	"coveferry/internal/follow"
+	"coveferry/internal/retry"
+	"coveferry/internal/server"
+)
+
+// Shares of the operator's bounds by which a direct router sets its own times.
+const (
+	// trustShare of RevokeWithin is how old knowledge of keys may be. What
+	// remains covers the way of a request from its caller.
+	trustShare = 0.94
+	// waitShare of RevokeWithin is how long one call waits for news, so that
+	// several may fail in a row before keys are no longer trusted.
+	waitShare = 0.2
+	// listShare of DrainWithin lies between two readings of the list, so that
+	// one may be lost and another be old.
+	listShare = 0.25
+	// budgetShare of the operator's ratio is used for retries: callers' own
+	// count as requests, but those at the window's edges may count twice.
+	budgetShare = 0.75
+	// noticeShare of StopWithin is the most that passes before a stopping
+	// router refuses new requests.
+	noticeShare = 0.33
+	// unreadyShare of the trusted age is where a router asks the balancer to
+	// turn away: it will soon have to refuse.
+	unreadyShare = 0.6
+)
+
+const (
+	// defaultWait is how long a call waits for news where no bound demands
+	// less, and defaultList the time between two readings of the list.
+	defaultWait = 5 * time.Second
+	defaultList = time.Second
+	// readTimeout bounds one reading; the service answers in milliseconds, in
+	// a quarter of a second when it is slow.
+	readTimeout = 600 * time.Millisecond
+	// watchSlack is the same for a call that waits.
+	watchSlack = 400 * time.Millisecond
+	// listReturn is how long entries may take to be back after the service was
+	// away; the operators say about two seconds.
+	listReturn = 2500 * time.Millisecond
+	// directNotice is how long the balancer goes on sending connections after a
+	// router has said that it takes no more: two questions a second apart.
+	directNotice = 2500 * time.Millisecond
+	// directMargin is what a stop leaves for callers to be told that their
+	// answers end early, and again for the process to end by itself.
+	directMargin = 400 * time.Millisecond
+	// silenceLimit is the silence, over all open requests at an endpoint, after
+	// which it is asked for its health: longer than the longest prompts take to
+	// be read where nothing else runs, and a third of the time in which the
+	// list drops an endpoint that has gone dark.
+	silenceLimit = time.Second
+	silenceTick  = 200 * time.Millisecond
+	// settingsTick is the time between two readings of the settings file without
+	// a signal.
+	settingsTick = 5 * time.Second
+	// directLinger is the quiet after which a stopping router closes
+	// connections.
+	directLinger = 300 * time.Millisecond
+	// directCollectorPercent keeps the heap small: memory is dear on entry VMs.
+	directCollectorPercent = 100
+	// Bounds on what callers may send before a configuration is known.
+	directHeaderTimeout  = 10 * time.Second
+	directMaxHeaderBytes = 64 << 10
+	directBodyTimeout    = 30 * time.Second
+	directMaxOpen        = 2000
+	directMaxBodyBytes   = 32 << 20
+)
+
+// timing is how the source is read so that the operator's bounds hold.
+func timing(b DirectBounds) follow.Timing {
+	t := follow.Timing{
+		Wait: defaultWait, Slack: watchSlack, ListEvery: defaultList, Read: readTimeout, Return: listReturn,
+	}
+	if b.RevokeWithin > 0 {
+		t.Wait = time.Duration(waitShare * float64(b.RevokeWithin))
+	}
+	if b.DrainWithin > 0 {
+		t.ListEvery = time.Duration(listShare * float64(b.DrainWithin))
+	}
+	return t
+}
+
+func directRetries(b DirectBounds) *retry.Policy {
+	return &retry.Policy{
+		ChargeAll: true,
+		Budget:    retry.NewBudget(retry.BudgetConfig{Ratio: budgetShare * b.RetryRatio, Window: b.RetryWindow, Floor: retryFloor}),
+	}
+}
+
+// retryFloor is how many retries a second a router may make besides its share
+// of the requests, so that one with little traffic can retry at all. A hundred
+// routers stay within a slack of a hundred in ten seconds.
+const retryFloor = 0.1
+
+// stopPlan is how a direct router stops within so long.
+func stopPlan(within time.Duration) server.Plan {
+	notice := min(directNotice, time.Duration(noticeShare*float64(within)))
+	return server.Plan{Notice: notice, Grace: within - notice - directMargin, Margin: directMargin}
+}
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -61,7 +61,7 @@
 	// Age is how old the knowledge of keys is.
 	Age func() time.Duration
 	// MaxAge is the age up to which keys are trusted; 0 trusts them always.
-	MaxAge time.Duration
+	MaxAge func() time.Duration
 }
 
 // Filter implements pipeline.Filter.
@@ -104,9 +104,9 @@
 }
 
 func (f *Filter) stale() error {
-	age := f.cfg.Age()
-	if f.cfg.MaxAge > 0 && age > f.cfg.MaxAge {
-		return &StaleError{Age: age, Limit: f.cfg.MaxAge}
+	age, limit := f.cfg.Age(), f.cfg.MaxAge()
+	if limit > 0 && age > limit {
+		return &StaleError{Age: age, Limit: limit}
 	}
 	return nil
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/logging"
@@ -64,3 +65,43 @@
 		g.Expect(count()).To(gomega.Equal(500))
 	})
 }
+
+func TestLimitBoundsLinesAndCountsWhatItLeavesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var out bytes.Buffer
+		reg := prometheus.NewRegistry()
+		log := logging.Limit(zerolog.New(&out), 5, reg, "completed")
+		for range 12 {
+			log.Info().Msg("")
+		}
+		g.Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(gomega.Equal(5))
+		families, err := reg.Gather()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(families[0].GetMetric()[0].GetCounter().GetValue()).To(gomega.Equal(7.0))
+		time.Sleep(time.Second)
+		log.Info().Msg("")
+		g.Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(gomega.Equal(6))
+	})
+}
+
+// stuck is a writer that never returns.
+type stuck struct{}
+
+func (stuck) Write([]byte) (int, error) { select {} }
+
+func TestABoundedLoggerNeverKeepsItsWriterWaiting(t *testing.T) {
+	log := logging.NewBounded(stuck{})
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			log.Info().Msg("a line that nobody takes")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging waits for its reader")
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -58,7 +58,7 @@
 func (rt *Router) record(r *request.Request, err error) {
 	class, team := names(r)
 	if r.Route != nil {
-		class = r.Route.Name
+		class = kindOf(r.Route)
 	}
 	result := resultOf(err)
 	rt.metrics.requests.WithLabelValues(class, result).Inc()
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -34,7 +34,7 @@
 	// KeyAge is how old the knowledge of keys is, and MaxKeyAge the age up to
 	// which keys are trusted; 0 trusts them always.
 	KeyAge    func() time.Duration
-	MaxKeyAge time.Duration
+	MaxKeyAge func() time.Duration
 }
 
 // routedRetryAfter is when the caller of a routed request that was refused may
@@ -46,6 +46,13 @@
 // probably take to begin before the request is refused.
 const refuseLate = 1.0
 
+// Lines a second on requests that completed, and on those that didn't. Some
+// hundred bytes each, they stay under 100 KB/s.
+const (
+	completedLines = 50
+	endedLines     = 100
+)
+
 // routedPipe is the path of every routed request.
 func (rt *Router) routedPipe() pipeline.Next {
 	c := rt.cfg.Routing
@@ -124,21 +131,46 @@
 	return status
 }
 
-// logRouted writes the one line that explains how a routed request ended.
+// logRouted writes the one line that explains how a routed request ended: what
+// was decided, by which inputs and how old they were. Lines of requests that
+// went well are the first to be left out under load.
 func (rt *Router) logRouted(r *request.Request, err error, result string) {
-	log := rt.cfg.Log.Info()
-	if log == nil {
-		return
+	log := rt.ended.Info()
+	if err == nil {
+		log = rt.completed.Info()
 	}
 	log.Err(err).Str(logging.FieldRequest, r.CallerID).Str("route", routeName(r)).
-		Str(logging.FieldTeam, r.TeamName).Int(logging.FieldTier, r.Tier).
-		Str(logging.FieldResult, result).Int("candidates", len(r.Candidates)).
-		Array("attempts", trailArray(r.Trail)).
-		Uint64("version", versionOf(r.Table)).Dur("key_age", rt.cfg.Routing.KeyAge()).
-		Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Dur("expected", r.Wait).
-		Dur("first", firstAfter(r)).Dur("max_gap", r.Delivered.MaxGap).
-		Dur("left", time.Until(r.Deadline)).Dur(logging.FieldTook, time.Since(r.Arrived)).
-		Msg("request ended")
+		Str(logging.FieldResult, result).Uint64("version", versionOf(r.Table)).
+		Dur("key_age", rt.cfg.Routing.KeyAge()).Dur(logging.FieldTook, time.Since(r.Arrived))
+	if r.Route != nil {
+		logChoice(log, r)
+	}
+	log.Msg("request ended")
+}
+
+// logChoice adds what the choice of endpoints rested on and what came of it.
+func logChoice(log *zerolog.Event, r *request.Request) {
+	log.Str(logging.FieldTeam, r.TeamName).Int(logging.FieldTier, r.Tier).
+		Int("candidates", len(r.Candidates)).Array("attempts", trailArray(r.Trail)).
+		Dur("left", time.Until(r.Deadline)).Dur("first", firstAfter(r))
+	if r.Prompt.Tokens > 0 {
+		log.Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.Tight).
+			Dur("expected", r.Wait).Dur("max_gap", r.Delivered.MaxGap)
+	}
+}
+
+// kindOf names the kind of a route, by which requests are counted: there may be
+// hundreds of routes, and they change.
+func kindOf(r *route.Route) string {
+	switch {
+	case r.Stream && r.Resumable:
+		return "resumable_stream"
+	case r.Stream:
+		return "stream"
+	case r.Repeat == route.Idempotent:
+		return "idempotent"
+	}
+	return "non_idempotent"
 }
 
 // firstAfter is the time from a request's arrival to the first part of its
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/shed"
 	"coveferry/internal/limits"
+	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/slo"
 	"coveferry/internal/subset"
@@ -87,9 +88,12 @@
 	snapshot atomic.Pointer[bundle.Snapshot]
 	run      pipeline.Next
 	routed   pipeline.Next // nil without Routing
-	room     *room
-	metrics  *metrics
-	drain    *drain
+	// completed and ended log how routed requests ended.
+	completed zerolog.Logger
+	ended     zerolog.Logger
+	room      *room
+	metrics   *metrics
+	drain     *drain
 }
 
 // New returns a router that is ready to serve.
@@ -115,6 +119,8 @@
 	rt.Swap(cfg.Snapshot)
 	rt.run = rt.pipe()
 	if cfg.Routing != nil {
+		rt.completed = logging.Limit(cfg.Log, completedLines, cfg.Metrics, "completed")
+		rt.ended = logging.Limit(cfg.Log, endedLines, cfg.Metrics, "failed")
 		rt.routed = rt.routedPipe()
 	}
 	return rt
