--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -123,6 +123,7 @@
 			Client:    d.client,
 			KeyAge:    d.follower.Age,
 			MaxKeyAge: d.maxKeyAge,
+			TurnAway:  func() bool { return !d.isReady() },
 		},
 	})
 	l, err := net.Listen("tcp", cfg.Callers)
--- a/internal/filters/dispatch/errors.go
+++ b/internal/filters/dispatch/errors.go
@@ -61,7 +61,7 @@
 
 // Error implements error.
 func (e *LostError) Error() string {
-	return fmt.Sprintf("dispatch: no word from the agent (sent: %t): %v", e.Sent, e.Cause)
+	return fmt.Sprintf("dispatch: no answer (sent: %t): %v", e.Sent, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -67,12 +67,17 @@
 }
 
 // announce tells the caller's connection to close behind the answer.
-func (d *drain) announce(w http.ResponseWriter) {
-	if d.leaving.Load() {
+func (rt *Router) announce(w http.ResponseWriter) {
+	if rt.drain.leaving.Load() || rt.turnsAway() {
 		w.Header().Set("Connection", "close")
 	}
 }
 
+func (rt *Router) turnsAway() bool {
+	c := rt.cfg.Routing
+	return c != nil && c.TurnAway != nil && c.TurnAway()
+}
+
 // endedError is a request that was cut off by the router's stop. It doesn't
 // unwrap to its cause, which looks like a caller that left.
 type endedError struct{ cause error }
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -35,6 +35,10 @@
 	// which keys are trusted; 0 trusts them always.
 	KeyAge    func() time.Duration
 	MaxKeyAge func() time.Duration
+	// TurnAway says that callers are better served by other routers, such as
+	// where this one will soon have to refuse their keys: their connections
+	// close behind the next answer. nil is never.
+	TurnAway func() bool
 }
 
 // routedRetryAfter is when the caller of a routed request that was refused may
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -78,6 +78,7 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	age      time.Duration
+	turnAway bool
 	table    *route.Table
 	// answer is what an endpoint does with a request; it gets the connection.
 	answer func(endpoint string, req *http.Request, conn net.Conn)
@@ -134,6 +135,7 @@
 				Endpoints: func(string) []*bundle.Endpoint { return endpoints },
 				Protocol:  plainProtocol{}, Client: client,
 				KeyAge: func() time.Duration { return w.age }, MaxKeyAge: func() time.Duration { return maxKeyAge },
+				TurnAway: func() bool { return w.turnAway },
 			},
 		})
 		l, err := w.net.Listen(address)
@@ -521,6 +523,24 @@
 	})
 }
 
+func TestCallersAreTurnedAwayWhileTheirAnswersAreWhole(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		for _, away := range []bool{false, true} {
+			w.turnAway = away
+			req, err := http.NewRequest("POST", "http://"+address+"/once/", strings.NewReader("x"))
+			g.Expect(err).NotTo(HaveOccurred())
+			req.Host = routeHost
+			req.Header.Set("Id", "r1")
+			req.Header.Set("Key", "k")
+			resp, err := client.Do(req)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.StatusCode).To(Equal(200))
+			g.Expect(resp.Close).To(Equal(away))
+			g.Expect(resp.Body.Close()).To(Succeed())
+		}
+	})
+}
+
 func TestAStoppingRouterRefusesWhatItCouldNotFinish(t *testing.T) {
 	playRouted(t, func(g *WithT, w *world, client *http.Client) {
 		w.router.Leave()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -48,7 +48,7 @@
 	r.Latest = rt.snapshot.Load
 	r.Header = req.Header
 	r.Writer = w
-	rt.drain.announce(w)
+	rt.announce(w)
 	err := rt.receiveAndRun(req, r)
 	rt.record(r, err)
 	if err != nil {
