--- a/internal/bundle/check_names.go
+++ b/internal/bundle/check_names.go
@@ -59,6 +59,7 @@
 		{"tiers", &plainName, namesOf(b.Tiers, func(t *Tier) string { return t.Name })},
 		{"classes", &plainName, namesOf(b.Classes, func(c *Class) string { return c.Name })},
 		{"models", &modelName, namesOf(b.Models, func(m *Model) string { return m.Name })},
+		{"routes", &plainName, namesOf(b.Routes, func(r *Route) string { return r.Name })},
 		{"services", &plainName, namesOf(b.Services, func(s *Service) string { return s.Name })},
 		{"teams", &plainName, namesOf(b.Teams, func(t *Team) string { return t.Name })},
 		{"endpoints", &plainName, namesOf(b.Endpoints, func(e *Endpoint) string { return e.Name })},
--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -21,6 +21,7 @@
 	NounClass    Noun = "class"
 	NounModel    Noun = "model"
 	NounService  Noun = "service"
+	NounRoute    Noun = "route"
 	NounTeam     Noun = "team"
 	NounEndpoint Noun = "endpoint"
 	NounRouter   Noun = "router"
@@ -73,6 +74,7 @@
 	diffList(&d, NounTier, "tiers", old.Tiers, new.Tiers, func(t *Tier) string { return t.Name })
 	diffList(&d, NounClass, "classes", old.Classes, new.Classes, func(c *Class) string { return c.Name })
 	diffList(&d, NounModel, "models", old.Models, new.Models, func(m *Model) string { return m.Name })
+	diffList(&d, NounRoute, "routes", old.Routes, new.Routes, func(r *Route) string { return r.Name })
 	diffList(&d, NounService, "services", old.Services, new.Services, func(s *Service) string { return s.Name })
 	diffList(&d, NounTeam, "teams", old.Teams, new.Teams, func(t *Team) string { return t.Name })
 	diffList(&d, NounEndpoint, "endpoints", old.Endpoints, new.Endpoints, func(e *Endpoint) string { return e.Name })
--- a/internal/bundle/join.go
+++ b/internal/bundle/join.go
@@ -15,6 +15,7 @@
 	Services  []Service  `json:"services,omitempty"`
 	Teams     []Team     `json:"teams,omitempty"`
 	Endpoints []Endpoint `json:"endpoints,omitempty"`
+	Routes    []Route    `json:"routes,omitempty"`
 	Routers   []Router   `json:"routers,omitempty"`
 	Limits    *Limits    `json:"limits,omitempty"`
 }
@@ -79,6 +80,7 @@
 	}
 	slices.SortFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(b.Endpoints, func(x, y Endpoint) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(b.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(b.Routers, func(x, y Router) int { return cmp.Compare(x.Name, y.Name) })
 	if errs := Check(b).Errors(); len(errs) > 0 {
 		return nil, &InvalidError{Problems: unplaced(errs)}
@@ -93,6 +95,7 @@
 	b.Services = append(b.Services, part.Services...)
 	b.Teams = append(b.Teams, part.Teams...)
 	b.Endpoints = append(b.Endpoints, part.Endpoints...)
+	b.Routes = append(b.Routes, part.Routes...)
 	b.Routers = append(b.Routers, part.Routers...)
 	if part.Limits != nil {
 		b.Limits = *part.Limits
--- /dev/null
+++ b/internal/bundle/route.go
@@ -0,0 +1,126 @@
+package bundle
+
+import (
+	"coveferry/internal/jsonc"
+	"coveferry/internal/route"
+	"coveferry/internal/units"
+)
+
+// RouteKind says how often a route's requests may run and whether the answer is
+// a stream.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	RouteNonIdempotent   RouteKind = "non_idempotent"
+	RouteIdempotent      RouteKind = "idempotent"
+	RouteStream          RouteKind = "stream" // runs at most once
+	RouteResumableStream RouteKind = "resumable_stream"
+)
+
+// Route is a host and a path prefix under which a service answers.
+type Route struct {
+	Name string `json:"name" jsonc:"required"`
+	Host string `json:"host" jsonc:"required"`
+	// Prefix begins and ends with a slash; the longest that fits is taken.
+	Prefix  string    `json:"prefix" jsonc:"required"`
+	Service string    `json:"service" jsonc:"required"`
+	Kind    RouteKind `json:"kind" jsonc:"required"`
+	// Tier is the one that requests are served by.
+	Tier string `json:"tier" jsonc:"required"`
+	// Timeout is the longest time that a request may take, FirstAnswer the one
+	// within which the answer, or a stream's first event, is on time, and
+	// BetweenEvents the longest pause of a stream that is on time.
+	Timeout       units.Duration `json:"timeout" jsonc:"required"`
+	FirstAnswer   units.Duration `json:"first_answer,omitempty"`
+	BetweenEvents units.Duration `json:"between_events,omitempty"`
+	// MaxRuns is the most endpoints at which one request may run; 0 leaves it
+	// to the retry policy.
+	MaxRuns int `json:"max_runs,omitempty"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty"`
+}
+
+// table is the route table of a bundle that has passed its check.
+func (b *Bundle) table() (*route.Table, error) {
+	c := route.Config{Version: b.Version, KeyForm: HashKey, Teams: make(map[string]*route.Team)}
+	for i := range b.Services {
+		c.Services = append(c.Services, route.Service{Name: b.Services[i].Name})
+	}
+	for i := range b.Teams {
+		team := &route.Team{Name: b.Teams[i].Name}
+		for _, hash := range b.Teams[i].KeyHashes {
+			c.Teams[hash] = team
+		}
+	}
+	for i := range b.Routes {
+		c.Routes = append(c.Routes, b.routeOf(&b.Routes[i]))
+	}
+	c.Limits.BodyBytes = int64(b.Limits.RequestBytes)
+	return route.NewTable(c)
+}
+
+func (b *Bundle) routeOf(r *Route) route.Route {
+	out := route.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix,
+		Targets:   []route.Target{{Service: r.Service, Weight: 1}},
+		Stream:    r.Kind == RouteStream || r.Kind == RouteResumableStream,
+		Resumable: r.Kind == RouteResumableStream,
+		Tier:      b.rankOf(r.Tier),
+		Timeout:   r.Timeout.Std(), Objective: r.FirstAnswer.Std(), MaxGap: r.BetweenEvents.Std(),
+		MaxRuns: r.MaxRuns, Public: r.Public,
+	}
+	if r.Kind == RouteIdempotent {
+		out.Repeat = route.Idempotent
+	}
+	return out
+}
+
+func (b *Bundle) rankOf(tier string) int {
+	for rank := range b.Tiers {
+		if b.Tiers[rank].Name == tier {
+			return rank
+		}
+	}
+	return len(b.Tiers)
+}
+
+func checkRoutes(b *Bundle, f *Findings) {
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		path := jsonc.Index("routes", i)
+		switch r.Kind {
+		case RouteNonIdempotent, RouteIdempotent, RouteStream, RouteResumableStream:
+		default:
+			f.errorf(jsonc.Key(path, "kind"), "%q is not a kind; use %q, %q, %q or %q", r.Kind,
+				RouteNonIdempotent, RouteIdempotent, RouteStream, RouteResumableStream)
+		}
+		if r.Timeout <= 0 {
+			f.errorf(jsonc.Key(path, "timeout"), "must be longer than 0")
+		}
+		if r.MaxRuns < 0 {
+			f.errorf(jsonc.Key(path, "max_runs"), "%d is negative", r.MaxRuns)
+		}
+	}
+}
+
+// checkRouteTable compares routes with the services and tiers that they name.
+func checkRouteTable(b *Bundle, f *Findings) {
+	tiers := setOf(namesOf(b.Tiers, func(t *Tier) string { return t.Name }))
+	services := setOf(namesOf(b.Services, func(s *Service) string { return s.Name }))
+	known := true
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		path := jsonc.Index("routes", i)
+		if !tiers.has(r.Tier) {
+			f.errorf(jsonc.Key(path, "tier"), "%q is not in tiers", r.Tier)
+		}
+		if !services.has(r.Service) {
+			known = false
+			f.errorf(jsonc.Key(path, "service"), "%q is not in services", r.Service)
+		}
+	}
+	if _, err := b.table(); err != nil && known {
+		f.errorf("routes", "%v", err)
+	}
+}
--- a/internal/bundle/snapshot.go
+++ b/internal/bundle/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+
+	"coveferry/internal/route"
 )
 
 // Snapshot is a checked bundle with the look-ups that requests need. It is
@@ -17,6 +19,8 @@
 	byService map[string][]*Endpoint
 	services  map[string]*Service
 	byAddress map[string]string // names of endpoints
+	direct    map[string][]*Endpoint
+	routes    *route.Table // nil without routes
 	// parts are what the bundle was joined from; it is empty for a bundle that
 	// came whole.
 	parts fragments
@@ -34,6 +38,7 @@
 		byService: make(map[string][]*Endpoint),
 		services:  make(map[string]*Service, len(b.Services)),
 		byAddress: make(map[string]string, len(b.Endpoints)),
+		direct:    make(map[string][]*Endpoint),
 	}
 	for i := range b.Teams {
 		for _, hash := range b.Teams[i].KeyHashes {
@@ -52,10 +57,19 @@
 	for i := range b.Endpoints {
 		s.indexEndpoint(&b.Endpoints[i])
 	}
+	if len(b.Routes) > 0 {
+		s.routes, _ = b.table() // the bundle has passed its check
+	}
 	return s
 }
 
 func (s *Snapshot) indexEndpoint(e *Endpoint) {
+	if e.Direct {
+		for _, svc := range e.Services {
+			s.direct[svc] = append(s.direct[svc], e)
+		}
+		return
+	}
 	s.byAddress[e.Address] = e.Name
 	for _, m := range e.Models {
 		s.byModel[m] = append(s.byModel[m], e)
@@ -113,6 +127,13 @@
 // EndpointsForService lists the endpoints that serve a plain service.
 func (s *Snapshot) EndpointsForService(name string) []*Endpoint { return s.byService[name] }
 
+// Routes is the table of the bundle's routes, nil if it has none.
+func (s *Snapshot) Routes() *route.Table { return s.routes }
+
+// DirectEndpoints lists the endpoints of a service that routers reach without
+// agents.
+func (s *Snapshot) DirectEndpoints(service string) []*Endpoint { return s.direct[service] }
+
 // EndpointAt returns the name of the endpoint whose agent has the address.
 func (s *Snapshot) EndpointAt(address string) (string, bool) {
 	name, ok := s.byAddress[address]
--- a/internal/bundle/split.go
+++ b/internal/bundle/split.go
@@ -36,6 +36,9 @@
 	for _, endpoints := range chunks(b.Endpoints, func(e *Endpoint) string { return e.Name }) {
 		s.add(fragment{Endpoints: endpoints})
 	}
+	for _, routes := range chunks(b.Routes, func(r *Route) string { return r.Name }) {
+		s.add(fragment{Routes: routes})
+	}
 	for _, routers := range chunks(b.Routers, func(r *Router) string { return r.Name }) {
 		s.add(fragment{Routers: routers})
 	}
--- a/internal/bundle/types.go
+++ b/internal/bundle/types.go
@@ -30,6 +30,9 @@
 	Services  []Service  `json:"services,omitempty"`
 	Teams     []Team     `json:"teams" jsonc:"required"`
 	Endpoints []Endpoint `json:"endpoints" jsonc:"required"`
+	// Routes send requests by host and path to services whose endpoints are
+	// reached directly.
+	Routes []Route `json:"routes,omitempty"`
 	// Routers are the entry VMs' processes, so that processes find each other.
 	Routers []Router `json:"routers,omitempty"`
 	Limits  Limits   `json:"limits" jsonc:"required"`
@@ -106,6 +109,9 @@
 	Region         string   `json:"region" jsonc:"required"`
 	Models         []string `json:"models,omitempty"`
 	Services       []string `json:"services,omitempty"`
+	// Direct endpoints have no agent: routers reach the address itself, for
+	// the requests of routes only.
+	Direct bool `json:"direct,omitempty"`
 	// Slots is how many requests the endpoint runs at once.
 	Slots int `json:"slots" jsonc:"required"`
 	// Placement is what the agent has the engine hold; without it the agent
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -104,6 +104,7 @@
 	var rt *router.Router
 	nameAt := func(address string) (string, bool) { return rt.Snapshot().EndpointAt(address) }
 	client := server.NewTLSClient(id.DialTLS(server.TCP(), identity.RoleAgent, nameAt))
+	inForce := func() *bundle.Snapshot { return rt.Snapshot() }
 	pool := balance.NewPool(balance.Config{Policy: balancePolicy(s.Balance), Seed: uint64(os.Getpid())})
 	members := newMembers(id.Peer().Name, pool, reg, log)
 	teams := newTeamLimits(id, reg, log)
@@ -122,6 +123,7 @@
 		Limits:       teams.limiter,
 		Observer:     members,
 		Service:      service,
+		Routing:      router.BundleRouting(inForce, server.NewDirectClient()),
 		Log:          log,
 		Metrics:      reg,
 	})
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -3,6 +3,7 @@
 package match
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -59,7 +60,7 @@
 	}
 	in := f.protocol.Incoming(r.Header)
 	r.Route = found
-	r.CallerID = in.ID
+	r.CallerID = cmp.Or(in.ID, r.ID)
 	r.Prompt = in.Prompt
 	r.Delivered.LastEvent = in.LastEvent
 	r.Service = found.Pick(f.random())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,10 +149,11 @@
 	return nil
 }
 
-// fillBundle adds an endpoint for each agent to the spec's bundle.
+// fillBundle adds an endpoint for each agent to the spec's bundle, which keeps
+// those that are reached directly.
 func (f *Fleet) fillBundle() *bundle.Bundle {
 	b := f.spec.Bundle
-	b.Endpoints = nil
+	b.Endpoints = slices.DeleteFunc(slices.Clone(b.Endpoints), func(e bundle.Endpoint) bool { return !e.Direct })
 	b.Routers = f.listRouters()
 	models := make([]string, len(b.Models))
 	for i, m := range b.Models {
@@ -168,7 +169,7 @@
 			Models:        models,
 			Slots:         f.spec.Engines[i].Slots,
 		})
-		f.place(i, &b.Endpoints[i])
+		f.place(i, &b.Endpoints[len(b.Endpoints)-1])
 	}
 	return &b
 }
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -182,6 +182,10 @@
 	if member != nil {
 		teams.limiter.Register(member.control)
 	}
+	if len(f.bundle.Routes) > 0 {
+		inForce := func() *bundle.Snapshot { return rt.Snapshot() }
+		cfg.Routing = router.BundleRouting(inForce, server.NewClient(nil, f.network.Dialer(name)))
+	}
 	rt = router.New(cfg)
 	if before == nil {
 		l, err := f.network.Listen(address)
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -49,9 +49,12 @@
 
 // SetBundle takes the endpoints of the bundle in force.
 func (t *Tracker) SetBundle(b *bundle.Bundle) {
-	places := make([]Place, len(b.Endpoints))
-	for i, e := range b.Endpoints {
-		places[i] = Place{Endpoint: e.Name, VM: e.VM, Address: e.Address}
+	places := make([]Place, 0, len(b.Endpoints))
+	for _, e := range b.Endpoints {
+		if e.Direct {
+			continue // no agent speaks for it
+		}
+		places = append(places, Place{Endpoint: e.Name, VM: e.VM, Address: e.Address})
 	}
 	t.Learn(Bundle{Places: places})
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -119,8 +119,11 @@
 	Routes   []Route
 	Services []Service
 	// Teams holds the team of each key. With no keys at all, routes need none.
-	Teams  map[string]*Team
-	Limits Limits
+	Teams map[string]*Team
+	// KeyForm turns a caller's key into the form in which Teams holds it; nil
+	// if it holds keys as they are.
+	KeyForm func(key string) string
+	Limits  Limits
 }
 
 // Table answers which route a request takes. It is immutable.
@@ -132,6 +135,7 @@
 	teams    map[string]*Team
 	routes   []Route
 	longest  map[string]time.Duration
+	keyForm  func(string) string
 }
 
 // NewTable builds a table. Its error is an *Error that names the faulty place.
@@ -143,6 +147,7 @@
 		services: make(map[string]*Service, len(c.Services)),
 		teams:    c.Teams,
 		routes:   c.Routes,
+		keyForm:  c.KeyForm,
 		longest:  make(map[string]time.Duration, len(c.Services)),
 	}
 	for i := range c.Services {
@@ -221,7 +226,12 @@
 func (t *Table) NeedsKeys() bool { return t.teams != nil }
 
 // Team returns the team that holds a key, nil if none does.
-func (t *Table) Team(key string) *Team { return t.teams[key] }
+func (t *Table) Team(key string) *Team {
+	if t.keyForm != nil {
+		key = t.keyForm(key)
+	}
+	return t.teams[key]
+}
 
 // Service returns what the table says of a service, nil if it doesn't know it.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -181,5 +181,8 @@
 	mux.HandleFunc("GET /v1/models", rt.serveModels)
 	mux.HandleFunc("/services/{service}/{path...}", rt.serveService)
 	mux.HandleFunc("/", serveUnknown)
+	if rt.cfg.Routing != nil {
+		return rt.routesFirst(mux)
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/upstream/plain.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers of Plain.
+const (
+	headerRequestID = "Coveferry-Request-Id"
+	headerPatience  = "Coveferry-Deadline" // how long the sender waits, such as "30s"
+	headerTeam      = "Coveferry-Team"
+	headerTier      = "Coveferry-Tier" // rank, 0 is the highest
+	headerNotRun    = "Coveferry-Not-Run"
+	headerLastEvent = "Last-Event-Id"
+	headerKey       = "Authorization"
+	keyScheme       = "Bearer "
+)
+
+// Plain is the product's own way to speak with endpoints that are reached
+// directly: any HTTP service will do. One that echoes the request's id and marks
+// what it didn't run is served better, since more may be repeated safely.
+type Plain struct{}
+
+// Incoming implements Protocol.
+func (Plain) Incoming(h http.Header) Incoming {
+	in := Incoming{ID: h.Get(headerRequestID), LastEvent: h.Get(headerLastEvent)}
+	if key, ok := strings.CutPrefix(h.Get(headerKey), keyScheme); ok {
+		in.Key = key
+	}
+	if d, err := time.ParseDuration(h.Get(headerPatience)); err == nil && d > 0 {
+		in.Patience = d
+	}
+	return in
+}
+
+// Encode implements Protocol.
+func (Plain) Encode(h http.Header, a Attempt) {
+	h.Del(headerKey)
+	h.Del(headerTeam)
+	h.Set(headerRequestID, a.ID)
+	h.Set(headerPatience, a.Left.String())
+	h.Set(headerTier, strconv.Itoa(a.Tier))
+	if a.Team != "" {
+		h.Set(headerTeam, a.Team)
+	}
+	if a.LastEvent != "" {
+		h.Set(headerLastEvent, a.LastEvent)
+	}
+}
+
+// Decode implements Protocol. An endpoint that names no request is taken to
+// answer the one that was sent.
+func (Plain) Decode(resp *http.Response) Reply {
+	id := resp.Header.Get(headerRequestID)
+	if id == "" && resp.Request != nil {
+		id = resp.Request.Header.Get(headerRequestID)
+	}
+	return Reply{ID: id, NotRun: resp.Header.Get(headerNotRun) != "", Signed: true}
+}
--- /dev/null
+++ b/internal/upstream/plain_test.go
@@ -0,0 +1,34 @@
+package upstream_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/upstream"
+)
+
+func TestPlainReadsAndSetsItsHeaders(t *testing.T) {
+	g := NewWithT(t)
+	h := http.Header{
+		"Authorization": {"Bearer k"}, "Coveferry-Deadline": {"1500ms"}, "Coveferry-Request-Id": {"a"},
+		"Last-Event-Id": {"3"}, "Coveferry-Team": {"forged"},
+	}
+	g.Expect(upstream.Plain{}.Incoming(h)).To(Equal(upstream.Incoming{
+		ID: "a", Key: "k", Patience: 1500 * time.Millisecond, LastEvent: "3",
+	}))
+	upstream.Plain{}.Encode(h, upstream.Attempt{ID: "a", Tier: 1, Left: time.Second, LastEvent: "5"})
+	g.Expect(h).To(Equal(http.Header{
+		"Coveferry-Deadline": {"1s"}, "Coveferry-Request-Id": {"a"}, "Last-Event-Id": {"5"}, "Coveferry-Tier": {"1"},
+	}))
+}
+
+func TestPlainTakesAnAnswerWithoutANameForItsOwn(t *testing.T) {
+	g := NewWithT(t)
+	req := &http.Request{Header: http.Header{"Coveferry-Request-Id": {"a"}}}
+	g.Expect(upstream.Plain{}.Decode(&http.Response{Request: req, Header: http.Header{}}).ID).To(Equal("a"))
+	other := &http.Response{Request: req, Header: http.Header{"Coveferry-Request-Id": {"b"}, "Coveferry-Not-Run": {"1"}}}
+	g.Expect(upstream.Plain{}.Decode(other)).To(Equal(upstream.Reply{ID: "b", NotRun: true, Signed: true}))
+}
