--- a/internal/balance/prompts_test.go
+++ b/internal/balance/prompts_test.go
@@ -118,6 +118,22 @@
 	}
 }
 
+func TestRoutersThatNeverTalkBringPromptsThatSharePartsTogether(t *testing.T) {
+	g := NewWithT(t)
+	all := engines(9)
+	a := NewPool(Config{Policy: NewPromptAware(), Seed: 1})
+	b := NewPool(Config{Policy: NewPromptAware(), Seed: 2})
+	for key := uint64(10); key < 40; key++ {
+		at, accountA := send(a, epoch, long(key), all)
+		bt, accountB := send(b, epoch, long(key), all)
+		g.Expect(at).To(Equal(bt))
+		accountA.Ended()
+		accountB.Ended()
+		a.Done(epoch, at, ResultOK, 0)
+		b.Done(epoch, bt, ResultOK, 0)
+	}
+}
+
 func TestABusyHomeIsLeftAndItsCacheNamed(t *testing.T) {
 	g := NewWithT(t)
 	p := NewPool(Config{Policy: NewPromptAware()})
