Let one router of a failure domain read for the others

Change: routers say hello through the seeds, work out from whom they heard lately who reads, and ask that router four times a second, with the age of what it knows; the source itself is asked when answers are missing or too old. Control channels can be plain where an environment has no certificates. Debug lines no longer reach the platform's log.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -31,6 +31,7 @@
 
 // ClientConfig is what the clients of a process have in common.
 type ClientConfig struct {
+	// Identity shows who this process is; without one, connections are plain.
 	Identity *identity.Identity
 	// Dial opens connections; nil is TCP's.
 	Dial Dial
@@ -76,9 +77,12 @@
 // NewClient returns a client, which connects with its first call.
 func NewClient(cfg ClientConfig, target Target) *Client {
 	cfg = cfg.withDefaults()
-	settings := cfg.Identity.ClientConfig(target.Peer.Role, target.Peer.Name)
-	settings.NextProtos = []string{protocol}
-	return &Client{cfg: cfg, target: target, tls: settings, backoff: newBackoff()}
+	c := &Client{cfg: cfg, target: target, backoff: newBackoff()}
+	if cfg.Identity != nil {
+		c.tls = cfg.Identity.ClientConfig(target.Peer.Role, target.Peer.Name)
+		c.tls.NextProtos = []string{protocol}
+	}
+	return c
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -199,8 +203,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	conn := tls.Client(c.cfg.Traffic.wrap(raw), c.tls)
-	if err := conn.HandshakeContext(ctx); err != nil {
+	conn, err := c.handshake(ctx, c.cfg.Traffic.wrap(raw))
+	if err != nil {
 		_ = raw.Close() // the handshake's error is the one to report
 		return nil, errors.Wrap(err, "handshake")
 	}
@@ -208,6 +212,15 @@
 		jsonrpc2.SetLogger(printer{c.cfg.Log})), nil
 }
 
+// handshake makes the handshake, if there is one.
+func (c *Client) handshake(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if c.tls == nil {
+		return raw, nil
+	}
+	conn := tls.Client(raw, c.tls)
+	return conn, conn.HandshakeContext(ctx)
+}
+
 // drop gives a connection up.
 func (c *Client) drop(conn *jsonrpc2.Conn) {
 	c.mu.Lock()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,7 +34,8 @@
 type ServerConfig struct {
 	Listener net.Listener
 	// Identity shows who this process is. Roles may connect at all; each
-	// method narrows them.
+	// method narrows them. Without an identity, where an environment offers no
+	// certificates, connections are plain and all peers count as routers.
 	Identity *identity.Identity
 	Roles    []identity.Role
 	// MaxMessage bounds a message in bytes; 0 is DefaultMaxMessage.
@@ -76,8 +77,10 @@
 		cfg.MaxConns = defaultMaxConns
 	}
 	s := &Server{cfg: cfg, endpoints: make(map[string]*endpoint)}
-	s.tls = cfg.Identity.ServerConfig(cfg.Roles...)
-	s.tls.NextProtos = []string{protocol}
+	if cfg.Identity != nil {
+		s.tls = cfg.Identity.ServerConfig(cfg.Roles...)
+		s.tls.NextProtos = []string{protocol}
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -139,11 +142,10 @@
 }
 
 func (s *Server) serveConn(raw net.Conn) {
-	conn := tls.Server(s.cfg.Traffic.wrap(raw), s.tls)
-	peer, err := s.handshake(conn)
+	conn, peer, err := s.accept(s.cfg.Traffic.wrap(raw))
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Stringer("from", raw.RemoteAddr()).Msg("control connection refused")
-		_ = conn.Close() // the handshake's error is the one to report
+		_ = raw.Close() // the handshake's error is the one to report
 		return
 	}
 	rpc := jsonrpc2.NewConn(s.ctx, newStream(conn, s.cfg.MaxMessage, serverIdle), &session{
@@ -152,6 +154,16 @@
 	<-rpc.DisconnectNotify()
 }
 
+// accept makes the handshake, if there is one.
+func (s *Server) accept(raw net.Conn) (net.Conn, identity.Peer, error) {
+	if s.tls == nil {
+		return raw, identity.Peer{Role: identity.RoleRouter}, nil
+	}
+	conn := tls.Server(raw, s.tls)
+	peer, err := s.handshake(conn)
+	return conn, peer, err
+}
+
 func (s *Server) handshake(conn *tls.Conn) (identity.Peer, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, handshakeTimeout)
 	defer cancel()
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -19,10 +19,12 @@
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/cli"
+	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
 	"coveferry/internal/logging"
 	"coveferry/internal/membership"
+	"coveferry/internal/peers"
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
@@ -33,7 +35,12 @@
 // Direct is what a router needs that reaches its endpoints without agents and
 // takes its configuration from a service that can only be read.
 type Direct struct {
-	VM string
+	VM            string
+	FailureDomain string
+	// Control is where other routers reach this one; without it each reads the
+	// source for itself. Seeds are the control addresses of some of them.
+	Control string
+	Seeds   []string
 	// Callers, Ready and Metrics are the addresses to listen on; without a
 	// metrics address none are served.
 	Callers, Ready, Metrics string
@@ -91,6 +98,8 @@
 	client   *http.Client
 	router   *router.Router
 	callers  *server.Server
+	peers    *peers.Source // nil where each router reads for itself
+	control  *control.Server
 }
 
 func newDirect(cfg Direct, log zerolog.Logger) (*directRouter, error) {
@@ -100,11 +109,18 @@
 	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware(), Seed: uint64(os.Getpid())})
 	d.pool = pool
 	d.members = newMembers(cfg.VM, pool, d.reg, log)
+	source, err := d.startPeers()
+	if err != nil {
+		return nil, err
+	}
 	d.follower = follow.New(follow.Config{
-		Source: cfg.Source, Timing: timing(cfg.Bounds), Log: log,
+		Source: source, Timing: timing(cfg.Bounds), Log: log,
 		OnTable:     func(*route.Table) {},
 		OnDirectory: d.takeDirectory,
 	})
+	if d.peers != nil {
+		d.peers.Tell(d.follower)
+	}
 	d.router = router.New(router.Config{
 		Name:         cfg.VM,
 		Pool:         pool,
@@ -215,6 +231,7 @@
 		}
 		addServer(&g, metrics, metrics.Stop, &failed)
 	}
+	d.addPeers(&g, &failed)
 	addLoop(&g, d.follower.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.health).Run)
 	addLoop(&g, d.watchSilence)
@@ -272,6 +289,39 @@
 	}
 }
 
+// startPeers returns the source to follow: that of the settings, shared with the
+// other routers if they can reach this one.
+func (d *directRouter) startPeers() (follow.Source, error) {
+	if d.cfg.Control == "" {
+		return d.cfg.Source, nil
+	}
+	l, err := net.Listen("tcp", d.cfg.Control)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other routers")
+	}
+	d.control = control.NewServer(control.ServerConfig{Listener: l, Log: d.log})
+	d.peers = peers.New(peers.Config{
+		Self:   peers.Member{VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control},
+		Seeds:  d.cfg.Seeds,
+		Source: d.cfg.Source,
+		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
+		Every:  peerEvery,
+		MaxAge: time.Duration(peerShare * float64(d.maxKeyAge())),
+		Log:    d.log,
+	})
+	d.peers.Register(d.control)
+	return d.peers, nil
+}
+
+// addPeers adds what shares readings with other routers.
+func (d *directRouter) addPeers(g *run.Group, failed *error) {
+	if d.peers == nil {
+		return
+	}
+	g.Add(d.control.Run, func(error) { *failed = errors.CombineErrors(*failed, d.control.Stop()) })
+	addLoop(g, d.peers.Run)
+}
+
 // reload puts the bounds of the settings in force. asked says that an operator
 // waits for a word.
 func (d *directRouter) reload(asked bool) {
--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -25,6 +25,9 @@
 	// noticeShare of StopWithin is the most that passes before a stopping
 	// router refuses new requests.
 	noticeShare = 0.33
+	// peerShare of the trusted age is how old the word of another router may
+	// be; beyond it the source itself is asked, with time for some tries.
+	peerShare = 0.5
 	// unreadyShare of the trusted age is where a router asks the balancer to
 	// turn away: it will soon have to refuse.
 	unreadyShare = 0.6
@@ -58,6 +61,10 @@
 	// settingsTick is the time between two readings of the settings file without
 	// a signal.
 	settingsTick = 5 * time.Second
+	// peerEvery is the time between two questions to a reader: a tenth of the
+	// shortest bound on configurations that is known, at some kilobytes a
+	// second.
+	peerEvery = 250 * time.Millisecond
 	// directLinger is the quiet after which a stopping router closes
 	// connections.
 	directLinger = 300 * time.Millisecond
--- a/internal/directory/compare.go
+++ b/internal/directory/compare.go
@@ -1,8 +1,11 @@
 package directory
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 func sortedNames(entries map[string]Entry) []string { return slices.Sorted(maps.Keys(entries)) }
@@ -18,3 +21,13 @@
 		a.Endpoint.Slots == b.Endpoint.Slots &&
 		slices.Equal(a.Endpoint.Services, b.Endpoint.Services)
 }
+
+func digestOf(entries map[string]Entry) uint64 {
+	d := xxhash.New()
+	for _, name := range sortedNames(entries) {
+		e := entries[name]
+		// A hash never fails.
+		_, _ = fmt.Fprintln(d, name, e.Draining, e.Endpoint.Address, e.Endpoint.FailureDomain, e.Endpoint.Slots, e.Endpoint.Services)
+	}
+	return d.Sum64()
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,6 +21,9 @@
 	Entries []Entry
 	// Revision is the list's own counter of changes at the time of reading.
 	Revision uint64
+	// Age is how old the reading may have been when it was asked for; 0 if the
+	// list itself was read.
+	Age time.Duration
 }
 
 // Directory is an immutable set of endpoints.
@@ -28,13 +31,14 @@
 	entries   map[string]Entry
 	byService map[string][]*bundle.Endpoint
 	revision  uint64
+	digest    uint64
 }
 
 // Empty is a directory without endpoints.
 func Empty() *Directory { return build(nil, 0) }
 
 func build(entries map[string]Entry, revision uint64) *Directory {
-	d := &Directory{entries: entries, byService: make(map[string][]*bundle.Endpoint), revision: revision}
+	d := &Directory{entries: entries, byService: make(map[string][]*bundle.Endpoint), revision: revision, digest: digestOf(entries)}
 	for _, name := range sortedNames(entries) {
 		e := entries[name]
 		for _, service := range e.Endpoint.Services {
@@ -65,6 +69,9 @@
 // Len is the number of endpoints.
 func (d *Directory) Len() int { return len(d.entries) }
 
+// Digest tells two directories apart that differ in anything but the revision.
+func (d *Directory) Digest() uint64 { return d.digest }
+
 // Revision is that of the newest reading.
 func (d *Directory) Revision() uint64 { return d.revision }
 
@@ -84,8 +91,9 @@
 		d.keepAbsent(next)
 	}
 	if sameEntries(d.entries, next) {
-		d = &Directory{entries: d.entries, byService: d.byService, revision: r.Revision}
-		return d, false
+		same := *d
+		same.revision = r.Revision
+		return &same, false
 	}
 	return build(next, r.Revision), true
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,10 +51,13 @@
 type Follower struct {
 	cfg       Config
 	table     atomic.Pointer[route.Table]
+	config    atomic.Pointer[route.Config]
 	directory atomic.Pointer[directory.Directory]
 	// confirmed is when the reading was sent that last confirmed the table, by
 	// the monotonic clock; nil before the first.
 	confirmed atomic.Pointer[time.Time]
+	// listed is when the reading was sent that last confirmed the list.
+	listed atomic.Pointer[time.Time]
 	// revision is the source's newest that was heard of.
 	revision atomic.Uint64
 	source   link
@@ -80,8 +83,18 @@
 const never = time.Duration(1<<63 - 1)
 
 // Age is how long ago the table was certainly the newest.
-func (f *Follower) Age() time.Duration {
-	at := f.confirmed.Load()
+func (f *Follower) Age() time.Duration { return since(f.confirmed.Load()) }
+
+// ListAge is how long ago the list was read.
+func (f *Follower) ListAge() time.Duration { return since(f.listed.Load()) }
+
+// Config is what the table was built from, nil before the first was read.
+func (f *Follower) Config() *route.Config { return f.config.Load() }
+
+// Revision is the newest of the source's counter of changes that was heard of.
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
+
+func since(at *time.Time) time.Duration {
 	if at == nil {
 		return never
 	}
@@ -132,7 +145,7 @@
 			return 0, err
 		}
 	}
-	f.confirmed.Store(&sent)
+	f.confirm(sent.Add(-r.Age))
 	f.heard(r.Revision)
 	f.source.worked()
 	return r.Revision, nil
@@ -163,11 +176,21 @@
 		return err
 	}
 	f.table.Store(table)
+	f.config.Store(c)
 	f.cfg.Log.Info().Uint64("version", c.Version).Int("routes", table.Size()).Msg("configuration in force")
 	f.cfg.OnTable(table)
 	return nil
 }
 
+// confirm notes that the table was the newest at a moment. One that is earlier
+// than another says nothing new.
+func (f *Follower) confirm(at time.Time) {
+	if old := f.confirmed.Load(); old != nil && !at.After(*old) {
+		return
+	}
+	f.confirmed.Store(&at)
+}
+
 // heard notes the source's counter of changes.
 func (f *Follower) heard(revision uint64) {
 	for {
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -17,6 +17,7 @@
 	var keepAbsentUntil time.Time
 	pause := firstPause
 	for ctx.Err() == nil {
+		sent := time.Now()
 		reading, err := f.readList(ctx)
 		now := time.Now()
 		if err != nil {
@@ -35,6 +36,8 @@
 			keepAbsentUntil = now.Add(f.cfg.Timing.Return)
 		}
 		last = now
+		listed := sent.Add(-reading.Age)
+		f.listed.Store(&listed)
 		f.merge(reading, now, keepAbsentUntil)
 		if !sleep(ctx, f.cfg.Timing.ListEvery) {
 			return
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -22,6 +22,9 @@
 	Config *route.Config
 	// Revision is the source's counter of changes when it answered.
 	Revision uint64
+	// Age is how old the reading may have been when it was asked for; 0 if the
+	// source itself answered.
+	Age time.Duration
 }
 
 // Source is the service that is read.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -54,7 +54,7 @@
 	queue := diode.NewWriter(w, queuedLines, 0, func(missed int) {
 		plain.Warn().Int("lines", missed).Msg("log lines were dropped")
 	})
-	return zerolog.New(queue).With().Timestamp().Logger()
+	return zerolog.New(queue).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 }
 
 // Request names a request on all lines about it. Empty members are left out.
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,127 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// heardFor is how long a router counts after it was last heard of. Each
+	// says hello once a second, to three seeds in turn.
+	heardFor = 5 * time.Second
+	// readersPerDomain read the source for all routers of a failure domain. One
+	// suffices: where it is lost, those of other domains answer, and then the
+	// source itself.
+	readersPerDomain = 1
+)
+
+// members are the routers that were heard of lately. It is safe for concurrent
+// use.
+type members struct {
+	self  Member
+	mu    sync.Mutex
+	known map[string]heard
+}
+
+type heard struct {
+	member Member
+	at     time.Time
+}
+
+func newMembers(self Member) *members {
+	return &members{self: self, known: make(map[string]heard)}
+}
+
+// hear notes that a router was alive at a moment.
+func (m *members) hear(member Member, at time.Time) {
+	if member.VM == "" || member.VM == m.self.VM {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.known[member.VM]; ok && !at.After(old.at) {
+		return
+	}
+	m.known[member.VM] = heard{member: member, at: at}
+}
+
+// forget drops a router that can't be reached, until it is heard of again.
+func (m *members) forget(vm string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.known, vm)
+}
+
+// lately lists the routers heard of, with how long ago, by their names.
+func (m *members) lately(now time.Time) []heardMember {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []heardMember
+	for vm, h := range m.known {
+		ago := now.Sub(h.at)
+		if ago > heardFor {
+			delete(m.known, vm)
+			continue
+		}
+		list = append(list, heardMember{Member: h.member, AgoMillis: ago.Milliseconds()})
+	}
+	slices.SortFunc(list, func(a, b heardMember) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
+// readers are the routers that read for a failure domain, as far as this router
+// knows, itself included if it is one.
+func (m *members) readers(now time.Time, domain string) []Member {
+	var of []Member
+	if m.self.FailureDomain == domain {
+		of = append(of, m.self)
+	}
+	for _, h := range m.lately(now) {
+		if h.FailureDomain == domain {
+			of = append(of, h.Member)
+		}
+	}
+	slices.SortFunc(of, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.VM, b.VM))
+	})
+	return of[:min(len(of), readersPerDomain)]
+}
+
+func rank(m Member) uint64 { return xxhash.Sum64String(m.FailureDomain + "/" + m.VM) }
+
+// isReader says whether this router reads for its failure domain.
+func (m *members) isReader(now time.Time) bool {
+	return slices.Contains(m.readers(now, m.self.FailureDomain), m.self)
+}
+
+// sources are the routers to ask, the nearest first: the readers of this
+// router's failure domain, then one of each other.
+func (m *members) sources(now time.Time) []Member {
+	var list []Member
+	for _, r := range m.readers(now, m.self.FailureDomain) {
+		if r != m.self {
+			list = append(list, r)
+		}
+	}
+	for _, domain := range m.domains(now) {
+		if readers := m.readers(now, domain); domain != m.self.FailureDomain && len(readers) > 0 {
+			list = append(list, readers[0])
+		}
+	}
+	return list
+}
+
+func (m *members) domains(now time.Time) []string {
+	var domains []string
+	for _, h := range m.lately(now) {
+		if !slices.Contains(domains, h.FailureDomain) {
+			domains = append(domains, h.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,275 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/bundle"
+	"coveferry/internal/control"
+	"coveferry/internal/directory"
+	"coveferry/internal/follow"
+	"coveferry/internal/identity"
+	"coveferry/internal/memnet"
+	"coveferry/internal/route"
+)
+
+var peerOfTests = identity.Peer{Role: identity.RoleRouter}
+
+var errAway = errors.New("away")
+
+// store is the source behind all routers. It counts calls and turns some away.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	calls   int
+	away    map[string]bool
+}
+
+// view is the store as one router reaches it.
+type view struct {
+	*store
+	vm string
+}
+
+func (v view) call() (uint64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls++
+	if v.away[v.vm] {
+		return 0, errAway
+	}
+	return v.version, nil
+}
+
+func (v view) Config(context.Context) (follow.Reading, error) {
+	version, err := v.call()
+	return follow.Reading{Config: &route.Config{Version: version}, Revision: version}, err
+}
+
+func (v view) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	version, err := v.call()
+	if err != nil {
+		return follow.Reading{}, err
+	}
+	if version > after {
+		return follow.Reading{Config: &route.Config{Version: version}, Revision: version}, nil
+	}
+	sleep(ctx, wait)
+	return follow.Reading{Revision: after}, ctx.Err()
+}
+
+func (v view) Endpoints(context.Context, bool) (directory.Reading, error) {
+	version, err := v.call()
+	e := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}
+	return directory.Reading{Entries: []directory.Entry{e}, Revision: version}, err
+}
+
+// node is a router as far as reading goes.
+type node struct {
+	vm       string
+	source   *Source
+	follower *follow.Follower
+	stop     context.CancelFunc
+	server   *control.Server
+	pool     *control.Pool
+}
+
+// fleet is routers in two failure domains that share a store.
+type fleet struct {
+	net   *memnet.Net
+	store *store
+	nodes []*node
+	seeds []string
+}
+
+const maxAge = 2 * time.Second
+
+func play(t *testing.T, routers int, do func(g *WithT, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}}
+		for i := range min(3, routers) {
+			f.seeds = append(f.seeds, address(i))
+		}
+		for i := range routers {
+			f.start(g, i)
+		}
+		time.Sleep(6 * time.Second)
+		do(g, f)
+		for _, n := range f.nodes {
+			n.end()
+		}
+	})
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func (f *fleet) start(g *WithT, i int) {
+	vm := fmt.Sprint("vm", i)
+	l, err := f.net.Listen(address(i))
+	g.Expect(err).NotTo(HaveOccurred())
+	n := &node{vm: vm}
+	n.pool = control.NewPool(control.ClientConfig{Dial: f.net.Dialer(vm)}, 0)
+	n.source = New(Config{
+		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%2), Address: address(i)}, Seeds: f.seeds,
+		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Log: zerolog.Nop(),
+	})
+	n.server = control.NewServer(control.ServerConfig{Listener: l})
+	n.source.Register(n.server)
+	n.follower = follow.New(follow.Config{
+		Source: n.source, Log: zerolog.Nop(),
+		Timing: follow.Timing{
+			Wait: time.Second, Slack: 400 * time.Millisecond, ListEvery: 500 * time.Millisecond,
+			Read: 600 * time.Millisecond, Return: 2500 * time.Millisecond,
+		},
+		OnTable: func(*route.Table) {}, OnDirectory: func(*directory.Directory) {},
+	})
+	n.source.Tell(n.follower)
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	go func() { _ = n.server.Run() }()
+	go n.source.Run(ctx)
+	go n.follower.Run(ctx)
+	f.nodes = append(f.nodes, n)
+}
+
+func (n *node) end() {
+	if n.stop == nil {
+		return
+	}
+	n.stop()
+	n.stop = nil
+	n.pool.Close()
+	_ = n.server.Stop()
+}
+
+func (f *fleet) readers() []*node {
+	var readers []*node
+	for _, n := range f.nodes {
+		if n.stop != nil && n.source.members.isReader(time.Now()) {
+			readers = append(readers, n)
+		}
+	}
+	return readers
+}
+
+func (f *fleet) set(version uint64) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.version = version
+}
+
+func (f *fleet) turnAway(vms ...string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	for _, vm := range vms {
+		f.store.away[vm] = true
+	}
+}
+
+// inForce counts the routers that run by a version.
+func (f *fleet) inForce(version uint64) int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.stop != nil && n.follower.Table() != nil && n.follower.Table().Version() == version {
+			count++
+		}
+	}
+	return count
+}
+
+func TestOneRouterOfAFailureDomainReadsForAll(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		g.Expect(f.readers()).To(HaveLen(2))
+		before := f.store.calls
+		time.Sleep(10 * time.Second)
+		// Two readers make a call a second that waits and two for the list, and
+		// others a few where an answer came late; each for itself, they would
+		// make 360.
+		g.Expect(f.store.calls - before).To(BeNumerically("<=", 90))
+		f.set(7)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(f.inForce(7)).To(Equal(12))
+		for _, n := range f.nodes {
+			g.Expect(n.follower.Age()).To(BeNumerically("<", maxAge), n.vm)
+			g.Expect(n.follower.Directory().Len()).To(Equal(1))
+		}
+	})
+}
+
+func TestALostReaderIsReplaced(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		lost := f.readers()[0]
+		lost.end()
+		time.Sleep(time.Second)
+		for _, n := range f.nodes {
+			if n.stop != nil {
+				g.Expect(n.follower.Age()).To(BeNumerically("<", 3*time.Second), n.vm)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		g.Expect(f.readers()).To(HaveLen(2))
+		g.Expect(f.readers()).NotTo(ContainElement(lost))
+		f.set(9)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(f.inForce(9)).To(Equal(11))
+	})
+}
+
+func TestARouterThatTheStoreTurnsAwayHearsFromOthers(t *testing.T) {
+	play(t, 2, func(g *WithT, f *fleet) { // each reads for its own domain
+		f.turnAway("vm0")
+		f.set(5)
+		time.Sleep(5 * time.Second)
+		g.Expect(f.nodes[0].follower.Table().Version()).To(Equal(uint64(5)))
+		g.Expect(f.nodes[0].follower.Age()).To(BeNumerically("<", 4*time.Second))
+	})
+}
+
+func TestNobodyMakesOldKnowledgeYounger(t *testing.T) {
+	play(t, 6, func(g *WithT, f *fleet) {
+		f.turnAway("vm0", "vm1", "vm2", "vm3", "vm4", "vm5")
+		time.Sleep(time.Second)
+		began := time.Now()
+		before := make([]time.Duration, len(f.nodes))
+		for i, n := range f.nodes {
+			before[i] = n.follower.Age()
+		}
+		time.Sleep(10 * time.Second)
+		for i, n := range f.nodes {
+			grown := n.follower.Age() - before[i]
+			g.Expect(grown).To(BeNumerically(">", time.Since(began)-2*time.Second), n.vm)
+		}
+	})
+}
+
+func TestRoutersWithoutPeersReadForThemselves(t *testing.T) {
+	play(t, 1, func(g *WithT, f *fleet) {
+		f.set(3)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(f.inForce(3)).To(Equal(1))
+	})
+}
+
+func TestAReplyTellsTheListOnlyWhereItDiffers(t *testing.T) {
+	play(t, 2, func(g *WithT, f *fleet) {
+		n := f.nodes[0]
+		have := n.follower.Directory().Digest()
+		reply, err := n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: have})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Same).To(BeTrue())
+		g.Expect(reply.Entries).To(BeEmpty())
+		reply, err = n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: have + 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Entries).To(HaveLen(1))
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -122,7 +122,7 @@
 	Teams map[string]*Team
 	// KeyForm turns a caller's key into the form in which Teams holds it; nil
 	// if it holds keys as they are.
-	KeyForm func(key string) string
+	KeyForm func(key string) string `json:"-"`
 	Limits  Limits
 }
 
