Have routers tell each other of their demand

Cause: each of 30 routers split a model's endpoints by the two tight streams a second that it saw; they disagreed, and long prompts stood beside tight streams.

Change: words between routers carry the demand that each sees; the split counts all of it, each router once.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -25,26 +25,36 @@
 type demand struct {
 	mu   sync.Mutex
 	at   time.Time
-	slow work
-	fast work
-	kept int // endpoints for tight streams, as last worked out
+	slow Demand
+	fast Demand
+	// others is what other routers see, nil if they don't say.
+	others func() Demand
+	kept   int // endpoints for tight streams, as last worked out
 }
 
-// work is in prompt tokens.
-type work struct{ tight, bulk float64 }
+// Demand is the work that requests ask for, in prompt tokens, as a decaying sum.
+type Demand struct {
+	Tight float64 `json:"tight"`
+	Bulk  float64 `json:"bulk"`
+}
+
+// Plus adds two demands.
+func (w Demand) Plus(o Demand) Demand {
+	return Demand{Tight: w.Tight + o.Tight, Bulk: w.Bulk + o.Bulk}
+}
 
-func (w *work) decay(age, halfLife time.Duration) {
+func (w *Demand) decay(age, halfLife time.Duration) {
 	left := math.Exp2(-age.Seconds() / halfLife.Seconds())
-	w.tight *= left
-	w.bulk *= left
+	w.Tight *= left
+	w.Bulk *= left
 }
 
-func (w *work) add(amount float64, tight bool) {
+func (w *Demand) add(amount float64, tight bool) {
 	if tight {
-		w.tight += amount
+		w.Tight += amount
 		return
 	}
-	w.bulk += amount
+	w.Bulk += amount
 }
 
 // add notes a request's work.
@@ -61,13 +71,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
+	all := d.slow
+	if d.others != nil {
+		all = all.Plus(d.others())
+	}
 	// Sums over different memories compare as rates.
 	scale := slowHalfLife.Seconds() / fastHalfLife.Seconds()
-	asked := max(d.slow.tight, scale*d.fast.tight)
-	d.kept = split(d.kept, n, headroom*asked, d.slow.bulk)
+	asked := all.Tight + max(0, scale*d.fast.Tight-d.slow.Tight)
+	d.kept = split(d.kept, n, headroom*asked, all.Bulk)
 	return d.kept
 }
 
+// own is what this router sees.
+func (d *demand) own(now time.Time) Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay(now)
+	return d.slow
+}
+
 func (d *demand) decay(now time.Time) {
 	if !d.at.IsZero() && now.After(d.at) {
 		d.slow.decay(now.Sub(d.at), slowHalfLife)
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -56,6 +56,13 @@
 // NewPromptAware returns a policy that has seen no demand yet.
 func NewPromptAware() PromptAware { return PromptAware{demand: &demand{}} }
 
+// Demand is what this router's requests ask for.
+func (p PromptAware) Demand(now time.Time) Demand { return p.demand.own(now) }
+
+// HearOthers has the demand that other routers see counted as well. It must be
+// called before the policy is used.
+func (p PromptAware) HearOthers(others func() Demand) { p.demand.others = others }
+
 // Name implements Policy.
 func (PromptAware) Name() string { return "prompt-aware" }
 
--- a/internal/balance/prompts_test.go
+++ b/internal/balance/prompts_test.go
@@ -100,6 +100,17 @@
 	}
 }
 
+func TestTheTightPartFollowsWhatOtherRoutersSee(t *testing.T) {
+	g := NewWithT(t)
+	quiet, busy := NewPromptAware(), NewPromptAware()
+	busy.HearOthers(func() Demand { return Demand{Tight: 1e6, Bulk: 1e5} })
+	_, few := traffic(NewPool(Config{Policy: quiet}), engines(12), 4, 20, 5)
+	_, many := traffic(NewPool(Config{Policy: busy}), engines(12), 4, 20, 5)
+	g.Expect(len(few)).To(BeNumerically("<", 4))
+	longs, _ := traffic(NewPool(Config{Policy: busy}), engines(12), 4, 20, 5)
+	g.Expect(len(longs)).To(BeNumerically("<", 4), "%d endpoints are for tight streams", len(many))
+}
+
 func TestPromptsThatShareParts(t *testing.T) {
 	g := NewWithT(t)
 	p := NewPool(Config{Policy: NewPromptAware()})
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -106,7 +106,8 @@
 	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
 	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
-	pool := balance.NewPool(balance.Config{Policy: balance.NewPromptAware(), Seed: uint64(os.Getpid())})
+	policy := balance.NewPromptAware()
+	pool := balance.NewPool(balance.Config{Policy: policy, Seed: uint64(os.Getpid())})
 	d.pool = pool
 	d.members = newMembers(cfg.VM, pool, d.reg, log)
 	source, err := d.startPeers()
@@ -120,6 +121,8 @@
 	})
 	if d.peers != nil {
 		d.peers.Tell(d.follower)
+		d.peers.ShareDemand(func() balance.Demand { return policy.Demand(time.Now()) })
+		policy.HearOthers(d.peers.OthersDemand)
 	}
 	d.router = router.New(router.Config{
 		Name:         cfg.VM,
--- /dev/null
+++ b/internal/peers/demand.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"sync"
+	"time"
+
+	"coveferry/internal/balance"
+)
+
+// demandFor is how long a router's word on its demand counts: a little longer
+// than the time between two words to the same of three seeds.
+const demandFor = 3500 * time.Millisecond
+
+// demands are what other routers said of their demand. It is safe for concurrent
+// use.
+type demands struct {
+	mu  sync.Mutex
+	own func() balance.Demand // nil where nobody asks
+	by  map[string]saidDemand
+	// told is what a reader said of all others.
+	told saidDemand
+}
+
+type saidDemand struct {
+	demand balance.Demand
+	at     time.Time
+}
+
+// ShareDemand has this router tell others of its demand.
+func (s *Source) ShareDemand(own func() balance.Demand) { s.demands.own = own }
+
+// OthersDemand is what the requests at other routers ask for, as far as they
+// said lately.
+func (s *Source) OthersDemand() balance.Demand {
+	now := time.Now()
+	if d, ok := s.demands.fromReader(now); ok {
+		return d
+	}
+	return s.demands.sum(now, "")
+}
+
+func (d *demands) ask() balance.Demand {
+	if d.own == nil {
+		return balance.Demand{}
+	}
+	return d.own()
+}
+
+func (d *demands) hear(vm string, said balance.Demand, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.by == nil {
+		d.by = make(map[string]saidDemand)
+	}
+	d.by[vm] = saidDemand{demand: said, at: at}
+}
+
+// tell notes what a reader said of all others.
+func (d *demands) tell(said balance.Demand, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.told = saidDemand{demand: said, at: at}
+}
+
+func (d *demands) fromReader(now time.Time) (balance.Demand, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told.demand, now.Sub(d.told.at) < time.Second
+}
+
+// sum adds up what routers said lately, but for one of them.
+func (d *demands) sum(now time.Time, but string) balance.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all balance.Demand
+	for vm, said := range d.by {
+		if now.Sub(said.at) > demandFor {
+			delete(d.by, vm)
+			continue
+		}
+		if vm != but {
+			all = all.Plus(said.demand)
+		}
+	}
+	return all
+}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coveferry/internal/balance"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/identity"
@@ -34,18 +35,22 @@
 }
 
 type helloRequest struct {
-	From Member `json:"from"`
+	From   Member         `json:"from"`
+	Demand balance.Demand `json:"demand"`
 }
 
 type helloReply struct {
 	From    Member        `json:"from"`
 	Members []heardMember `json:"members"`
+	// Demand is what this router's own requests ask for.
+	Demand balance.Demand `json:"demand"`
 }
 
 type configRequest struct {
 	From Member `json:"from"`
 	// Version is the one that the asker has.
-	Version uint64 `json:"version"`
+	Version uint64         `json:"version"`
+	Demand  balance.Demand `json:"demand"`
 }
 
 type configReply struct {
@@ -54,6 +59,9 @@
 	Revision uint64        `json:"revision"`
 	// AgeMillis is how long ago the configuration was certainly the newest.
 	AgeMillis int64 `json:"age_ms"`
+	// Demand is what all requests ask for that the reader knows of, but for
+	// the asker's.
+	Demand balance.Demand `json:"demand"`
 }
 
 type listRequest struct {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -42,6 +42,7 @@
 type Source struct {
 	cfg     Config
 	members *members
+	demands demands
 	mu      sync.Mutex
 	// state is what this router itself believes, and tells others.
 	state State
@@ -130,10 +131,11 @@
 		version = own.Config().Version
 	}
 	sent := time.Now()
-	reply, err := control.Call(ctx, s.client(peer.Address), methodConfig, configRequest{From: s.cfg.Self, Version: version})
+	reply, err := control.Call(ctx, s.client(peer.Address), methodConfig, configRequest{From: s.cfg.Self, Version: version, Demand: s.demands.ask()})
 	if err := s.note(peer, sent, err); err != nil {
 		return follow.Reading{}, err
 	}
+	s.demands.tell(reply.Demand, sent)
 	age := time.Duration(reply.AgeMillis) * time.Millisecond
 	if age > s.cfg.MaxAge {
 		return follow.Reading{}, errors.Newf("peers: what %s knows is %s old", peer.VM, age)
@@ -218,20 +220,24 @@
 func (s *Source) serveHello(_ context.Context, _ identity.Peer, req helloRequest) (helloReply, error) {
 	now := time.Now()
 	s.members.hear(req.From, now)
-	return helloReply{From: s.cfg.Self, Members: s.members.lately(now)}, nil
+	s.demands.hear(req.From.VM, req.Demand, now)
+	return helloReply{From: s.cfg.Self, Members: s.members.lately(now), Demand: s.demands.ask()}, nil
 }
 
 // errNothing is what a router says that knows nothing itself.
 var errNothing = errors.New("peers: nothing is known here yet")
 
 func (s *Source) serveConfig(_ context.Context, _ identity.Peer, req configRequest) (configReply, error) {
-	s.members.hear(req.From, time.Now())
+	now := time.Now()
+	s.members.hear(req.From, now)
+	s.demands.hear(req.From.VM, req.Demand, now)
 	own := s.own()
 	if own == nil || own.Config() == nil {
 		return configReply{}, errNothing
 	}
 	// The age is taken first: what is told may be newer than it says.
 	reply := configReply{AgeMillis: own.Age().Milliseconds() + 1, Revision: own.Revision()}
+	reply.Demand = s.demands.ask().Plus(s.demands.sum(now, req.From.VM))
 	if c := own.Config(); c.Version > req.Version {
 		reply.Config = c
 	}
@@ -268,24 +274,30 @@
 	}
 }
 
+// fewRouters are so few that each tells all seeds every time.
+const fewRouters = 8
+
 // sayHello tells one of the seeds, each in turn, so that all routers hear of each
-// other through them.
+// other through them; where routers are few, all seeds.
 func (s *Source) sayHello(ctx context.Context) {
-	if len(s.cfg.Seeds) == 0 {
-		return
+	for i, seed := range s.cfg.Seeds {
+		turn := s.hello%len(s.cfg.Seeds) == i || len(s.members.lately(time.Now())) < fewRouters
+		if turn && seed != s.cfg.Self.Address {
+			s.greet(ctx, seed)
+		}
 	}
-	seed := s.cfg.Seeds[s.hello%len(s.cfg.Seeds)]
 	s.hello++
-	if seed == s.cfg.Self.Address {
-		return
-	}
+}
+
+func (s *Source) greet(ctx context.Context, seed string) {
 	sent := time.Now()
-	reply, err := control.Call(ctx, s.client(seed), methodHello, helloRequest{From: s.cfg.Self})
+	reply, err := control.Call(ctx, s.client(seed), methodHello, helloRequest{From: s.cfg.Self, Demand: s.demands.ask()})
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("seed", seed).Msg("a seed doesn't answer")
 		return
 	}
 	s.members.hear(reply.From, sent)
+	s.demands.hear(reply.From.VM, reply.Demand, sent)
 	for _, m := range reply.Members {
 		s.members.hear(m.Member, sent.Add(-time.Duration(m.AgoMillis)*time.Millisecond))
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
@@ -273,3 +274,32 @@
 		g.Expect(reply.Entries).To(HaveLen(1))
 	})
 }
+
+func TestRoutersKnowTheDemandOfAllOthersOnce(t *testing.T) {
+	for _, routers := range []int{2, 3, 12} {
+		play(t, routers, func(g *WithT, f *fleet) {
+			for _, n := range f.nodes {
+				n.source.ShareDemand(func() balance.Demand { return balance.Demand{Tight: 1, Bulk: 10} })
+			}
+			time.Sleep(4 * time.Second)
+			for _, n := range f.nodes {
+				heard := n.source.OthersDemand()
+				g.Expect(heard.Bulk).To(Equal(10*heard.Tight), n.vm)
+				g.Expect(heard.Tight).To(BeNumerically("<=", routers-1), n.vm)
+				// A reader hears its own failure domain, and what says hello to it.
+				g.Expect(heard.Tight).To(BeNumerically(">=", (routers-1)/2), n.vm)
+			}
+		})
+	}
+}
+
+func TestDemandOfARouterThatFellSilentIsForgotten(t *testing.T) {
+	play(t, 3, func(g *WithT, f *fleet) {
+		f.nodes[1].source.ShareDemand(func() balance.Demand { return balance.Demand{Tight: 1} })
+		time.Sleep(2 * time.Second)
+		g.Expect(f.nodes[0].source.OthersDemand().Tight).To(Equal(1.0))
+		f.nodes[1].end()
+		time.Sleep(demandFor + 2*time.Second)
+		g.Expect(f.nodes[0].source.OthersDemand().Tight).To(BeZero())
+	})
+}
