--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,21 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits and returns false if the context ended meanwhile.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/api"
+	"coveferry/internal/clock"
 	"coveferry/internal/filters/choose"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/pipeline"
@@ -105,7 +106,7 @@
 		decision := f.decide(ctx, r, h)
 		note(r, h.latest, decision)
 		prepare(r, h.last, decision)
-		if decision.Action == retry.ActionGiveUp || !sleep(ctx, decision.Delay) {
+		if decision.Action == retry.ActionGiveUp || !clock.Sleep(ctx, decision.Delay) {
 			return h.result()
 		}
 		restart(r)
@@ -176,19 +177,6 @@
 	r.Collected = nil
 }
 
-// sleep waits and returns false if the context ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // note adds the attempt that just ended to the request's trail.
 func note(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/route"
 )
@@ -44,7 +45,10 @@
 	// goroutine each and must not wait.
 	OnTable     func(*route.Table)
 	OnDirectory func(*directory.Directory)
-	Log         zerolog.Logger
+	// Clock tells ages; nil is clock.Boot, which also counts the time for which
+	// the VM was suspended.
+	Clock clock.Clock
+	Log   zerolog.Logger
 }
 
 // Follower holds what was read last. It is safe for concurrent use.
@@ -54,7 +58,7 @@
 	config    atomic.Pointer[route.Config]
 	directory atomic.Pointer[directory.Directory]
 	// confirmed is when the reading was sent that last confirmed the table, by
-	// the monotonic clock; nil before the first.
+	// the clock; nil before the first.
 	confirmed atomic.Pointer[time.Time]
 	// listed is when the reading was sent that last confirmed the list.
 	listed atomic.Pointer[time.Time]
@@ -66,6 +70,9 @@
 
 // New returns a follower that knows nothing until Run.
 func New(cfg Config) *Follower {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Boot
+	}
 	f := &Follower{cfg: cfg}
 	f.directory.Store(directory.Empty())
 	f.source = link{name: "configuration", log: cfg.Log}
@@ -83,10 +90,10 @@
 const never = time.Duration(1<<63 - 1)
 
 // Age is how long ago the table was certainly the newest.
-func (f *Follower) Age() time.Duration { return since(f.confirmed.Load()) }
+func (f *Follower) Age() time.Duration { return f.since(f.confirmed.Load()) }
 
 // ListAge is how long ago the list was read.
-func (f *Follower) ListAge() time.Duration { return since(f.listed.Load()) }
+func (f *Follower) ListAge() time.Duration { return f.since(f.listed.Load()) }
 
 // Config is what the table was built from, nil before the first was read.
 func (f *Follower) Config() *route.Config { return f.config.Load() }
@@ -94,11 +101,11 @@
 // Revision is the newest of the source's counter of changes that was heard of.
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
-func since(at *time.Time) time.Duration {
+func (f *Follower) since(at *time.Time) time.Duration {
 	if at == nil {
 		return never
 	}
-	return time.Since(*at)
+	return f.cfg.Clock().Sub(*at)
 }
 
 // Run follows the source until ctx ends.
@@ -125,7 +132,7 @@
 			f.source.failed(err)
 		}
 		after = 0
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, maxPause)
@@ -135,7 +142,7 @@
 // nextTable reads the table, or waits for a change behind a revision, and
 // returns the revision to go on from.
 func (f *Follower) nextTable(ctx context.Context, after uint64) (uint64, error) {
-	sent := time.Now()
+	sent := f.cfg.Clock()
 	r, err := f.askTable(ctx, after)
 	if err != nil {
 		return 0, err
@@ -200,15 +207,3 @@
 		}
 	}
 }
-
-// sleep waits and returns false if the context ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -126,7 +126,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSource()
 		f := follow.New(follow.Config{
-			Source: s, Timing: timing, Log: zerolog.Nop(),
+			Source: s, Timing: timing, Log: zerolog.Nop(), Clock: time.Now,
 			OnTable: func(*route.Table) {}, OnDirectory: func(*directory.Directory) {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 )
 
@@ -17,14 +18,14 @@
 	var keepAbsentUntil time.Time
 	pause := firstPause
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := f.cfg.Clock()
 		reading, err := f.readList(ctx)
 		now := time.Now()
 		if err != nil {
 			if ctx.Err() == nil {
 				f.list.failed(err)
 			}
-			if !sleep(ctx, pause) {
+			if !clock.Sleep(ctx, pause) {
 				return
 			}
 			pause = min(2*pause, maxPause)
@@ -39,7 +40,7 @@
 		listed := sent.Add(-reading.Age)
 		f.listed.Store(&listed)
 		f.merge(reading, now, keepAbsentUntil)
-		if !sleep(ctx, f.cfg.Timing.ListEvery) {
+		if !clock.Sleep(ctx, f.cfg.Timing.ListEvery) {
 			return
 		}
 	}
--- a/internal/membership/feed.go
+++ b/internal/membership/feed.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
 	"coveferry/internal/control"
 	"coveferry/internal/identity"
 )
@@ -109,7 +110,7 @@
 		work.Go(func() { f.watch(ctx, candidates) })
 	}
 	for ctx.Err() == nil && slices.Equal(f.cfg.Routers(), routers) {
-		sleep(ctx, rosterEvery)
+		clock.Sleep(ctx, rosterEvery)
 	}
 }
 
@@ -122,7 +123,7 @@
 		if i == 0 {
 			pause = time.Duration(rand.Int64N(int64(pause)))
 		}
-		sleep(ctx, pause-time.Duration(rand.Int64N(int64(pause)/4+1)))
+		clock.Sleep(ctx, pause-time.Duration(rand.Int64N(int64(pause)/4+1)))
 	}
 }
 
@@ -177,7 +178,7 @@
 			i = (i + 1) % len(candidates)
 		}
 		if err != nil || f.request().At.IsZero() {
-			sleep(ctx, watchRetry) // one that wants the whole is answered at once
+			clock.Sleep(ctx, watchRetry) // one that wants the whole is answered at once
 		}
 	}
 }
@@ -249,13 +250,3 @@
 	}
 	return f.ledger.since(req.At), nil
 }
-
-// sleep waits, unless ctx ends first.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
@@ -103,7 +104,7 @@
 	if s.members.isReader(time.Now()) {
 		return s.cfg.Source.AwaitConfig(ctx, after, wait)
 	}
-	if !sleep(ctx, s.cfg.Every) {
+	if !clock.Sleep(ctx, s.cfg.Every) {
 		return follow.Reading{}, ctx.Err()
 	}
 	r, err := s.configFromPeers(ctx)
@@ -268,7 +269,7 @@
 func (s *Source) Run(ctx context.Context) {
 	for {
 		s.sayHello(ctx)
-		if !sleep(ctx, helloEvery) {
+		if !clock.Sleep(ctx, helloEvery) {
 			return
 		}
 	}
@@ -302,15 +303,3 @@
 		s.members.hear(m.Member, sent.Add(-time.Duration(m.AgoMillis)*time.Millisecond))
 	}
 }
-
-// sleep waits and returns false if the context ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,6 +14,7 @@
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
@@ -63,7 +64,7 @@
 	if version > after {
 		return follow.Reading{Config: &route.Config{Version: version}, Revision: version}, nil
 	}
-	sleep(ctx, wait)
+	clock.Sleep(ctx, wait)
 	return follow.Reading{Revision: after}, ctx.Err()
 }
 
@@ -127,7 +128,7 @@
 	n.server = control.NewServer(control.ServerConfig{Listener: l})
 	n.source.Register(n.server)
 	n.follower = follow.New(follow.Config{
-		Source: n.source, Log: zerolog.Nop(),
+		Source: n.source, Log: zerolog.Nop(), Clock: time.Now,
 		Timing: follow.Timing{
 			Wait: time.Second, Slack: 400 * time.Millisecond, ListEvery: 500 * time.Millisecond,
 			Read: 600 * time.Millisecond, Return: 2500 * time.Millisecond,
--- a/internal/rollout/link.go
+++ b/internal/rollout/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/control"
 )
 
@@ -54,10 +55,10 @@
 			// The supervisor may choose another partner now.
 			l.node.partnerFailed(l.id, err)
 			wait = 0
-			sleep(ctx, l.node.tuning.RetryMin)
+			clock.Sleep(ctx, l.node.tuning.RetryMin)
 		default:
 			wait = jitter(l.node.tuning.Heartbeat)
-			sleep(ctx, minPace-time.Since(began))
+			clock.Sleep(ctx, minPace-time.Since(began))
 		}
 	}
 }
@@ -80,7 +81,7 @@
 		return nil
 	}
 	if offered.Version > l.node.store.Summary().Version {
-		sleep(ctx, l.node.tuning.Heartbeat) // it couldn't be had; asking at once would not help
+		clock.Sleep(ctx, l.node.tuning.Heartbeat) // it couldn't be had; asking at once would not help
 	}
 	return nil
 }
@@ -173,7 +174,7 @@
 			n.finish(id, offered, n.fetch(ctx, m))
 			return n.store.Summary().Version >= offered.Version
 		case Wait:
-			if !sleep(ctx, advice.Wait) {
+			if !clock.Sleep(ctx, advice.Wait) {
 				return false
 			}
 		case Clash:
--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -240,18 +240,6 @@
 	}
 }
 
-// sleep waits, unless ctx ends first; it says which.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jitter spreads a duration over its last quarter, so that processes don't
 // keep step.
 func jitter(d time.Duration) time.Duration {
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
 )
 
 const (
@@ -42,7 +43,7 @@
 func (r *reader) run(ctx context.Context) {
 	defer r.node.service(true) // a process that doesn't read says nothing of the service
 	for ctx.Err() == nil {
-		if wait := r.read(ctx); wait > 0 && !sleep(ctx, wait) {
+		if wait := r.read(ctx); wait > 0 && !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
