Fetch from the caches of endpoints that are leaving

Cause: in a release a prompt's home leaves, and its shared parts were read again though its cache serves on until it is gone.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -28,8 +28,12 @@
 type scratch struct {
 	views []View
 	from  []int // place in the candidates of each view
-	pcg   rand.PCG
-	rnd   *rand.Rand
+	// leaving are the views of those that take no new work but serve on, and
+	// leavingFrom their places.
+	leaving     []View
+	leavingFrom []int
+	pcg         rand.PCG
+	rnd         *rand.Rand
 }
 
 // NewPool returns a pool that knows no endpoint yet; endpoints are added as
@@ -79,7 +83,8 @@
 	// Wait is how long the request will probably wait for its first token.
 	Wait(req Request, views []View, chosen int) time.Duration
 	// Source is the place of the endpoint from which to fetch what the chosen
-	// one lacks, -1 if there is none.
+	// one lacks, -1 if there is none. Behind the views stand those of endpoints
+	// that are leaving, whose caches are still there.
 	Source(req Request, views []View, chosen int) int
 	// Copy is the place of the endpoint to which to copy the run's memory, -1
 	// if that isn't worth its price.
@@ -100,8 +105,9 @@
 		return choice, nil
 	}
 	choice.Wait = e.Wait(req, s.views, i)
-	if source := e.Source(req, s.views, i); source >= 0 {
-		choice.Source = candidates[s.from[source]]
+	with := append(s.views, s.leaving...)
+	if source := e.Source(req, with, i); source >= 0 {
+		choice.Source = candidates[append(s.from, s.leavingFrom...)[source]]
 	}
 	if copied := e.Copy(req, s.views, i); copied >= 0 {
 		choice.Copy = candidates[s.from[copied]]
@@ -125,6 +131,8 @@
 func (p *Pool) collect(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (skipped, leaving int) {
 	s.views = s.views[:0]
 	s.from = s.from[:0]
+	s.leaving = s.leaving[:0]
+	s.leavingFrom = s.leavingFrom[:0]
 	for i, c := range candidates {
 		if skip != nil && skip(c.Name) {
 			skipped++
@@ -133,6 +141,8 @@
 		s.views = append(s.views, View{})
 		v := &s.views[len(s.views)-1]
 		if !p.view(now, c, v, req.Prompt) {
+			s.leaving = append(s.leaving, *v)
+			s.leavingFrom = append(s.leavingFrom, i)
 			s.views = s.views[:len(s.views)-1]
 			leaving++
 			continue
--- a/internal/balance/prompts_test.go
+++ b/internal/balance/prompts_test.go
@@ -242,3 +242,17 @@
 		g.Expect(kept).To(Equal(3))
 	}
 }
+
+func TestTheCacheOfALeavingHomeIsStillUsed(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := engines(9)
+	home, a := send(p, epoch, long(10), all)
+	a.Ended()
+	p.Done(epoch, home, ResultOK, 0)
+	p.SetLeaving(home, true)
+	c, err := p.ChooseExpecting(epoch.Add(time.Second), long(10), all, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Endpoint.Name).NotTo(Equal(home))
+	g.Expect(c.Source.Name).To(Equal(home))
+}
