Turn callers away from a router that has lost sight of the store itself

Cause: a router that the store alone turns away stayed ready on the word of others; callers that could be served elsewhere stayed with it.

Change: readiness also asks for how long the router's own calls have failed.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -209,8 +209,18 @@
 	if len(d.ready.Closed()) > 0 || d.follower.Table() == nil || d.follower.Directory().Len() == 0 {
 		return false
 	}
-	limit := d.maxKeyAge()
-	return limit == 0 || d.follower.Age() < time.Duration(unreadyShare*float64(limit))
+	limit := time.Duration(unreadyShare * float64(d.maxKeyAge()))
+	return limit == 0 || d.follower.Age() < limit && d.sourceLost() < limit
+}
+
+// sourceLost is for how long this router has lost sight of the source. Callers
+// are better served by routers that see it themselves, though others' word keeps
+// this one's knowledge fresh.
+func (d *directRouter) sourceLost() time.Duration {
+	if d.peers == nil {
+		return 0
+	}
+	return d.peers.SourceLost()
 }
 
 func (d *directRouter) run(ctx context.Context) error {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -44,6 +44,7 @@
 	cfg     Config
 	members *members
 	demands demands
+	direct  *watched // the source itself
 	mu      sync.Mutex
 	// state is what this router itself believes, and tells others.
 	state State
@@ -62,7 +63,7 @@
 
 // New returns a source that is alone until Run.
 func New(cfg Config) *Source {
-	return &Source{cfg: cfg, members: newMembers(cfg.Self)}
+	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: &watched{Source: cfg.Source}}
 }
 
 // Tell sets what this router tells others; before it tells nothing.
@@ -86,7 +87,7 @@
 			return r, nil
 		}
 	}
-	r, err := s.cfg.Source.Config(ctx)
+	r, err := s.direct.Config(ctx)
 	if err == nil || ctx.Err() != nil {
 		return r, err
 	}
@@ -102,7 +103,7 @@
 // readers again and again instead of waiting at the source.
 func (s *Source) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	if s.members.isReader(time.Now()) {
-		return s.cfg.Source.AwaitConfig(ctx, after, wait)
+		return s.direct.AwaitConfig(ctx, after, wait)
 	}
 	if !clock.Sleep(ctx, s.cfg.Every) {
 		return follow.Reading{}, ctx.Err()
@@ -111,7 +112,7 @@
 	if err == nil {
 		return r, nil
 	}
-	return s.cfg.Source.Config(ctx)
+	return s.direct.Config(ctx)
 }
 
 // configFromPeers asks the nearest readers in turn.
@@ -151,7 +152,7 @@
 			return r, nil
 		}
 	}
-	r, err := s.cfg.Source.Endpoints(ctx, fresh)
+	r, err := s.direct.Endpoints(ctx, fresh)
 	if err == nil || ctx.Err() != nil || !s.members.isReader(time.Now()) {
 		return r, err
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -234,6 +234,13 @@
 		time.Sleep(5 * time.Second)
 		g.Expect(f.nodes[0].follower.Table().Version()).To(Equal(uint64(5)))
 		g.Expect(f.nodes[0].follower.Age()).To(BeNumerically("<", 4*time.Second))
+		g.Expect(f.nodes[0].source.SourceLost()).To(BeNumerically(">", 3*time.Second))
+		g.Expect(f.nodes[1].source.SourceLost()).To(BeZero())
+		f.store.mu.Lock()
+		f.store.away = map[string]bool{}
+		f.store.mu.Unlock()
+		time.Sleep(time.Second)
+		g.Expect(f.nodes[0].source.SourceLost()).To(BeZero())
 	})
 }
 
