Split the direct daemon by jobs, and seed its choices by the VM's name

Cause: one function wired, listened and followed settings; process ids are alike on many VMs, so that routers broke ties alike.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -33,7 +33,7 @@
 // Agent runs an agent by the settings file until the environment's context
 // ends. It then refuses new attempts and finishes those it holds.
 func Agent(env *cli.Env, settingsFile string) error {
-	paceCollector()
+	paceCollector(collectorPercent)
 	s, err := settings.LoadAgent(settingsFile)
 	if err != nil {
 		return cli.BadInput(err)
--- a/internal/daemon/collector.go
+++ b/internal/daemon/collector.go
@@ -15,8 +15,8 @@
 const environmentPercent = "GOGC"
 
 // paceCollector sets the collector's pace, unless the operator has.
-func paceCollector() {
+func paceCollector(percent int) {
 	if _, set := os.LookupEnv(environmentPercent); !set {
-		debug.SetGCPercent(collectorPercent)
+		debug.SetGCPercent(percent)
 	}
 }
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -4,11 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,7 +69,7 @@
 // RunDirect runs a router that reaches its endpoints without agents until the
 // environment's context ends.
 func RunDirect(env *cli.Env, cfg Direct) error {
-	debug.SetGCPercent(directCollectorPercent)
+	paceCollector(directCollectorPercent)
 	log := logging.NewBounded(env.Stdout).With().Str(logging.FieldRole, "direct").Str(logging.FieldVM, cfg.VM).Logger()
 	d, err := newDirect(cfg, log)
 	if err != nil {
@@ -106,9 +102,8 @@
 	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
 	policy := balance.NewPromptAware()
-	pool := balance.NewPool(balance.Config{Policy: policy, Seed: uint64(os.Getpid())})
-	d.pool = pool
-	d.members = newMembers(cfg.VM, pool, d.reg, log)
+	d.pool = balance.NewPool(balance.Config{Policy: policy, Seed: membership.SeedOf(cfg.VM)})
+	d.members = newMembers(cfg.VM, d.pool, d.reg, log)
 	source, err := d.startPeers()
 	if err != nil {
 		return nil, err
@@ -122,37 +117,41 @@
 		d.peers.ShareDemand(func() balance.Demand { return policy.Demand(time.Now()) })
 		policy.HearOthers(d.peers.OthersDemand)
 	}
-	d.router = router.New(router.Config{
-		Name:         cfg.VM,
-		Pool:         pool,
+	d.router = d.newRouter()
+	l, err := net.Listen("tcp", cfg.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	d.callers = server.New(server.Config{
+		Listener: l, Handler: http.HandlerFunc(d.router.ServeRouted),
+		HeaderTimeout: directHeaderTimeout, MaxHeaderBytes: directMaxHeaderBytes,
+		Grace: cfg.Bounds.StopWithin, Linger: directLinger, Log: log,
+	})
+	return d, nil
+}
+
+func (d *directRouter) newRouter() *router.Router {
+	return router.New(router.Config{
+		Name:         d.cfg.VM,
+		Pool:         d.pool,
 		Client:       d.client,
-		Retry:        directRetries(cfg.Bounds),
+		Retry:        directRetries(d.cfg.Bounds),
 		BodyTimeout:  directBodyTimeout,
 		MaxOpen:      directMaxOpen,
 		MaxBodyBytes: directMaxBodyBytes,
 		Observer:     d.members,
-		Log:          log,
+		Log:          d.log,
 		Metrics:      d.reg,
 		Routing: &router.Routing{
 			Table:     d.follower.Table,
 			Endpoints: d.endpoints,
-			Protocol:  cfg.Protocol,
+			Protocol:  d.cfg.Protocol,
 			Client:    d.client,
 			KeyAge:    d.follower.Age,
 			MaxKeyAge: d.maxKeyAge,
 			TurnAway:  func() bool { return !d.isReady() },
 		},
 	})
-	l, err := net.Listen("tcp", cfg.Callers)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
-	}
-	d.callers = server.New(server.Config{
-		Listener: l, Handler: http.HandlerFunc(d.router.ServeRouted),
-		HeaderTimeout: directHeaderTimeout, MaxHeaderBytes: directMaxHeaderBytes,
-		Grace: cfg.Bounds.StopWithin, Linger: directLinger, Log: log,
-	})
-	return d, nil
 }
 
 func (d *directRouter) maxKeyAge() time.Duration {
@@ -213,16 +212,6 @@
 	return limit == 0 || d.follower.Age() < limit && d.sourceLost() < limit
 }
 
-// sourceLost is for how long this router has lost sight of the source. Callers
-// are better served by routers that see it themselves, though others' word keeps
-// this one's knowledge fresh.
-func (d *directRouter) sourceLost() time.Duration {
-	if d.peers == nil {
-		return 0
-	}
-	return d.peers.SourceLost()
-}
-
 func (d *directRouter) run(ctx context.Context) error {
 	var g run.Group
 	var failed error
@@ -279,75 +268,6 @@
 	}
 }
 
-// followSettings reads the settings again at each SIGHUP, and from time to time
-// without one, as they may change silently. The bounds on keys and stops then
-// hold; addresses and the pace of reading are those of the start.
-func (d *directRouter) followSettings(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	tick := time.NewTicker(settingsTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			d.reload(true)
-		case <-tick.C:
-			d.reload(false)
-		}
-	}
-}
-
-// startPeers returns the source to follow: that of the settings, shared with the
-// other routers if they can reach this one.
-func (d *directRouter) startPeers() (follow.Source, error) {
-	if d.cfg.Control == "" {
-		return d.cfg.Source, nil
-	}
-	l, err := net.Listen("tcp", d.cfg.Control)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for other routers")
-	}
-	d.control = control.NewServer(control.ServerConfig{Listener: l, Log: d.log})
-	d.peers = peers.New(peers.Config{
-		Self:   peers.Member{VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control},
-		Seeds:  d.cfg.Seeds,
-		Source: d.cfg.Source,
-		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
-		Every:  peerEvery,
-		MaxAge: time.Duration(peerShare * float64(d.maxKeyAge())),
-		Log:    d.log,
-	})
-	d.peers.Register(d.control)
-	return d.peers, nil
-}
-
-// addPeers adds what shares readings with other routers.
-func (d *directRouter) addPeers(g *run.Group, failed *error) {
-	if d.peers == nil {
-		return
-	}
-	g.Add(d.control.Run, func(error) { *failed = errors.CombineErrors(*failed, d.control.Stop()) })
-	addLoop(g, d.peers.Run)
-}
-
-// reload puts the bounds of the settings in force. asked says that an operator
-// waits for a word.
-func (d *directRouter) reload(asked bool) {
-	bounds, err := d.cfg.Reload()
-	if err != nil {
-		d.log.Error().Err(err).Msg("settings could not be read again; the old ones stay")
-		return
-	}
-	changed := bounds != *d.bounds.Load()
-	d.bounds.Store(&bounds)
-	if asked || changed {
-		d.log.Info().Bool("changed", changed).Dur("max_key_age", d.maxKeyAge()).Msg("settings read again")
-	}
-}
-
 // addLoop adds an actor that runs until the group ends.
 func addLoop(g *run.Group, loop func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/daemon/directpeers.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"coveferry/internal/control"
+	"coveferry/internal/follow"
+	"coveferry/internal/peers"
+)
+
+// startPeers returns the source to follow: that of the settings, shared with the
+// other routers if they can reach this one.
+func (d *directRouter) startPeers() (follow.Source, error) {
+	if d.cfg.Control == "" {
+		return d.cfg.Source, nil
+	}
+	l, err := net.Listen("tcp", d.cfg.Control)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other routers")
+	}
+	d.control = control.NewServer(control.ServerConfig{Listener: l, Log: d.log})
+	d.peers = peers.New(peers.Config{
+		Self:   peers.Member{VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control},
+		Seeds:  d.cfg.Seeds,
+		Source: d.cfg.Source,
+		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
+		Every:  peerEvery,
+		MaxAge: time.Duration(peerShare * float64(d.maxKeyAge())),
+		Log:    d.log,
+	})
+	d.peers.Register(d.control)
+	return d.peers, nil
+}
+
+// addPeers adds what shares readings with other routers.
+func (d *directRouter) addPeers(g *run.Group, failed *error) {
+	if d.peers == nil {
+		return
+	}
+	g.Add(d.control.Run, func(error) { *failed = errors.CombineErrors(*failed, d.control.Stop()) })
+	addLoop(g, d.peers.Run)
+}
+
+// sourceLost is for how long this router has lost sight of the source. Callers
+// are better served by routers that see it themselves, though others' word keeps
+// this one's knowledge fresh.
+func (d *directRouter) sourceLost() time.Duration {
+	if d.peers == nil {
+		return 0
+	}
+	return d.peers.SourceLost()
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -29,7 +29,7 @@
 // ends. It then stops being ready, serves on while the balancer turns away,
 // and finishes the answers under way.
 func Router(env *cli.Env, settingsFile string) error {
-	paceCollector()
+	paceCollector(collectorPercent)
 	s, err := settings.LoadRouter(settingsFile)
 	if err != nil {
 		return cli.BadInput(err)
