--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -27,7 +27,11 @@
 }
 
 // ShareDemand has this router tell others of its demand.
-func (s *Source) ShareDemand(own func() balance.Demand) { s.demands.own = own }
+func (s *Source) ShareDemand(own func() balance.Demand) {
+	s.demands.mu.Lock()
+	defer s.demands.mu.Unlock()
+	s.demands.own = own
+}
 
 // OthersDemand is what the requests at other routers ask for, as far as they
 // said lately.
@@ -40,10 +44,13 @@
 }
 
 func (d *demands) ask() balance.Demand {
-	if d.own == nil {
+	d.mu.Lock()
+	own := d.own
+	d.mu.Unlock()
+	if own == nil {
 		return balance.Demand{}
 	}
-	return d.own()
+	return own()
 }
 
 func (d *demands) hear(vm string, said balance.Demand, at time.Time) {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -35,6 +35,12 @@
 	away    map[string]bool
 }
 
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // view is the store as one router reaches it.
 type view struct {
 	*store
@@ -192,12 +198,12 @@
 func TestOneRouterOfAFailureDomainReadsForAll(t *testing.T) {
 	play(t, 12, func(g *WithT, f *fleet) {
 		g.Expect(f.readers()).To(HaveLen(2))
-		before := f.store.calls
+		before := f.store.count()
 		time.Sleep(10 * time.Second)
 		// Two readers make a call a second that waits and two for the list, and
 		// others a few where an answer came late; each for itself, they would
 		// make 360.
-		g.Expect(f.store.calls - before).To(BeNumerically("<=", 90))
+		g.Expect(f.store.count() - before).To(BeNumerically("<=", 90))
 		f.set(7)
 		time.Sleep(1500 * time.Millisecond)
 		g.Expect(f.inForce(7)).To(Equal(12))
