Keep one window of counts for each tier, and serve ranks beyond the last tier

Cause: the retry budget and the throttle had the same locked ring of each tier, and both took a rank for an index: a configuration from outside that ranks a team 8 or lower took the request's handler down. Found while the two were read side by side.

Change: window.Tiers for both, which counts such ranks as the last; a rank above the highest is the highest.

Measured: with the clamp off TestARankBeyondTheLastTierIsServed is red; go test ./... green.

--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -114,6 +114,6 @@
 func assign(r *request.Request, team *route.Team) {
 	r.TeamName = team.Name
 	if team.Tier != nil {
-		r.Tier = *team.Tier
+		r.Tier = max(0, *team.Tier) // no rank is above the highest
 	}
 }
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -65,7 +65,7 @@
 	r.Delivered.LastEvent = in.LastEvent
 	r.Service = found.Pick(f.random())
 	r.Stream = found.Stream
-	r.Tier = found.Tier
+	r.Tier = max(0, found.Tier) // no rank is above the highest
 	r.NonIdempotent = !mayRunAgain(r)
 	r.MaxRuns = found.MaxRuns
 	r.Deadline = r.Arrived.Add(patience(found.Timeout, in.Patience))
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"sync"
 	"time"
 
-	"coveferry/internal/load"
 	"coveferry/internal/throttle/window"
 )
 
@@ -30,14 +28,9 @@
 // Each tier has a budget of its own, under its own lock, so that the retries
 // of one can't use up another's. It is safe for concurrent use.
 type Budget struct {
-	cfg   BudgetConfig
-	tiers [load.MaxTiers]tierBudget
-}
-
-// tierBudget counts first attempts (Total) and retries (Part).
-type tierBudget struct {
-	mu   sync.Mutex
-	ring window.Ring
+	cfg BudgetConfig
+	// tiers count first attempts (Total) and retries (Part).
+	tiers *window.Tiers
 }
 
 // NewBudget returns a budget that has seen no attempt.
@@ -45,31 +38,18 @@
 	cfg.Ratio = cmp.Or(cfg.Ratio, defaultRatio)
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
 	cfg.Floor = cmp.Or(cfg.Floor, defaultFloor)
-	b := &Budget{cfg: cfg}
-	for i := range b.tiers {
-		b.tiers[i].ring = window.New(cfg.Window)
-	}
-	return b
+	return &Budget{cfg: cfg, tiers: window.NewTiers(cfg.Window)}
 }
 
 // First counts the first attempt of a request.
 func (b *Budget) First(now time.Time, tier int) {
-	t := &b.tiers[tier]
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ring.Add(now, window.Counts{Total: 1})
+	b.tiers.Add(now, tier, window.Counts{Total: 1})
 }
 
 // TryRetry counts a retry and returns true if the budget allows it.
 func (b *Budget) TryRetry(now time.Time, tier int) bool {
-	t := &b.tiers[tier]
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.ring.Sum(now)
-	allowed := b.cfg.Ratio*float64(c.Total) + b.cfg.Floor*b.cfg.Window.Seconds()
-	if float64(c.Part+1) > allowed {
-		return false
-	}
-	t.ring.Add(now, window.Counts{Part: 1})
-	return true
+	return b.tiers.AddIf(now, tier, window.Counts{Part: 1}, func(so window.Counts) bool {
+		allowed := b.cfg.Ratio*float64(so.Total) + b.cfg.Floor*b.cfg.Window.Seconds()
+		return float64(so.Part+1) <= allowed
+	})
 }
--- /dev/null
+++ b/internal/router/routed_stream_test.go
@@ -0,0 +1,100 @@
+package router_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// events writes the given events and ends the stream, or cuts it off.
+func events(conn net.Conn, req *http.Request, whole bool, texts ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+	for _, text := range texts {
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+	}
+	if whole {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return
+	}
+	_ = conn.Close()
+}
+
+func TestABrokenStreamGoesOnBehindTheLastWholeEvent(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("Last") == "2" {
+				events(conn, req, true, "id: 3\ndata: c\n\n")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\nda")
+		}
+		got := call(g, client, "POST", "/resume/", "x")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
+		g.Expect(w.count()).To(Equal(2))
+		g.Expect(w.arrived()[1].endpoint).NotTo(Equal(w.arrived()[0].endpoint))
+	})
+}
+
+func TestAStreamThatMayNotRunAgainGoesOnFromItsCopy(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("From-Copy") != "" {
+				events(conn, req, true, "id: 2\ndata: b\n\n")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\n")
+		}
+		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		g.Expect(w.count()).To(Equal(2))
+		first, second := w.arrived()[0].header, w.arrived()[1].header
+		g.Expect(first.Get("Copy-To")).NotTo(BeEmpty())
+		g.Expect(second.Get("From-Copy")).To(Equal(first.Get("Copy-To")))
+		g.Expect(second.Get("Last")).To(Equal("1"))
+		g.Expect(second.Get("Copy-To")).To(BeEmpty())
+	})
+}
+
+func TestWithoutItsCopyAStreamThatMayNotRunAgainIsCutOff(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("From-Copy") != "" {
+				writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
+				return
+			}
+			events(conn, req, false, "id: 1\ndata: a\n\n")
+		}
+		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+		g.Expect(got.err).To(HaveOccurred())
+		g.Expect(w.count()).To(Equal(2))
+	})
+}
+
+func TestABrokenStreamNeverLooksWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		playRouted(t, func(g *WithT, w *world, client *http.Client) {
+			w.answer = func(_ string, req *http.Request, conn net.Conn) {
+				events(conn, req, false, "id: 1\ndata: a\n\n", "id: 2\n")
+			}
+			got := call(g, client, "POST", path, "x")
+			g.Expect(got.status).To(Equal(200))
+			g.Expect(got.err).To(HaveOccurred())
+			g.Expect(got.body).NotTo(ContainSubstring("id: 2"))
+		})
+	}
+}
+
+func TestAStreamThatEndsInAnEventIsBroken(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			events(conn, req, true, "id: 1\ndata: a\n\nid: 2\nda")
+		}
+		g.Expect(call(g, client, "POST", "/stream/", "x").err).To(HaveOccurred())
+	})
+}
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -89,6 +89,8 @@
 	routeHost = "api.example"
 )
 
+func rankOf(rank int) *int { return &rank }
+
 func testTable() *route.Table {
 	s := []route.Target{{Service: "s", Weight: 1}}
 	tab, err := route.NewTable(route.Config{
@@ -103,7 +105,7 @@
 			{Name: "tight", Host: routeHost, Prefix: "/tight/", Targets: s, Timeout: 10 * time.Second, MaxRuns: 1, Stream: true, MaxGap: 250 * time.Millisecond},
 			{Name: "open", Host: routeHost, Prefix: "/open/", Targets: s, Timeout: time.Second, Public: true},
 		},
-		Teams: map[string]*route.Team{"k": {Name: "acme"}, "vip": {Name: "vip", Tier: new(int)}},
+		Teams: map[string]*route.Team{"k": {Name: "acme"}, "vip": {Name: "vip", Tier: new(int)}, "low": {Name: "low", Tier: rankOf(12)}, "below": {Name: "below", Tier: rankOf(-1)}},
 	})
 	if err != nil {
 		panic(err)
@@ -129,7 +131,7 @@
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.router = router.New(router.Config{
 			Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client,
-			Retry: &retry.Policy{ChargeAll: true}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
+			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
 			Rand: func() float64 { return 0 },
 			Routing: &router.Routing{
 				Table:     func() *route.Table { return w.table },
@@ -277,6 +279,16 @@
 	}
 }
 
+func TestARankBeyondTheLastTierIsServed(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		for key, want := range map[string]string{"low": "12", "below": "0"} {
+			g.Expect(call(g, client, "POST", "/once/", "x", "Key", key, "Prompt", "1").status).To(Equal(200))
+			arrivals := w.arrived()
+			g.Expect(arrivals[len(arrivals)-1].header.Get("Tier")).To(Equal(want))
+		}
+	})
+}
+
 func TestTheOperatorsLimitsHold(t *testing.T) {
 	playRouted(t, func(g *WithT, w *world, client *http.Client) {
 		g.Expect(call(g, client, "POST", "/once/", strings.Repeat("x", 1000)).status).To(Equal(200))
@@ -293,219 +305,6 @@
 	})
 }
 
-// TestWhatMayRunAgain plays a first answer and says how often the request then
-// arrives and what its caller gets.
-func TestWhatMayRunAgain(t *testing.T) {
-	notRun := func(_ string, req *http.Request, conn net.Conn) {
-		writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
-	}
-	moved := func(_ string, req *http.Request, conn net.Conn) {
-		writeAnswer(conn, 421, "Id: "+req.Header.Get("Id")+"\r\n", "")
-	}
-	failed := func(_ string, req *http.Request, conn net.Conn) {
-		writeAnswer(conn, 500, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "sorry")
-	}
-	unmarked := func(_ string, req *http.Request, conn net.Conn) {
-		writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "busy")
-	}
-	reset := func(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
-	foreign := func(_ string, _ *http.Request, conn net.Conn) {
-		writeAnswer(conn, 200, "Id: other\r\nSigned: x\r\n", "not yours")
-	}
-	unsigned := func(_ string, req *http.Request, conn net.Conn) {
-		writeAnswer(conn, 200, "Id: "+req.Header.Get("Id")+"\r\n", "between")
-	}
-	garbage := func(_ string, _ *http.Request, conn net.Conn) { _, _ = conn.Write([]byte("garbage\r\n\r\n")) }
-	short := func(_ string, req *http.Request, conn net.Conn) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
-		_ = conn.Close()
-	}
-	for _, c := range []struct {
-		name   string
-		first  func(string, *http.Request, net.Conn)
-		path   string
-		method string
-		status int
-		runs   int
-	}{
-		{"not run, non-idempotent", notRun, "/once/", "POST", 200, 2},
-		{"not run, idempotent", notRun, "/safe/", "GET", 200, 2},
-		{"moved", moved, "/once/", "POST", 200, 2},
-		{"failed, non-idempotent", failed, "/once/", "POST", 500, 1},
-		{"failed, idempotent", failed, "/safe/", "GET", 200, 2},
-		{"a refusal without the mark", unmarked, "/once/", "POST", 503, 1},
-		{"reset, non-idempotent", reset, "/once/", "POST", 502, 1},
-		{"reset, non-idempotent without a body", reset, "/once/", "GET", 502, 1},
-		{"reset, idempotent", reset, "/safe/", "GET", 200, 2},
-		{"another's answer, non-idempotent", foreign, "/once/", "POST", 502, 1},
-		{"another's answer, idempotent", foreign, "/safe/", "GET", 200, 2},
-		{"unsigned", unsigned, "/once/", "POST", 502, 1},
-		{"garbage", garbage, "/once/", "POST", 502, 1},
-		{"cut short, non-idempotent", short, "/once/", "POST", 502, 1},
-		{"cut short, idempotent", short, "/safe/", "GET", 200, 2},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			playRouted(t, func(g *WithT, w *world, client *http.Client) {
-				good := w.answer
-				w.answer = func(e string, req *http.Request, conn net.Conn) {
-					if w.count() == 1 {
-						c.first(e, req, conn)
-						return
-					}
-					good(e, req, conn)
-				}
-				got := call(g, client, c.method, c.path, "x"[:len(c.method)-3])
-				g.Expect(got.status).To(Equal(c.status), got.body)
-				g.Expect(w.count()).To(Equal(c.runs))
-				g.Expect(got.body).NotTo(ContainSubstring("not yours"))
-			})
-		})
-	}
-}
-
-func TestAnIdempotencyHeaderHasTheLibraryRepeatNothing(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		g.Expect(call(g, client, "POST", "/once/", "x").status).To(Equal(200)) // leaves a connection
-		w.answer = func(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
-		for range 3 {
-			before := w.count()
-			got := call(g, client, "POST", "/once/", "x", "Idempotency-Key", "i")
-			g.Expect(got.status).To(Equal(502))
-			g.Expect(w.count()).To(Equal(before + 1))
-		}
-	})
-}
-
-func TestARequestThatRanOftenEnoughEndsWithTheEndpointsAnswer(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(_ string, req *http.Request, conn net.Conn) {
-			writeAnswer(conn, 500, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "sorry")
-		}
-		got := call(g, client, "GET", "/safe/", "")
-		g.Expect(got.status).To(Equal(500))
-		g.Expect(got.body).To(Equal("sorry"))
-		g.Expect(got.header.Get("Signed")).To(Equal("f"))
-		g.Expect(w.count()).To(Equal(2))
-	})
-}
-
-func TestWhatAllRefuseIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(_ string, req *http.Request, conn net.Conn) {
-			writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
-		}
-		began := time.Now()
-		got := call(g, client, "POST", "/once/", "x")
-		g.Expect(got.status).To(BeElementOf(429, 503))
-		g.Expect(got.header.Get("Retry-After")).To(Equal("0.1"))
-		g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
-	})
-}
-
-func TestASilentEndpointIsAnsweredForAtTheDeadline(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(string, *http.Request, net.Conn) { time.Sleep(time.Minute) }
-		began := time.Now()
-		got := call(g, client, "POST", "/once/", "x", "Patience", "700ms")
-		g.Expect(got.status).To(Equal(504))
-		g.Expect(time.Since(began)).To(BeNumerically("~", 750*time.Millisecond, 55*time.Millisecond))
-		left, err := time.ParseDuration(w.arrived()[0].header.Get("Left"))
-		g.Expect(err).NotTo(HaveOccurred())
-		// What is left is counted by the machine's own clock, which no fake stops.
-		g.Expect(left).To(BeNumerically("~", 690*time.Millisecond, 10*time.Millisecond))
-		time.Sleep(time.Minute)
-	})
-}
-
-// events writes the given events and ends the stream, or cuts it off.
-func events(conn net.Conn, req *http.Request, whole bool, texts ...string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
-	for _, text := range texts {
-		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
-	}
-	if whole {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
-		return
-	}
-	_ = conn.Close()
-}
-
-func TestABrokenStreamGoesOnBehindTheLastWholeEvent(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(_ string, req *http.Request, conn net.Conn) {
-			if req.Header.Get("Last") == "2" {
-				events(conn, req, true, "id: 3\ndata: c\n\n")
-				return
-			}
-			events(conn, req, false, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\nda")
-		}
-		got := call(g, client, "POST", "/resume/", "x")
-		g.Expect(got.err).NotTo(HaveOccurred())
-		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
-		g.Expect(w.count()).To(Equal(2))
-		g.Expect(w.arrived()[1].endpoint).NotTo(Equal(w.arrived()[0].endpoint))
-	})
-}
-
-func TestAStreamThatMayNotRunAgainGoesOnFromItsCopy(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
-			if req.Header.Get("From-Copy") != "" {
-				events(conn, req, true, "id: 2\ndata: b\n\n")
-				return
-			}
-			events(conn, req, false, "id: 1\ndata: a\n\n")
-		}
-		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
-		g.Expect(got.err).NotTo(HaveOccurred())
-		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-		g.Expect(w.count()).To(Equal(2))
-		first, second := w.arrived()[0].header, w.arrived()[1].header
-		g.Expect(first.Get("Copy-To")).NotTo(BeEmpty())
-		g.Expect(second.Get("From-Copy")).To(Equal(first.Get("Copy-To")))
-		g.Expect(second.Get("Last")).To(Equal("1"))
-		g.Expect(second.Get("Copy-To")).To(BeEmpty())
-	})
-}
-
-func TestWithoutItsCopyAStreamThatMayNotRunAgainIsCutOff(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
-			if req.Header.Get("From-Copy") != "" {
-				writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
-				return
-			}
-			events(conn, req, false, "id: 1\ndata: a\n\n")
-		}
-		got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
-		g.Expect(got.err).To(HaveOccurred())
-		g.Expect(w.count()).To(Equal(2))
-	})
-}
-
-func TestABrokenStreamNeverLooksWhole(t *testing.T) {
-	for _, path := range []string{"/stream/", "/resume/"} {
-		playRouted(t, func(g *WithT, w *world, client *http.Client) {
-			w.answer = func(_ string, req *http.Request, conn net.Conn) {
-				events(conn, req, false, "id: 1\ndata: a\n\n", "id: 2\n")
-			}
-			got := call(g, client, "POST", path, "x")
-			g.Expect(got.status).To(Equal(200))
-			g.Expect(got.err).To(HaveOccurred())
-			g.Expect(got.body).NotTo(ContainSubstring("id: 2"))
-		})
-	}
-}
-
-func TestAStreamThatEndsInAnEventIsBroken(t *testing.T) {
-	playRouted(t, func(g *WithT, w *world, client *http.Client) {
-		w.answer = func(_ string, req *http.Request, conn net.Conn) {
-			events(conn, req, true, "id: 1\ndata: a\n\nid: 2\nda")
-		}
-		g.Expect(call(g, client, "POST", "/stream/", "x").err).To(HaveOccurred())
-	})
-}
-
 func TestACallerThatLeavesEndsTheWorkAtOnce(t *testing.T) {
 	playRouted(t, func(g *WithT, w *world, client *http.Client) {
 		closed := make(chan struct{})
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"sync"
 	"time"
 
 	"coveferry/internal/load"
@@ -37,15 +36,10 @@
 // Throttle watches one group of endpoints, such as those of one model. It is
 // safe for concurrent use.
 type Throttle struct {
-	cfg   Config
-	tiers [load.MaxTiers]tier
-}
-
-// tier counts the requests of one tier that were accepted or refused (Total)
-// and the accepted ones (Part).
-type tier struct {
-	mu   sync.Mutex
-	ring window.Ring
+	cfg Config
+	// tiers count the requests that were accepted or refused (Total) and the
+	// accepted ones (Part).
+	tiers *window.Tiers
 }
 
 // New returns a throttle that has seen nothing and refuses nothing.
@@ -53,11 +47,7 @@
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
 	cfg.Headway = cmp.Or(cfg.Headway, defaultHeadway)
 	cfg.MinRequests = cmp.Or(cfg.MinRequests, defaultMin)
-	t := &Throttle{cfg: cfg}
-	for i := range t.tiers {
-		t.tiers[i].ring = window.New(cfg.Window)
-	}
-	return t
+	return &Throttle{cfg: cfg, tiers: window.NewTiers(cfg.Window)}
 }
 
 // Allow says whether to send a request of the tier. draw is a random number
@@ -71,13 +61,13 @@
 
 // Accepted counts a request that an endpoint took and began to answer in time.
 func (t *Throttle) Accepted(now time.Time, tier int) {
-	t.add(now, tier, window.Counts{Total: 1, Part: 1})
+	t.tiers.Add(now, tier, window.Counts{Total: 1, Part: 1})
 }
 
 // Refused counts a request that was refused here or by an endpoint, timed out,
 // or failed.
 func (t *Throttle) Refused(now time.Time, tier int) {
-	t.add(now, tier, window.Counts{Total: 1})
+	t.tiers.Add(now, tier, window.Counts{Total: 1})
 }
 
 // Probability is the part of the tier's requests that is refused now.
@@ -85,11 +75,7 @@
 	if t.cfg.Off {
 		return 0
 	}
-	var counts [load.MaxTiers]window.Counts
-	for i := range t.tiers {
-		counts[i] = t.tiers[i].sum(now)
-	}
-	return refusal(counts, tier, t.cfg)
+	return refusal(t.tiers.Sums(now), tier, t.cfg)
 }
 
 // refusal spreads the requests that are too many over the tiers, from the
@@ -110,16 +96,3 @@
 	// The one more keeps a few requests flowing where all of them fail.
 	return min(1, max(0, excess)/float64(counts[tier].Total+1))
 }
-
-func (t *Throttle) add(now time.Time, tier int, c window.Counts) {
-	s := &t.tiers[tier]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ring.Add(now, c)
-}
-
-func (s *tier) sum(now time.Time) window.Counts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ring.Sum(now)
-}
--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -14,7 +14,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func feed(t *Throttle, tier, requests, accepted int) {
-	t.add(epoch, tier, window.Counts{Total: requests, Part: accepted})
+	t.tiers.Add(epoch, tier, window.Counts{Total: requests, Part: accepted})
 }
 
 func TestRefusesTheLowestTierFirst(t *testing.T) {
--- /dev/null
+++ b/internal/throttle/window/tiers.go
@@ -0,0 +1,64 @@
+package window
+
+import (
+	"sync"
+	"time"
+
+	"coveferry/internal/load"
+)
+
+// Tiers is a window for each tier, each under its own lock. It is safe for
+// concurrent use. Ranks beyond the last tier count as the last: configurations
+// from outside may know more of them.
+type Tiers struct{ tiers [load.MaxTiers]locked }
+
+type locked struct {
+	mu   sync.Mutex
+	ring Ring
+}
+
+// NewTiers returns empty windows of a length.
+func NewTiers(length time.Duration) *Tiers {
+	t := &Tiers{}
+	for i := range t.tiers {
+		t.tiers[i].ring = New(length)
+	}
+	return t
+}
+
+func (t *Tiers) of(tier int) *locked {
+	return &t.tiers[min(max(tier, 0), load.MaxTiers-1)]
+}
+
+// Add counts c for a tier.
+func (t *Tiers) Add(now time.Time, tier int, c Counts) {
+	l := t.of(tier)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring.Add(now, c)
+}
+
+// AddIf counts c for a tier if what has been counted there allows it, and
+// returns whether it did.
+func (t *Tiers) AddIf(now time.Time, tier int, c Counts, allows func(so Counts) bool) bool {
+	l := t.of(tier)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !allows(l.ring.Sum(now)) {
+		return false
+	}
+	l.ring.Add(now, c)
+	return true
+}
+
+// Sums returns the counts of all tiers for the window that ends now.
+func (t *Tiers) Sums(now time.Time) [load.MaxTiers]Counts {
+	var all [load.MaxTiers]Counts
+	for i := range t.tiers {
+		l := &t.tiers[i]
+		l.mu.Lock()
+		all[i] = l.ring.Sum(now)
+		l.mu.Unlock()
+	}
+	return all
+}
