Don't tell others what a router only keeps after an outage of its own

The logs: front-muc-nord-1 was cut off until 13.0 s, kept for 2.5 s two endpoints that had left meanwhile, and was the reader of its domain again at once; front-muc-nord-2 took its list of 19 at 13.8 s and sent to both. Ruled out: the age of lists (under a second all the while) and the boundary of drains.

Change: a directory knows which entries it only keeps; others are told without.

--- a/internal/directory/compare.go
+++ b/internal/directory/compare.go
@@ -15,7 +15,7 @@
 }
 
 func sameEntry(a, b Entry) bool {
-	return a.Draining == b.Draining &&
+	return a.Draining == b.Draining && a.kept == b.kept &&
 		a.Endpoint.Address == b.Endpoint.Address &&
 		a.Endpoint.FailureDomain == b.Endpoint.FailureDomain &&
 		a.Endpoint.Slots == b.Endpoint.Slots &&
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -14,6 +14,9 @@
 	Endpoint bundle.Endpoint
 	// Draining says that the endpoint takes no new work.
 	Draining bool
+	// kept says that the list lacks the endpoint, which may be back: it counts
+	// for this router only.
+	kept bool
 }
 
 // Reading is one whole reading of the list.
@@ -66,6 +69,22 @@
 	return entries
 }
 
+// Listed is the directory without the endpoints that the list lacks and that are
+// only kept for a while. What a router keeps after an outage of its own may be
+// gone for long, as others know.
+func (d *Directory) Listed() *Directory {
+	listed := make(map[string]Entry, len(d.entries))
+	for name, e := range d.entries {
+		if !e.kept {
+			listed[name] = e
+		}
+	}
+	if len(listed) == len(d.entries) {
+		return d
+	}
+	return build(listed, d.revision)
+}
+
 // Len is the number of endpoints.
 func (d *Directory) Len() int { return len(d.entries) }
 
@@ -107,6 +126,7 @@
 	}
 	for name, e := range d.entries {
 		if _, listed := next[name]; !listed && !taken[e.Endpoint.Address] {
+			e.kept = true
 			next[name] = e
 		}
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -257,7 +257,7 @@
 	}
 	// The age is taken first: what is told may be newer than it says.
 	reply := listReply{AgeMillis: own.ListAge().Milliseconds() + 1}
-	d := own.Directory()
+	d := own.Directory().Listed()
 	reply.Revision = d.Revision()
 	reply.Same = d.Digest() == req.Digest
 	if !reply.Same {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -317,3 +317,29 @@
 		g.Expect(f.nodes[0].source.OthersDemand().Tight).To(BeZero())
 	})
 }
+
+func TestWhatARouterOnlyKeepsAfterAnOutageIsNotToldToOthers(t *testing.T) {
+	play(t, 2, func(g *WithT, f *fleet) {
+		n := f.nodes[0]
+		gone := directory.Entry{Endpoint: bundle.Endpoint{Name: "gone", Address: "b", Services: []string{"s"}}}
+		here := n.follower.Directory().Entries()
+		before, _ := directory.Empty().Merge(directory.Reading{Entries: append(here, gone), Revision: 1}, time.Now(), time.Time{})
+		after, _ := before.Merge(directory.Reading{Entries: here, Revision: 2}, time.Now(), time.Now().Add(time.Second))
+		g.Expect(after.For("s")).To(HaveLen(2), "this router goes on with what may be back")
+		n.source.Tell(told{State: n.follower, directory: after})
+		reply, err := n.source.serveList(context.Background(), peerOfTests, listRequest{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Entries).To(Equal(here))
+		reply, err = n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: n.follower.Directory().Digest()})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Same).To(BeTrue())
+	})
+}
+
+// told is a router's state with another directory.
+type told struct {
+	State
+	directory *directory.Directory
+}
+
+func (s told) Directory() *directory.Directory { return s.directory }
