Do once what was done twice on a request's way, and drop what was dead

Cause: read over the whole change: the caller's headers were parsed by match and again by admit; each choice hashed every endpoint's name once a comparison; lists for peers were copied though nothing was left out; the headers of one connection stood in two lists; request.Runs was written by nobody; the bench had its own wait.

Change: match hands the key on; ranks are worked out once an endpoint; a directory counts what it only keeps; upstream.HopByHop; clock.Sleep in the bench. Behaviour is the same: the same orders, headers and refusals.

--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -218,10 +218,10 @@
 	if key == 0 {
 		return -1
 	}
-	home := group[0]
+	home, best := group[0], rendezvous(key, views[group[0]].Endpoint)
 	for _, i := range group[1:] {
-		if rendezvous(key, views[i].Endpoint) > rendezvous(key, views[home].Endpoint) {
-			home = i
+		if rank := rendezvous(key, views[i].Endpoint); rank > best {
+			home, best = i, rank
 		}
 	}
 	return home
--- a/internal/balance/rank.go
+++ b/internal/balance/rank.go
@@ -19,16 +19,29 @@
 // rankForTight orders endpoints for tight streams: the same at all routers, and
 // spread over failure domains, so that the loss of one leaves the others.
 func rankForTight(views []View, usable []int) []int {
-	ranked := slices.Clone(usable)
-	slices.SortFunc(ranked, func(a, b int) int {
-		return cmp.Compare(rendezvous(tightKey, views[b].Endpoint), rendezvous(tightKey, views[a].Endpoint))
-	})
+	order := make([]place, len(usable))
+	for n, i := range usable {
+		order[n] = place{view: i, rank: rendezvous(tightKey, views[i].Endpoint)}
+	}
+	slices.SortFunc(order, func(a, b place) int { return cmp.Compare(b.rank, a.rank) })
 	seen := make(map[string]int)
-	turn := make(map[int]int, len(ranked))
-	for _, i := range ranked {
-		turn[i] = seen[views[i].FailureDomain]
-		seen[views[i].FailureDomain]++
+	for n := range order {
+		domain := views[order[n].view].FailureDomain
+		order[n].turn = seen[domain]
+		seen[domain]++
+	}
+	slices.SortStableFunc(order, func(a, b place) int { return cmp.Compare(a.turn, b.turn) })
+	ranked := make([]int, len(order))
+	for n := range order {
+		ranked[n] = order[n].view
 	}
-	slices.SortStableFunc(ranked, func(a, b int) int { return cmp.Compare(turn[a], turn[b]) })
 	return ranked
 }
+
+// place is a view's in the order for tight streams: by its turn among those of its
+// failure domain, and then by its rank.
+type place struct {
+	view int
+	rank uint64
+	turn int
+}
--- a/internal/bench/client/drive.go
+++ b/internal/bench/client/drive.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coveferry/internal/bench/arrivals"
+	"coveferry/internal/clock"
 )
 
 // Drive is the record of a whole list of arrivals.
@@ -72,19 +73,5 @@
 
 // WaitUntil waits for a moment; it reports false if ctx ended first.
 func WaitUntil(ctx context.Context, at time.Time) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	wait := time.Until(at)
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return ctx.Err() == nil && clock.Sleep(ctx, time.Until(at))
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,6 +35,7 @@
 	byService map[string][]*bundle.Endpoint
 	revision  uint64
 	digest    uint64
+	kept      int // entries that the list lacks
 }
 
 // Empty is a directory without endpoints.
@@ -44,6 +45,9 @@
 	d := &Directory{entries: entries, byService: make(map[string][]*bundle.Endpoint), revision: revision, digest: digestOf(entries)}
 	for _, name := range sortedNames(entries) {
 		e := entries[name]
+		if e.kept {
+			d.kept++
+		}
 		for _, service := range e.Endpoint.Services {
 			d.byService[service] = append(d.byService[service], &e.Endpoint)
 		}
@@ -73,15 +77,15 @@
 // only kept for a while. What a router keeps after an outage of its own may be
 // gone for long, as others know.
 func (d *Directory) Listed() *Directory {
+	if d.kept == 0 {
+		return d
+	}
 	listed := make(map[string]Entry, len(d.entries))
 	for name, e := range d.entries {
 		if !e.kept {
 			listed[name] = e
 		}
 	}
-	if len(listed) == len(d.entries) {
-		return d
-	}
 	return build(listed, d.revision)
 }
 
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -12,7 +12,6 @@
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/route"
-	"coveferry/internal/upstream"
 	"coveferry/internal/wire"
 )
 
@@ -57,7 +56,6 @@
 
 // Config is what a filter needs.
 type Config struct {
-	Protocol upstream.Protocol
 	// Age is how old the knowledge of keys is.
 	Age func() time.Duration
 	// MaxAge is the age up to which keys are trusted; 0 trusts them always.
@@ -85,7 +83,7 @@
 	if !r.Table.NeedsKeys() {
 		return nil
 	}
-	team := r.Table.Team(f.cfg.Protocol.Incoming(r.Header).Key)
+	team := r.Table.Team(r.Key)
 	stale := f.stale()
 	if r.Route.Public {
 		if team != nil && stale == nil {
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -180,12 +180,8 @@
 	return body, again
 }
 
-// hopByHop are the headers that concern one connection only, by RFC 9110 and
-// older practice.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+// hopByHop are the headers of a request that concern one connection only.
+var hopByHop = append([]string{"Proxy-Authenticate", "Proxy-Authorization", "Te"}, upstream.HopByHop...)
 
 // endToEnd copies the headers that don't concern one connection only.
 func endToEnd(from http.Header) http.Header {
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -61,6 +61,7 @@
 	in := f.protocol.Incoming(r.Header)
 	r.Route = found
 	r.CallerID = cmp.Or(in.ID, r.ID)
+	r.Key = in.Key
 	r.Prompt = in.Prompt
 	r.Delivered.LastEvent = in.LastEvent
 	r.Service = found.Pick(f.random())
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -13,6 +13,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/request"
+	"coveferry/internal/upstream"
 	"coveferry/internal/wire"
 )
 
@@ -220,9 +221,7 @@
 }
 
 // connectionHeaders concern one connection only, or are set anew.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Trailer", "Upgrade", "Content-Length",
-}
+var connectionHeaders = append([]string{"Content-Length"}, upstream.HopByHop...)
 
 // copyHeader leaves alone what is set of the caller's connection, such as
 // "Connection: close" at a router that stops.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -41,7 +41,9 @@
 	Route *route.Route
 	// CallerID names the request on the wire, as its caller does.
 	CallerID string
-	Prompt   prompt.Prompt
+	// Key is the caller's API key, empty if it sent none.
+	Key    string
+	Prompt prompt.Prompt
 	// Wait is how long the answer of the latest attempt was expected to take to
 	// begin.
 	Wait time.Duration
@@ -92,8 +94,6 @@
 	// Round is where the present round of Tried begins: a request that comes
 	// back to endpoints it has tried begins a new one.
 	Round int
-	// Runs counts the attempts that ran, or may have.
-	Runs int
 	// Latest returns the snapshot in force, whose endpoints an attempt after
 	// the first may use; nil is that of the request.
 	Latest func() *bundle.Snapshot
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -61,11 +61,9 @@
 func (rt *Router) routedPipe() pipeline.Next {
 	c := rt.cfg.Routing
 	return pipeline.Compose(
-		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand), // which route does it take?
-		admit.New(admit.Config{ // may its key use the route?
-			Protocol: c.Protocol, Age: c.KeyAge, MaxAge: c.MaxKeyAge,
-		}),
-		attempts.New(rt.cfg.Retry, rt.cfg.Rand), // repeat the rest where that is safe
+		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // which route does it take?
+		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // may its key use the route?
+		attempts.New(rt.cfg.Retry, rt.cfg.Rand),                     // repeat the rest where that is safe
 		choose.New(choose.Config{ // which endpoint?
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
