--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -41,7 +41,7 @@
 	Callers, Ready, Metrics string
 	// ReadyPattern is the method and path by which the balancer asks.
 	ReadyPattern string
-	Source       follow.Source
+	Store        follow.Store
 	Protocol     upstream.Protocol
 	// Health asks the endpoint at an address whether it is healthy and the one
 	// of that name.
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -15,8 +15,9 @@
 // startPeers returns the source to follow: that of the settings, shared with the
 // other routers if they can reach this one.
 func (d *directRouter) startPeers() (follow.Source, error) {
+	reader := follow.Reader{Store: d.cfg.Store, CallTimeout: readTimeout}
 	if d.cfg.Control == "" {
-		return d.cfg.Source, nil
+		return reader, nil
 	}
 	l, err := net.Listen("tcp", d.cfg.Control)
 	if err != nil {
@@ -26,7 +27,7 @@
 	d.peers = peers.New(peers.Config{
 		Self:   peers.Member{VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control},
 		Seeds:  d.cfg.Seeds,
-		Source: d.cfg.Source,
+		Source: reader,
 		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
 		Every:  peerEvery,
 		MaxAge: time.Duration(peerShare * float64(d.maxKeyAge())),
--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -16,9 +16,14 @@
 	// waitShare of RevokeWithin is how long one call waits for news, so that
 	// several may fail in a row before keys are no longer trusted.
 	waitShare = 0.2
-	// listShare of DrainWithin lies between two readings of the list, so that
-	// one may be lost and another be old.
-	listShare = 0.25
+	// paceShare of DrainWithin lies between two calls at least, so that where
+	// something changes all the time several may fail before a leaving endpoint
+	// must be out of use.
+	paceShare = 0.1
+	// outageSlacks is how many calls without a wait must have failed after one
+	// with a wait for the service to count as having been away. Entries lapse
+	// after three heartbeats, which take longer.
+	outageSlacks = 2
 	// budgetShare of the operator's ratio is used for retries: callers' own
 	// count as requests, but those at the window's edges may count twice.
 	budgetShare = 0.75
@@ -35,13 +40,13 @@
 
 const (
 	// defaultWait is how long a call waits for news where no bound demands
-	// less, and defaultList the time between two readings of the list.
+	// less, and defaultPace lies between two calls at least.
 	defaultWait = 5 * time.Second
-	defaultList = time.Second
-	// readTimeout bounds one reading; the service answers in milliseconds, in
+	defaultPace = 200 * time.Millisecond
+	// readTimeout bounds one call; the service answers in milliseconds, in
 	// a quarter of a second when it is slow.
 	readTimeout = 600 * time.Millisecond
-	// watchSlack is the same for a call that waits.
+	// watchSlack is the same for a call that waits, beyond its wait.
 	watchSlack = 400 * time.Millisecond
 	// listReturn is how long entries may take to be back after the service was
 	// away; the operators say about two seconds.
@@ -80,17 +85,16 @@
 	directMaxBodyBytes   = 32 << 20
 )
 
-// timing is how the source is read so that the operator's bounds hold.
+// timing is how the source is asked so that the operator's bounds hold.
 func timing(b DirectBounds) follow.Timing {
-	t := follow.Timing{
-		Wait: defaultWait, Slack: watchSlack, ListEvery: defaultList, Read: readTimeout, Return: listReturn,
-	}
+	t := follow.Timing{Wait: defaultWait, Slack: watchSlack, Pace: defaultPace, Return: listReturn}
 	if b.RevokeWithin > 0 {
 		t.Wait = time.Duration(waitShare * float64(b.RevokeWithin))
 	}
 	if b.DrainWithin > 0 {
-		t.ListEvery = time.Duration(listShare * float64(b.DrainWithin))
+		t.Pace = time.Duration(paceShare * float64(b.DrainWithin))
 	}
+	t.Outage = t.Wait + outageSlacks*t.Slack
 	return t
 }
 
--- a/internal/daemon/directtimes_test.go
+++ b/internal/daemon/directtimes_test.go
@@ -11,9 +11,10 @@
 	g := NewWithT(t)
 	b := DirectBounds{RevokeWithin: 5 * time.Second, DrainWithin: 2 * time.Second}
 	g.Expect(timing(b).Wait).To(Equal(time.Second))
-	g.Expect(timing(b).ListEvery).To(Equal(500 * time.Millisecond))
+	g.Expect(timing(b).Pace).To(Equal(200 * time.Millisecond))
+	g.Expect(timing(b).Outage).To(BeNumerically(">", timing(b).Wait+timing(b).Slack))
 	g.Expect(timing(DirectBounds{}).Wait).To(Equal(defaultWait))
-	g.Expect(timing(DirectBounds{}).ListEvery).To(Equal(defaultList))
+	g.Expect(timing(DirectBounds{}).Pace).To(Equal(defaultPace))
 }
 
 func TestAStopLeavesTimeForItsEnd(t *testing.T) {
--- a/internal/directory/compare.go
+++ b/internal/directory/compare.go
@@ -31,3 +31,19 @@
 	}
 	return d.Sum64()
 }
+
+// ChangesTo is what a later directory has otherwise: its entries that differ or
+// are new, and the names of those that it lacks.
+func (d *Directory) ChangesTo(later *Directory) (changed []Entry, gone []string) {
+	for name, e := range later.entries {
+		if old, ok := d.entries[name]; !ok || !sameEntry(old, e) {
+			changed = append(changed, e)
+		}
+	}
+	for name := range d.entries {
+		if _, ok := later.entries[name]; !ok {
+			gone = append(gone, name)
+		}
+	}
+	return changed, gone
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"coveferry/internal/bundle"
@@ -19,14 +20,16 @@
 	kept bool
 }
 
-// Reading is one whole reading of the list.
+// Reading is what a source says of the list: the whole of it, or what changed
+// since an earlier reading.
 type Reading struct {
+	// Whole says that Entries is the whole list; else Entries are those that
+	// changed since the directory was read, and Gone the names of those that left.
+	Whole   bool
 	Entries []Entry
+	Gone    []string
 	// Revision is the list's own counter of changes at the time of reading.
 	Revision uint64
-	// Age is how old the reading may have been when it was asked for; 0 if the
-	// list itself was read.
-	Age time.Duration
 }
 
 // Directory is an immutable set of endpoints.
@@ -73,6 +76,21 @@
 	return entries
 }
 
+// Page lists at most so many of the endpoints whose names follow another, by
+// their names, and says whether more follow.
+func (d *Directory) Page(behind string, most int) (entries []Entry, more bool) {
+	names := sortedNames(d.entries)
+	start, found := slices.BinarySearch(names, behind)
+	if found {
+		start++
+	}
+	end := min(start+most, len(names))
+	for _, name := range names[start:end] {
+		entries = append(entries, d.entries[name])
+	}
+	return entries, end < len(names)
+}
+
 // Listed is the directory without the endpoints that the list lacks and that are
 // only kept for a while. What a router keeps after an outage of its own may be
 // gone for long, as others know.
@@ -106,21 +124,49 @@
 	if r.Revision < d.revision {
 		return d, false
 	}
-	next := make(map[string]Entry, len(r.Entries))
-	for _, e := range r.Entries {
-		next[e.Endpoint.Name] = e
+	if d.kept == 0 && r.changesNothing() {
+		return d.at(r.Revision), false
 	}
+	next := d.listedAfter(r)
 	if now.Before(keepAbsentUntil) {
 		d.keepAbsent(next)
 	}
 	if sameEntries(d.entries, next) {
-		same := *d
-		same.revision = r.Revision
-		return &same, false
+		return d.at(r.Revision), false
 	}
 	return build(next, r.Revision), true
 }
 
+func (r *Reading) changesNothing() bool {
+	return !r.Whole && len(r.Entries) == 0 && len(r.Gone) == 0
+}
+
+// at is the same directory as of a later revision.
+func (d *Directory) at(revision uint64) *Directory {
+	same := *d
+	same.revision = revision
+	return &same
+}
+
+// listedAfter is what the list holds after a reading.
+func (d *Directory) listedAfter(r Reading) map[string]Entry {
+	next := make(map[string]Entry, max(len(r.Entries), len(d.entries)))
+	if !r.Whole {
+		for name, e := range d.entries {
+			if !e.kept {
+				next[name] = e
+			}
+		}
+	}
+	for _, e := range r.Entries {
+		next[e.Endpoint.Name] = e
+	}
+	for _, name := range r.Gone {
+		delete(next, name)
+	}
+	return next
+}
+
 // keepAbsent adds the endpoints that the next directory lacks, but for those
 // whose address another one has taken over.
 func (d *Directory) keepAbsent(next map[string]Entry) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -25,7 +25,7 @@
 }
 
 func merge(d *directory.Directory, revision uint64, keep time.Time, entries ...directory.Entry) *directory.Directory {
-	next, _ := d.Merge(directory.Reading{Entries: entries, Revision: revision}, now, keep)
+	next, _ := d.Merge(directory.Reading{Whole: true, Entries: entries, Revision: revision}, now, keep)
 	return next
 }
 
@@ -57,11 +57,72 @@
 func TestMergeTellsWhatDiffers(t *testing.T) {
 	g := NewWithT(t)
 	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"))
-	same, changed := d.Merge(directory.Reading{Entries: []directory.Entry{entry("a", "1")}, Revision: 9}, now, time.Time{})
+	same, changed := d.Merge(directory.Reading{Whole: true, Entries: []directory.Entry{entry("a", "1")}, Revision: 9}, now, time.Time{})
 	g.Expect(changed).To(BeFalse())
 	g.Expect(same.Revision()).To(Equal(uint64(9)))
 	draining := entry("a", "1")
 	draining.Draining = true
-	_, changed = same.Merge(directory.Reading{Entries: []directory.Entry{draining}, Revision: 10}, now, time.Time{})
+	_, changed = same.Merge(directory.Reading{Whole: true, Entries: []directory.Entry{draining}, Revision: 10}, now, time.Time{})
 	g.Expect(changed).To(BeTrue())
 }
+
+func TestChangesAreAddedToWhatWasRead(t *testing.T) {
+	g := NewWithT(t)
+	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"))
+	moved := entry("a", "9")
+	d, changed := d.Merge(directory.Reading{Entries: []directory.Entry{moved, entry("c", "3")}, Gone: []string{"b", "unknown"}, Revision: 4}, now, time.Time{})
+	g.Expect(changed).To(BeTrue())
+	g.Expect(names(d)).To(Equal([]string{"a", "c"}))
+	a, _ := d.Entry("a")
+	g.Expect(a.Endpoint.Address).To(Equal("9"))
+	d, changed = d.Merge(directory.Reading{Revision: 7}, now, time.Time{})
+	g.Expect(changed).To(BeFalse())
+	g.Expect(d.Revision()).To(Equal(uint64(7)))
+}
+
+func TestChangesAfterAnOutageKeepWhatLapsedUntilItWouldBeBack(t *testing.T) {
+	g := NewWithT(t)
+	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"))
+	until := now.Add(time.Second)
+	d, _ = d.Merge(directory.Reading{Gone: []string{"b"}, Revision: 2}, now, until)
+	g.Expect(names(d)).To(Equal([]string{"a", "b"}))
+	g.Expect(names(d.Listed())).To(Equal([]string{"a"}))
+	d, _ = d.Merge(directory.Reading{Revision: 2}, now, until)
+	g.Expect(names(d)).To(Equal([]string{"a", "b"}))
+	d, changed := d.Merge(directory.Reading{Revision: 2}, until, until)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(names(d)).To(Equal([]string{"a"}))
+}
+
+func TestTheChangesBetweenTwoDirectoriesTurnOneIntoTheOther(t *testing.T) {
+	g := NewWithT(t)
+	before := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"), entry("c", "3"))
+	draining := entry("a", "1")
+	draining.Draining = true
+	after := merge(directory.Empty(), 2, time.Time{}, draining, entry("c", "3"), entry("d", "4"))
+	changed, gone := before.ChangesTo(after)
+	g.Expect(changed).To(HaveLen(2))
+	g.Expect(gone).To(Equal([]string{"b"}))
+	same, _ := before.Merge(directory.Reading{Entries: changed, Gone: gone, Revision: 2}, now, time.Time{})
+	g.Expect(same.Digest()).To(Equal(after.Digest()))
+}
+
+func TestPagesCoverAllEndpointsOnce(t *testing.T) {
+	g := NewWithT(t)
+	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"), entry("c", "3"), entry("d", "4"), entry("e", "5"))
+	var all []string
+	behind, more := "", true
+	for more {
+		var page []directory.Entry
+		page, more = d.Page(behind, 2)
+		g.Expect(len(page)).To(BeNumerically("<=", 2))
+		for _, e := range page {
+			all = append(all, e.Endpoint.Name)
+			behind = e.Endpoint.Name
+		}
+	}
+	g.Expect(all).To(Equal(names(d)))
+	page, more := d.Page("bb", 1) // behind a name that has left
+	g.Expect(page[0].Endpoint.Name).To(Equal("c"))
+	g.Expect(more).To(BeTrue())
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,29 +13,33 @@
 	"coveferry/internal/route"
 )
 
-// Timing is how often a source is read and when a reading is given up.
+// Timing is how often a source is asked and when a call is given up.
 type Timing struct {
-	// Wait is how long a call waits for a change of the configuration. With
-	// Slack it bounds how old the knowledge of a calm configuration gets.
+	// Wait is how long a call waits for a change. With Slack it bounds how old
+	// the knowledge of a calm source gets.
 	Wait time.Duration
 	// Slack is how much longer than it should a call may take before it is
-	// given up and the configuration is read anew.
+	// given up.
 	Slack time.Duration
-	// ListEvery is the time between two readings of the list.
-	ListEvery time.Duration
-	// Read bounds one reading that needn't wait.
-	Read time.Duration
-	// Return is how long entries may take to be back in the list after the
-	// source was away.
-	Return time.Duration
+	// Pace is the least time between two calls that succeed, so that a source
+	// in which something changes all the time isn't asked without a pause.
+	Pace time.Duration
+	// Outage is the time between two moments of which the source told, beyond
+	// which it counts as having been away, and Return how long entries may take
+	// to be back in the list then.
+	Outage, Return time.Duration
 }
 
-// Bounds of the pause after a reading that failed.
+// Bounds of the pause after a call that failed.
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
 )
 
+// AtOnce is the wait of a call behind one that failed: what matters then is to
+// know again soon, and an answer tells of the moment at which it was asked for.
+const AtOnce = time.Millisecond
+
 // Config is what a Follower needs.
 type Config struct {
 	Source Source
@@ -55,15 +58,13 @@
 	table     atomic.Pointer[route.Table]
 	config    atomic.Pointer[route.Config]
 	directory atomic.Pointer[directory.Directory]
-	// confirmed is when the reading was sent that last confirmed the table, by
+	// confirmed is when the call was sent that last confirmed what is known, by
 	// the clock; nil before the first.
 	confirmed atomic.Pointer[time.Time]
-	// listed is when the reading was sent that last confirmed the list.
-	listed atomic.Pointer[time.Time]
-	// revision is the source's newest that was heard of.
-	revision atomic.Uint64
-	source   link
-	list     link
+	source    link
+	// keepAbsentUntil is until when endpoints stay that the list lacks after an
+	// outage. Only Run uses it.
+	keepAbsentUntil time.Time
 }
 
 // New returns a follower that knows nothing until Run.
@@ -73,8 +74,7 @@
 	}
 	f := &Follower{cfg: cfg}
 	f.directory.Store(directory.Empty())
-	f.source = link{name: "configuration", log: cfg.Log}
-	f.list = link{name: "list of endpoints", log: cfg.Log}
+	f.source = link{name: "configuration and list of endpoints", log: cfg.Log}
 	return f
 }
 
@@ -84,92 +84,119 @@
 // Directory is the newest list of endpoints; it is empty before the first.
 func (f *Follower) Directory() *directory.Directory { return f.directory.Load() }
 
-// never is the age of knowledge that there is none of.
-const never = time.Duration(1<<63 - 1)
-
-// Age is how long ago the table was certainly the newest.
-func (f *Follower) Age() time.Duration { return f.since(f.confirmed.Load()) }
-
-// ListAge is how long ago the list was read.
-func (f *Follower) ListAge() time.Duration { return f.since(f.listed.Load()) }
-
 // Config is what the table was built from, nil before the first was read.
 func (f *Follower) Config() *route.Config { return f.config.Load() }
 
-// Revision is the newest of the source's counter of changes that was heard of.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+// never is the age of knowledge that there is none of.
+const never = time.Duration(1<<63 - 1)
 
-func (f *Follower) since(at *time.Time) time.Duration {
+// Age is how long ago the table and the list were certainly the newest.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
 	if at == nil {
 		return never
 	}
 	return f.cfg.Clock().Sub(*at)
 }
 
-// Run follows the source until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	var both sync.WaitGroup
-	both.Go(func() { f.followTable(ctx) })
-	both.Go(func() { f.followList(ctx) })
-	both.Wait()
+// want is what to ask of the source next.
+type want struct {
+	// whole asks for everything rather than for what changed, and fresh for no
+	// cheaper reading.
+	whole, fresh bool
+	wait         time.Duration
 }
 
-func (f *Follower) followTable(ctx context.Context) {
-	var after uint64 // 0 has the whole read
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	next := want{whole: true}
 	pause := firstPause
 	for ctx.Err() == nil {
-		revision, err := f.nextTable(ctx, after)
-		switch {
-		case err == nil:
-			after = revision
+		sent := time.Now()
+		err := f.step(ctx, next)
+		if err == nil {
+			f.source.worked()
+			next = want{wait: f.nextWait(time.Now())}
 			pause = firstPause
+			clock.Sleep(ctx, f.cfg.Timing.Pace-time.Since(sent))
 			continue
-		case ctx.Err() != nil:
-			return
-		case !errors.Is(err, ErrHistoryLost):
-			f.source.failed(err)
 		}
-		after = 0
-		if !clock.Sleep(ctx, pause) {
+		if ctx.Err() != nil {
 			return
 		}
+		next = f.afterFailure(next, err)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
 
-// nextTable reads the table, or waits for a change behind a revision, and
-// returns the revision to go on from.
-func (f *Follower) nextTable(ctx context.Context, after uint64) (uint64, error) {
+// nextWait is how long the next call waits: no longer than until endpoints that
+// are only kept for a while are to be dropped.
+func (f *Follower) nextWait(now time.Time) time.Duration {
+	wait := f.cfg.Timing.Wait
+	if left := f.keepAbsentUntil.Sub(now); left > 0 {
+		wait = min(wait, left+time.Millisecond)
+	}
+	return wait
+}
+
+// afterFailure is what to ask for after a call that failed. What changed while
+// the source was away it still knows, unless it says otherwise.
+func (f *Follower) afterFailure(last want, err error) want {
+	var unusable *UnusableError
+	switch {
+	case errors.Is(err, ErrHistoryLost):
+		// A cheap reading may be older than what was known before.
+		return want{whole: true, fresh: true}
+	case errors.As(err, &unusable):
+		return want{whole: true}
+	}
+	f.source.failed(err)
+	last.wait = AtOnce
+	return last
+}
+
+// step asks the source once and takes in what it says.
+func (f *Follower) step(ctx context.Context, w want) error {
 	sent := f.cfg.Clock()
-	r, err := f.askTable(ctx, after)
+	r, err := f.ask(ctx, w)
 	if err != nil {
-		return 0, err
+		return err
 	}
+	at := sent.Add(-r.Age)
+	f.merge(r.List, at)
 	if r.Config != nil {
 		if err := f.take(r.Config); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	f.confirm(sent.Add(-r.Age))
-	f.heard(r.Revision)
-	f.source.worked()
-	return r.Revision, nil
+	f.confirm(at)
+	return nil
 }
 
-func (f *Follower) askTable(ctx context.Context, after uint64) (Reading, error) {
-	t := f.cfg.Timing
-	if after == 0 {
-		ctx, cancel := context.WithTimeout(ctx, t.Read)
-		defer cancel()
-		return f.cfg.Source.Config(ctx)
+func (f *Follower) ask(ctx context.Context, w want) (Reading, error) {
+	if w.whole {
+		return f.cfg.Source.Read(ctx, w.fresh)
 	}
-	ctx, cancel := context.WithTimeout(ctx, t.Wait+t.Slack)
+	ctx, cancel := context.WithTimeout(ctx, w.wait+f.cfg.Timing.Slack)
 	defer cancel()
-	return f.cfg.Source.AwaitConfig(ctx, after, t.Wait)
+	return f.cfg.Source.Await(ctx, f.Directory().Revision(), w.wait)
+}
+
+// UnusableError is a configuration that can't be put in force.
+type UnusableError struct {
+	Version uint64
+	Cause   error
 }
 
+// Error implements error.
+func (e *UnusableError) Error() string { return "follow: configuration: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnusableError) Unwrap() error { return e.Cause }
+
 // take puts a configuration in force unless a newer one is. One that can't be
-// used leaves the last in force.
+// used leaves the last in force. Its error is an *UnusableError.
 func (f *Follower) take(c *route.Config) error {
 	old := f.table.Load()
 	if old != nil && c.Version <= old.Version() {
@@ -178,7 +205,7 @@
 	table, err := route.NewTable(*c)
 	if err != nil {
 		f.cfg.Log.Error().Err(err).Uint64("version", c.Version).Msg("a configuration was refused; the last one stays")
-		return err
+		return &UnusableError{Version: c.Version, Cause: err}
 	}
 	f.table.Store(table)
 	f.config.Store(c)
@@ -186,21 +213,25 @@
 	return nil
 }
 
-// confirm notes that the table was the newest at a moment. One that is earlier
-// than another says nothing new.
+// merge takes in what a reading says of the list as of a moment. The first
+// reading after an outage lacks entries of endpoints that live and will be back.
+func (f *Follower) merge(r directory.Reading, at time.Time) {
+	now := time.Now()
+	if last := f.confirmed.Load(); last != nil && at.Sub(*last) > f.cfg.Timing.Outage {
+		f.keepAbsentUntil = now.Add(f.cfg.Timing.Return)
+	}
+	next, changed := f.Directory().Merge(r, now, f.keepAbsentUntil)
+	f.directory.Store(next)
+	if changed {
+		f.cfg.OnDirectory(next)
+	}
+}
+
+// confirm notes that what is known was the newest at a moment. One that is
+// earlier than another says nothing new.
 func (f *Follower) confirm(at time.Time) {
 	if old := f.confirmed.Load(); old != nil && !at.After(*old) {
 		return
 	}
 	f.confirmed.Store(&at)
 }
-
-// heard notes the source's counter of changes.
-func (f *Follower) heard(revision uint64) {
-	for {
-		old := f.revision.Load()
-		if revision <= old || f.revision.CompareAndSwap(old, revision) {
-			return
-		}
-	}
-}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,14 +29,25 @@
 	// oldEntries is what a cheap reading of the list gives, if set.
 	oldEntries  []directory.Entry
 	oldRevision uint64
+	history     []change
 	changed     chan struct{}
 
-	away     bool
-	lost     bool // the next waiting call finds no history
-	delay    time.Duration
-	watches  int
-	configs  int
-	freshers int
+	away      bool
+	lost      bool // the next waiting call finds no history
+	delay     time.Duration
+	peerAge   time.Duration
+	watches   int
+	reads     int
+	freshens  int
+	unusable  bool
+	lastAfter uint64
+}
+
+// change is what a revision did to the list.
+type change struct {
+	revision uint64
+	set      []directory.Entry
+	gone     []string
 }
 
 func newSource() *source {
@@ -48,6 +60,7 @@
 	return directory.Entry{Endpoint: bundle.Endpoint{Name: name, Address: name, Services: []string{"s"}}}
 }
 
+// set makes a change that waiting calls are told of.
 func (s *source) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,28 +70,70 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *source) reading() follow.Reading {
-	return follow.Reading{Config: &route.Config{Version: s.version}, Revision: s.revision}
+// leave removes an endpoint.
+func (s *source) leave(name string) {
+	s.set(func() {
+		s.entries = slices.DeleteFunc(slices.Clone(s.entries), func(e directory.Entry) bool { return e.Endpoint.Name == name })
+		s.history = append(s.history, change{revision: s.revision + 1, gone: []string{name}})
+	})
 }
 
-func (s *source) Config(ctx context.Context) (follow.Reading, error) {
+// enter adds one.
+func (s *source) enter(name string) {
+	s.set(func() {
+		s.entries = append(slices.Clone(s.entries), entry(name))
+		s.history = append(s.history, change{revision: s.revision + 1, set: []directory.Entry{entry(name)}})
+	})
+}
+
+func (s *source) config() *route.Config {
+	c := &route.Config{Version: s.version}
+	if s.unusable {
+		c.Routes = []route.Route{{Name: "r"}} // without a host, a prefix or a service
+	}
+	return c
+}
+
+func (s *source) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configs++
+	s.reads++
 	if s.away {
 		return follow.Reading{}, errAway
 	}
-	return s.reading(), nil
+	r := follow.Reading{Config: s.config(), List: directory.Reading{Whole: true, Entries: s.entries, Revision: s.revision}}
+	if fresh {
+		s.freshens++
+	} else if s.oldEntries != nil {
+		r.List.Entries, r.List.Revision = s.oldEntries, s.oldRevision
+	}
+	return r, nil
+}
+
+// news is what changed after a revision. s.mu is held.
+func (s *source) news(after uint64) follow.Reading {
+	r := follow.Reading{List: directory.Reading{Revision: s.revision}, Age: s.peerAge}
+	if s.revision > after {
+		r.Config = s.config()
+	}
+	for _, c := range s.history {
+		if c.revision > after {
+			r.List.Entries = append(r.List.Entries, c.set...)
+			r.List.Gone = append(r.List.Gone, c.gone...)
+		}
+	}
+	return r
 }
 
-func (s *source) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *source) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	s.mu.Lock()
 	s.watches++
+	s.lastAfter = after
 	away, lost, changed := s.away, s.lost, s.changed
 	s.lost = false
 	if s.revision > after && !away && !lost {
 		defer s.mu.Unlock()
-		return s.reading(), nil
+		return s.news(after), nil
 	}
 	s.mu.Unlock()
 	if lost {
@@ -90,34 +145,18 @@
 	}
 	select {
 	case <-changed:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.reading(), nil
 	case <-time.After(wait + s.delay):
-		return follow.Reading{Revision: after}, nil
 	case <-ctx.Done():
 		return follow.Reading{}, ctx.Err()
 	}
-}
-
-func (s *source) Endpoints(ctx context.Context, fresh bool) (directory.Reading, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
-		return directory.Reading{}, errAway
-	}
-	if !fresh && s.oldEntries != nil {
-		return directory.Reading{Entries: s.oldEntries, Revision: s.oldRevision}, nil
-	}
-	if fresh {
-		s.freshers++
-	}
-	return directory.Reading{Entries: s.entries, Revision: s.revision}, nil
+	return s.news(after), nil
 }
 
 var timing = follow.Timing{
-	Wait: time.Second, Slack: 400 * time.Millisecond, ListEvery: 500 * time.Millisecond,
-	Read: 600 * time.Millisecond, Return: 2500 * time.Millisecond,
+	Wait: time.Second, Slack: 400 * time.Millisecond, Pace: 200 * time.Millisecond,
+	Outage: 1800 * time.Millisecond, Return: 2500 * time.Millisecond,
 }
 
 // play runs a follower of the source in a bubble of fake time.
@@ -195,24 +234,53 @@
 		after(time.Millisecond)
 		s.mu.Lock()
 		s.lost = true
-		s.version = 9 // changed where no watch saw it
+		s.version = 9 // changed where no call was told of it
+		s.entries, s.oldEntries = s.entries[:1], s.entries
 		s.mu.Unlock()
-		after(1200 * time.Millisecond)
+		after(1500 * time.Millisecond)
 		g.Expect(f.Table().Version()).To(Equal(uint64(9)))
+		g.Expect(f.Directory().For("s")).To(HaveLen(1))
+		g.Expect(s.freshens).To(Equal(1), "a cheap reading may be older than what was known")
+	})
+}
+
+func TestACheapReadingThatIsOldIsCaughtUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSource()
+		s.oldEntries, s.oldRevision = s.entries, s.revision
+		s.leave("b")
+		f := follow.New(follow.Config{Source: s, Timing: timing, Log: zerolog.Nop(), Clock: time.Now, OnDirectory: func(*directory.Directory) {}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		after(timing.Pace)
+		g.Expect(f.Directory().For("s")).To(HaveLen(1))
+		g.Expect(s.reads).To(Equal(1))
 	})
 }
 
-func TestAListOlderThanWhatIsKnownIsReadAgain(t *testing.T) {
+func TestEndpointsComeAndGoWithoutReadingTheListAgain(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
-		after(100 * time.Millisecond)
-		s.set(func() {
-			s.oldEntries, s.oldRevision = s.entries, s.revision
-			s.entries = s.entries[:1]
-			s.version = 2
-		})
-		after(600 * time.Millisecond)
+		after(300 * time.Millisecond)
+		s.leave("a")
+		synctest.Wait()
 		g.Expect(f.Directory().For("s")).To(HaveLen(1))
-		g.Expect(s.freshers).To(BeNumerically(">", 0))
+		s.enter("c")
+		after(timing.Pace)
+		g.Expect(f.Directory().For("s")).To(HaveLen(2))
+		g.Expect(s.reads).To(Equal(1))
+	})
+}
+
+func TestChangesWithoutEndAreAskedForAtAPace(t *testing.T) {
+	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		for range 1000 {
+			s.set(func() { s.version++ })
+			after(10 * time.Millisecond)
+		}
+		g.Expect(s.watches).To(BeNumerically("<=", 52))
+		g.Expect(f.Age()).To(BeNumerically("<=", 2*timing.Pace))
 	})
 }
 
@@ -223,7 +291,10 @@
 		s.away = true
 		s.mu.Unlock()
 		after(4 * time.Second)
-		s.set(func() { s.away, s.entries = false, s.entries[:1] })
+		s.leave("b")
+		s.mu.Lock()
+		s.away = false
+		s.mu.Unlock()
 		after(time.Second)
 		g.Expect(f.Directory().For("s")).To(HaveLen(2))
 		after(3 * time.Second)
@@ -231,11 +302,60 @@
 	})
 }
 
+func TestAnOutageThatOnlyThePeersNoticedKeepsEntriesToo(t *testing.T) {
+	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		after(100 * time.Millisecond)
+		s.mu.Lock()
+		s.peerAge = 2500 * time.Millisecond // all calls succeed, what they tell is old
+		s.mu.Unlock()
+		after(3 * time.Second)
+		s.mu.Lock()
+		s.peerAge = 0
+		s.mu.Unlock()
+		s.leave("b")
+		after(500 * time.Millisecond)
+		g.Expect(f.Directory().For("s")).To(HaveLen(2))
+		after(4 * time.Second)
+		g.Expect(f.Directory().For("s")).To(HaveLen(1))
+	})
+}
+
+func TestAfterAFailedCallTheNextDoesNotWait(t *testing.T) {
+	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		after(300 * time.Millisecond)
+		s.mu.Lock()
+		s.away = true
+		s.mu.Unlock()
+		after(3 * time.Second)
+		s.mu.Lock()
+		s.away = false
+		s.mu.Unlock()
+		// A call that is under way fails within the slack, and a pause follows.
+		after(timing.Slack + 450*time.Millisecond)
+		g.Expect(f.Age()).To(BeNumerically("<", timing.Slack+450*time.Millisecond))
+		g.Expect(s.reads).To(Equal(1), "what changed meanwhile is known without reading the whole")
+	})
+}
+
+func TestAConfigurationThatCannotBeUsedLeavesTheLastAndTheListFollowed(t *testing.T) {
+	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		after(300 * time.Millisecond)
+		s.set(func() { s.version, s.unusable = 7, true })
+		after(time.Second)
+		s.leave("b")
+		after(time.Second)
+		g.Expect(f.Table().Version()).To(Equal(uint64(1)))
+		g.Expect(f.Directory().For("s")).To(HaveLen(1))
+		s.set(func() { s.version, s.unusable = 8, false })
+		after(time.Second)
+		g.Expect(f.Table().Version()).To(Equal(uint64(8)))
+	})
+}
+
 func TestCallsStayFewWhileNothingChanges(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(30 * time.Second)
 		g.Expect(s.watches).To(BeNumerically("<=", 31))
-		g.Expect(s.configs).To(Equal(1))
-		g.Expect(s.freshers).To(BeZero())
+		g.Expect(s.reads).To(Equal(1))
 	})
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -16,25 +16,82 @@
 // The whole has to be read again.
 var ErrHistoryLost = errors.New("follow: the source no longer holds this history")
 
-// Reading is what a source says of the configuration.
+// Reading is what a source says of the configuration and of the list of
+// endpoints. The revision of both is that of the list.
 type Reading struct {
 	// Config is nil if it didn't change.
 	Config *route.Config
-	// Revision is the source's counter of changes when it answered.
-	Revision uint64
+	List   directory.Reading
 	// Age is how old the reading may have been when it was asked for; 0 if the
-	// source itself answered.
+	// service itself answered.
 	Age time.Duration
 }
 
-// Source is the service that is read.
+// Source is what a Follower reads.
 type Source interface {
-	// Config reads the newest configuration.
-	Config(ctx context.Context) (Reading, error)
-	// AwaitConfig waits for a change after the revision, at most for wait. Its
-	// error is ErrHistoryLost if the revision is too old.
-	AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
-	// Endpoints reads the whole list. One that needn't be fresh costs less and
-	// may be seconds old.
-	Endpoints(ctx context.Context, fresh bool) (directory.Reading, error)
+	// Read reads everything. A reading that needn't be fresh costs less; its
+	// list may be seconds old, as its revision then tells.
+	Read(ctx context.Context, fresh bool) (Reading, error)
+	// Await waits for a change after the revision, at most for wait, and tells
+	// what changed. Its error is ErrHistoryLost if the revision is too old.
+	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+}
+
+// Store is the service behind all sources, by its calls.
+type Store interface {
+	// Config reads the newest configuration, and the revision at that time.
+	Config(ctx context.Context) (*route.Config, uint64, error)
+	// Page reads a part of the list, behind the name that ended the part
+	// before. One that needn't be fresh costs less and may be seconds old.
+	Page(ctx context.Context, behind string, fresh bool) (Page, error)
+	// Await is as in Source.
+	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+}
+
+// Page is a part of the list.
+type Page struct {
+	Entries  []directory.Entry
+	Revision uint64
+	// Next is the name behind which the next page begins; empty for the last.
+	Next string
+}
+
+// Reader reads a store. It implements Source.
+type Reader struct {
+	Store
+	// CallTimeout bounds each call of Read.
+	CallTimeout time.Duration
+}
+
+// Read implements Source.
+func (r Reader) Read(ctx context.Context, fresh bool) (Reading, error) {
+	config, revision, err := r.config(ctx)
+	if err != nil {
+		return Reading{}, err
+	}
+	// The pages are no snapshot, and the configuration was read at another time:
+	// what is known for certain is what the oldest of them says.
+	whole := Reading{Config: config, List: directory.Reading{Whole: true, Revision: revision}}
+	for behind, more := "", true; more; more = behind != "" {
+		page, err := r.page(ctx, behind, fresh)
+		if err != nil {
+			return Reading{}, err
+		}
+		whole.List.Revision = min(whole.List.Revision, page.Revision)
+		whole.List.Entries = append(whole.List.Entries, page.Entries...)
+		behind = page.Next
+	}
+	return whole, nil
+}
+
+func (r Reader) config(ctx context.Context) (*route.Config, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
+	defer cancel()
+	return r.Store.Config(ctx)
+}
+
+func (r Reader) page(ctx context.Context, behind string, fresh bool) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
+	defer cancel()
+	return r.Store.Page(ctx, behind, fresh)
 }
--- a/internal/peers/direct.go
+++ b/internal/peers/direct.go
@@ -7,24 +7,29 @@
 
 	"github.com/cockroachdb/errors"
 
-	"coveferry/internal/directory"
 	"coveferry/internal/follow"
 )
 
+// silentFor is how long after a failed call nothing is said of the source any more:
+// a router that others tell the news may never call it again. Those that go on
+// calling do so more often, also where each call takes until its timeout.
+const silentFor = 3 * directEvery
+
 // watched is a source that knows for how long its calls have failed.
 type watched struct {
 	follow.Source
 	mu sync.Mutex
 	// failing is when the first call failed that no success has followed; zero
-	// while calls succeed or none was made.
-	failing time.Time
+	// while calls succeed or none was made. failed is when the last one did.
+	failing, failed time.Time
 }
 
-// lost is for how long calls have failed; 0 while they succeed.
+// lost is for how long calls have failed; 0 while they succeed, or if none was
+// made lately.
 func (w *watched) lost() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failing.IsZero() {
+	if w.failing.IsZero() || time.Since(w.failed) > silentFor {
 		return 0
 	}
 	return time.Since(w.failing)
@@ -34,38 +39,33 @@
 func (w *watched) note(sent time.Time, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case err == nil || errors.Is(err, follow.ErrHistoryLost):
+	now := time.Now()
+	if err == nil || errors.Is(err, follow.ErrHistoryLost) {
 		w.failing = time.Time{}
-	case w.failing.IsZero():
+		return
+	}
+	if w.failing.IsZero() || now.Sub(w.failed) > silentFor {
 		w.failing = sent
 	}
+	w.failed = now
 }
 
-// Config implements follow.Source.
-func (w *watched) Config(ctx context.Context) (follow.Reading, error) {
-	sent := time.Now()
-	r, err := w.Source.Config(ctx)
-	w.note(sent, err)
-	return r, err
-}
-
-// AwaitConfig implements follow.Source. A source that lost its history answers.
-func (w *watched) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+// Read implements follow.Source.
+func (w *watched) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
 	sent := time.Now()
-	r, err := w.Source.AwaitConfig(ctx, after, wait)
+	r, err := w.Source.Read(ctx, fresh)
 	w.note(sent, err)
 	return r, err
 }
 
-// Endpoints implements follow.Source.
-func (w *watched) Endpoints(ctx context.Context, fresh bool) (directory.Reading, error) {
+// Await implements follow.Source. A source that lost its history answers.
+func (w *watched) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	sent := time.Now()
-	r, err := w.Source.Endpoints(ctx, fresh)
+	r, err := w.Source.Await(ctx, after, wait)
 	w.note(sent, err)
 	return r, err
 }
 
 // SourceLost is for how long this router's own calls to the source have failed, 0
-// while they succeed or it makes none. What it knows may be fresh all the same.
+// while they succeed or it made none lately. What it knows may be fresh all the same.
 func (s *Source) SourceLost() time.Duration { return s.direct.lost() }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -14,11 +14,19 @@
 // takes, and short enough to ask another one or the source itself.
 const callTimeout = 300 * time.Millisecond
 
+// pageTimeout bounds a call for a part of everything, and maxPage the endpoints
+// in it: with some 200 bytes each a part takes a tenth of a second on a link of
+// 10 Mbit/s, and the configuration of some hundred routes as long again.
+const (
+	pageTimeout = time.Second
+	maxPage     = 500
+)
+
 // Methods of routers that share what they read.
 var (
-	methodHello  = control.NewMethod[helloRequest, helloReply]("peers.hello", identity.RoleRouter).WithTimeout(callTimeout)
-	methodConfig = control.NewMethod[configRequest, configReply]("peers.config", identity.RoleRouter).WithTimeout(callTimeout)
-	methodList   = control.NewMethod[listRequest, listReply]("peers.list", identity.RoleRouter).WithTimeout(callTimeout)
+	methodHello = control.NewMethod[helloRequest, helloReply]("peers.hello", identity.RoleRouter).WithTimeout(callTimeout)
+	methodNews  = control.NewMethod[newsRequest, newsReply]("peers.news", identity.RoleRouter).WithTimeout(callTimeout)
+	methodPage  = control.NewMethod[pageRequest, pageReply]("peers.page", identity.RoleRouter).WithTimeout(pageTimeout)
 )
 
 // Member is a router as others know it.
@@ -46,34 +54,45 @@
 	Demand balance.Demand `json:"demand"`
 }
 
-type configRequest struct {
+// newsRequest asks what changed since what the asker knows.
+type newsRequest struct {
 	From Member `json:"from"`
-	// Version is the one that the asker has.
-	Version uint64         `json:"version"`
-	Demand  balance.Demand `json:"demand"`
+	// Version is that of the asker's configuration, 0 if it has none.
+	Version uint64 `json:"version"`
+	// Revision and Digest are those of the asker's list.
+	Revision uint64         `json:"revision"`
+	Digest   uint64         `json:"digest"`
+	Demand   balance.Demand `json:"demand"`
 }
 
-type configReply struct {
+type newsReply struct {
 	// Config is nil if the asker has it already.
-	Config   *route.Config `json:"config,omitempty"`
-	Revision uint64        `json:"revision"`
-	// AgeMillis is how long ago the configuration was certainly the newest.
+	Config *route.Config `json:"config,omitempty"`
+	// Entries are those of the list that changed, and Gone the names of those
+	// that left. Lost says that this isn't known: the whole has to be read.
+	Entries  []directory.Entry `json:"entries,omitempty"`
+	Gone     []string          `json:"gone,omitempty"`
+	Lost     bool              `json:"lost,omitempty"`
+	Revision uint64            `json:"revision"`
+	// AgeMillis is how long ago all this was certainly the newest.
 	AgeMillis int64 `json:"age_ms"`
 	// Demand is what all requests ask for that the reader knows of, but for
 	// the asker's.
 	Demand balance.Demand `json:"demand"`
 }
 
-type listRequest struct {
+// pageRequest asks for everything, in parts.
+type pageRequest struct {
 	From Member `json:"from"`
-	// Digest is that of the list which the asker has.
-	Digest uint64 `json:"digest"`
+	// Behind is the endpoint that ended the last part; empty asks for the first
+	// part, and the configuration with it.
+	Behind string `json:"behind,omitempty"`
 }
 
-type listReply struct {
-	// Same says that the asker has the list already.
-	Same      bool              `json:"same,omitempty"`
-	Entries   []directory.Entry `json:"entries,omitempty"`
+type pageReply struct {
+	Config    *route.Config     `json:"config,omitempty"`
+	Entries   []directory.Entry `json:"entries"`
+	More      bool              `json:"more,omitempty"`
 	Revision  uint64            `json:"revision"`
 	AgeMillis int64             `json:"age_ms"`
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -39,26 +39,32 @@
 // helloEvery is the time between two words to other routers.
 const helloEvery = time.Second
 
+// directEvery is the least time between two calls to the source by a router that
+// doesn't read for others: where nobody knows more, its readers are asking already.
+const directEvery = 800 * time.Millisecond
+
 // Source implements follow.Source by asking peers, or the source behind them.
 type Source struct {
 	cfg     Config
 	members *members
 	demands demands
+	log     changelog
 	direct  *watched // the source itself
 	mu      sync.Mutex
 	// state is what this router itself believes, and tells others.
 	state State
 	hello int // counts the words sent, to take the seeds in turn
+	// asked is when this router last asked the source though it isn't a reader.
+	asked time.Time
 }
 
 // State is what a router tells others. See follow.Follower.
 type State interface {
 	// Config is the configuration in force; nil before the first.
 	Config() *route.Config
-	Age() time.Duration
-	Revision() uint64
 	Directory() *directory.Directory
-	ListAge() time.Duration
+	// Age is how long ago both were certainly the newest.
+	Age() time.Duration
 }
 
 // New returns a source that is alone until Run.
@@ -79,120 +85,159 @@
 	return s.state
 }
 
-// Config implements follow.Source.
-func (s *Source) Config(ctx context.Context) (follow.Reading, error) {
-	if !s.members.isReader(time.Now()) {
-		r, err := s.configFromPeers(ctx)
-		if err == nil {
+// Read implements follow.Source.
+func (s *Source) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
+	reader := s.members.isReader(time.Now())
+	if !reader {
+		if r, err := s.ask(ctx, s.readPages); err == nil {
 			return r, nil
 		}
 	}
-	r, err := s.direct.Config(ctx)
-	if err == nil || ctx.Err() != nil {
+	r, err := s.direct.Read(ctx, fresh)
+	if err == nil || !reader || ctx.Err() != nil {
 		return r, err
 	}
 	// The source may turn away this router alone.
-	heard, peerErr := s.configFromPeers(context.WithoutCancel(ctx))
+	heard, peerErr := s.ask(ctx, s.readPages)
 	if peerErr != nil {
 		return follow.Reading{}, errors.CombineErrors(err, peerErr)
 	}
 	return heard, nil
 }
 
-// AwaitConfig implements follow.Source. A router that doesn't read asks its
-// readers again and again instead of waiting at the source.
-func (s *Source) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+// Await implements follow.Source. A router that doesn't read asks its readers
+// again and again instead of waiting at the source.
+func (s *Source) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	if s.members.isReader(time.Now()) {
-		return s.direct.AwaitConfig(ctx, after, wait)
+		return s.awaitAsReader(ctx, after, wait)
 	}
-	if !clock.Sleep(ctx, s.cfg.Every) {
+	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
 		return follow.Reading{}, ctx.Err()
 	}
-	r, err := s.configFromPeers(ctx)
-	if err == nil {
-		return r, nil
+	r, err := s.ask(ctx, s.askNews)
+	if err == nil || errors.Is(err, follow.ErrHistoryLost) || !s.mayAskDirectly(time.Now()) {
+		return r, err
 	}
-	return s.direct.Config(ctx)
+	return s.direct.Await(ctx, after, follow.AtOnce)
 }
 
-// configFromPeers asks the nearest readers in turn.
-func (s *Source) configFromPeers(ctx context.Context) (follow.Reading, error) {
-	err := errAlone
-	for _, peer := range s.members.sources(time.Now()) {
-		var r follow.Reading
-		if r, err = s.askConfig(ctx, peer); err == nil {
-			return r, nil
-		}
+// awaitAsReader asks the source, and if it fails the readers of other failure
+// domains: the source may turn away this router alone.
+func (s *Source) awaitAsReader(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	r, err := s.awaitDirectly(ctx, after, wait)
+	if err == nil || errors.Is(err, follow.ErrHistoryLost) || errors.Is(ctx.Err(), context.Canceled) {
+		return r, err
 	}
-	return follow.Reading{}, err
+	heard, peerErr := s.ask(context.WithoutCancel(ctx), s.askNews)
+	if peerErr == nil || errors.Is(peerErr, follow.ErrHistoryLost) {
+		return heard, peerErr
+	}
+	return follow.Reading{}, errors.CombineErrors(err, peerErr)
 }
 
-func (s *Source) askConfig(ctx context.Context, peer Member) (follow.Reading, error) {
-	version := uint64(0)
-	if own := s.own(); own != nil && own.Config() != nil {
-		version = own.Config().Version
-	}
-	sent := time.Now()
-	reply, err := control.Call(ctx, s.client(peer.Address), methodConfig, configRequest{From: s.cfg.Self, Version: version, Demand: s.demands.ask()})
-	if err := s.note(peer, sent, err); err != nil {
-		return follow.Reading{}, err
+// awaitDirectly waits at the source. While its calls fail they don't wait: peers
+// tell the news, and what matters is to notice that the source is back.
+func (s *Source) awaitDirectly(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	if s.direct.lost() == 0 {
+		return s.direct.Await(ctx, after, wait)
 	}
-	s.demands.tell(reply.Demand, sent)
-	age := time.Duration(reply.AgeMillis) * time.Millisecond
-	if age > s.cfg.MaxAge {
-		return follow.Reading{}, errors.Newf("peers: what %s knows is %s old", peer.VM, age)
+	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
+		return follow.Reading{}, ctx.Err()
 	}
-	return follow.Reading{Config: reply.Config, Revision: reply.Revision, Age: age}, nil
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.direct.Await(ctx, after, follow.AtOnce)
 }
 
-// Endpoints implements follow.Source.
-func (s *Source) Endpoints(ctx context.Context, fresh bool) (directory.Reading, error) {
-	if !fresh && !s.members.isReader(time.Now()) {
-		if r, err := s.listFromPeers(ctx); err == nil {
-			return r, nil
-		}
-	}
-	r, err := s.direct.Endpoints(ctx, fresh)
-	if err == nil || ctx.Err() != nil || !s.members.isReader(time.Now()) {
-		return r, err
+// mayAskDirectly says whether this router, which isn't a reader, may ask the
+// source now, and if so notes that it does.
+func (s *Source) mayAskDirectly(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.asked) < directEvery {
+		return false
 	}
-	return s.listFromPeers(ctx)
+	s.asked = now
+	return true
 }
 
-// listFromPeers asks the nearest readers in turn.
-func (s *Source) listFromPeers(ctx context.Context) (directory.Reading, error) {
+// errAlone is that there is nobody to ask.
+var errAlone = errors.New("peers: no other router is known")
+
+// ask has the nearest readers asked in turn.
+func (s *Source) ask(ctx context.Context, one func(context.Context, Member) (follow.Reading, error)) (follow.Reading, error) {
 	err := errAlone
 	for _, peer := range s.members.sources(time.Now()) {
-		var r directory.Reading
-		if r, err = s.askList(ctx, peer); err == nil {
-			return r, nil
+		var r follow.Reading
+		if r, err = one(ctx, peer); err == nil || errors.Is(err, follow.ErrHistoryLost) {
+			return r, err
 		}
 	}
-	return directory.Reading{}, err
+	return follow.Reading{}, err
 }
 
-// errAlone is that there is nobody to ask.
-var errAlone = errors.New("peers: no other router is known")
-
-func (s *Source) askList(ctx context.Context, peer Member) (directory.Reading, error) {
+// askNews asks a peer what changed since what this router knows.
+func (s *Source) askNews(ctx context.Context, peer Member) (follow.Reading, error) {
 	own := s.own()
 	if own == nil {
-		return directory.Reading{}, errNothing
+		return follow.Reading{}, errNothing
+	}
+	have := own.Directory().Listed()
+	req := newsRequest{From: s.cfg.Self, Revision: have.Revision(), Digest: have.Digest(), Demand: s.demands.ask()}
+	if c := own.Config(); c != nil {
+		req.Version = c.Version
 	}
-	have := own.Directory()
 	sent := time.Now()
-	reply, err := control.Call(ctx, s.client(peer.Address), methodList, listRequest{From: s.cfg.Self, Digest: have.Digest()})
+	reply, err := control.Call(ctx, s.client(peer.Address), methodNews, req)
 	if err := s.note(peer, sent, err); err != nil {
-		return directory.Reading{}, err
+		return follow.Reading{}, err
 	}
-	age := time.Duration(reply.AgeMillis) * time.Millisecond
+	s.demands.tell(reply.Demand, sent)
+	age, err := s.checkAge(peer, reply.AgeMillis)
+	if err != nil {
+		return follow.Reading{}, err
+	}
+	if reply.Lost {
+		return follow.Reading{}, errors.Wrapf(follow.ErrHistoryLost, "peers: %s", peer.VM)
+	}
+	list := directory.Reading{Entries: reply.Entries, Gone: reply.Gone, Revision: reply.Revision}
+	return follow.Reading{Config: reply.Config, List: list, Age: age}, nil
+}
+
+// checkAge turns the age of what a peer knows; its error says that it is too old.
+func (s *Source) checkAge(peer Member, millis int64) (time.Duration, error) {
+	age := time.Duration(millis) * time.Millisecond
 	if age > s.cfg.MaxAge {
-		return directory.Reading{}, errors.Newf("peers: the list of %s is %s old", peer.VM, age)
+		return 0, errors.Newf("peers: what %s knows is %s old", peer.VM, age)
 	}
-	if reply.Same {
-		reply.Entries = have.Entries()
+	return age, nil
+}
+
+// readPages reads everything from a peer. What changes between its parts is told
+// as news afterwards, since the oldest revision counts.
+func (s *Source) readPages(ctx context.Context, peer Member) (follow.Reading, error) {
+	var whole follow.Reading
+	for behind, more := "", true; more; {
+		sent := time.Now()
+		reply, err := control.Call(ctx, s.client(peer.Address), methodPage, pageRequest{From: s.cfg.Self, Behind: behind})
+		if err := s.note(peer, sent, err); err != nil {
+			return follow.Reading{}, err
+		}
+		if behind == "" {
+			age, err := s.checkAge(peer, reply.AgeMillis)
+			if err != nil {
+				return follow.Reading{}, err
+			}
+			whole = follow.Reading{Config: reply.Config, Age: age, List: directory.Reading{Whole: true, Revision: reply.Revision}}
+		}
+		whole.List.Revision = min(whole.List.Revision, reply.Revision)
+		whole.List.Entries = append(whole.List.Entries, reply.Entries...)
+		more = reply.More && len(reply.Entries) > 0
+		if more {
+			behind = reply.Entries[len(reply.Entries)-1].Endpoint.Name
+		}
 	}
-	return directory.Reading{Entries: reply.Entries, Revision: reply.Revision, Age: age}, nil
+	return whole, nil
 }
 
 // note takes what a call shows of a peer: one that doesn't answer is asked no
@@ -215,8 +260,8 @@
 // Register has a server answer other routers.
 func (s *Source) Register(srv *control.Server) {
 	control.Register(srv, methodHello, s.serveHello)
-	control.Register(srv, methodConfig, s.serveConfig)
-	control.Register(srv, methodList, s.serveList)
+	control.Register(srv, methodNews, s.serveNews)
+	control.Register(srv, methodPage, s.servePage)
 }
 
 func (s *Source) serveHello(_ context.Context, _ identity.Peer, req helloRequest) (helloReply, error) {
@@ -229,40 +274,38 @@
 // errNothing is what a router says that knows nothing itself.
 var errNothing = errors.New("peers: nothing is known here yet")
 
-func (s *Source) serveConfig(_ context.Context, _ identity.Peer, req configRequest) (configReply, error) {
+func (s *Source) serveNews(_ context.Context, _ identity.Peer, req newsRequest) (newsReply, error) {
 	now := time.Now()
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From.VM, req.Demand, now)
 	own := s.own()
-	if own == nil || own.Config() == nil {
-		return configReply{}, errNothing
+	if own == nil || own.Config() == nil || own.Directory().Len() == 0 {
+		return newsReply{}, errNothing
 	}
 	// The age is taken first: what is told may be newer than it says.
-	reply := configReply{AgeMillis: own.Age().Milliseconds() + 1, Revision: own.Revision()}
+	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1}
 	reply.Demand = s.demands.ask().Plus(s.demands.sum(now, req.From.VM))
 	if c := own.Config(); c.Version > req.Version {
 		reply.Config = c
 	}
+	news, known := s.log.since(own.Directory().Listed(), req.Revision, req.Digest)
+	reply.Entries, reply.Gone, reply.Lost, reply.Revision = news.Entries, news.Gone, !known, news.Revision
 	return reply, nil
 }
 
-func (s *Source) serveList(_ context.Context, _ identity.Peer, req listRequest) (listReply, error) {
+func (s *Source) servePage(_ context.Context, _ identity.Peer, req pageRequest) (pageReply, error) {
 	s.members.hear(req.From, time.Now())
 	own := s.own()
-	if own == nil {
-		return listReply{}, errNothing
+	if own == nil || own.Config() == nil || own.Directory().Len() == 0 {
+		return pageReply{}, errNothing
 	}
-	if own.Directory().Len() == 0 {
-		return listReply{}, errNothing
+	reply := pageReply{AgeMillis: own.Age().Milliseconds() + 1}
+	if req.Behind == "" {
+		reply.Config = own.Config()
 	}
-	// The age is taken first: what is told may be newer than it says.
-	reply := listReply{AgeMillis: own.ListAge().Milliseconds() + 1}
 	d := own.Directory().Listed()
 	reply.Revision = d.Revision()
-	reply.Same = d.Digest() == req.Digest
-	if !reply.Same {
-		reply.Entries = d.Entries()
-	}
+	reply.Entries, reply.More = d.Page(req.Behind, maxPage)
 	return reply, nil
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -57,27 +57,29 @@
 	return v.version, nil
 }
 
-func (v view) Config(context.Context) (follow.Reading, error) {
+func (v view) reading(version uint64) follow.Reading {
+	e := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}
+	return follow.Reading{
+		Config: &route.Config{Version: version},
+		List:   directory.Reading{Whole: true, Entries: []directory.Entry{e}, Revision: version},
+	}
+}
+
+func (v view) Read(context.Context, bool) (follow.Reading, error) {
 	version, err := v.call()
-	return follow.Reading{Config: &route.Config{Version: version}, Revision: version}, err
+	return v.reading(version), err
 }
 
-func (v view) AwaitConfig(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (v view) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	version, err := v.call()
 	if err != nil {
 		return follow.Reading{}, err
 	}
 	if version > after {
-		return follow.Reading{Config: &route.Config{Version: version}, Revision: version}, nil
+		return v.reading(version), nil
 	}
 	clock.Sleep(ctx, wait)
-	return follow.Reading{Revision: after}, ctx.Err()
-}
-
-func (v view) Endpoints(context.Context, bool) (directory.Reading, error) {
-	version, err := v.call()
-	e := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}
-	return directory.Reading{Entries: []directory.Entry{e}, Revision: version}, err
+	return follow.Reading{List: directory.Reading{Revision: after}}, ctx.Err()
 }
 
 // node is a router as far as reading goes.
@@ -136,8 +138,8 @@
 	n.follower = follow.New(follow.Config{
 		Source: n.source, Log: zerolog.Nop(), Clock: time.Now,
 		Timing: follow.Timing{
-			Wait: time.Second, Slack: 400 * time.Millisecond, ListEvery: 500 * time.Millisecond,
-			Read: 600 * time.Millisecond, Return: 2500 * time.Millisecond,
+			Wait: time.Second, Slack: 400 * time.Millisecond, Pace: 200 * time.Millisecond,
+			Outage: 1800 * time.Millisecond, Return: 2500 * time.Millisecond,
 		},
 		OnDirectory: func(*directory.Directory) {},
 	})
@@ -200,10 +202,9 @@
 		g.Expect(f.readers()).To(HaveLen(2))
 		before := f.store.count()
 		time.Sleep(10 * time.Second)
-		// Two readers make a call a second that waits and two for the list, and
-		// others a few where an answer came late; each for itself, they would
-		// make 360.
-		g.Expect(f.store.count() - before).To(BeNumerically("<=", 90))
+		// Two readers make a call a second that waits; each for itself, the
+		// routers would make 120.
+		g.Expect(f.store.count() - before).To(BeNumerically("<=", 22))
 		f.set(7)
 		time.Sleep(1500 * time.Millisecond)
 		g.Expect(f.inForce(7)).To(Equal(12))
@@ -250,6 +251,22 @@
 	})
 }
 
+func TestARouterThatNoLongerAsksTheStoreHasNotLostIt(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		for _, n := range f.nodes {
+			f.turnAway(n.vm)
+		}
+		time.Sleep(4 * time.Second)
+		f.store.mu.Lock()
+		f.store.away = map[string]bool{}
+		f.store.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		for _, n := range f.nodes {
+			g.Expect(n.source.SourceLost()).To(BeZero(), n.vm)
+		}
+	})
+}
+
 func TestNobodyMakesOldKnowledgeYounger(t *testing.T) {
 	play(t, 6, func(g *WithT, f *fleet) {
 		f.turnAway("vm0", "vm1", "vm2", "vm3", "vm4", "vm5")
@@ -275,17 +292,78 @@
 	})
 }
 
-func TestAReplyTellsTheListOnlyWhereItDiffers(t *testing.T) {
+func TestAReplyTellsOnlyWhatDiffers(t *testing.T) {
 	play(t, 2, func(g *WithT, f *fleet) {
 		n := f.nodes[0]
-		have := n.follower.Directory().Digest()
-		reply, err := n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: have})
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(reply.Same).To(BeTrue())
+		have := n.follower.Directory()
+		ask := func(revision, digest uint64) newsReply {
+			reply, err := n.source.serveNews(context.Background(), peerOfTests, newsRequest{Version: 1, Revision: revision, Digest: digest})
+			g.Expect(err).NotTo(HaveOccurred())
+			return reply
+		}
+		reply := ask(have.Revision(), have.Digest())
+		g.Expect(reply.Lost).To(BeFalse())
+		g.Expect(reply.Config).To(BeNil())
 		g.Expect(reply.Entries).To(BeEmpty())
-		reply, err = n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: have + 1})
+		// A list of the same revision that differs can't be mended by changes.
+		g.Expect(ask(have.Revision(), have.Digest()+1).Lost).To(BeTrue())
+		g.Expect(ask(0, 0).Lost).To(BeTrue())
+		// One who knows more than this router learns nothing from it.
+		g.Expect(ask(have.Revision()+5, have.Digest()+1).Lost).To(BeFalse())
+		other := directory.Entry{Endpoint: bundle.Endpoint{Name: "f", Address: "b", Services: []string{"s"}}}
+		next, _ := have.Merge(directory.Reading{Entries: []directory.Entry{other}, Gone: []string{"e"}, Revision: 9}, time.Now(), time.Time{})
+		n.source.Tell(told{State: n.follower, directory: next})
+		reply = ask(have.Revision(), have.Digest())
+		g.Expect(reply.Entries).To(Equal([]directory.Entry{other}))
+		g.Expect(reply.Gone).To(Equal([]string{"e"}))
+		g.Expect(reply.Revision).To(Equal(uint64(9)))
+	})
+}
+
+func TestRoutersFollowAListThatChangesWithoutReadingItAgain(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		before := f.store.count()
+		for version := uint64(2); version < 22; version++ {
+			f.set(version)
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		g.Expect(f.inForce(21)).To(Equal(12))
+		for _, n := range f.nodes {
+			g.Expect(n.follower.Directory().Revision()).To(Equal(uint64(21)), n.vm)
+		}
+		// Each reader asks once a change, and once a second without one.
+		g.Expect(f.store.count() - before).To(BeNumerically("<=", 2*(20+4)))
+	})
+}
+
+func TestAWholeListIsToldInParts(t *testing.T) {
+	play(t, 2, func(g *WithT, f *fleet) {
+		n := f.nodes[0]
+		many := make([]directory.Entry, 2*maxPage+1)
+		for i := range many {
+			many[i] = directory.Entry{Endpoint: bundle.Endpoint{Name: fmt.Sprintf("e%04d", i), Address: fmt.Sprint(i)}}
+		}
+		list, _ := directory.Empty().Merge(directory.Reading{Whole: true, Entries: many, Revision: 3}, time.Now(), time.Time{})
+		n.source.Tell(told{State: n.follower, directory: list})
+		read, err := f.nodes[1].source.readPages(context.Background(), n.source.cfg.Self)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(reply.Entries).To(HaveLen(1))
+		g.Expect(read.Config.Version).To(Equal(uint64(1)))
+		g.Expect(read.List.Whole).To(BeTrue())
+		g.Expect(read.List.Entries).To(Equal(many))
+	})
+}
+
+func TestRoutersDoNotAllAskASourceThatNobodyReaches(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		for _, n := range f.nodes {
+			f.turnAway(n.vm)
+		}
+		time.Sleep(4 * time.Second)
+		before := f.store.count()
+		time.Sleep(8 * time.Second)
+		// Ten routers ask once in 0.8 s at most, two readers 2.5 times a second.
+		g.Expect(f.store.count() - before).To(BeNumerically("<=", 10*10+2*24))
 	})
 }
 
@@ -323,16 +401,21 @@
 		n := f.nodes[0]
 		gone := directory.Entry{Endpoint: bundle.Endpoint{Name: "gone", Address: "b", Services: []string{"s"}}}
 		here := n.follower.Directory().Entries()
-		before, _ := directory.Empty().Merge(directory.Reading{Entries: append(here, gone), Revision: 1}, time.Now(), time.Time{})
-		after, _ := before.Merge(directory.Reading{Entries: here, Revision: 2}, time.Now(), time.Now().Add(time.Second))
+		before, _ := directory.Empty().Merge(directory.Reading{Whole: true, Entries: append(here, gone), Revision: 1}, time.Now(), time.Time{})
+		after, _ := before.Merge(directory.Reading{Whole: true, Entries: here, Revision: 2}, time.Now(), time.Now().Add(time.Second))
 		g.Expect(after.For("s")).To(HaveLen(2), "this router goes on with what may be back")
 		n.source.Tell(told{State: n.follower, directory: after})
-		reply, err := n.source.serveList(context.Background(), peerOfTests, listRequest{})
+		page, err := n.source.servePage(context.Background(), peerOfTests, pageRequest{})
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(reply.Entries).To(Equal(here))
-		reply, err = n.source.serveList(context.Background(), peerOfTests, listRequest{Digest: n.follower.Directory().Digest()})
+		g.Expect(page.Entries).To(Equal(here))
+		reply, err := n.source.serveNews(context.Background(), peerOfTests, newsRequest{Revision: 2, Digest: n.follower.Directory().Digest()})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Lost).To(BeFalse())
+		g.Expect(reply.Entries).To(BeEmpty())
+		// One who still lists it is told that it is gone.
+		reply, err = n.source.serveNews(context.Background(), peerOfTests, newsRequest{Revision: 1, Digest: before.Digest()})
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(reply.Same).To(BeTrue())
+		g.Expect(reply.Lost).To(BeTrue(), "this router was never shown the list before")
 	})
 }
 
