Share load reports between routers, and both memories of the demand

Endpoints joined those for tight streams late: what routers told each other of their demand was the long memory only, and the short one, which is there to follow bursts, counted for a router's own 28th.

Now a router's question to its reader carries the load reports that it received, and the answer those of all (64 at most, not older than 0.5 s, with their age).

The test on others' demand gave a demand without its short memory, as if it fell; it now gives a steady one.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -41,6 +41,9 @@
 	// SinceReport counts those of this router's requests that were sent after
 	// the last report arrived and haven't ended, so that the report misses them.
 	SinceReport int
+	// Others is how many requests all routers together probably sent for each
+	// of those; a policy that needs it works it out from all views.
+	Others float64
 	// Load is the last report and ReportedAt when it arrived; zero if none.
 	Load       load.Report
 	ReportedAt time.Time
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -36,11 +36,19 @@
 type Demand struct {
 	Tight float64 `json:"tight"`
 	Bulk  float64 `json:"bulk"`
+	// Recent is that of tight streams by the shorter memory.
+	Recent float64 `json:"recent"`
+}
+
+// asked is the demand of tight streams: while it grows by the shorter memory. Sums
+// over different memories compare as rates.
+func (w Demand) asked() float64 {
+	return max(w.Tight, slowHalfLife.Seconds()/fastHalfLife.Seconds()*w.Recent)
 }
 
 // Plus adds two demands.
 func (w Demand) Plus(o Demand) Demand {
-	return Demand{Tight: w.Tight + o.Tight, Bulk: w.Bulk + o.Bulk}
+	return Demand{Tight: w.Tight + o.Tight, Bulk: w.Bulk + o.Bulk, Recent: w.Recent + o.Recent}
 }
 
 func (w *Demand) decay(age, halfLife time.Duration) {
@@ -71,14 +79,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	all := d.slow
+	all := d.seen()
 	if d.others != nil {
 		all = all.Plus(d.others())
 	}
-	// Sums over different memories compare as rates.
-	scale := slowHalfLife.Seconds() / fastHalfLife.Seconds()
-	asked := all.Tight + max(0, scale*d.fast.Tight-d.slow.Tight)
-	d.kept = split(d.kept, n, headroom*asked, all.Bulk)
+	d.kept = split(d.kept, n, headroom*all.asked(), all.Bulk)
 	return d.kept
 }
 
@@ -87,7 +92,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	return d.slow
+	return d.seen()
+}
+
+// seen is what this router's requests ask for. d.mu is held.
+func (d *demand) seen() Demand {
+	seen := d.slow
+	seen.Recent = d.fast.Tight
+	return seen
 }
 
 func (d *demand) decay(now time.Time) {
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -81,6 +81,7 @@
 	}
 	group := p.group(now, req, views, usable)
 	home := homeOf(req, views, group)
+	countOthers(views)
 	chosen := cheapest(req, views, group, home, rnd)
 	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
 	p.demand.add(now, float64(read)+outputWeight*float64(req.Prompt.Output), req.Tight)
@@ -237,6 +238,17 @@
 	return own / all
 }
 
+// countOthers notes in all views how many requests all routers together send for
+// each of this router's. Those that a report lacks count as so many: who sees the
+// same reports makes the same choice, and an endpoint that looks empty to all would
+// get the requests of all.
+func countOthers(views []View) {
+	others := 1 / ownPart(views)
+	for i := range views {
+		views[i].Others = others
+	}
+}
+
 // reread is how many tokens an endpoint would read again. At the home they were
 // read already, or are to be read once anyway.
 func reread(req Request, v *View, home bool) int {
@@ -262,8 +274,8 @@
 
 // requests are those that run or wait at the endpoint.
 func (v *View) requests() float64 {
-	n := v.Load.TotalQueued() + v.Load.TotalRunning() + v.SinceReport
-	return float64(max(n, v.Inflight))
+	n := float64(v.Load.TotalQueued()+v.Load.TotalRunning()) + max(1, v.Others)*float64(v.SinceReport)
+	return max(n, float64(v.Inflight))
 }
 
 // usableViews are the endpoints that are healthy, or all if none is.
--- a/internal/balance/prompts_test.go
+++ b/internal/balance/prompts_test.go
@@ -103,7 +103,7 @@
 func TestTheTightPartFollowsWhatOtherRoutersSee(t *testing.T) {
 	g := NewWithT(t)
 	quiet, busy := NewPromptAware(), NewPromptAware()
-	busy.HearOthers(func() Demand { return Demand{Tight: 1e6, Bulk: 1e5} })
+	busy.HearOthers(func() Demand { return Demand{Tight: 1e6, Bulk: 1e5, Recent: 5e5} })
 	_, few := traffic(NewPool(Config{Policy: quiet}), engines(12), 4, 20, 5)
 	_, many := traffic(NewPool(Config{Policy: busy}), engines(12), 4, 20, 5)
 	g.Expect(len(few)).To(BeNumerically("<", 4))
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -39,21 +39,24 @@
 
 // state is what the router knows of one endpoint.
 type state struct {
-	inflight    int
-	sinceReport int
-	tight       int       // streams with a tight gap that run
-	quietSince  time.Time // nothing was heard since, while requests are open
-	recent      recentParts
-	prefill     [load.MaxTiers]int // tokens of prompts sent that aren't known to be read
-	load        load.Report
-	reportedAt  time.Time
-	firstToken  time.Duration
-	running     float64 // smoothed over the reports
-	drain       float64 // smoothed, requests a second
-	leaving     bool
-	suspect     bool
-	group       string // of the endpoints that it is compared with
-	health      health
+	inflight int
+	// sends are when this router's requests were sent that the last report
+	// lacks, the oldest first.
+	sends      []time.Time
+	tight      int       // streams with a tight gap that run
+	quietSince time.Time // nothing was heard since, while requests are open
+	recent     recentParts
+	prefill    [load.MaxTiers]int // tokens of prompts sent that aren't known to be read
+	load       load.Report
+	reportedAt time.Time
+	heard      bool // the last report came to another router
+	firstToken time.Duration
+	running    float64 // smoothed over the reports
+	drain      float64 // smoothed, requests a second
+	leaving    bool
+	suspect    bool
+	group      string // of the endpoints that it is compared with
+	health     health
 }
 
 func (st *state) view(c *bundle.Endpoint, v *View) {
@@ -63,7 +66,7 @@
 		Inflight:      st.inflight,
 		Prefill:       st.prefill,
 		Tight:         st.tight,
-		SinceReport:   st.sinceReport,
+		SinceReport:   len(st.sends),
 		Load:          st.load,
 		ReportedAt:    st.reportedAt,
 		FirstToken:    st.firstToken,
@@ -79,7 +82,7 @@
 		st.quietSince = now
 	}
 	st.inflight++
-	st.sinceReport++
+	st.noteSend(now)
 }
 
 func (st *state) report(now time.Time, r load.Report, hold time.Duration) {
@@ -91,13 +94,14 @@
 	st.health.sample(now)
 	st.load = r
 	st.reportedAt = now
-	st.sinceReport = 0
+	st.heard = false
+	st.sends = st.sends[:0]
 	st.leaving = st.leaving || r.Leaving
 }
 
 func (st *state) done(now time.Time, res Result, firstToken time.Duration, share float64) {
 	st.inflight = max(st.inflight-1, 0)
-	st.sinceReport = min(st.sinceReport, st.inflight)
+	st.sends = st.sends[max(0, len(st.sends)-st.inflight):]
 	st.health.result(res)
 	if firstToken <= 0 {
 		return
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -116,6 +116,7 @@
 		d.peers.Tell(d.follower)
 		d.peers.ShareDemand(func() balance.Demand { return policy.Demand(time.Now()) })
 		policy.HearOthers(d.peers.OthersDemand)
+		d.peers.ShareLoads(d.pool)
 	}
 	d.router = d.newRouter()
 	l, err := net.Listen("tcp", cfg.Callers)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -63,6 +63,8 @@
 	Revision uint64         `json:"revision"`
 	Digest   uint64         `json:"digest"`
 	Demand   balance.Demand `json:"demand"`
+	// Loads are the load reports that the asker received lately.
+	Loads []balance.LoadWord `json:"loads,omitempty"`
 }
 
 type newsReply struct {
@@ -79,6 +81,8 @@
 	// Demand is what all requests ask for that the reader knows of, but for
 	// the asker's.
 	Demand balance.Demand `json:"demand"`
+	// Loads are the newest load reports that the reader knows of.
+	Loads []balance.LoadWord `json:"loads,omitempty"`
 }
 
 // pageRequest asks for everything, in parts.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,6 +48,7 @@
 	cfg     Config
 	members *members
 	demands demands
+	loads   loads
 	log     changelog
 	direct  *watched // the source itself
 	mu      sync.Mutex
@@ -184,6 +185,8 @@
 	}
 	have := own.Directory().Listed()
 	req := newsRequest{From: s.cfg.Self, Revision: have.Revision(), Digest: have.Digest(), Demand: s.demands.ask()}
+	// A question may be late; a report that is told twice does no harm.
+	req.Loads = s.loads.own(time.Now(), 2*s.cfg.Every)
 	if c := own.Config(); c != nil {
 		req.Version = c.Version
 	}
@@ -193,6 +196,7 @@
 		return follow.Reading{}, err
 	}
 	s.demands.tell(reply.Demand, sent)
+	s.loads.hear(sent, reply.Loads)
 	age, err := s.checkAge(peer, reply.AgeMillis)
 	if err != nil {
 		return follow.Reading{}, err
@@ -285,6 +289,8 @@
 	// The age is taken first: what is told may be newer than it says.
 	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1}
 	reply.Demand = s.demands.ask().Plus(s.demands.sum(now, req.From.VM))
+	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
+	reply.Loads = s.loads.all(now)
 	if c := own.Config(); c.Version > req.Version {
 		reply.Config = c
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,6 +19,7 @@
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
 	"coveferry/internal/identity"
+	"coveferry/internal/load"
 	"coveferry/internal/memnet"
 	"coveferry/internal/route"
 )
@@ -385,6 +386,30 @@
 	}
 }
 
+func TestRoutersHearTheLoadReportsOfOthersInTheirFailureDomain(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		pools := make([]*balance.Pool, len(f.nodes))
+		for i, n := range f.nodes {
+			pools[i] = balance.NewPool(balance.Config{})
+			pools[i].Views(time.Now(), []*bundle.Endpoint{{Name: "e", Slots: 64}})
+			n.source.ShareLoads(pools[i])
+		}
+		report := load.Report{Slots: 64}
+		report.Running[0] = 17
+		pools[2].Report(time.Now(), "e", report)
+		received := time.Now()
+		time.Sleep(600 * time.Millisecond)
+		for i, pool := range pools {
+			v := pool.Views(time.Now(), []*bundle.Endpoint{{Name: "e", Slots: 64}})[0]
+			if f.nodes[i].source.cfg.Self.FailureDomain != f.nodes[2].source.cfg.Self.FailureDomain {
+				continue // it has readers of its own
+			}
+			g.Expect(v.Load.TotalRunning()).To(Equal(17), f.nodes[i].vm)
+			g.Expect(v.ReportedAt).To(BeTemporally("~", received, 5*time.Millisecond), f.nodes[i].vm)
+		}
+	})
+}
+
 func TestDemandOfARouterThatFellSilentIsForgotten(t *testing.T) {
 	play(t, 3, func(g *WithT, f *fleet) {
 		f.nodes[1].source.ShareDemand(func() balance.Demand { return balance.Demand{Tight: 1} })
