Avoid endpoints that fail for several routers

One more cause on each router: a good health check also forgot the share of failed attempts, so that the detection of outliers never saw more than two in a row.

Routers now tell their reader of attempts that failed, and hear the sum of the others'. An endpoint is avoided for 3 s if several routers saw failures, at least four, more than three standard deviations above its peers, of which the worst third is left out. A lone witness has no effect; not more than a third is avoided; where all fail alike, or by themselves now and then, none is.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -21,6 +21,8 @@
 	st := sh.state(endpoint)
 	st.leaving, st.suspect = false, false
 	if st.health.until.Before(now) {
-		st.health = health{until: now, times: st.health.times}
+		// What failed before still counts: a health check may be good where
+		// requests fail.
+		st.health = health{until: now, times: st.health.times, failures: st.health.failures}
 	}
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -177,7 +177,7 @@
 	st.view(c, v)
 	v.Cached = st.recent.cached(now, pr)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
-	if st.suspect {
+	if st.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
 	}
 	return !st.leaving
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -8,6 +8,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/load"
+	"coveferry/internal/throttle/window"
 )
 
 // shardCount is a power of two well above the number of cores of an entry VM.
@@ -57,6 +58,10 @@
 	suspect    bool
 	group      string // of the endpoints that it is compared with
 	health     health
+	// attempts are this router's of late, nil before the first; avoidUntil is
+	// until when the endpoint is avoided because it fails for several routers.
+	attempts   *window.Ring
+	avoidUntil time.Time
 }
 
 func (st *state) view(c *bundle.Endpoint, v *View) {
@@ -103,6 +108,7 @@
 	st.inflight = max(st.inflight-1, 0)
 	st.sends = st.sends[max(0, len(st.sends)-st.inflight):]
 	st.health.result(res)
+	st.noteResult(now, res)
 	if firstToken <= 0 {
 		return
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -117,6 +117,7 @@
 		d.peers.ShareDemand(func() balance.Demand { return policy.Demand(time.Now()) })
 		policy.HearOthers(d.peers.OthersDemand)
 		d.peers.ShareLoads(d.pool)
+		d.peers.ShareFailures(d.pool)
 	}
 	d.router = d.newRouter()
 	l, err := net.Listen("tcp", cfg.Callers)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -65,6 +65,8 @@
 	Demand   balance.Demand `json:"demand"`
 	// Loads are the load reports that the asker received lately.
 	Loads []balance.LoadWord `json:"loads,omitempty"`
+	// Failures are the asker's own attempts of late where some failed.
+	Failures []balance.FailureWord `json:"failures,omitempty"`
 }
 
 type newsReply struct {
@@ -83,6 +85,9 @@
 	Demand balance.Demand `json:"demand"`
 	// Loads are the newest load reports that the reader knows of.
 	Loads []balance.LoadWord `json:"loads,omitempty"`
+	// Failures are those of all routers that the reader knows of, but for the
+	// asker's.
+	Failures []balance.FailureWord `json:"failures,omitempty"`
 }
 
 // pageRequest asks for everything, in parts.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,13 +45,14 @@
 
 // Source implements follow.Source by asking peers, or the source behind them.
 type Source struct {
-	cfg     Config
-	members *members
-	demands demands
-	loads   loads
-	log     changelog
-	direct  *watched // the source itself
-	mu      sync.Mutex
+	cfg      Config
+	members  *members
+	demands  demands
+	loads    loads
+	failures failures
+	log      changelog
+	direct   *watched // the source itself
+	mu       sync.Mutex
 	// state is what this router itself believes, and tells others.
 	state State
 	hello int // counts the words sent, to take the seeds in turn
@@ -187,6 +188,7 @@
 	req := newsRequest{From: s.cfg.Self, Revision: have.Revision(), Digest: have.Digest(), Demand: s.demands.ask()}
 	// A question may be late; a report that is told twice does no harm.
 	req.Loads = s.loads.own(time.Now(), 2*s.cfg.Every)
+	req.Failures = s.failures.own(time.Now())
 	if c := own.Config(); c != nil {
 		req.Version = c.Version
 	}
@@ -197,6 +199,7 @@
 	}
 	s.demands.tell(reply.Demand, sent)
 	s.loads.hear(sent, reply.Loads)
+	s.takeFailures(time.Now(), reply.Failures)
 	age, err := s.checkAge(peer, reply.AgeMillis)
 	if err != nil {
 		return follow.Reading{}, err
@@ -291,6 +294,8 @@
 	reply.Demand = s.demands.ask().Plus(s.demands.sum(now, req.From.VM))
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
 	reply.Loads = s.loads.all(now)
+	s.failures.said(req.From.VM, req.Failures, now)
+	reply.Failures = s.failures.of(now, req.From.VM)
 	if c := own.Config(); c.Version > req.Version {
 		reply.Config = c
 	}
@@ -315,8 +320,12 @@
 	return reply, nil
 }
 
-// Run tells other routers of this one until ctx ends.
+// Run tells other routers of this one until ctx ends, and has this one judge by
+// what those said that ask it.
 func (s *Source) Run(ctx context.Context) {
+	var both sync.WaitGroup
+	defer both.Wait()
+	both.Go(func() { s.judgeFailures(ctx) })
 	for {
 		s.sayHello(ctx)
 		if !clock.Sleep(ctx, helloEvery) {
@@ -325,6 +334,17 @@
 	}
 }
 
+// judgeFailures takes in what other routers told this one. One that asks a reader
+// learns it from the answers.
+func (s *Source) judgeFailures(ctx context.Context) {
+	for clock.Sleep(ctx, s.cfg.Every) {
+		now := time.Now()
+		if words := s.failures.addUp(nil, now, ""); len(words) > 0 {
+			s.takeFailures(now, words)
+		}
+	}
+}
+
 // fewRouters are so few that each tells all seeds every time.
 const fewRouters = 8
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -410,6 +410,49 @@
 	})
 }
 
+func TestAnEndpointThatFailsForTwoRoutersIsAvoidedByTheOthersOfTheirDomain(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		endpoints := []*bundle.Endpoint{
+			{Name: "bad", Services: []string{"s"}}, {Name: "lone", Services: []string{"s"}},
+		}
+		for i := range 7 {
+			endpoints = append(endpoints, &bundle.Endpoint{Name: fmt.Sprint("good", i), Services: []string{"s"}})
+		}
+		pools := make([]*balance.Pool, len(f.nodes))
+		weights := func(i int) (bad, lone float64) {
+			views := pools[i].Views(time.Now(), endpoints)
+			return views[0].Weight, views[1].Weight
+		}
+		for i, n := range f.nodes {
+			pools[i] = balance.NewPool(balance.Config{})
+			weights(i)
+			n.source.ShareFailures(pools[i])
+		}
+		attempt := func(i int, endpoint string, res balance.Result, times int) {
+			for range times {
+				pools[i].Sent(time.Now(), endpoint)
+				pools[i].Done(time.Now(), endpoint, res, 0)
+			}
+		}
+		for i := range pools {
+			attempt(i, fmt.Sprint("good", i%7), balance.ResultOK, 10)
+		}
+		attempt(0, "bad", balance.ResultFailed, 2)
+		attempt(2, "bad", balance.ResultFailed, 2)
+		attempt(4, "lone", balance.ResultFailed, 3)
+		time.Sleep(700 * time.Millisecond)
+		for i := range pools {
+			bad, lone := weights(i)
+			g.Expect(lone).To(Equal(1.0), f.nodes[i].vm)
+			if f.nodes[i].source.cfg.Self.FailureDomain == "domain0" {
+				g.Expect(bad).To(BeZero(), f.nodes[i].vm)
+			} else {
+				g.Expect(bad).To(Equal(1.0), f.nodes[i].vm)
+			}
+		}
+	})
+}
+
 func TestDemandOfARouterThatFellSilentIsForgotten(t *testing.T) {
 	play(t, 3, func(g *WithT, f *fleet) {
 		f.nodes[1].source.ShareDemand(func() balance.Demand { return balance.Demand{Tight: 1} })
