Soak the real programs under faults from outside

coveferryctl soak runs routers and replicas as processes, with proxies before the store and each replica, and strikes by a seed: signals, harmed connections, a failing store, changes of keys, routes and endpoints. A checker that knows only what callers and replicas saw names each broken promise; a test breaks each.

Cause: cli.Main gave both signals back to the system after the first. Now only a second SIGINT ends a process at once.

--- a/cmd/coveferryctl/main.go
+++ b/cmd/coveferryctl/main.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/cli/rolloutcmd"
 	"coveferry/internal/cli/slocmd"
 	"coveferry/internal/cli/slopescmd"
+	"coveferry/internal/cli/soakcmd"
 	"coveferry/internal/cli/standincmd"
 )
 
@@ -24,6 +25,7 @@
 	Bench      benchGroup      `cmd:"" help:"Measure policies under load and faults, on this machine."`
 	Capacity   capacitycmd.Cmd `cmd:"" help:"Work out what each role costs at a size, from measured slopes."`
 	Example    examplecmd.Cmd  `cmd:"" help:"Write a deployment for this machine: keys, signed bundle, settings."`
+	Soak       soakcmd.Cmd     `cmd:"" help:"Run the programs under faults from outside and check the promises to callers."`
 	Standin    standincmd.Cmd  `cmd:"" help:"Run stand-ins of engines and services."`
 	Completion cli.Completion  `cmd:"" help:"Print what a shell needs to complete commands."`
 }
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -35,7 +35,8 @@
 }
 
 // Main parses the arguments by the grammar, runs the command they name with an
-// Env and exits. SIGINT and SIGTERM end the Env's context.
+// Env and exits. SIGINT and SIGTERM end the Env's context; a second SIGINT ends the
+// process at once.
 func Main(name, description string, grammar any) {
 	os.Exit(run(name, description, grammar))
 }
@@ -43,7 +44,9 @@
 func run(name, description string, grammar any) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	// A second Ctrl-C ends the process at once. A second SIGTERM doesn't: what
+	// stops daemons may say so twice, and the first is being followed.
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
 	env := &Env{Ctx: ctx, Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	parser := kong.Must(grammar,
 		kong.Name(name), kong.Description(description), kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Bind(env))
--- /dev/null
+++ b/internal/cli/soakcmd/soakcmd.go
@@ -0,0 +1,138 @@
+// Package soakcmd holds `coveferryctl soak`.
+package soakcmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coveferry/internal/cli"
+	"coveferry/internal/soak"
+	"coveferry/platform/platformtest"
+)
+
+// Cmd runs the fault soak.
+type Cmd struct {
+	Seed      uint64        `default:"1" help:"Seed of the first run."`
+	Seeds     int           `default:"1" help:"How many seeds to run, one after another."`
+	For       time.Duration `default:"30s" help:"How long each run lasts; its last 9 s are without faults."`
+	Routers   int           `default:"3" help:"Routers, in two failure domains."`
+	Endpoints int           `default:"4" help:"Endpoints of each of the two services."`
+	Callers   int           `default:"4" help:"Callers of each router."`
+	Daemon    string        `placeholder:"FILE" type:"path" help:"The daemon; by default coveferryd beside this program."`
+	Dir       string        `placeholder:"DIR" type:"path" help:"Where settings and logs are kept; by default a new folder that is removed if nothing failed."`
+	JSON      bool          `name:"json" help:"Print results as JSON lines."`
+	Quiet     bool          `short:"q" help:"Don't print the faults as they strike."`
+	List      bool          `help:"List the seeds that once failed, with their causes, and run nothing."`
+	Kept      bool          `help:"Run the seeds that once failed."`
+}
+
+// Help implements kong's help.
+func (*Cmd) Help() string {
+	return `Runs the real daemon as separate processes on loopback, with stand-ins of the
+platform's store and replicas, injects faults from outside by signals and proxies,
+and checks the promises to callers. See docs/operations/soak.md. It ends with 1 if
+a promise was broken.`
+}
+
+// Run implements kong's command.
+func (c *Cmd) Run(env *cli.Env) error {
+	if c.List {
+		return list(env.Stdout)
+	}
+	if c.For <= soak.CalmEnd {
+		return cli.BadInput(errors.Newf("--for is %s; write more than %s", c.For, soak.CalmEnd))
+	}
+	dir, err := c.folder()
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for _, seed := range c.seeds() {
+		found, err := c.runSeed(env, seed, dir)
+		if err != nil {
+			return err
+		}
+		broken += found
+	}
+	if broken > 0 {
+		return errors.Newf("%d broken promises; the logs are in %s", broken, dir)
+	}
+	if c.Dir == "" {
+		return errors.Wrap(os.RemoveAll(dir), "remove the logs")
+	}
+	return nil
+}
+
+func list(w io.Writer) error {
+	for _, kept := range soak.Kept() {
+		if _, err := fmt.Fprintf(w, "%d  %s\n", kept.Seed, kept.Cause); err != nil {
+			return errors.Wrap(err, "write the list")
+		}
+	}
+	return nil
+}
+
+func (c *Cmd) seeds() []uint64 {
+	var seeds []uint64
+	if c.Kept {
+		for _, kept := range soak.Kept() {
+			seeds = append(seeds, kept.Seed)
+		}
+		return seeds
+	}
+	for i := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(i))
+	}
+	return seeds
+}
+
+func (c *Cmd) folder() (string, error) {
+	if c.Dir == "" {
+		dir, err := os.MkdirTemp("", "coveferry-soak-")
+		return dir, errors.Wrap(err, "make a folder for logs")
+	}
+	return c.Dir, errors.Wrap(os.MkdirAll(c.Dir, 0o755), "make the folder for logs")
+}
+
+func (c *Cmd) runSeed(env *cli.Env, seed uint64, dir string) (broken int, err error) {
+	tool, err := os.Executable()
+	if err != nil {
+		return 0, errors.Wrap(err, "find this program")
+	}
+	daemon := c.Daemon
+	if daemon == "" {
+		daemon = filepath.Join(filepath.Dir(tool), "coveferryd")
+	}
+	progress := env.Stderr
+	if c.Quiet {
+		progress = io.Discard
+	}
+	result, err := soak.Run(env.Ctx, soak.Options{
+		Seed: seed, For: c.For, Daemon: daemon, Tool: tool, Dir: dir,
+		Routers: c.Routers, Endpoints: c.Endpoints, Callers: c.Callers,
+		Wire: platformtest.NewSoak(), Progress: progress,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return len(result.Violations), c.print(env.Stdout, result)
+}
+
+func (c *Cmd) print(w io.Writer, r *soak.Result) error {
+	if c.JSON {
+		return errors.Wrap(json.NewEncoder(w).Encode(r), "write the result")
+	}
+	_, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests, %d served, %d processes, %d broken promises\n",
+		r.Seed, len(r.Faults), r.Requests, r.Served, r.Processes, len(r.Violations))
+	for _, v := range r.Violations {
+		_, writeErr := fmt.Fprintf(w, "  %s: %s: %s\n", v.Promise, v.Request, v.What)
+		err = errors.CombineErrors(err, writeErr)
+	}
+	return errors.Wrap(err, "write the result")
+}
--- /dev/null
+++ b/internal/cli/standincmd/replica.go
@@ -0,0 +1,22 @@
+package standincmd
+
+import (
+	"time"
+
+	"coveferry/internal/cli"
+	"coveferry/platform/platformtest"
+)
+
+// ReplicaCmd serves a stand-in of a replica on the users' platform.
+type ReplicaCmd struct {
+	Listen string        `default:"127.0.0.1:8001" help:"IP and port."`
+	Name   string        `default:"i-1" help:"Id of the instance."`
+	Events int           `default:"0" help:"Events of each answer; 0 answers without a stream."`
+	Pause  time.Duration `default:"25ms" help:"Time between two events."`
+}
+
+// Run implements kong's command.
+func (c *ReplicaCmd) Run(env *cli.Env) error {
+	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout}
+	return serve(env, c.Listen, replica)
+}
--- a/internal/cli/standincmd/standincmd.go
+++ b/internal/cli/standincmd/standincmd.go
@@ -23,6 +23,8 @@
 	Engine  EngineCmd  `cmd:"" help:"Serve a model engine that makes words up, with the completions protocol and switches under /control/."`
 	Service ServiceCmd `cmd:"" help:"Serve a plain HTTP service that counts what it ran."`
 
+	Replica ReplicaCmd `cmd:"" help:"Serve a replica of the users' platform that records what it runs on standard output."`
+
 	ConfigService ConfigServiceCmd `cmd:"" help:"Serve a configuration service that publishes the files of a folder."`
 }
 
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Promise is what a violation breaks.
+type Promise string
+
+// The promises that are checked.
+const (
+	PromiseWhole    Promise = "each caller gets the whole of its own answer, or none that looks whole"
+	PromiseOnce     Promise = "what may not be repeated runs at most once"
+	PromiseNotRun   Promise = "what was refused as not run did not run"
+	PromiseRevoked  Promise = "a revoked key no longer works after the bound"
+	PromiseValid    Promise = "a valid key is not said to be unknown"
+	PromiseDrain    Promise = "a leaving endpoint gets no new work after the bound"
+	PromiseRoute    Promise = "a request runs at its route's service, for its team"
+	PromiseCancel   Promise = "work ends soon after its caller has left"
+	PromiseRetries  Promise = "repeats stay within their share of the requests"
+	PromiseStop     Promise = "a planned stop cuts off no request"
+	PromiseRecovery Promise = "after the last fault requests are served again"
+	PromiseAlive    Promise = "no program ends by itself"
+)
+
+// Bounds are what the promises allow.
+type Bounds struct {
+	Revoke, Drain time.Duration
+	// Slack is added to both for what the machine adds.
+	Slack time.Duration
+	// Contact is how long after a fault a router isn't held to Drain and Cancel.
+	Contact    time.Duration
+	Cancel     time.Duration
+	RetryRatio float64
+	RetrySlack int
+}
+
+// Call is a request as its caller saw it.
+type Call struct {
+	ID, Key, Team, Service string
+	Router                 int
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+	Stream     bool
+	Sent, End  time.Time
+	// Left says that the caller left before the answer.
+	Left bool
+	// Status is 0 if no answer came. Whole says that the answer ended in good
+	// order, and Wrong what is wrong with its body, if anything.
+	Status int
+	Whole  bool
+	Wrong  string
+}
+
+// Execution is a request as an endpoint ran it.
+type Execution struct {
+	ID, Endpoint, Service, Team string
+	// Resumed says that the run goes on from an earlier one of the same request.
+	Resumed    bool
+	Begin, End time.Time // End is zero if the endpoint didn't live to tell
+}
+
+// Span is a time for which something held.
+type Span struct{ From, To time.Time }
+
+func (s Span) touches(from, to time.Time) bool { return s.From.Before(to) && s.To.After(from) }
+
+// Seen is all that was seen from outside.
+type Seen struct {
+	Calls []Call
+	Runs  []Execution
+	// Revoked is when each key was taken away, Drained when each endpoint said
+	// that it leaves.
+	Revoked, Drained map[string]time.Time
+	// Harmed are the times at which each router, its ways or the store had faults.
+	Harmed map[int][]Span
+	// Stops are the planned stops of each router, from SIGTERM to its end.
+	Stops map[int][]Span
+	// EndpointHarmed are the harms of endpoints.
+	EndpointHarmed map[string][]Span
+	// Exits are programs that ended by themselves.
+	Exits []string
+	// LastFault is when the last fault had ended.
+	LastFault time.Time
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise Promise `json:"promise"`
+	Request string  `json:"request,omitempty"`
+	What    string  `json:"what"`
+}
+
+// recoveryWithin is how long after the last fault all must be well again, and
+// recoveredShare the share of the requests from then on that must be served.
+const (
+	recoveryWithin = 5 * time.Second
+	recoveredShare = 0.9
+)
+
+// Check lists the broken promises, ordered by request.
+func Check(seen Seen, b Bounds) []Violation {
+	c := checker{seen: seen, bounds: b, runs: make(map[string][]Execution)}
+	for _, r := range seen.Runs {
+		c.runs[r.ID] = append(c.runs[r.ID], r)
+	}
+	calls := make(map[string]bool, len(seen.Calls))
+	for _, call := range seen.Calls {
+		calls[call.ID] = true
+		c.call(call)
+	}
+	for _, r := range seen.Runs {
+		if !calls[r.ID] {
+			c.add(PromiseRoute, r.ID, "%s ran a request that nobody sent", r.Endpoint)
+		}
+	}
+	c.retries()
+	c.recovery()
+	for _, exit := range seen.Exits {
+		c.add(PromiseAlive, "", "%s", exit)
+	}
+	slices.SortStableFunc(c.found, func(a, b Violation) int { return cmp.Compare(a.Request, b.Request) })
+	return c.found
+}
+
+type checker struct {
+	seen   Seen
+	bounds Bounds
+	runs   map[string][]Execution
+	found  []Violation
+}
+
+func (c *checker) add(p Promise, request, format string, args ...any) {
+	c.found = append(c.found, Violation{Promise: p, Request: request, What: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) call(call Call) {
+	runs := c.runs[call.ID]
+	if call.Wrong != "" {
+		c.add(PromiseWhole, call.ID, "%s", call.Wrong)
+	}
+	if !call.Repeatable && len(runs) > 1 {
+		c.add(PromiseOnce, call.ID, "it ran %d times, at %s and %s", len(runs), runs[0].Endpoint, runs[1].Endpoint)
+	}
+	refused := call.Status == 429 || call.Status == 503
+	if refused && !call.Repeatable && len(runs) > 0 {
+		c.add(PromiseNotRun, call.ID, "it was answered %d and ran at %s", call.Status, runs[0].Endpoint)
+	}
+	_, wasRevoked := c.seen.Revoked[call.Key]
+	if call.Status == 401 && !wasRevoked {
+		c.add(PromiseValid, call.ID, "its key was never taken away")
+	}
+	for _, r := range runs {
+		c.run(call, r)
+	}
+	c.stop(call, runs)
+}
+
+// stop judges a request that ran while its router was stopping as planned.
+func (c *checker) stop(call Call, runs []Execution) {
+	stopping := slices.ContainsFunc(c.seen.Stops[call.Router], func(s Span) bool { return s.touches(call.Sent, call.End) })
+	cut := call.Status == 0 || call.Status == 200 && !call.Whole
+	if stopping && cut && !call.Left && len(runs) > 0 && c.inTouch(call, runs[len(runs)-1]) {
+		c.add(PromiseStop, call.ID, "it ran at %s and was cut off by its router's stop", runs[len(runs)-1].Endpoint)
+	}
+}
+
+func (c *checker) run(call Call, r Execution) {
+	if r.Service != call.Service || r.Team != call.Team {
+		c.add(PromiseRoute, call.ID, "it ran at %s of service %s for team %q", r.Endpoint, r.Service, r.Team)
+	}
+	if at, ok := c.seen.Revoked[call.Key]; ok && call.Sent.Sub(at) > c.bounds.Revoke+c.bounds.Slack {
+		c.add(PromiseRevoked, call.ID, "it was sent %s after its key was taken away and ran at %s", call.Sent.Sub(at), r.Endpoint)
+	}
+	if at, ok := c.seen.Drained[r.Endpoint]; ok && r.Begin.Sub(at) > c.bounds.Drain+c.bounds.Slack && c.inTouch(call, r) {
+		c.add(PromiseDrain, call.ID, "it ran at %s %s after that said that it leaves", r.Endpoint, r.Begin.Sub(at))
+	}
+	left := call.End.Add(c.bounds.Cancel + c.bounds.Slack)
+	if call.Left && call.Repeatable && r.End.After(left) && c.inTouch(call, r) {
+		c.add(PromiseCancel, call.ID, "%s worked on for %s after its caller had left", r.Endpoint, r.End.Sub(call.End))
+	}
+}
+
+// inTouch says that neither the request's router nor the endpoint was harmed
+// shortly before the run or during it.
+func (c *checker) inTouch(call Call, r Execution) bool {
+	from, to := call.Sent.Add(-c.bounds.Contact), call.End.Add(c.bounds.Contact)
+	touches := func(s Span) bool { return s.touches(from, to) }
+	return !slices.ContainsFunc(c.seen.Harmed[call.Router], touches) &&
+		!slices.ContainsFunc(c.seen.EndpointHarmed[r.Endpoint], touches)
+}
+
+// retries compares the runs beyond the first with the requests.
+func (c *checker) retries() {
+	repeats := 0
+	for _, runs := range c.runs {
+		for _, r := range runs[1:] {
+			if !r.Resumed {
+				repeats++
+			}
+		}
+	}
+	allowed := int(c.bounds.RetryRatio*float64(len(c.seen.Calls))) + c.bounds.RetrySlack
+	if repeats > allowed {
+		c.add(PromiseRetries, "", "%d runs beyond the first of %d requests, over %d", repeats, len(c.seen.Calls), allowed)
+	}
+}
+
+func (c *checker) recovery() {
+	from := c.seen.LastFault.Add(recoveryWithin)
+	all, served := 0, 0
+	for _, call := range c.seen.Calls {
+		_, revoked := c.seen.Revoked[call.Key]
+		if call.Sent.Before(from) || call.Left || revoked {
+			continue
+		}
+		all++
+		if call.Whole && call.Status == 200 {
+			served++
+		}
+	}
+	if float64(served) < recoveredShare*float64(all) {
+		c.add(PromiseRecovery, "", "%d of %d requests were served from %s after the last fault on", served, all, recoveryWithin)
+	}
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// good is a run in which nothing is wrong: two requests, served by two endpoints.
+func good() Seen {
+	return Seen{
+		Calls: []Call{
+			{ID: "a", Key: "k", Team: "t", Service: "s", Sent: at(10), End: at(11), Status: 200, Whole: true},
+			{ID: "b", Key: "k", Team: "t", Service: "s", Sent: at(10), End: at(11), Status: 200, Whole: true, Repeatable: true},
+		},
+		Runs: []Execution{
+			{ID: "a", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.1), End: at(10.9)},
+			{ID: "b", Endpoint: "e2", Service: "s", Team: "t", Begin: at(10.1), End: at(10.9)},
+		},
+		Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, Harmed: map[int][]Span{},
+		Stops: map[int][]Span{}, EndpointHarmed: map[string][]Span{},
+		LastFault: at(0),
+	}
+}
+
+// promises are those that a run breaks.
+func promises(s Seen) []Promise {
+	var broken []Promise
+	for _, v := range Check(s, DefaultBounds()) {
+		broken = append(broken, v.Promise)
+	}
+	return broken
+}
+
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	NewWithT(t).Expect(promises(good())).To(BeEmpty())
+	for _, c := range []struct {
+		promise Promise
+		spoil   func(*Seen)
+	}{
+		{PromiseWhole, func(s *Seen) { s.Calls[0].Wrong = "another's answer" }},
+		{PromiseOnce, func(s *Seen) { s.Runs[1].ID = "a" }},
+		{PromiseNotRun, func(s *Seen) { s.Calls[0].Status, s.Calls[0].Whole, s.LastFault = 503, false, at(10) }},
+		{PromiseRevoked, func(s *Seen) { s.Revoked["k"] = at(4) }},
+		{PromiseValid, func(s *Seen) { s.Calls[0].Status, s.LastFault = 401, at(10) }},
+		{PromiseDrain, func(s *Seen) { s.Drained["e1"] = at(7) }},
+		{PromiseRoute, func(s *Seen) { s.Runs[0].Service = "other" }},
+		{PromiseRoute, func(s *Seen) { s.Runs[0].Team = "other" }},
+		{PromiseRoute, func(s *Seen) { s.Runs[0].ID = "unheard of" }},
+		{PromiseCancel, func(s *Seen) { s.Calls[1].Left, s.Runs[1].End = true, at(12.5) }},
+		{PromiseStop, func(s *Seen) {
+			s.Calls[0].Whole, s.LastFault = false, at(10)
+			s.Stops[0] = []Span{{From: at(10.5), To: at(16)}}
+		}},
+		{PromiseRecovery, func(s *Seen) { s.Calls[0].Status = 502 }},
+		{PromiseAlive, func(s *Seen) { s.Exits = []string{"router-0 ended by itself"} }},
+		{PromiseRetries, func(s *Seen) {
+			for range 60 {
+				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.5)})
+			}
+		}},
+	} {
+		seen := good()
+		c.spoil(&seen)
+		NewWithT(t).Expect(promises(seen)).To(ContainElement(c.promise), "%s", c.promise)
+	}
+}
+
+func TestWhatFaultsExplainIsNoBrokenPromise(t *testing.T) {
+	for name, c := range map[string]func(*Seen){
+		"a leaving endpoint at a router that was cut off": func(s *Seen) {
+			s.Drained["e1"] = at(7)
+			s.Harmed[0] = []Span{{From: at(6), To: at(8)}}
+		},
+		"work after its caller left, at a paused endpoint": func(s *Seen) {
+			s.Calls[1].Left, s.Runs[1].End = true, at(12.5)
+			s.EndpointHarmed["e2"] = []Span{{From: at(10), To: at(12)}}
+		},
+		"a revoked key within the bound": func(s *Seen) { s.Revoked["k"] = at(6) },
+		"a stop after the answer": func(s *Seen) {
+			s.Stops[0] = []Span{{From: at(12), To: at(16)}}
+		},
+		"a run that goes on from another": func(s *Seen) {
+			for range 60 {
+				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(10.5)})
+			}
+		},
+	} {
+		seen := good()
+		c(&seen)
+		NewWithT(t).Expect(promises(seen)).To(BeEmpty(), name)
+	}
+}
+
+func TestAPlanFollowsFromItsSeed(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Plan(7, 30*time.Second)).To(Equal(Plan(7, 30*time.Second)))
+	g.Expect(Plan(7, 30*time.Second)).NotTo(Equal(Plan(8, 30*time.Second)))
+	struck := make(map[Kind]bool)
+	overlap := 0
+	for seed := range uint64(20) {
+		plan := Plan(seed, 30*time.Second)
+		g.Expect(plan).NotTo(BeEmpty())
+		for i, f := range plan {
+			struck[f.Kind] = true
+			g.Expect(f.At).To(BeNumerically(">=", calmStart))
+			g.Expect(f.At + f.For).To(BeNumerically("<=", 30*time.Second-CalmEnd))
+			if i > 0 && plan[i-1].At+plan[i-1].For > f.At {
+				overlap++
+			}
+		}
+	}
+	g.Expect(struck).To(HaveLen(len(kinds)))
+	g.Expect(overlap).To(BeNumerically(">", 100))
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,109 @@
+// Package soak runs the real programs as separate processes on one machine, injects
+// faults from outside them, and checks the promises to callers by what callers sent
+// and got and what endpoints ran. Everything that happens follows from a seed, but
+// for the times that the machine adds.
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of fault. Routers and endpoints are processes that get signals; ways
+// are the connections from a router to the store or from all routers to an endpoint,
+// which lead through a proxy; changes are the operator's.
+const (
+	RouterKill   Kind = "router_kill"   // SIGKILL, and started again
+	RouterStop   Kind = "router_stop"   // SIGTERM, and started again once it has ended
+	RouterPause  Kind = "router_pause"  // SIGSTOP, and SIGCONT
+	RouterReload Kind = "router_reload" // the settings file changes, and SIGHUP
+
+	EndpointKill  Kind = "endpoint_kill"  // SIGKILL, its entry lapses, another starts
+	EndpointPause Kind = "endpoint_pause" // SIGSTOP, its entry may lapse, and SIGCONT
+	EndpointDrain Kind = "endpoint_drain" // its entry says draining, SIGTERM later, another starts
+
+	StoreWay    Kind = "store_way"    // a router's way to the store is harmed
+	EndpointWay Kind = "endpoint_way" // the way to an endpoint is harmed
+	StoreFault  Kind = "store_fault"  // the store itself fails its callers
+
+	KeyRevoked Kind = "key_revoked" // a key is taken away, another added
+	Routes     Kind = "routes"      // timeouts of the routes change
+)
+
+var kinds = []Kind{
+	RouterKill, RouterStop, RouterPause, RouterReload,
+	EndpointKill, EndpointPause, EndpointDrain,
+	StoreWay, EndpointWay, StoreFault, KeyRevoked, Routes,
+}
+
+// Harm is what a proxy does to connections.
+type Harm string
+
+// The harms. A cut one way drops what comes back, silence drops both ways; both
+// leave connections open.
+const (
+	HarmNone    Harm = ""
+	HarmDelay   Harm = "delay"
+	HarmReset   Harm = "reset"
+	HarmOneWay  Harm = "one_way"
+	HarmSilence Harm = "silence"
+)
+
+var harms = []Harm{HarmDelay, HarmReset, HarmOneWay, HarmSilence}
+
+// Fault is one fault of a plan.
+type Fault struct {
+	At   time.Duration `json:"at"`
+	Kind Kind          `json:"kind"`
+	// Target numbers the router or endpoint that it strikes, modulo those there are.
+	Target int           `json:"target"`
+	For    time.Duration `json:"for"`
+	Harm   Harm          `json:"harm,omitempty"`
+}
+
+// Times of a plan.
+const (
+	// calmStart is without faults, so that all programs are up and known.
+	calmStart = 3 * time.Second
+	// CalmEnd is without new faults, so that recovery can be judged.
+	CalmEnd = 9 * time.Second
+	// longestFault is longer than a list keeps an endpoint that fell silent and
+	// than the bound on revoked keys.
+	longestFault  = 7 * time.Second
+	shortestFault = 300 * time.Millisecond
+	// meanGap is the mean time between two faults, which thereby overlap.
+	meanGap = 900 * time.Millisecond
+	// seriesChance is how often a fault is followed by another of its kind at once.
+	seriesChance = 0.25
+)
+
+// Plan is what happens in a run of the seed that lasts so long.
+func Plan(seed uint64, length time.Duration) []Fault {
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	var plan []Fault
+	end := length - CalmEnd
+	for at := calmStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanGap)) {
+		f := Fault{At: at, Kind: kinds[rnd.IntN(len(kinds))], Target: rnd.IntN(1 << 16), Harm: harms[rnd.IntN(len(harms))]}
+		f.For = shortestFault + upTo(rnd, longestFault-shortestFault)
+		f.For = min(f.For, end-at)
+		plan = append(plan, f)
+		for rnd.Float64() < seriesChance {
+			f.At += upTo(rnd, f.For)
+			f.Target = rnd.IntN(1 << 16)
+			f.For = min(f.For, end-f.At)
+			plan = append(plan, f)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// upTo is a random time from 0 to d.
+func upTo(rnd *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(rnd.Float64() * float64(d))
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process is a program that the soak started. It is ended by its id alone, and
+// with the soak itself.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	mu   sync.Mutex
+	// expected says that the soak ended it.
+	expected bool
+	failure  error
+}
+
+// StartProcess starts a program whose lines on standard output go to onLine and to
+// the log.
+func StartProcess(name string, log io.Writer, onLine func(line []byte), env []string, program string, args ...string) (*Process, error) {
+	cmd := exec.Command(program, args...)
+	cmd.Env = env
+	cmd.Stderr = log
+	// The programs end with the soak, however that ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: "+name)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "soak: start "+name)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go p.watch(out, log, onLine)
+	return p, nil
+}
+
+func (p *Process) watch(out io.Reader, log io.Writer, onLine func([]byte)) {
+	defer close(p.done)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if onLine != nil {
+			onLine(lines.Bytes())
+		}
+		_, _ = log.Write(append(lines.Bytes(), '\n')) // a log that is lost harms no verdict
+	}
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.expected {
+		p.failure = errors.Newf("%s ended by itself: %v", p.Name, err)
+	}
+}
+
+// Signal sends a signal. One that ends the process makes its end expected.
+func (p *Process) Signal(sig os.Signal) {
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		p.mu.Lock()
+		p.expected = true
+		p.mu.Unlock()
+	}
+	_ = p.cmd.Process.Signal(sig) // one that has ended gets none
+}
+
+// Failure is how the process ended by itself, nil if it didn't.
+func (p *Process) Failure() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failure
+}
+
+// WaitFor waits for the end and returns false if it hasn't come in time.
+func (p *Process) WaitFor(d time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// End kills the process and waits for its end.
+func (p *Process) End() {
+	p.Signal(syscall.SIGKILL)
+	p.Signal(syscall.SIGCONT)
+	<-p.done
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,379 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Options are what a run needs.
+type Options struct {
+	Seed uint64
+	For  time.Duration
+	// Daemon and Tool are the programs, and Dir a folder for settings and logs.
+	Daemon, Tool, Dir string
+	Routers           int
+	Endpoints         int // of each service
+	Callers           int // of each router
+	Wire              Wire
+	// Progress takes a line for each fault.
+	Progress io.Writer
+}
+
+// Result is what a run found.
+type Result struct {
+	Seed       uint64      `json:"seed"`
+	Faults     []Fault     `json:"faults"`
+	Requests   int         `json:"requests"`
+	Served     int         `json:"served"`
+	Runs       int         `json:"runs"`
+	Processes  int         `json:"processes"`
+	Violations []Violation `json:"violations"`
+}
+
+// Times of the system in a soak, short so that faults outlast them.
+const (
+	stopWithin   = 6 * time.Second
+	routeTimeout = 4 * time.Second
+	// lapse is the silence after which the list drops an endpoint.
+	lapse = 3 * time.Second
+	// drainFor is how long an endpoint serves on after it said that it leaves.
+	drainFor = 4 * time.Second
+	// startWithin is how long the programs may take to be ready.
+	startWithin = 5 * time.Second
+)
+
+// DefaultBounds are those that the settings and the checker use.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Revoke: 5 * time.Second, Drain: 2 * time.Second, Slack: 500 * time.Millisecond,
+		Contact: 3 * time.Second, Cancel: 500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 50,
+	}
+}
+
+// routes are the kinds of request: two services, and all ways of repeating.
+func routesOf() []Route {
+	return []Route{
+		{Name: "stream", Service: "model", Prefix: "/stream/", Stream: true},
+		{Name: "resumable", Service: "model", Prefix: "/resumable/", Stream: true, Repeatable: true},
+		{Name: "write", Service: "plain", Prefix: "/write/"},
+		{Name: "read", Service: "plain", Prefix: "/read/", Repeatable: true},
+	}
+}
+
+// run is a soak that is under way.
+type run struct {
+	opts    Options
+	wire    Wire
+	routes  []Route
+	keys    *keyring
+	ports   *ports
+	store   string // its address
+	routers []*routerProc
+
+	mu        sync.Mutex
+	version   int
+	timeout   time.Duration
+	endpoints []*endpointProc // those that serve; faults take one out
+	started   int             // endpoints, to name them
+	all       []*Process
+	seen      Seen
+	begun     map[string]int // index in seen.Runs by endpoint and request
+	log       *os.File
+}
+
+type routerProc struct {
+	router   Router
+	number   int
+	settings string
+	way      *Proxy // to the store
+	starting sync.Mutex
+	mu       sync.Mutex
+	process  *Process
+}
+
+type endpointProc struct {
+	endpoint Endpoint
+	way      *Proxy
+	process  *Process
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, opts Options) (*Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	log, err := os.Create(filepath.Join(opts.Dir, fmt.Sprintf("seed-%d.log", opts.Seed)))
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: create the log")
+	}
+	defer log.Close()
+	r := &run{
+		opts: opts, wire: opts.Wire, ports: newPorts(os.Getpid()), routes: routesOf(), keys: newKeyring(), timeout: routeTimeout,
+		begun: make(map[string]int), log: log,
+		seen: Seen{
+			Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, Harmed: map[int][]Span{},
+			Stops: map[int][]Span{}, EndpointHarmed: map[string][]Span{},
+		},
+	}
+	defer r.end()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	plan := Plan(opts.Seed, opts.For)
+	r.play(ctx, plan)
+	return r.result(plan), ctx.Err()
+}
+
+func (r *run) start(ctx context.Context) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "soak: listen for the store")
+	}
+	r.store = l.Addr().String()
+	srv := &http.Server{Handler: r.wire.Store()}
+	go func() { _ = srv.Serve(l) }() // ends when the server is closed
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	r.publish()
+	for _, service := range []string{"model", "plain"} {
+		for i := range r.opts.Endpoints {
+			if err := r.startEndpoint(ctx, service, domainOf(i)); err != nil {
+				return err
+			}
+		}
+	}
+	return r.startRouters(ctx)
+}
+
+// domains is in how many failure domains routers and endpoints are.
+const domains = 2
+
+func domainOf(i int) string { return fmt.Sprintf("domain-%d", i%domains) }
+
+func (r *run) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.wire.Publish(Config{Version: r.version, Routes: r.routes, Timeout: r.timeout, Keys: r.keys.teams()})
+}
+
+func (r *run) startRouters(ctx context.Context) error {
+	const each = 3
+	free, err := r.ports.free(each * r.opts.Routers)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range min(each, r.opts.Routers) {
+		seeds = append(seeds, free[each*i+2])
+	}
+	for i := range r.opts.Routers {
+		way, err := NewProxy(r.store)
+		if err != nil {
+			return err
+		}
+		go way.Run(ctx)
+		p := &routerProc{number: i, way: way, settings: filepath.Join(r.opts.Dir, fmt.Sprintf("router-%d.conf", i))}
+		p.router = Router{
+			Name: fmt.Sprintf("router-%d", i), FailureDomain: domainOf(i),
+			Callers: free[each*i], Ready: free[each*i+1], Control: free[each*i+2],
+			Store: way.Address(), Seeds: seeds, Bounds: DefaultBounds(), StopWithin: stopWithin,
+		}
+		r.routers = append(r.routers, p)
+		if err := r.startRouter(p); err != nil {
+			return err
+		}
+	}
+	return r.awaitRouters()
+}
+
+// awaitRouters waits until all routers take connections.
+func (r *run) awaitRouters() error {
+	until := time.Now().Add(startWithin)
+	for _, p := range r.routers {
+		for {
+			conn, err := net.Dial("tcp", p.router.Callers)
+			if err == nil {
+				_ = conn.Close()
+				break
+			}
+			if time.Now().After(until) {
+				return errors.Wrapf(err, "soak: %s isn't up", p.router.Name)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// startRouter writes the router's settings and starts it. p.mu isn't held.
+func (r *run) startRouter(p *routerProc) error {
+	if err := os.WriteFile(p.settings, []byte(r.wire.Settings(p.router)), 0o600); err != nil {
+		return errors.Wrap(err, "soak: write settings")
+	}
+	env := []string{r.wire.SettingsVariable() + "=" + p.settings}
+	process, err := StartProcess(p.router.Name, r.log, nil, env, r.opts.Daemon, "direct")
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.process = process
+	p.mu.Unlock()
+	r.mu.Lock()
+	r.all = append(r.all, process)
+	r.mu.Unlock()
+	return nil
+}
+
+// startEndpoint starts an endpoint behind a proxy and lists it.
+func (r *run) startEndpoint(ctx context.Context, service, domain string) error {
+	free, err := r.ports.free(1)
+	if err != nil {
+		return err
+	}
+	way, err := NewProxy(free[0])
+	if err != nil {
+		return err
+	}
+	go way.Run(ctx)
+	r.mu.Lock()
+	r.started++
+	name := fmt.Sprintf("i-%s-%03d", service, r.started)
+	r.mu.Unlock()
+	e := &endpointProc{way: way, endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: free[0]}}
+	args := r.wire.EndpointArgs(e.endpoint, eventsOf(service), eventPause)
+	e.process, err = StartProcess(name, r.log, func(line []byte) { r.hear(e.endpoint, line) }, nil, r.opts.Tool, args...)
+	if err != nil {
+		return err
+	}
+	e.endpoint.Address = way.Address()
+	r.mu.Lock()
+	r.all = append(r.all, e.process)
+	r.endpoints = append(r.endpoints, e)
+	r.mu.Unlock()
+	r.wire.List(e.endpoint)
+	return nil
+}
+
+func eventsOf(service string) int {
+	if service == "model" {
+		return streamEvents
+	}
+	return 0
+}
+
+// hear takes a line of an endpoint's records.
+func (r *run) hear(e Endpoint, line []byte) {
+	var rec Record
+	if err := json.Unmarshal(line, &rec); err != nil || rec.ID == "" {
+		return // a line of its log
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := e.Name + " " + rec.ID
+	if rec.Ended {
+		if i, ok := r.begun[key]; ok {
+			r.seen.Runs[i].End = rec.At
+		}
+		return
+	}
+	r.begun[key] = len(r.seen.Runs)
+	r.seen.Runs = append(r.seen.Runs, Execution{
+		ID: rec.ID, Endpoint: e.Name, Service: e.Service, Team: rec.Team, Resumed: rec.Resumed, Begin: rec.At,
+	})
+}
+
+func (r *run) record(c Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen.Calls = append(r.seen.Calls, c)
+}
+
+// play has callers call while the faults of the plan strike.
+func (r *run) play(ctx context.Context, plan []Fault) {
+	began := time.Now()
+	load, stop := context.WithCancel(ctx)
+	var callers, faults sync.WaitGroup
+	for i := range r.opts.Routers * r.opts.Callers {
+		c := &caller{
+			number: i, router: i % r.opts.Routers, soak: r, rnd: rand.New(rand.NewPCG(r.opts.Seed, uint64(i+1))),
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		}
+		callers.Go(func() { c.run(load) })
+	}
+	for _, f := range plan {
+		if !sleepUntil(ctx, began.Add(f.At)) {
+			break
+		}
+		fmt.Fprintf(r.opts.Progress, "%6.2f s  %s %d %s for %s\n", f.At.Seconds(), f.Kind, f.Target, f.Harm, f.For.Round(time.Millisecond))
+		faults.Go(func() { r.strike(ctx, f) })
+	}
+	faults.Wait()
+	r.mu.Lock()
+	r.seen.LastFault = time.Now()
+	r.mu.Unlock()
+	sleepUntil(ctx, maxTime(began.Add(r.opts.For), time.Now().Add(CalmEnd)))
+	stop()
+	callers.Wait()
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// end ends all programs that the soak started, by their ids.
+func (r *run) end() {
+	r.mu.Lock()
+	all := r.all
+	r.mu.Unlock()
+	for _, p := range all {
+		p.End()
+	}
+}
+
+func (r *run) result(plan []Fault) *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.all {
+		if err := p.Failure(); err != nil {
+			r.seen.Exits = append(r.seen.Exits, err.Error())
+		}
+	}
+	res := &Result{Seed: r.opts.Seed, Faults: plan, Requests: len(r.seen.Calls), Runs: len(r.seen.Runs), Processes: len(r.all)}
+	for _, c := range r.seen.Calls {
+		if c.Status == http.StatusOK && c.Whole {
+			res.Served++
+		}
+	}
+	res.Violations = Check(r.seen, DefaultBounds())
+	return res
+}
+
+// signalFor sends a signal, and another one after a while.
+func signalFor(ctx context.Context, p *Process, first, then syscall.Signal, d time.Duration) {
+	p.Signal(first)
+	sleepUntil(ctx, time.Now().Add(d))
+	p.Signal(then)
+}
--- /dev/null
+++ b/internal/soak/wire.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Router is a router as its settings describe it.
+type Router struct {
+	Name, FailureDomain string
+	// Callers, Ready and Control are what it listens on; Store is where it reaches
+	// the store, and Seeds the control addresses of other routers.
+	Callers, Ready, Control, Store string
+	Seeds                          []string
+	Bounds                         Bounds
+	// StopWithin is the time from SIGTERM to SIGKILL.
+	StopWithin time.Duration
+}
+
+// Route is a kind of request.
+type Route struct {
+	Name, Service string
+	// Prefix begins the paths of its requests.
+	Prefix             string
+	Stream, Repeatable bool
+}
+
+// Config is what the operator publishes.
+type Config struct {
+	Version int
+	Routes  []Route
+	Timeout time.Duration
+	// Keys are those of each team.
+	Keys map[string][]string
+}
+
+// Endpoint is an entry of the list.
+type Endpoint struct {
+	Name, Service, FailureDomain, Address string
+	Draining                              bool
+}
+
+// Record is a line by which an endpoint tells what it runs.
+type Record struct {
+	ID      string    `json:"id"`
+	Team    string    `json:"team"`
+	Resumed bool      `json:"resumed,omitempty"`
+	Ended   bool      `json:"ended,omitempty"`
+	At      time.Time `json:"at"`
+}
+
+// Wire is how the programs are spoken to: names and formats, and stand-ins of the
+// store and of endpoints. Package platformtest has that of the users' platform.
+type Wire interface {
+	// Store serves the store's calls.
+	Store() http.Handler
+	Publish(Config)
+	List(Endpoint)
+	Unlist(name string)
+	// FailStore has the store fail its callers; HarmNone ends that.
+	FailStore(Harm)
+	// SettingsVariable names the variable that holds the path of a settings file,
+	// and Settings is its text.
+	SettingsVariable() string
+	Settings(Router) string
+	// Request makes a request for a route to a router.
+	Request(ctx context.Context, address string, route Route, id, key string, patience time.Duration) (*http.Request, error)
+	// Signed says whether an answer bears the mark of the endpoint that ran it.
+	Signed(*http.Response) bool
+	// EndpointArgs are the arguments by which the operators' tool runs a stand-in
+	// of an endpoint that writes its records to standard output.
+	EndpointArgs(e Endpoint, events int, pause time.Duration) []string
+}
