Don't let a health check end the silence of an endpoint

A check answered by an endpoint that answers nothing else now leaves it suspect while requests are open there and silent; an answer to a request, or a second without word of silence, ends that.

The test was red with the check counted as an answer.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -38,7 +38,7 @@
 		}
 	case Silence:
 		if e := c.endpoints[ev.Endpoint]; e != nil {
-			e.silent = true
+			e.silentAt = now
 			return c.judge(now, e, nil)
 		}
 	case ConnectionResult:
@@ -50,8 +50,13 @@
 	return nil
 }
 
-// Tick takes note of the time alone, which can turn a list stale.
-func (c *Core) Tick(now time.Time) []Change { return c.judgeAll(now) }
+// Tick takes note of the time alone, which can turn a list stale and end a silence.
+func (c *Core) Tick(now time.Time) []Change {
+	for _, e := range c.endpoints {
+		e.endSilence(now, c.tuning)
+	}
+	return c.judgeAll(now)
+}
 
 // Counts says whether words come from an endpoint of the bundle, and not from an
 // incarnation that another has followed; else its load report counts neither.
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -189,3 +189,18 @@
 	s.says(ReasonReport, "a", "1", false)
 	g.Expect(s.core.Members()[0].State).To(Equal(Live))
 }
+
+func TestASilentEndpointWhoseHealthIsGoodStaysSuspectWhileItIsSilent(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene(g, 2)
+	for range 5 {
+		s.apply(Silence{Endpoint: "e0"})
+		s.wait("200ms")
+		s.says(ReasonCheck, "a", "0", false)
+		s.core.Tick(s.now)
+		g.Expect(s.core.Members()[0].State).To(Equal(Suspect))
+	}
+	s.wait("1100ms") // its requests have ended one way or another
+	s.core.Tick(s.now)
+	g.Expect(s.core.Members()[0].State).To(Equal(Live))
+}
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -29,6 +29,7 @@
 	ReasonList       Reason = "list"       // the platform's list says so
 	ReasonReport     Reason = "report"     // the agent's load report says so
 	ReasonNotice     Reason = "notice"     // the agent's notice says so
+	ReasonCheck      Reason = "check"      // it answered a health check
 	ReasonConnection Reason = "connection" // connections to the agent fail
 	ReasonReturned   Reason = "returned"   // it came back
 )
@@ -69,7 +70,7 @@
 	Incarnation string
 	Seq         uint64
 	Leaving     bool
-	// Via is ReasonReport or ReasonNotice.
+	// Via is ReasonReport, ReasonNotice or ReasonCheck.
 	Via Reason
 }
 
@@ -91,7 +92,8 @@
 }
 
 // Silence says that requests are open at an endpoint from which nothing at all
-// has come for long. It is asked for its health before it gets new work.
+// has come for long. It is said again and again while that holds. A health check
+// may be answered all the while: only an answer to a request ends it at once.
 type Silence struct{ Endpoint string }
 
 func (Silence) event()          {}
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -38,7 +38,9 @@
 
 	broken  int  // connections in a row
 	refused bool // the last connection was
-	silent  bool // requests are open there and nothing comes
+	// silentAt is when it was last heard that requests are open there and nothing
+	// comes; zero if an answer followed.
+	silentAt time.Time
 
 	state  State
 	reason Reason
@@ -92,7 +94,10 @@
 		e.leaving, e.via = true, w.Via
 	}
 	e.answeredAt = now
-	e.broken, e.refused, e.silent = 0, false, false
+	e.broken, e.refused = 0, false
+	if w.Via != ReasonCheck {
+		e.silentAt = time.Time{}
+	}
 	return true
 }
 
@@ -113,6 +118,14 @@
 	e.refused = r == Refused
 }
 
+// endSilence forgets a silence of which nothing was heard lately: no request is open
+// there any more.
+func (e *evidence) endSilence(now time.Time, t Tuning) {
+	if !e.silentAt.IsZero() && now.Sub(e.silentAt) > t.SilenceHold {
+		e.silentAt = time.Time{}
+	}
+}
+
 // setListed takes the list's word. A VM that the list shows as live again has
 // hardly the same process as before, but only the process can say so: it is
 // asked at once.
@@ -128,7 +141,7 @@
 }
 
 func (e *evidence) isSuspect(t Tuning) bool {
-	return e.refused || e.silent || e.broken >= t.BrokenLimit
+	return e.refused || !e.silentAt.IsZero() || e.broken >= t.BrokenLimit
 }
 
 // judge works out the state. The agent's own word goes first: no one knows
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -74,7 +74,7 @@
 		p.tracker.Failed(name, failed.Sent)
 		return
 	}
-	p.tracker.Answered(name, status.Clock, status.Load)
+	p.tracker.checked(name, status.Clock, status.Load)
 }
 
 // ask asks once. Its error is a *ProbeError.
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -70,10 +70,21 @@
 // Answered implements dispatch.Observer. Reports of endpoints that the bundle
 // names no more don't count either.
 func (t *Tracker) Answered(endpoint string, clock wire.Clock, report load.Report) bool {
-	word := OwnWord{
+	return t.hear(OwnWord{
 		Endpoint: endpoint, Incarnation: clock.Incarnation, Seq: report.Seq,
 		Leaving: report.Leaving, Via: ReasonReport,
-	}
+	})
+}
+
+// checked takes the answer to a health check.
+func (t *Tracker) checked(endpoint string, clock wire.Clock, report load.Report) {
+	t.hear(OwnWord{
+		Endpoint: endpoint, Incarnation: clock.Incarnation, Seq: report.Seq,
+		Leaving: report.Leaving, Via: ReasonCheck,
+	})
+}
+
+func (t *Tracker) hear(word OwnWord) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.core.Counts(word) {
--- a/internal/membership/tuning.go
+++ b/internal/membership/tuning.go
@@ -19,6 +19,9 @@
 	// BrokenLimit is how many connections in a row break before an endpoint
 	// is suspect. One that is refused suffices.
 	BrokenLimit int
+	// SilenceHold is how long a silence counts after it was last heard of: longer
+	// than the time between two words on it.
+	SilenceHold time.Duration
 	// ProbeMin and ProbeMax bound the time between two probes of an endpoint,
 	// which doubles; ProbeLeaving is the first one of an endpoint that leaves.
 	ProbeMin, ProbeMax, ProbeLeaving time.Duration
@@ -34,6 +37,7 @@
 		MaxDrop:      0.25,
 		ListStale:    30 * time.Second,
 		BrokenLimit:  2,
+		SilenceHold:  time.Second,
 		ProbeMin:     500 * time.Millisecond,
 		ProbeMax:     30 * time.Second,
 		ProbeLeaving: 5 * time.Second,
@@ -47,6 +51,7 @@
 		MaxDrop:      cmp.Or(t.MaxDrop, d.MaxDrop),
 		ListStale:    cmp.Or(t.ListStale, d.ListStale),
 		BrokenLimit:  cmp.Or(t.BrokenLimit, d.BrokenLimit),
+		SilenceHold:  cmp.Or(t.SilenceHold, d.SilenceHold),
 		ProbeMin:     cmp.Or(t.ProbeMin, d.ProbeMin),
 		ProbeMax:     cmp.Or(t.ProbeMax, d.ProbeMax),
 		ProbeLeaving: cmp.Or(t.ProbeLeaving, d.ProbeLeaving),
