--- a/internal/peers/failures.go
+++ b/internal/peers/failures.go
@@ -65,6 +65,7 @@
 	return f.addUp(f.own(now), now, but)
 }
 
+// addUp adds these words and those that routers said lately, but for one of them.
 func (f *failures) addUp(own []balance.FailureWord, now time.Time, but string) []balance.FailureWord {
 	sum := make(map[string]balance.FailureWord)
 	add := func(words []balance.FailureWord) {
@@ -93,7 +94,7 @@
 	return words
 }
 
-// take has this router's pool judge by what others saw.
+// takeFailures has this router's pool judge by what others saw.
 func (s *Source) takeFailures(now time.Time, words []balance.FailureWord) {
 	known := s.failures.known.Load()
 	if known == nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -76,6 +76,10 @@
 	// than the bound on revoked keys.
 	longestFault  = 7 * time.Second
 	shortestFault = 300 * time.Millisecond
+	// storeFactor makes faults of the store longer, so that some outlast the bound
+	// on revoked keys, and unseenAfter is when calls that waited there have ended.
+	storeFactor = 1.5
+	unseenAfter = 1200 * time.Millisecond
 	// meanGap is the mean time between two faults, which thereby overlap.
 	meanGap = 900 * time.Millisecond
 	// seriesChance is how often a fault is followed by another of its kind at once.
@@ -90,6 +94,12 @@
 	for at := calmStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanGap)) {
 		f := Fault{At: at, Kind: kinds[rnd.IntN(len(kinds))], Target: rnd.IntN(1 << 16), Harm: harms[rnd.IntN(len(harms))]}
 		f.For = shortestFault + upTo(rnd, longestFault-shortestFault)
+		if f.Kind == StoreFault {
+			f.For = time.Duration(storeFactor * float64(f.For))
+			// A key that goes while the store answers nobody, its waiting calls
+			// included, must stop working although nobody can be told.
+			plan = append(plan, Fault{At: min(at+unseenAfter, end), Kind: KeyRevoked})
+		}
 		f.For = min(f.For, end-at)
 		plan = append(plan, f)
 		for rnd.Float64() < seriesChance {
