--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -10,6 +10,6 @@
 func Kept() []KeptSeed {
 	return []KeptSeed{
 		{Seed: 1, Cause: "a second SIGTERM during a planned stop ended the router at once and cut its streams off"},
-		{Seed: 10, Cause: "the soak's own: restarted routers found their ports taken by other connections of the machine"},
+		{Seed: 10, Cause: "the soak's own: soaks that ran at once in one folder wrote each other's settings files, so that routers took others' ports"},
 	}
 }
--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -9,8 +9,8 @@
 )
 
 // Ports of the programs lie below those that the kernel gives to connections (from
-// 32768 on), which otherwise takes the port of a program that is being restarted.
-// Each soak has a block of its own, so that several may run at once.
+// 32768 on), which could otherwise take the port of a program that is being
+// restarted. Each soak has a block of its own, so that several may run at once.
 const (
 	firstPort  = 12000
 	blockPorts = 400
@@ -21,14 +21,26 @@
 type ports struct {
 	mu          sync.Mutex
 	first, next int
+	// held is a listener on the block's first port, by which other soaks know that
+	// the block is taken.
+	held net.Listener
 }
 
-// newPorts returns those of the soak with a process id.
-func newPorts(pid int) *ports {
-	first := firstPort + pid%blocks*blockPorts
-	return &ports{first: first, next: first}
+// newPorts takes a block that no other soak has, beginning the search at a number.
+func newPorts(begin int) (*ports, error) {
+	for i := range blocks {
+		first := firstPort + (begin+i)%blocks*blockPorts
+		held, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			return &ports{first: first, next: first + 1, held: held}, nil
+		}
+	}
+	return nil, errors.Newf("soak: other programs hold all %d blocks of ports from %d on", blocks, firstPort)
 }
 
+// release lets other soaks have the block.
+func (p *ports) release() { _ = p.held.Close() }
+
 func (p *ports) free(n int) ([]string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,7 +21,8 @@
 type Options struct {
 	Seed uint64
 	For  time.Duration
-	// Daemon and Tool are the programs, and Dir a folder for settings and logs.
+	// Daemon and Tool are the programs, and Dir a folder in which each seed has one
+	// of its own for settings and logs.
 	Daemon, Tool, Dir string
 	Routers           int
 	Endpoints         int // of each service
@@ -113,13 +114,23 @@
 func Run(ctx context.Context, opts Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	log, err := os.Create(filepath.Join(opts.Dir, fmt.Sprintf("seed-%d.log", opts.Seed)))
+	// Soaks of other seeds may use the same folder at once.
+	opts.Dir = filepath.Join(opts.Dir, fmt.Sprintf("seed-%d", opts.Seed))
+	if err := os.MkdirAll(opts.Dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "soak: make the seed's folder")
+	}
+	log, err := os.Create(filepath.Join(opts.Dir, "log"))
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: create the log")
 	}
 	defer log.Close()
+	ports, err := newPorts(os.Getpid())
+	if err != nil {
+		return nil, err
+	}
+	defer ports.release()
 	r := &run{
-		opts: opts, wire: opts.Wire, ports: newPorts(os.Getpid()), routes: routesOf(), keys: newKeyring(), timeout: routeTimeout,
+		opts: opts, wire: opts.Wire, ports: ports, routes: routesOf(), keys: newKeyring(), timeout: routeTimeout,
 		begun: make(map[string]int), log: log,
 		seen: Seen{
 			Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, Harmed: map[int][]Span{},
