Don't take knowledge that gets fresh at once for the end of an outage

What a reader knows is up to two waits (2 s) old in calm times, since a call tells of the moment at which it was sent; two changes within 10 ms made it fresh between two questions, a jump of 1.90 s, over the 1.80 s that counted as an outage. The bound is now two waits and two slacks, 2.8 s.

--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -20,9 +20,11 @@
 	// something changes all the time several may fail before a leaving endpoint
 	// must be out of use.
 	paceShare = 0.1
-	// outageSlacks is how many calls without a wait must have failed after one
-	// with a wait for the service to count as having been away. Entries lapse
-	// after three heartbeats, which take longer.
+	// outageSlacks is how many calls without a wait must have failed for the
+	// service to count as having been away, beyond what knowledge ages in calm
+	// times: a call tells of the moment at which it was sent, so that what is known
+	// gets two waits old before the next one ends. Entries lapse after three
+	// heartbeats, which take longer.
 	outageSlacks = 2
 	// budgetShare of the operator's ratio is used for retries: callers' own
 	// count as requests, but those at the window's edges may count twice.
@@ -94,7 +96,7 @@
 	if b.DrainWithin > 0 {
 		t.Pace = time.Duration(paceShare * float64(b.DrainWithin))
 	}
-	t.Outage = t.Wait + outageSlacks*t.Slack
+	t.Outage = 2*t.Wait + outageSlacks*t.Slack
 	return t
 }
 
