Judge failures only where others saw some, and do a guard once

From reading the whole change again. Each answer of a reader had every endpoint's attempts summed, grouped and sorted, four times a second, also where nobody had seen a failure; one witness doesn't suffice, so that this could find nothing. The loop of readers had the guard, the answers of those who ask hadn't; it now stands where both come through. serveNews and servePage checked alike whether anything is known; that is one function. The soak passed pointers to maps.

--- a/internal/peers/failures.go
+++ b/internal/peers/failures.go
@@ -94,10 +94,11 @@
 	return words
 }
 
-// takeFailures has this router's pool judge by what others saw.
+// takeFailures has this router's pool judge by what others saw. Where they saw
+// nothing it can't find anything either: one witness doesn't suffice.
 func (s *Source) takeFailures(now time.Time, words []balance.FailureWord) {
 	known := s.failures.known.Load()
-	if known == nil {
+	if known == nil || len(words) == 0 {
 		return
 	}
 	for _, w := range (*known).HearFailures(now, words) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -281,13 +281,22 @@
 // errNothing is what a router says that knows nothing itself.
 var errNothing = errors.New("peers: nothing is known here yet")
 
+// known is what this router knows; the error says that it has nothing to tell yet.
+func (s *Source) known() (State, error) {
+	own := s.own()
+	if own == nil || own.Config() == nil || own.Directory().Len() == 0 {
+		return nil, errNothing
+	}
+	return own, nil
+}
+
 func (s *Source) serveNews(_ context.Context, _ identity.Peer, req newsRequest) (newsReply, error) {
 	now := time.Now()
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From.VM, req.Demand, now)
-	own := s.own()
-	if own == nil || own.Config() == nil || own.Directory().Len() == 0 {
-		return newsReply{}, errNothing
+	own, err := s.known()
+	if err != nil {
+		return newsReply{}, err
 	}
 	// The age is taken first: what is told may be newer than it says.
 	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1}
@@ -306,9 +315,9 @@
 
 func (s *Source) servePage(_ context.Context, _ identity.Peer, req pageRequest) (pageReply, error) {
 	s.members.hear(req.From, time.Now())
-	own := s.own()
-	if own == nil || own.Config() == nil || own.Directory().Len() == 0 {
-		return pageReply{}, errNothing
+	own, err := s.known()
+	if err != nil {
+		return pageReply{}, err
 	}
 	reply := pageReply{AgeMillis: own.Age().Milliseconds() + 1}
 	if req.Behind == "" {
@@ -339,9 +348,7 @@
 func (s *Source) judgeFailures(ctx context.Context) {
 	for clock.Sleep(ctx, s.cfg.Every) {
 		now := time.Now()
-		if words := s.failures.addUp(nil, now, ""); len(words) > 0 {
-			s.takeFailures(now, words)
-		}
+		s.takeFailures(now, s.failures.addUp(nil, now, ""))
 	}
 }
 
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -49,37 +49,37 @@
 // harmRouter notes the time that a harm of a router takes.
 func (r *run) harmRouter(p *routerProc, harm func()) {
 	from := time.Now()
-	r.noteHarm(&r.seen.Harmed, p.number, from)
+	r.noteHarm(r.seen.Harmed, p.number, from)
 	harm()
-	r.endHarm(&r.seen.Harmed, p.number, from)
+	r.endHarm(r.seen.Harmed, p.number, from)
 }
 
 func (r *run) harmAll(harm func()) {
 	from := time.Now()
 	for _, p := range r.routers {
-		r.noteHarm(&r.seen.Harmed, p.number, from)
+		r.noteHarm(r.seen.Harmed, p.number, from)
 	}
 	harm()
 	for _, p := range r.routers {
-		r.endHarm(&r.seen.Harmed, p.number, from)
+		r.endHarm(r.seen.Harmed, p.number, from)
 	}
 }
 
 // openEnd is the end of a harm that hasn't ended.
 var openEnd = time.Unix(1<<40, 0)
 
-func (r *run) noteHarm(of *map[int][]Span, router int, from time.Time) {
+func (r *run) noteHarm(of map[int][]Span, router int, from time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	(*of)[router] = append((*of)[router], Span{From: from, To: openEnd})
+	of[router] = append(of[router], Span{From: from, To: openEnd})
 }
 
-func (r *run) endHarm(of *map[int][]Span, router int, from time.Time) {
+func (r *run) endHarm(of map[int][]Span, router int, from time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, s := range (*of)[router] {
+	for i, s := range of[router] {
 		if s.From.Equal(from) {
-			(*of)[router][i].To = time.Now()
+			of[router][i].To = time.Now()
 		}
 	}
 }
@@ -108,9 +108,9 @@
 // a while after: its callers find it gone.
 func (r *run) stopRouter(ctx context.Context, p *routerProc) {
 	from := time.Now()
-	r.noteHarm(&r.seen.Stops, p.number, from)
+	r.noteHarm(r.seen.Stops, p.number, from)
 	r.endRouter(ctx, p, syscall.SIGTERM, 0)
-	r.endHarm(&r.seen.Stops, p.number, from)
+	r.endHarm(r.seen.Stops, p.number, from)
 }
 
 // reload changes the settings file in a way that changes nothing else.
