Believe peers by all bounds, and tell a configuration as what changed

Cause: the age up to which a router believes another one was a share of the bound on revoked keys. The wait of a call (5 s) ignored the bounds on drains and configurations as well.

Change: wait and believed age follow the shortest bound that is in force (keys, drains, configurations), each of which may be absent; a table test has each alone, none, and very short ones. A reader is one whose share of a core and link are at least half of the best router's. Routers tell each other what changed since the asker's configuration, compressed, packed once for all who ask.

Test without the bench: eleven routers, ten of them behind 10 Mbit/s, 1,500 and 5,000 routes, one restarting at each step.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -36,6 +36,10 @@
 	// source for itself. Seeds are the control addresses of some of them.
 	Control string
 	Seeds   []string
+	// Cores and LinkMbps are this VM's share of the processor and its link, by
+	// which routers choose who reads for others; 0 if that isn't known.
+	Cores    float64
+	LinkMbps float64
 	// Callers, Ready and Metrics are the addresses to listen on; without a
 	// metrics address none are served.
 	Callers, Ready, Metrics string
@@ -56,8 +60,10 @@
 	// RevokeWithin is how soon a revoked key must no longer work, wherever;
 	// 0 demands nothing.
 	RevokeWithin time.Duration
-	// DrainWithin is how soon an endpoint that leaves must get no new work.
-	DrainWithin time.Duration
+	// DrainWithin is how soon an endpoint that leaves must get no new work, and
+	// ConfigWithin how soon a configuration must be in force; 0 demands nothing.
+	DrainWithin  time.Duration
+	ConfigWithin time.Duration
 	// StopWithin is the time between the word to stop and the end by force.
 	StopWithin time.Duration
 	// RetryRatio and RetryWindow bound what endpoints get beyond the first
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -25,12 +25,15 @@
 	}
 	d.control = control.NewServer(control.ServerConfig{Listener: l, Log: d.log})
 	d.peers = peers.New(peers.Config{
-		Self:   peers.Member{VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control},
+		Self: peers.Member{
+			VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control,
+			Cores: d.cfg.Cores, LinkMbps: d.cfg.LinkMbps,
+		},
 		Seeds:  d.cfg.Seeds,
 		Source: reader,
 		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
 		Every:  peerEvery,
-		MaxAge: time.Duration(peerShare * float64(d.maxKeyAge())),
+		MaxAge: peerAge(d.cfg.Bounds),
 		Log:    d.log,
 	})
 	d.peers.Register(d.control)
--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -16,6 +16,10 @@
 	// waitShare of RevokeWithin is how long one call waits for news, so that
 	// several may fail in a row before keys are no longer trusted.
 	waitShare = 0.2
+	// newsShare is the same of DrainWithin and ConfigWithin: a call that is lost is
+	// noticed after its wait and some slack, and the next one must still bring the
+	// news within the bound.
+	newsShare = 0.35
 	// paceShare of DrainWithin lies between two calls at least, so that where
 	// something changes all the time several may fail before a leaving endpoint
 	// must be out of use.
@@ -32,9 +36,11 @@
 	// noticeShare of StopWithin is the most that passes before a stopping
 	// router refuses new requests.
 	noticeShare = 0.33
-	// peerShare of the trusted age is how old the word of another router may
-	// be; beyond it the source itself is asked, with time for some tries.
-	peerShare = 0.5
+	// peerWaits is how many waits old the word of another router may be: a call
+	// tells of the moment at which it was sent, so that in calm times what a reader
+	// knows gets two waits old before the next one ends. Beyond that, and the slack
+	// of a call, others are asked and then the source itself.
+	peerWaits = 2
 	// unreadyShare of the trusted age is where a router asks the balancer to
 	// turn away: it will soon have to refuse.
 	unreadyShare = 0.6
@@ -45,6 +51,10 @@
 	// less, and defaultPace lies between two calls at least.
 	defaultWait = 5 * time.Second
 	defaultPace = 200 * time.Millisecond
+	// minWait and minPace bound what is asked of the service however short a bound
+	// is: some answers' time, and ten calls a second of each reader.
+	minWait = 200 * time.Millisecond
+	minPace = 100 * time.Millisecond
 	// readTimeout bounds one call; the service answers in milliseconds, in
 	// a quarter of a second when it is slow.
 	readTimeout = 600 * time.Millisecond
@@ -89,17 +99,35 @@
 
 // timing is how the source is asked so that the operator's bounds hold.
 func timing(b DirectBounds) follow.Timing {
-	t := follow.Timing{Wait: defaultWait, Slack: watchSlack, Pace: defaultPace, Return: listReturn}
-	if b.RevokeWithin > 0 {
-		t.Wait = time.Duration(waitShare * float64(b.RevokeWithin))
-	}
+	t := follow.Timing{Wait: waitFor(b), Slack: watchSlack, Pace: defaultPace, Return: listReturn}
 	if b.DrainWithin > 0 {
-		t.Pace = time.Duration(paceShare * float64(b.DrainWithin))
+		t.Pace = max(minPace, time.Duration(paceShare*float64(b.DrainWithin)))
 	}
-	t.Outage = 2*t.Wait + outageSlacks*t.Slack
+	t.Outage = peerWaits*t.Wait + outageSlacks*t.Slack
 	return t
 }
 
+// waitFor is how long a call waits for news, by the shortest of the bounds that
+// are in force.
+func waitFor(b DirectBounds) time.Duration {
+	wait := defaultWait
+	for _, bound := range []struct {
+		within time.Duration
+		share  float64
+	}{{b.RevokeWithin, waitShare}, {b.DrainWithin, newsShare}, {b.ConfigWithin, newsShare}} {
+		if bound.within > 0 {
+			wait = min(wait, time.Duration(bound.share*float64(bound.within)))
+		}
+	}
+	return max(wait, minWait)
+}
+
+// peerAge is how old the word of another router may be. It holds whether keys have
+// to be revoked in time or not.
+func peerAge(b DirectBounds) time.Duration {
+	return peerWaits*waitFor(b) + watchSlack
+}
+
 func directRetries(b DirectBounds) *retry.Policy {
 	return &retry.Policy{
 		ChargeAll: true,
--- a/internal/daemon/directtimes_test.go
+++ b/internal/daemon/directtimes_test.go
@@ -8,15 +8,53 @@
 )
 
 func TestTimesFollowTheOperatorsBounds(t *testing.T) {
-	g := NewWithT(t)
-	b := DirectBounds{RevokeWithin: 5 * time.Second, DrainWithin: 2 * time.Second}
-	g.Expect(timing(b).Wait).To(Equal(time.Second))
-	g.Expect(timing(b).Pace).To(Equal(200 * time.Millisecond))
-	// A router that asks another one sees knowledge that is two waits old become
-	// fresh from one question to the next.
-	g.Expect(timing(b).Outage).To(BeNumerically(">", 2*timing(b).Wait+peerEvery+timing(b).Slack))
-	g.Expect(timing(DirectBounds{}).Wait).To(Equal(defaultWait))
-	g.Expect(timing(DirectBounds{}).Pace).To(Equal(defaultPace))
+	for _, c := range []struct {
+		name   string
+		bounds DirectBounds
+		wait   time.Duration
+		pace   time.Duration
+	}{
+		{"none", DirectBounds{}, defaultWait, defaultPace},
+		{"keys", DirectBounds{RevokeWithin: 5 * time.Second}, time.Second, defaultPace},
+		{"drains", DirectBounds{DrainWithin: 2 * time.Second}, 700 * time.Millisecond, 200 * time.Millisecond},
+		{"configurations", DirectBounds{ConfigWithin: 3 * time.Second}, 1050 * time.Millisecond, defaultPace},
+		{
+			"all, the shortest counts",
+			DirectBounds{RevokeWithin: 3 * time.Second, DrainWithin: 2 * time.Second, ConfigWithin: 6 * time.Second},
+			600 * time.Millisecond, 200 * time.Millisecond,
+		},
+		{"very short", DirectBounds{RevokeWithin: 1, DrainWithin: 1, ConfigWithin: 1}, minWait, minPace},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := timing(c.bounds)
+			g.Expect(got.Wait.Round(time.Microsecond)).To(Equal(c.wait))
+			g.Expect(got.Pace).To(Equal(c.pace))
+			// A router that asks another one sees knowledge that is two waits old
+			// become fresh from one question to the next.
+			g.Expect(got.Outage).To(BeNumerically(">", 2*got.Wait+peerEvery+got.Slack))
+			// What a reader knows in calm times has to be good enough for others,
+			// whichever bounds are in force.
+			g.Expect(peerAge(c.bounds)).To(BeNumerically(">=", 2*got.Wait+peerEvery))
+		})
+	}
+}
+
+func TestALostCallLeavesTimeForAnotherOneWithinTheBound(t *testing.T) {
+	for _, within := range []time.Duration{2 * time.Second, 3 * time.Second, 6 * time.Second} {
+		for _, b := range []DirectBounds{{DrainWithin: within}, {ConfigWithin: within}, {DrainWithin: within, ConfigWithin: 2 * within}} {
+			got := timing(b)
+			NewWithT(t).Expect(got.Wait+got.Slack+readTimeout).To(BeNumerically("<", within), "%+v", b)
+		}
+	}
+}
+
+func TestKeysAreTrustedLongerThanPeersAreBelieved(t *testing.T) {
+	for _, within := range []time.Duration{2 * time.Second, 5 * time.Second, 20 * time.Second} {
+		b := DirectBounds{RevokeWithin: within}
+		trusted := time.Duration(trustShare * float64(within))
+		NewWithT(t).Expect(peerAge(b)).To(BeNumerically("<", trusted-readTimeout), "%s", within)
+	}
 }
 
 func TestAStopLeavesTimeForItsEnd(t *testing.T) {
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -85,12 +85,42 @@
 			of = append(of, h.Member)
 		}
 	}
+	of = able(of)
 	slices.SortFunc(of, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.VM, b.VM))
 	})
 	return of[:min(len(of), readersPerDomain)]
 }
 
+// ableShare of the best router's means makes one able to read for others. Among
+// those any will do, so that the work doesn't always fall to the same.
+const ableShare = 0.5
+
+// able are the routers that can carry the reading of others: a large configuration
+// takes long through a narrow link or on a part of a core, and all others then wait.
+func able(of []Member) []Member {
+	var cores, link float64
+	for _, m := range of {
+		cores, link = max(cores, m.Cores), max(link, m.LinkMbps)
+	}
+	// What isn't known counts as the best.
+	means := func(m Member) float64 {
+		return min(share(m.Cores, cores), share(m.LinkMbps, link))
+	}
+	best := 0.0
+	for _, m := range of {
+		best = max(best, means(m))
+	}
+	return slices.DeleteFunc(of, func(m Member) bool { return means(m) < ableShare*best })
+}
+
+func share(of, best float64) float64 {
+	if of == 0 || best == 0 {
+		return 1
+	}
+	return of / best
+}
+
 func rank(m Member) uint64 { return xxhash.Sum64String(m.FailureDomain + "/" + m.VM) }
 
 // isReader says whether this router reads for its failure domain.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -7,7 +7,6 @@
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/identity"
-	"coveferry/internal/route"
 )
 
 // callTimeout bounds a call to a peer: long beside the milliseconds that it
@@ -34,6 +33,10 @@
 	VM            string `json:"vm"`
 	FailureDomain string `json:"failure_domain"`
 	Address       string `json:"address"` // of its control channel
+	// Cores and LinkMbps are what its VM has, 0 if that isn't known. They decide
+	// who reads for others.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // heardMember is a member with how long ago it was heard of.
@@ -70,8 +73,9 @@
 }
 
 type newsReply struct {
-	// Config is nil if the asker has it already.
-	Config *route.Config `json:"config,omitempty"`
+	// Config is what changed since the asker's configuration; nil if it has the
+	// newest.
+	Config packedChange `json:"config,omitempty"`
 	// Entries are those of the list that changed, and Gone the names of those
 	// that left. Lost says that this isn't known: the whole has to be read.
 	Entries  []directory.Entry `json:"entries,omitempty"`
@@ -99,7 +103,7 @@
 }
 
 type pageReply struct {
-	Config    *route.Config     `json:"config,omitempty"`
+	Config    packedChange      `json:"config,omitempty"`
 	Entries   []directory.Entry `json:"entries"`
 	More      bool              `json:"more,omitempty"`
 	Revision  uint64            `json:"revision"`
--- /dev/null
+++ b/internal/peers/narrow_test.go
@@ -0,0 +1,252 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
+	"coveferry/internal/control"
+	"coveferry/internal/directory"
+	"coveferry/internal/follow"
+	"coveferry/internal/memnet"
+	"coveferry/internal/route"
+)
+
+// vmLink is the link of one VM: what it sends waits for what it sent before.
+type vmLink struct {
+	mu   sync.Mutex
+	mbps float64
+	free time.Time
+	sent int
+}
+
+// reserve returns when so many bytes will have been sent.
+func (l *vmLink) reserve(bytes int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) * 8 / l.mbps * float64(time.Microsecond)))
+	l.sent += bytes
+	return l.free
+}
+
+// linkConn is a connection that sends over a link. Writes return at once, as a
+// writer that slept under a lock would stop the clock of the test.
+type linkConn struct {
+	net.Conn
+	link *vmLink
+	out  chan []byte
+}
+
+// maxWrites is more than the test ever has on the way.
+const maxWrites = 4096
+
+func newLinkConn(c net.Conn, link *vmLink) *linkConn {
+	lc := &linkConn{Conn: c, link: link, out: make(chan []byte, maxWrites)}
+	go func() {
+		for p := range lc.out {
+			time.Sleep(time.Until(link.reserve(len(p))))
+			if _, err := c.Write(p); err != nil {
+				return
+			}
+		}
+	}()
+	return lc
+}
+
+func (c *linkConn) Write(p []byte) (int, error) {
+	c.out <- bytes.Clone(p)
+	return len(p), nil
+}
+
+func (c *linkConn) Close() error {
+	c.out <- nil // wakes the sender, whose next write fails
+	return c.Conn.Close()
+}
+
+// linkListener is a listener whose answers go over a link.
+type linkListener struct {
+	net.Listener
+	link *vmLink
+}
+
+func (l linkListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newLinkConn(c, l.link), nil
+}
+
+// bigStore holds a configuration that has to come over the link of who reads it.
+type bigStore struct {
+	mu     sync.Mutex
+	config *route.Config
+}
+
+func (s *bigStore) set(c *route.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = c
+}
+
+func (s *bigStore) get() *route.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config
+}
+
+// linkedView is the store as a router reaches it over its link.
+type linkedView struct {
+	store *bigStore
+	link  *vmLink
+}
+
+func (v linkedView) reading() follow.Reading {
+	c := v.store.get()
+	size, _ := json.Marshal(c)
+	time.Sleep(time.Until(v.link.reserve(len(size))))
+	entries := []directory.Entry{{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}}
+	return follow.Reading{Config: c, List: directory.Reading{Whole: true, Entries: entries, Revision: c.Version}}
+}
+
+func (v linkedView) Read(context.Context, bool) (follow.Reading, error) { return v.reading(), nil }
+
+func (v linkedView) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	for until := time.Now().Add(wait); time.Now().Before(until); {
+		if v.store.get().Version > after {
+			return v.reading(), ctx.Err()
+		}
+		if !clock.Sleep(ctx, 10*time.Millisecond) {
+			break
+		}
+	}
+	return follow.Reading{List: directory.Reading{Revision: after}}, ctx.Err()
+}
+
+// routesOf is a configuration of so many routes.
+func routesOf(version uint64, routes int) *route.Config {
+	c := &route.Config{Version: version, Services: []route.Service{{Name: "s"}}, Teams: map[string]*route.Team{"key": {Name: "team"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, route.Route{
+			Name: fmt.Sprintf("r-%x", i*7919), Host: fmt.Sprintf("host%d.example", i%9), Prefix: fmt.Sprintf("/%x/", i*104729),
+			Targets: []route.Target{{Service: "s", Weight: 1}}, Stream: i%2 == 0, Tier: i % 3, Timeout: 6 * time.Second, Objective: 600 * time.Millisecond,
+		})
+	}
+	return c
+}
+
+// linkedNode is a router behind a link.
+type linkedNode struct {
+	node
+	link *vmLink
+}
+
+func startLinked(ctx context.Context, g *WithT, n *memnet.Net, store *bigStore, i int, mbps float64, seeds []string) *linkedNode {
+	vm := fmt.Sprint("vm", i)
+	l, err := n.Listen(address(i))
+	g.Expect(err).NotTo(HaveOccurred())
+	link := &vmLink{mbps: mbps}
+	dial := n.Dialer(vm)
+	pool := control.NewPool(control.ClientConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newLinkConn(c, link), nil
+	}}, 0)
+	source := New(Config{
+		Self: Member{VM: vm, FailureDomain: "domain", Address: address(i), Cores: 1, LinkMbps: mbps}, Seeds: seeds,
+		Source: linkedView{store, link}, Pool: pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Log: zerolog.Nop(),
+	})
+	server := control.NewServer(control.ServerConfig{Listener: linkListener{l, link}})
+	source.Register(server)
+	follower := follow.New(follow.Config{
+		Source: source, Log: zerolog.Nop(), Clock: time.Now, OnDirectory: func(*directory.Directory) {},
+		Timing: follow.Timing{
+			Wait: time.Second, Slack: 400 * time.Millisecond, Pace: 200 * time.Millisecond,
+			Outage: 2800 * time.Millisecond, Return: 2500 * time.Millisecond,
+		},
+	})
+	source.Tell(follower)
+	ctx, stop := context.WithCancel(ctx)
+	go func() { _ = server.Run() }()
+	go source.Run(ctx)
+	go follower.Run(ctx)
+	return &linkedNode{node: node{vm: vm, source: source, follower: follower, stop: stop, server: server, pool: pool}, link: link}
+}
+
+// Of eleven routers of a failure domain one has a link of 200 Mbit/s and the others
+// of 10. A configuration that grows by many routes has to be in force at all of them
+// within 3 s, also while some restart.
+func TestALargeConfigurationIsInForceInTimeBehindNarrowLinks(t *testing.T) {
+	for _, routes := range []int{1500, 5000} {
+		t.Run(fmt.Sprint(routes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := memnet.New()
+				store := &bigStore{config: routesOf(1, 20)}
+				seeds := []string{address(1), address(2), address(3)}
+				var nodes []*linkedNode
+				defer func() {
+					for _, node := range nodes {
+						node.end()
+					}
+					time.Sleep(time.Minute)
+				}()
+				start := func(i int) *linkedNode {
+					mbps := 10.0
+					if i == 0 {
+						mbps = 200
+					}
+					return startLinked(t.Context(), g, n, store, i, mbps, seeds)
+				}
+				for i := range 11 {
+					nodes = append(nodes, start(i))
+				}
+				time.Sleep(6 * time.Second)
+				for step, size := range []int{routes, routes + 1, routes / 2} {
+					nodes[4].end()
+					store.set(routesOf(uint64(2+step), size))
+					time.Sleep(time.Second)
+					nodes[4] = start(4)
+					time.Sleep(2 * time.Second)
+					for _, node := range nodes {
+						g.Expect(node.follower.Table()).NotTo(BeNil(), node.vm)
+						g.Expect(node.follower.Table().Size()).To(Equal(size), node.vm)
+					}
+				}
+				total := 0
+				for _, node := range nodes {
+					total += node.link.sent
+				}
+				t.Logf("%d routes: %d KB over all links", routes, total>>10)
+			})
+		})
+	}
+}
+
+func TestTheReaderIsOneThatCanCarryIt(t *testing.T) {
+	g := NewWithT(t)
+	m := newMembers(Member{VM: "a", FailureDomain: "d", Cores: 0.8, LinkMbps: 10})
+	now := time.Now()
+	m.hear(Member{VM: "b", FailureDomain: "d", Cores: 0.1, LinkMbps: 200}, now)
+	g.Expect(m.readers(now, "d")).To(HaveLen(1))
+	m.hear(Member{VM: "c", FailureDomain: "d", Cores: 0.5, LinkMbps: 150}, now)
+	g.Expect(m.readers(now, "d")[0].VM).To(Equal("c"))
+	// Where nothing is known of VMs, any will do.
+	g.Expect(able([]Member{{VM: "x"}, {VM: "y"}})).To(HaveLen(2))
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -51,6 +51,7 @@
 	loads    loads
 	failures failures
 	log      changelog
+	configs  configlog
 	direct   *watched // the source itself
 	mu       sync.Mutex
 	// state is what this router itself believes, and tells others.
@@ -207,8 +208,25 @@
 	if reply.Lost {
 		return follow.Reading{}, errors.Wrapf(follow.ErrHistoryLost, "peers: %s", peer.VM)
 	}
+	config, err := unpack(reply.Config, own.Config())
+	if err != nil {
+		return follow.Reading{}, err
+	}
 	list := directory.Reading{Entries: reply.Entries, Gone: reply.Gone, Revision: reply.Revision}
-	return follow.Reading{Config: reply.Config, List: list, Age: age}, nil
+	return follow.Reading{Config: config, List: list, Age: age}, nil
+}
+
+// unpack returns the configuration that a peer told, nil if it told none. One that
+// changes another version than this router's has to be read whole.
+func unpack(told packedChange, base *route.Config) (*route.Config, error) {
+	if told == nil {
+		return nil, nil
+	}
+	config, err := told.apply(base)
+	if errors.Is(err, route.ErrOtherVersion) {
+		return nil, errors.CombineErrors(follow.ErrHistoryLost, err)
+	}
+	return config, err
 }
 
 // checkAge turns the age of what a peer knows; its error says that it is too old.
@@ -235,7 +253,11 @@
 			if err != nil {
 				return follow.Reading{}, err
 			}
-			whole = follow.Reading{Config: reply.Config, Age: age, List: directory.Reading{Whole: true, Revision: reply.Revision}}
+			config, err := unpack(reply.Config, nil)
+			if err != nil {
+				return follow.Reading{}, err
+			}
+			whole = follow.Reading{Config: config, Age: age, List: directory.Reading{Whole: true, Revision: reply.Revision}}
 		}
 		whole.List.Revision = min(whole.List.Revision, reply.Revision)
 		whole.List.Entries = append(whole.List.Entries, reply.Entries...)
@@ -305,8 +327,8 @@
 	reply.Loads = s.loads.all(now)
 	s.failures.said(req.From.VM, req.Failures, now)
 	reply.Failures = s.failures.of(now, req.From.VM)
-	if c := own.Config(); c.Version > req.Version {
-		reply.Config = c
+	if reply.Config, err = s.configs.since(own.Config(), req.Version); err != nil {
+		return newsReply{}, err
 	}
 	news, known := s.log.since(own.Directory().Listed(), req.Revision, req.Digest)
 	reply.Entries, reply.Gone, reply.Lost, reply.Revision = news.Entries, news.Gone, !known, news.Revision
@@ -321,7 +343,9 @@
 	}
 	reply := pageReply{AgeMillis: own.Age().Milliseconds() + 1}
 	if req.Behind == "" {
-		reply.Config = own.Config()
+		if reply.Config, err = s.configs.since(own.Config(), 0); err != nil {
+			return pageReply{}, err
+		}
 	}
 	d := own.Directory().Listed()
 	reply.Revision = d.Revision()
