Keep streams apart by what endpoints are learned to do, not by one engine's times

Cause: a stream counted as tight below 57 ms for each token of an event, a figure of the first customers' engines. How many endpoints were kept apart followed a weight of 10 prompt tokens for a token of output, of the same engines.

Change: each router learns from answers how long an endpoint takes for a token and for reading one (quantiles; the low ones, so that waiting isn't taken for reading). Demand is told by kind (the pause that it allows), as seconds of reading and of held slots. A kind is kept apart if over a twentieth of its streams would be late by others' prompts, by the tail of a queue, and if its own prompts don't make those late that are apart already. Each side gets endpoints by its need, reading up to .35 of the time or streams up to .7 of the slots, and no fewer than it is overloaded with. A prompt that takes long to read by itself is no reason for a refusal.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -20,8 +20,12 @@
 	Prefix uint64
 	// Prompt is the shape of the prompt, where the caller tells it.
 	Prompt prompt.Prompt
-	// Tight says that long prompts beside it would make the stream late.
-	Tight bool
+	// MaxGap is the longest pause between two events of a stream that is on time; 0
+	// if any will do. Stride is how many tokens an event holds.
+	MaxGap time.Duration
+	Stride int
+	// Once says that the request may not run again after its endpoint broke off.
+	Once bool
 }
 
 // View is what a router knows of one endpoint at one moment.
@@ -52,6 +56,9 @@
 	// Service is the smoothed time for which a request holds a slot, worked
 	// out from the reports' running requests and drain rate; 0 if unknown.
 	Service time.Duration
+	// Token is how many seconds the endpoint takes between two tokens, 0 if that
+	// isn't known, and PerToken how many for reading a token of a prompt.
+	Token, PerToken float64
 	// Weight is 1 for a healthy endpoint; less for one that comes back
 	// slowly after it was found slow, failing or away; 0 for one that is
 	// shed or suspect.
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,77 +16,190 @@
 	fastHalfLife = time.Second
 )
 
-// outputWeight is how many prompt tokens cost an engine as much time as one
-// token of output does, in a batch of usual size.
-const outputWeight = 10
+// maxKinds bounds the kinds of request that are told apart; what comes beyond
+// counts as one that may pause for ever.
+const maxKinds = 16
+
+// Kind is the requests whose streams may pause equally long, as decaying sums.
+type Kind struct {
+	// GapMillis is the longest pause between two events; 0 if any will do.
+	GapMillis int64 `json:"gap"`
+	// Requests is their number by the longer memory, Recent by the shorter.
+	Requests float64 `json:"n"`
+	Recent   float64 `json:"recent"`
+	// Read is the seconds that an engine reads the prompts of Requests, and Held
+	// those for which they hold a slot.
+	Read float64 `json:"read"`
+	Held float64 `json:"held"`
+}
+
+// rate is the kind's requests a second. One that grows is followed by the shorter
+// memory and falls by the longer: an endpoint that takes long prompts while streams
+// that may hardly pause still run there makes them late.
+func (k Kind) rate() float64 {
+	return math.Ln2 * max(k.Requests/slowHalfLife.Seconds(), k.Recent/fastHalfLife.Seconds())
+}
+
+// read and held are the seconds of one request.
+func (k Kind) read() float64 { return perRequest(k.Read, k.Requests) }
+func (k Kind) held() float64 { return perRequest(k.Held, k.Requests) }
+
+func perRequest(sum, requests float64) float64 {
+	if requests <= 0 {
+		return 0
+	}
+	return sum / requests
+}
+
+// Demand is what requests ask for, by kind, in the order of their pauses.
+type Demand []Kind
 
-// demand measures how much work two kinds of request ask for, as decaying sums.
-// That of tight streams is followed fast upward and slowly downward, because an
-// endpoint that takes long prompts while such streams still run there makes them
-// late. It is safe for concurrent use.
+// Plus adds two demands.
+func (d Demand) Plus(o Demand) Demand {
+	sum := slices.Clone(d)
+	for _, k := range o {
+		i := sum.place(k.GapMillis)
+		sum[i].Requests += k.Requests
+		sum[i].Recent += k.Recent
+		sum[i].Read += k.Read
+		sum[i].Held += k.Held
+	}
+	return sum
+}
+
+func (d Demand) requests() float64 {
+	sum := 0.0
+	for _, k := range d {
+		sum += k.Requests
+	}
+	return sum
+}
+
+// place is where a kind stands, which is added if there is room for one more.
+func (d *Demand) place(gapMillis int64) int {
+	i, found := slices.BinarySearchFunc(*d, gapMillis, func(k Kind, gap int64) int { return cmp.Compare(k.GapMillis, gap) })
+	switch {
+	case found:
+		return i
+	case len(*d) < maxKinds:
+		*d = slices.Insert(*d, i, Kind{GapMillis: gapMillis})
+		return i
+	case gapMillis == 0:
+		return 0 // the one that may hardly pause stands for it
+	}
+	return d.place(0)
+}
+
+// decay has sums age. What is next to nothing is dropped.
+func (d Demand) decay(age time.Duration) Demand {
+	slow := math.Exp2(-age.Seconds() / slowHalfLife.Seconds())
+	fast := math.Exp2(-age.Seconds() / fastHalfLife.Seconds())
+	for i := range d {
+		d[i].Requests *= slow
+		d[i].Read *= slow
+		d[i].Held *= slow
+		d[i].Recent *= fast
+	}
+	return slices.DeleteFunc(d, func(k Kind) bool { return k.Requests < leastRequests })
+}
+
+// leastRequests is the sum below which a kind is forgotten: one request, some
+// thirteen seconds later.
+const leastRequests = 0.01
+
+// demand measures what requests ask for and decides by it which endpoints are kept
+// apart. It is safe for concurrent use.
 type demand struct {
 	mu   sync.Mutex
 	at   time.Time
-	slow Demand
-	fast Demand
+	seen Demand
+	// held is how long streams of a kind held their slots.
+	held map[int64]mean
 	// others is what other routers see, nil if they don't say.
 	others func() Demand
-	kept   int // endpoints for tight streams, as last worked out
+	last   separation
+	// part is this router's part of all requests, as last worked out; 0 before.
+	part float64
 }
 
-// Demand is the work that requests ask for, in prompt tokens, as a decaying sum.
-type Demand struct {
-	Tight float64 `json:"tight"`
-	Bulk  float64 `json:"bulk"`
-	// Recent is that of tight streams by the shorter memory.
-	Recent float64 `json:"recent"`
+// add notes a request that takes so long to read.
+func (d *demand) add(now time.Time, gap, read time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay(now)
+	k := &d.seen[d.seen.place(gap.Milliseconds())]
+	k.Requests++
+	k.Recent++
+	k.Read += read.Seconds()
+	k.Held += d.heldFor(k.GapMillis)
 }
 
-// asked is the demand of tight streams: while it grows by the shorter memory. Sums
-// over different memories compare as rates.
-func (w Demand) asked() float64 {
-	return max(w.Tight, slowHalfLife.Seconds()/fastHalfLife.Seconds()*w.Recent)
-}
+const (
+	// firstHeld is how long streams are taken to hold a slot until some have
+	// ended, in seconds: what several seconds of an answer's text take.
+	firstHeld = 2.0
+	// heldShare is the weight of a new one in the smoothed time, once there are many.
+	heldShare = 0.05
+)
 
-// Plus adds two demands.
-func (w Demand) Plus(o Demand) Demand {
-	return Demand{Tight: w.Tight + o.Tight, Bulk: w.Bulk + o.Bulk, Recent: w.Recent + o.Recent}
+func (d *demand) heldFor(gapMillis int64) float64 {
+	if held, ok := d.held[gapMillis]; ok {
+		return held.value
+	}
+	return firstHeld
 }
 
-func (w *Demand) decay(age, halfLife time.Duration) {
-	left := math.Exp2(-age.Seconds() / halfLife.Seconds())
-	w.Tight *= left
-	w.Bulk *= left
+// mean is a smoothed mean, a plain one of the first samples.
+type mean struct {
+	value   float64
+	samples float64
 }
 
-func (w *Demand) add(amount float64, tight bool) {
-	if tight {
-		w.Tight += amount
-		return
-	}
-	w.Bulk += amount
+func (m mean) add(sample float64) mean {
+	m.samples++
+	m.value += max(heldShare, 1/m.samples) * (sample - m.value)
+	return m
 }
 
-// add notes a request's work.
-func (d *demand) add(now time.Time, amount float64, tight bool) {
+// ended notes a stream that held its slot for so long.
+func (d *demand) ended(gap, held time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.decay(now)
-	d.slow.add(amount, tight)
-	d.fast.add(amount, tight)
+	if d.held == nil || len(d.held) > maxKinds {
+		d.held = make(map[int64]mean)
+	}
+	d.held[gap.Milliseconds()] = d.held[gap.Milliseconds()].add(held.Seconds())
 }
 
-// split is how many of n endpoints are for tight streams now.
-func (d *demand) split(now time.Time, n int, headroom float64) int {
+// separate decides which endpoints of a fleet are kept apart now, and for whom.
+func (d *demand) separate(now time.Time, f fleet) separation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	all := d.seen()
+	all := d.seen
 	if d.others != nil {
 		all = all.Plus(d.others())
 	}
-	d.kept = split(d.kept, n, headroom*all.asked(), all.Bulk)
-	return d.kept
+	d.part = perRequest(d.seen.requests(), all.requests())
+	d.last = d.last.next(all, f)
+	return d.last
+}
+
+// share is this router's part of all requests, from just above 0 to 1.
+func (d *demand) share() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.part, leastShare)
+}
+
+// leastShare is the part of one router of the largest fleet planned for.
+const leastShare = 0.001
+
+// decided is what was decided last.
+func (d *demand) decided() separation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.last
 }
 
 // own is what this router sees.
@@ -92,45 +207,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	return d.seen()
-}
-
-// seen is what this router's requests ask for. d.mu is held.
-func (d *demand) seen() Demand {
-	seen := d.slow
-	seen.Recent = d.fast.Tight
-	return seen
+	return slices.Clone(d.seen)
 }
 
+// decay ages what is seen. d.mu is held.
 func (d *demand) decay(now time.Time) {
 	if !d.at.IsZero() && now.After(d.at) {
-		d.slow.decay(now.Sub(d.at), slowHalfLife)
-		d.fast.decay(now.Sub(d.at), fastHalfLife)
+		d.seen = d.seen.decay(now.Sub(d.at))
 	}
 	d.at = now
 }
-
-// splitHold is how far the best number of endpoints must be from the last one
-// before it changes; without it the boundary would flap, and caches with it.
-const splitHold = 0.75
-
-// split divides n endpoints in proportion to two demands. Each kind that asks
-// for anything gets one at least, where there are two.
-func split(last, n int, tight, bulk float64) int {
-	if n < 2 || tight+bulk <= 0 {
-		return 0
-	}
-	ideal := float64(n) * tight / (tight + bulk)
-	kept := last
-	if kept > n || math.Abs(ideal-float64(last)) > splitHold {
-		kept = int(math.Round(ideal))
-	}
-	least, most := 0, n
-	if tight > 0 {
-		least = 1
-	}
-	if bulk > 0 {
-		most = n - 1
-	}
-	return min(max(kept, least), most)
-}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -19,6 +19,8 @@
 	// choices numbers the choices; each draws from its own random stream.
 	choices atomic.Uint64
 	scratch sync.Pool
+	// byGroup has what is known of the engines of each group, by its name.
+	byGroup sync.Map
 	// detectAt is when the peers are compared next, in Unix nanoseconds.
 	detectAt  atomic.Int64
 	detecting sync.Mutex
@@ -70,9 +72,13 @@
 	// Wait is how long the request will probably wait for its first token; 0
 	// if the policy can't tell.
 	Wait time.Duration
+	// Read is the part of Wait in which its own prompt is read.
+	Read time.Duration
 	// Source probably has cached parts of the prompt that the endpoint lacks;
 	// nil if there is none.
 	Source *bundle.Endpoint
+	// Tight says that the request's stream would be late beside long prompts.
+	Tight bool
 	// Copy is where to copy the run's memory to as it grows, so that another
 	// endpoint can go on after a crash; nil if that isn't worth its price.
 	Copy *bundle.Endpoint
@@ -82,6 +88,10 @@
 type Expecter interface {
 	// Wait is how long the request will probably wait for its first token.
 	Wait(req Request, views []View, chosen int) time.Duration
+	// Read is the part of Wait in which the request's own prompt is read.
+	Read(req Request, views []View, chosen int) time.Duration
+	// Tight says whether the request is kept apart from long prompts.
+	Tight(req Request) bool
 	// Source is the place of the endpoint from which to fetch what the chosen
 	// one lacks, -1 if there is none. Behind the views stand those of endpoints
 	// that are leaving, whose caches are still there.
@@ -91,6 +101,13 @@
 	Copy(req Request, views []View, chosen int) int
 }
 
+// Learner is a Policy that learns from answers.
+type Learner interface {
+	// Ended notes that a stream that may pause for gap has ended, after it had its
+	// endpoint for so long.
+	Ended(gap, held time.Duration)
+}
+
 // ChooseExpecting is Choose that also tells what is expected of the choice.
 func (p *Pool) ChooseExpecting(now time.Time, req Request, candidates []*bundle.Endpoint, skip func(endpoint string) bool) (Choice, error) {
 	s := p.scratch.Get().(*scratch)
@@ -104,7 +121,8 @@
 	if !ok {
 		return choice, nil
 	}
-	choice.Wait = e.Wait(req, s.views, i)
+	choice.Wait, choice.Read = e.Wait(req, s.views, i), e.Read(req, s.views, i)
+	choice.Tight = e.Tight(req)
 	with := append(s.views, s.leaving...)
 	if source := e.Source(req, with, i); source >= 0 {
 		choice.Source = candidates[append(s.from, s.leavingFrom...)[source]]
@@ -174,7 +192,12 @@
 	if st.group == "" {
 		st.group = peerGroup(c)
 	}
+	if st.engines == nil {
+		st.engines = p.enginesOf(st.group)
+	}
 	st.view(c, v)
+	speed := st.engines.of(st.token)
+	v.Token, v.PerToken = speed.Token, speed.PerToken
 	v.Cached = st.recent.cached(now, pr)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
 	if st.suspect || now.Before(st.avoidUntil) {
@@ -183,6 +206,11 @@
 	return !st.leaving
 }
 
+func (p *Pool) enginesOf(group string) *engineSpeeds {
+	known, _ := p.byGroup.LoadOrStore(group, &engineSpeeds{})
+	return known.(*engineSpeeds)
+}
+
 // Views returns what the pool knows of the candidates, in their order and with
 // the leaving ones included, for status pages.
 func (p *Pool) Views(now time.Time, candidates []*bundle.Endpoint) []View {
--- /dev/null
+++ b/internal/balance/separate.go
@@ -0,0 +1,195 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// fleet is what the endpoints of a service have in common, as far as it decides who
+// is kept apart.
+type fleet struct {
+	endpoints int
+	slots     float64 // of one endpoint
+	// pause is the time between two events where nothing is read beside them.
+	pause time.Duration
+}
+
+// separation is which kinds of request are kept apart from the others, and how many
+// endpoints are theirs.
+type separation struct {
+	tight []int64 // the pauses of those kinds
+	kept  int
+}
+
+// tightFor says whether a stream that may pause for so long is kept apart.
+func (s separation) tightFor(gap time.Duration) bool {
+	return slices.Contains(s.tight, gap.Milliseconds())
+}
+
+const (
+	// apartFrom is the share of a kind's streams that have to be late by the
+	// prompts of others for it to be kept apart, and togetherBelow that below which
+	// it no longer is: what is kept apart lacks the others' endpoints when it grows
+	// or they fail, which some late streams are worth.
+	apartFrom     = 0.05
+	togetherBelow = 0.02
+	// readTarget is the part of an endpoint's time for reading prompts above which
+	// they wait for each other for longer than they are read: half of what they
+	// would at 0.5.
+	readTarget = 0.35
+	// fillTarget is the part of the slots to fill with streams on the whole, so
+	// that chance and bursts find room.
+	fillTarget = 0.7
+)
+
+// next decides anew. It is pure: what was decided last only keeps it from flapping.
+// Kinds are in the order of their pauses, so that the one that may hardly pause comes
+// first, and no later one joins it whose prompts would make it late.
+func (last separation) next(d Demand, f fleet) separation {
+	if f.endpoints < 2 {
+		return separation{}
+	}
+	var next separation
+	var apart Demand
+	var tight, bulk need
+	for _, k := range d {
+		bulk.add(k, 1)
+	}
+	for i, k := range d {
+		limit := apartFrom
+		if slices.Contains(last.tight, k.GapMillis) {
+			limit = togetherBelow
+		}
+		if lateByOthers(d, i, f) <= limit {
+			continue
+		}
+		tight.add(k, 1)
+		bulk.add(k, -1)
+		kept := divide(last.kept, f, tight, bulk)
+		if !harmless(k, apart, kept, f) {
+			tight.add(k, -1)
+			bulk.add(k, 1)
+			continue
+		}
+		apart = append(apart, k)
+		next.tight = append(next.tight, k.GapMillis)
+	}
+	next.kept = divide(last.kept, f, tight, bulk)
+	return next
+}
+
+// harmless says whether hardly any stream of other kinds would be late by a kind's
+// prompts at so many endpoints that are theirs together.
+func harmless(k Kind, others Demand, endpoints int, f fleet) bool {
+	rate := k.rate() / float64(max(endpoints, 1))
+	for _, o := range others {
+		if late(rate*beyond(o.room(f), k.read(), rate*k.read()), o.held()) > apartFrom {
+			return false
+		}
+	}
+	return true
+}
+
+// divide gives each side its part of the endpoints by what it needs, and no less than
+// what it can't do without.
+func divide(last int, f fleet, tight, bulk need) int {
+	kept := split(last, f.endpoints, tight.endpoints(f), bulk.endpoints(f))
+	least, rest := int(math.Ceil(tight.least(f))), int(math.Ceil(bulk.least(f)))
+	if least+rest > f.endpoints {
+		return split(last, f.endpoints, tight.least(f), bulk.least(f))
+	}
+	return min(max(kept, least), f.endpoints-rest)
+}
+
+// lateByOthers is the share of a kind's streams that would pause for too long by the
+// prompts of other kinds, if all used all endpoints alike, and wouldn't by their own.
+func lateByOthers(d Demand, kind int, f fleet) float64 {
+	if d[kind].GapMillis == 0 {
+		return 0
+	}
+	room := d[kind].room(f)
+	all, own := 0.0, 0.0
+	busy := 0.0
+	for _, k := range d {
+		busy += k.rate() * k.read() / float64(f.endpoints)
+	}
+	for i, k := range d {
+		rate := k.rate() / float64(f.endpoints) * beyond(room, k.read(), busy)
+		all += rate
+		if i == kind {
+			own = rate
+		}
+	}
+	return late(all, d[kind].held()) - late(own, d[kind].held())
+}
+
+// room is how many seconds of reading a stream's pause leaves room for.
+func (k Kind) room(f fleet) float64 { return float64(k.GapMillis)/1000 - f.pause.Seconds() }
+
+// beyond is the part of prompts that bring what an endpoint has to read to more than
+// room seconds, where it reads for the part busy of its time and a prompt takes read
+// seconds on average: by the tail of a queue with lengths that vary much.
+func beyond(room, read, busy float64) float64 {
+	switch {
+	case read <= 0:
+		return 0
+	case room <= 0 || busy >= 1:
+		return 1
+	}
+	return math.Exp(-(1 - busy) * room / read)
+}
+
+// late is the part of streams of so many seconds that meet what comes so many times
+// a second.
+func late(rate, seconds float64) float64 { return 1 - math.Exp(-rate*seconds) }
+
+// need is what kinds of request ask of endpoints.
+type need struct{ reading, running float64 }
+
+// add adds a kind, or takes it out again with a sign of -1.
+func (n *need) add(k Kind, sign float64) {
+	n.reading = max(0, n.reading+sign*k.rate()*k.read())
+	n.running = max(0, n.running+sign*k.rate()*k.held())
+}
+
+// endpoints is how many endpoints that takes, by what binds.
+func (n need) endpoints(f fleet) float64 {
+	return max(n.reading/readTarget, n.running/(fillTarget*max(f.slots, 1)))
+}
+
+// Parts of the time and of the slots beyond which requests wait without end.
+const (
+	readMost = 0.8
+	fillMost = 0.9
+)
+
+// least is the number of endpoints below which they are overloaded.
+func (n need) least(f fleet) float64 {
+	return max(n.reading/readMost, n.running/(fillMost*max(f.slots, 1)))
+}
+
+// splitHold is how far the best number of endpoints must be from the last one
+// before it changes; without it the boundary would flap, and caches with it.
+const splitHold = 0.75
+
+// split divides n endpoints in proportion to two needs. Each kind that asks
+// for anything gets one at least, where there are two.
+func split(last, n int, tight, bulk float64) int {
+	if n < 2 || tight+bulk <= 0 {
+		return 0
+	}
+	ideal := float64(n) * tight / (tight + bulk)
+	kept := last
+	if kept > n || math.Abs(ideal-float64(last)) > splitHold {
+		kept = int(math.Round(ideal))
+	}
+	least, most := 0, n
+	if tight > 0 {
+		least = 1
+	}
+	if bulk > 0 {
+		most = n - 1
+	}
+	return min(max(kept, least), most)
+}
--- /dev/null
+++ b/internal/balance/separate_test.go
@@ -0,0 +1,131 @@
+package balance
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// shape is an engine: seconds for a token of output and for reading one of a prompt.
+type shape struct {
+	name        string
+	token, read float64
+	slots       float64
+	stride      int
+}
+
+// shapes are engines of different makes. The last two are nobody's so far.
+var shapes = []shape{
+	{"small steps", 0.0031, 17.6e-6, 64, 6},
+	{"large steps", 0.0056, 23.5e-6, 64, 3},
+	{"few slots", 0.0056, 23.5e-6, 32, 5},
+	{"one token an event", 0.001, 2e-6, 256, 1},
+	{"slow", 0.02, 200e-6, 8, 2},
+}
+
+// kindOf is a kind of so many requests a second, with prompts and answers of so many
+// tokens at engines of a shape.
+func kindOf(s shape, gap time.Duration, rate, prompt, output float64) Kind {
+	requests := rate * slowHalfLife.Seconds() / 0.6931
+	return Kind{
+		GapMillis: gap.Milliseconds(), Requests: requests, Recent: requests / 2,
+		Read: requests * prompt * s.read, Held: requests * output * s.token,
+	}
+}
+
+func (s shape) fleet(n int) fleet {
+	return fleet{endpoints: n, slots: s.slots, pause: seconds(s.token * float64(s.stride))}
+}
+
+// mixed is short prompts with long answers, whose streams may pause for three times
+// what an average long prompt takes to read, beside long prompts with short answers.
+// Each asks for a part of what n endpoints can do.
+func (s shape) mixed(n int, part float64) Demand {
+	const longTokens = 3000
+	gap := seconds(3*longTokens*s.read + s.token*float64(s.stride))
+	notes := part * float64(n) * s.slots / (300 * s.token)
+	drafts := part * float64(n) / (longTokens * s.read)
+	return Demand{kindOf(s, gap, notes, 100, 300), kindOf(s, 20*gap, drafts, longTokens, 50)}
+}
+
+func TestStreamsThatOthersWouldMakeLateAreKeptApartAtAnyEngine(t *testing.T) {
+	for _, s := range shapes {
+		for _, n := range []int{2, 3, 9, 55, 300} {
+			g := NewWithT(t)
+			d := s.mixed(n, 0.3)
+			got := separation{}.next(d, s.fleet(n))
+			g.Expect(got.tight).To(Equal([]int64{d[0].GapMillis}), "%s, %d", s.name, n)
+			g.Expect(got.kept).To(And(BeNumerically(">=", 1), BeNumerically("<", n)), "%s, %d", s.name, n)
+		}
+	}
+}
+
+func TestStreamsWithTimeToPauseAreNotKeptApart(t *testing.T) {
+	for _, s := range shapes {
+		g := NewWithT(t)
+		d := s.mixed(9, 0.3)
+		d[0].GapMillis *= 10
+		g.Expect(separation{}.next(d, s.fleet(9))).To(Equal(separation{}), s.name)
+		d = s.mixed(9, 0.3)
+		d[0].GapMillis = 0 // any pause will do
+		g.Expect(separation{}.next(d, s.fleet(9))).To(Equal(separation{}), s.name)
+	}
+}
+
+func TestAKindOfLongPromptsIsNotKeptApartFromItself(t *testing.T) {
+	for _, s := range shapes {
+		d := s.mixed(9, 0.3)
+		d[1].GapMillis = d[0].GapMillis
+		NewWithT(t).Expect(separation{}.next(d[1:], s.fleet(9))).To(Equal(separation{}), s.name)
+	}
+}
+
+// Prompts of medium size would be late beside the longest, but would make those late
+// that may hardly pause.
+func TestNoKindJoinsThoseThatItWouldMakeLate(t *testing.T) {
+	g := NewWithT(t)
+	s := shapes[0]
+	d := Demand{
+		kindOf(s, 250*time.Millisecond, 12, 550, 280),
+		kindOf(s, 400*time.Millisecond, 15, 4500, 100),
+		kindOf(s, time.Second, 60, 9000, 50),
+	}
+	g.Expect(lateByOthers(d, 1, s.fleet(9))).To(BeNumerically(">", apartFrom))
+	g.Expect(separation{}.next(d, s.fleet(9)).tight).To(Equal([]int64{250}))
+}
+
+func TestNeitherSideIsOverloadedWhileBothHaveRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := shapes[rapid.IntRange(0, len(shapes)-1).Draw(t, "shape")]
+		n := rapid.IntRange(4, 300).Draw(t, "n")
+		last := separation{kept: rapid.IntRange(0, n).Draw(t, "last")}
+		d := s.mixed(n, 0.3)
+		d[0].Requests, d[0].Held = d[0].Requests*2, d[0].Held*2
+		d[0].Recent *= 2
+		got := last.next(d, s.fleet(n))
+		var tight, bulk need
+		tight.add(d[0], 1)
+		bulk.add(d[1], 1)
+		if math.Ceil(tight.least(s.fleet(n)))+math.Ceil(bulk.least(s.fleet(n))) > float64(n) {
+			return // one of them has to be overloaded
+		}
+		if float64(got.kept) < tight.least(s.fleet(n)) || float64(n-got.kept) < bulk.least(s.fleet(n)) {
+			t.Fatalf("%s: %d of %d are kept; %.1f and %.1f are needed", s.name, got.kept, n,
+				tight.least(s.fleet(n)), bulk.least(s.fleet(n)))
+		}
+	})
+}
+
+func TestWhatIsKeptApartStaysSoALittleBelowTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := shapes[1]
+	d := s.mixed(9, 0.3)
+	for lateByOthers(d, 0, s.fleet(9)) > (apartFrom+togetherBelow)/2 {
+		d[0].GapMillis++
+	}
+	g.Expect(separation{}.next(d, s.fleet(9)).tight).To(BeEmpty())
+	g.Expect(separation{tight: []int64{d[0].GapMillis}}.next(d, s.fleet(9)).tight).To(HaveLen(1))
+}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -60,7 +60,11 @@
 	health     health
 	// attempts are this router's of late, nil before the first; avoidUntil is
 	// until when the endpoint is avoided because it fails for several routers.
-	attempts   *window.Ring
+	attempts *window.Ring
+	// token is the time between two tokens of streams there, and engines what is
+	// known of all endpoints that this one is compared with.
+	token      quantile
+	engines    *engineSpeeds
 	avoidUntil time.Time
 }
 
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -14,6 +14,9 @@
 	Prompt prompt.Prompt
 	// Tight says that the stream is late if long prompts delay it.
 	Tight bool
+	// MaxGap and Stride are as in Request.
+	MaxGap time.Duration
+	Stride int
 }
 
 // Account is a request's place in what the pool knows of its endpoint. Each of
@@ -24,20 +27,34 @@
 	tier     int
 	tokens   int
 	tight    bool
-	read     sync.Once
-	ended    sync.Once
+	sent     time.Time
+	gap      time.Duration
+	// alone says that the prompt's time to the first token tells of its reading: this
+	// router knows what was cached, and sent nothing that is read before.
+	alone bool
+	pace  pace
+	begun time.Time // zero before the first event
+	// engines is what is known of the endpoint's peers; nil if it wasn't chosen.
+	engines *engineSpeeds
+	read    sync.Once
+	ended   sync.Once
 }
 
 // SentWork is Sent for a request whose work is known.
 func (p *Pool) SentWork(now time.Time, endpoint string, w Work) *Account {
-	a := &Account{pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight}
+	a := &Account{
+		pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight,
+		sent: now, gap: w.MaxGap, pace: pace{stride: float64(w.Stride)},
+	}
 	a.change(func(st *state) {
 		st.sent(now)
+		a.engines = st.engines
 		if w.Tight {
 			st.tight++
 		}
 		if w.Prompt.Tokens > 0 {
 			a.tokens = st.send(now, w.Prompt)
+			a.alone = a.tokens <= w.Prompt.Own() && st.unread() == 0
 			st.prefill[a.tier] += a.tokens
 		}
 	})
@@ -54,11 +71,38 @@
 	return tokens
 }
 
+// unread is how many tokens of prompts this router sent that aren't known to be
+// read.
+func (st *state) unread() int {
+	tokens := 0
+	for _, n := range st.prefill {
+		tokens += n
+	}
+	return tokens
+}
+
 // Heard notes that a part of an answer came from the endpoint.
 func (a *Account) Heard(now time.Time) {
 	a.change(func(st *state) { st.quietSince = now })
 }
 
+// Event notes that an event of the answer came. It isn't safe for concurrent use.
+func (a *Account) Event(now time.Time) {
+	if a.begun.IsZero() {
+		a.begun = now
+		a.Read()
+		if a.alone && a.tokens >= leastRead && a.engines != nil {
+			a.engines.sawRead(now.Sub(a.sent).Seconds() / float64(a.tokens))
+		}
+	}
+	perToken := a.pace.event(now)
+	if perToken == 0 || a.engines == nil {
+		return
+	}
+	a.change(func(st *state) { st.token.add(perToken, tokenQuantile) })
+	a.engines.sawTokens(perToken)
+}
+
 // Read notes that the prompt has been read, or needs to be read no more.
 func (a *Account) Read() {
 	a.read.Do(func() {
@@ -73,6 +117,9 @@
 		if a.tight {
 			a.change(func(st *state) { st.tight = max(0, st.tight-1) })
 		}
+		if learner, ok := a.pool.cfg.Policy.(Learner); ok && !a.begun.IsZero() {
+			learner.Ended(a.gap, a.pace.last.Sub(a.sent))
+		}
 	})
 }
 
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -106,10 +106,11 @@
 		r.Tried = append(r.Tried, r.Endpoint.Name)
 		return nil
 	}
+	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent}
 	if r.Route != nil {
-		r.Tight = balance.IsTight(r.Route.MaxGap, stride(r))
+		r.Stride = stride(r)
+		ask.MaxGap, ask.Stride = r.Route.MaxGap, r.Stride
 	}
-	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Tight: r.Tight}
 	if r.Class != nil {
 		ask.Class = r.Class.Name
 	}
@@ -117,7 +118,7 @@
 	if err != nil {
 		return &Error{Cause: err}
 	}
-	if err := f.checkWait(r, r.Wait); err != nil {
+	if err := f.checkWait(r, r.Wait-r.Read); err != nil {
 		return err
 	}
 	r.Endpoint, r.Second = pair.First, pair.Second
@@ -151,7 +152,7 @@
 		return f.pool.ChoosePair(time.Now(), ask, r.Candidates, r.TriedEndpoint)
 	}
 	c, err := f.pool.ChooseExpecting(time.Now(), ask, r.Candidates, r.TriedEndpoint)
-	r.Wait, r.Source, r.Copy = c.Wait, c.Source, nil
+	r.Read, r.Wait, r.Source, r.Copy, r.Tight = c.Read, c.Wait, c.Source, nil, c.Tight
 	if canCopy(r) {
 		r.Copy = c.Copy
 	}
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -35,7 +35,9 @@
 	}
 }
 
-// checkWait refuses a routed request that waits so long that all are late. The
+// checkWait refuses a routed request that waits so long for others that all are late.
+// A prompt that takes long to read by itself is no reason: refusing it would leave its
+// caller nothing and bring others little. The
 // same limit holds for all routes of a service, its longest objective: else a
 // short objective would have requests refused while less urgent ones with a long
 // one are taken. One that an endpoint has had before isn't refused.
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -36,10 +36,14 @@
 
 // sendDirect sends an attempt and keeps the pool's account of it.
 func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
-	account := f.pool.SentWork(sent, r.Endpoint.Name, balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight})
-	r.Began, r.Heard = account.Read, account.Heard
+	work := balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight, Stride: r.Stride}
+	if r.Route != nil {
+		work.MaxGap = r.Route.MaxGap
+	}
+	account := f.pool.SentWork(sent, r.Endpoint.Name, work)
+	r.Began, r.Heard, r.HeardEvent = account.Read, account.Heard, account.Event
 	err := f.exchangeDirect(ctx, r, next)
-	r.Began, r.Heard = nil, nil
+	r.Began, r.Heard, r.HeardEvent = nil, nil, nil
 	account.Ended()
 	// Times to the first token differ by prompts, not by endpoints.
 	f.settle(ctx, r.Endpoint.Name, err, 0)
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -132,6 +132,9 @@
 		}
 		end := endOfEvents(held)
 		if end > 0 {
+			if r.HeardEvent != nil {
+				r.HeardEvent(time.Now())
+			}
 			if err := deliver(r, rc, held[:end]); err != nil {
 				return err
 			}
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -36,6 +36,15 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// Last is the id of the last part, which is the request's own or its session's; 0 if
+// there is none.
+func (p Prompt) Last() uint64 {
+	if len(p.Parts) == 0 {
+		return 0
+	}
+	return p.Parts[len(p.Parts)-1].ID
+}
+
 // Shared is the number of tokens up to the last part that others share.
 func (p Prompt) Shared() int {
 	n := 0
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -47,6 +47,8 @@
 	// Wait is how long the answer of the latest attempt was expected to take to
 	// begin.
 	Wait time.Duration
+	// Read is the part of Wait in which the request's own prompt is read.
+	Read time.Duration
 	// Source has probably cached parts of the prompt that Endpoint lacks; nil
 	// if none is known to.
 	Source *bundle.Endpoint
@@ -57,6 +59,8 @@
 	Resume *bundle.Endpoint
 	// Tight says that long prompts beside it would make the stream late.
 	Tight bool
+	// Stride is how many tokens an event of the answer holds; 0 if unknown.
+	Stride int
 	// MaxRuns is the most endpoints at which the request may run; 0 is the
 	// retry policy's own bound.
 	MaxRuns int
@@ -115,6 +119,8 @@
 	// Heard is called for each part of an endpoint's answer; nil if nobody
 	// asks. Set by dispatch.
 	Heard func(now time.Time)
+	// HeardEvent is the same for each event of a stream.
+	HeardEvent func(now time.Time)
 
 	// Writer is where the caller's answer goes. Used by relay alone.
 	Writer http.ResponseWriter
