--- a/platform/direct.go
+++ b/internal/cli/directcmd/directcmd.go
@@ -1,16 +1,19 @@
-package platform
+// Package directcmd puts a router that reaches its endpoints itself together with the
+// platform that it runs on. Neither knows the other.
+package directcmd
 
 import (
 	"net/netip"
 
 	"coveferry/internal/daemon"
+	"coveferry/platform"
 )
 
-// Direct is the configuration of a router that runs on the platform, by the
+// Config is the configuration of a router that runs on the platform, by the
 // settings file at a path. A metricsPort of 0 serves no metrics. The error is a
-// *SettingsError.
-func Direct(path string, metricsPort int) (daemon.Direct, error) {
-	s, err := LoadSettings(path)
+// *platform.SettingsError.
+func Config(path string, metricsPort int) (daemon.Direct, error) {
+	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return daemon.Direct{}, err
 	}
@@ -22,10 +25,10 @@
 		LinkMbps:      s.LinkMbps,
 		Callers:       s.Callers.String(),
 		Ready:         s.Ready.String(),
-		ReadyPattern:  pathReady,
-		Store:         NewStore(s.Store.String()),
-		Protocol:      Protocol{},
-		Health:        Health,
+		ReadyPattern:  platform.ReadyPattern,
+		Store:         platform.NewStore(s.Store.String()),
+		Protocol:      platform.Protocol{},
+		Health:        platform.Health,
 		Bounds:        boundsOf(s),
 		Reload:        func() (daemon.DirectBounds, error) { return reload(path) },
 	}
@@ -39,14 +42,14 @@
 }
 
 func reload(path string) (daemon.DirectBounds, error) {
-	s, err := LoadSettings(path)
+	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return daemon.DirectBounds{}, err
 	}
 	return boundsOf(s), nil
 }
 
-func boundsOf(s *Settings) daemon.DirectBounds {
+func boundsOf(s *platform.Settings) daemon.DirectBounds {
 	return daemon.DirectBounds{
 		RevokeWithin: s.RevokeWithin,
 		DrainWithin:  s.DrainWithin,
