Size the group kept apart by what is late there, and know the demand of all routers

A router's few requests, multiplied by the number of routers, had endpoints count as full that weren't; routers of a failure domain knew a third of all demand and took it for the whole; and a prompt's fixed time (13 ms and more at that engine) was missing.

Change: a full group grows by the endpoints that it takes, in the common order; a report tells of room for a second, and after it the smaller of it and the own share counts; the demand of routers that weren't heard is taken to be like that of those that were; a prompt's fixed time is learned; answers that began or paused too late are told with the demand, and a side's need grows by eight times its share of them. The log of a request says how many endpoints were kept.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -59,6 +59,8 @@
 	// Token is how many seconds the endpoint takes between two tokens, 0 if that
 	// isn't known, and PerToken how many for reading a token of a prompt.
 	Token, PerToken float64
+	// First is how many seconds a prompt takes besides, however short it is.
+	First float64
 	// Weight is 1 for a healthy endpoint; less for one that comes back
 	// slowly after it was found slow, failing or away; 0 for one that is
 	// shed or suspect.
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -31,6 +31,10 @@
 	// those for which they hold a slot.
 	Read float64 `json:"read"`
 	Held float64 `json:"held"`
+	// Ended is the number of answers that ended, and Late that of those which began
+	// or paused too late.
+	Ended float64 `json:"ended"`
+	Late  float64 `json:"late"`
 }
 
 // rate is the kind's requests a second. One that grows is followed by the shorter
@@ -63,10 +67,26 @@
 		sum[i].Recent += k.Recent
 		sum[i].Read += k.Read
 		sum[i].Held += k.Held
+		sum[i].Ended += k.Ended
+		sum[i].Late += k.Late
 	}
 	return sum
 }
 
+// Times is the demand of so many times as many routers.
+func (d Demand) Times(x float64) Demand {
+	more := slices.Clone(d)
+	for i := range more {
+		more[i].Requests *= x
+		more[i].Recent *= x
+		more[i].Read *= x
+		more[i].Held *= x
+		more[i].Ended *= x
+		more[i].Late *= x
+	}
+	return more
+}
+
 func (d Demand) requests() float64 {
 	sum := 0.0
 	for _, k := range d {
@@ -98,9 +118,11 @@
 		d[i].Requests *= slow
 		d[i].Read *= slow
 		d[i].Held *= slow
+		d[i].Ended *= slow
+		d[i].Late *= slow
 		d[i].Recent *= fast
 	}
-	return slices.DeleteFunc(d, func(k Kind) bool { return k.Requests < leastRequests })
+	return slices.DeleteFunc(d, func(k Kind) bool { return max(k.Requests, k.Ended) < leastRequests })
 }
 
 // leastRequests is the sum below which a kind is forgotten: one request, some
@@ -162,9 +184,15 @@
 }
 
 // ended notes a stream that held its slot for so long.
-func (d *demand) ended(gap, held time.Duration) {
+func (d *demand) ended(now time.Time, gap, held time.Duration, late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.decay(now)
+	k := &d.seen[d.seen.place(gap.Milliseconds())]
+	k.Ended++
+	if late {
+		k.Late++
+	}
 	if d.held == nil || len(d.held) > maxKinds {
 		d.held = make(map[int64]mean)
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -79,6 +79,8 @@
 	Source *bundle.Endpoint
 	// Tight says that the request's stream would be late beside long prompts.
 	Tight bool
+	// Kept is how many endpoints are kept for such requests.
+	Kept int
 	// Copy is where to copy the run's memory to as it grows, so that another
 	// endpoint can go on after a crash; nil if that isn't worth its price.
 	Copy *bundle.Endpoint
@@ -90,8 +92,9 @@
 	Wait(req Request, views []View, chosen int) time.Duration
 	// Read is the part of Wait in which the request's own prompt is read.
 	Read(req Request, views []View, chosen int) time.Duration
-	// Tight says whether the request is kept apart from long prompts.
-	Tight(req Request) bool
+	// Tight says whether the request is kept apart from long prompts, and at how
+	// many endpoints such requests are.
+	Tight(req Request) (tight bool, kept int)
 	// Source is the place of the endpoint from which to fetch what the chosen
 	// one lacks, -1 if there is none. Behind the views stand those of endpoints
 	// that are leaving, whose caches are still there.
@@ -104,8 +107,8 @@
 // Learner is a Policy that learns from answers.
 type Learner interface {
 	// Ended notes that a stream that may pause for gap has ended, after it had its
-	// endpoint for so long.
-	Ended(gap, held time.Duration)
+	// endpoint for so long, and whether it began or paused too late.
+	Ended(now time.Time, gap, held time.Duration, late bool)
 }
 
 // ChooseExpecting is Choose that also tells what is expected of the choice.
@@ -122,7 +125,7 @@
 		return choice, nil
 	}
 	choice.Wait, choice.Read = e.Wait(req, s.views, i), e.Read(req, s.views, i)
-	choice.Tight = e.Tight(req)
+	choice.Tight, choice.Kept = e.Tight(req)
 	with := append(s.views, s.leaving...)
 	if source := e.Source(req, with, i); source >= 0 {
 		choice.Source = candidates[append(s.from, s.leavingFrom...)[source]]
@@ -197,7 +200,7 @@
 	}
 	st.view(c, v)
 	speed := st.engines.of(st.token)
-	v.Token, v.PerToken = speed.Token, speed.PerToken
+	v.Token, v.PerToken, v.First = speed.Token, speed.PerToken, speed.First
 	v.Cached = st.recent.cached(now, pr)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
 	if st.suspect || now.Before(st.avoidUntil) {
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -6,7 +6,7 @@
 )
 
 // spillShare is the part of the slots from which endpoints kept for tight streams
-// count as full, so that others take some.
+// count as full, so that the next one in the order takes some as well.
 const spillShare = 0.85
 
 // PromptAware chooses by what a prompt costs those that run beside it. Prompts
@@ -45,15 +45,20 @@
 	countOthers(views)
 	chosen := cheapest(req, views, group, home, tight, rnd)
 	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
-	p.demand.add(now, req.MaxGap, seconds(views[chosen].PerToken*float64(read)))
+	p.demand.add(now, req.MaxGap, seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
 	return chosen, true
 }
 
 // Tight implements Expecter.
-func (p PromptAware) Tight(req Request) bool { return p.demand.decided().tightFor(req.MaxGap) }
+func (p PromptAware) Tight(req Request) (tight bool, kept int) {
+	apart := p.demand.decided()
+	return apart.tightFor(req.MaxGap), apart.kept
+}
 
 // Ended implements Learner.
-func (p PromptAware) Ended(gap, held time.Duration) { p.demand.ended(gap, held) }
+func (p PromptAware) Ended(now time.Time, gap, held time.Duration, late bool) {
+	p.demand.ended(now, gap, held, late)
+}
 
 // fleetOf is what the usable endpoints have in common.
 func fleetOf(req Request, views []View, usable []int) fleet {
@@ -74,28 +79,37 @@
 	if !tight {
 		return ranked[min(kept, len(ranked)-1):]
 	}
-	group := ranked[:max(kept, 1)]
-	if full(now, views, group, share) {
-		return ranked
+	most := max(kept, 1)
+	for most < len(ranked) && full(now, views, ranked[:most], share) {
+		most++
 	}
-	return group
+	return ranked[:most]
 }
 
 // reportFor is how long a report tells of an endpoint's room: streams last a second
 // or two. What is no longer asked tells nothing more, and would stay full for ever.
 const reportFor = time.Second
 
-// full says whether a group has hardly any room. Where endpoints didn't tell their
-// load lately, this router's requests are the given share of all.
+// running is how many requests an endpoint has: as it said lately, or by this
+// router's own, which are the given share of all. The smaller counts where it told
+// more once, as a router's own few tell little of many.
+func (v *View) running(now time.Time, share float64) float64 {
+	byShare := float64(v.Inflight) / share
+	switch {
+	case v.ReportedAt.IsZero():
+		return byShare
+	case now.Sub(v.ReportedAt) > reportFor:
+		return min(v.requests(), byShare)
+	}
+	return v.requests()
+}
+
+// full says whether a group has hardly any room.
 func full(now time.Time, views []View, group []int, share float64) bool {
 	requests, slots := 0.0, 0.0
 	for _, i := range group {
 		v := &views[i]
-		if now.Sub(v.ReportedAt) > reportFor {
-			requests += float64(v.Inflight) / share
-		} else {
-			requests += v.requests()
-		}
+		requests += v.running(now, share)
 		slots += v.slots()
 	}
 	return requests >= spillShare*slots
--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -145,17 +145,27 @@
 func late(rate, seconds float64) float64 { return 1 - math.Exp(-rate*seconds) }
 
 // need is what kinds of request ask of endpoints.
-type need struct{ reading, running float64 }
+type need struct {
+	reading, running float64
+	ended, late      float64
+}
+
+// lateWeight is by how much of itself a need grows for the share of answers that are
+// late, so that endpoints go to the side that lacks them more than was foreseen.
+const lateWeight = 8.0
 
 // add adds a kind, or takes it out again with a sign of -1.
 func (n *need) add(k Kind, sign float64) {
 	n.reading = max(0, n.reading+sign*k.rate()*k.read())
 	n.running = max(0, n.running+sign*k.rate()*k.held())
+	n.ended = max(0, n.ended+sign*k.Ended)
+	n.late = max(0, n.late+sign*k.Late)
 }
 
 // endpoints is how many endpoints that takes, by what binds.
 func (n need) endpoints(f fleet) float64 {
-	return max(n.reading/readTarget, n.running/(fillTarget*max(f.slots, 1)))
+	foreseen := max(n.reading/readTarget, n.running/(fillTarget*max(f.slots, 1)))
+	return foreseen * (1 + lateWeight*perRequest(n.late, n.ended))
 }
 
 // Parts of the time and of the slots beyond which requests wait without end.
--- a/internal/balance/separate_test.go
+++ b/internal/balance/separate_test.go
@@ -129,3 +129,49 @@
 	g.Expect(separation{}.next(d, s.fleet(9)).tight).To(BeEmpty())
 	g.Expect(separation{tight: []int64{d[0].GapMillis}}.next(d, s.fleet(9)).tight).To(HaveLen(1))
 }
+
+func TestTheSideWithMoreLateAnswersGetsMoreEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	s := shapes[0]
+	d := s.mixed(30, 0.3)
+	before := separation{}.next(d, s.fleet(30)).kept
+	d[0].Ended, d[0].Late = 10, 3
+	g.Expect(separation{}.next(d, s.fleet(30)).kept).To(BeNumerically(">", before))
+	d[1].Ended, d[1].Late = 10, 3
+	g.Expect(separation{}.next(d, s.fleet(30)).kept).To(Equal(before), "both sides are as late")
+}
+
+// fleetViews are n endpoints of 10 slots, each with so many requests by their report of a
+// moment.
+func fleetViews(n, running int, at time.Time) []View {
+	views := make([]View, n)
+	for i := range views {
+		views[i] = View{Weight: 1, ReportedAt: at}
+		views[i].Load.Slots = 10
+		views[i].Load.Running[0] = running
+	}
+	return views
+}
+
+func TestAFullGroupGrowsByAsManyAsItTakes(t *testing.T) {
+	g := NewWithT(t)
+	usable := []int{0, 1, 2, 3, 4}
+	group := func(views []View, share float64) int {
+		return len(groupFor(epoch, true, 2, share, views, usable))
+	}
+	g.Expect(group(fleetViews(5, 4, epoch), 1)).To(Equal(2))
+	g.Expect(group(fleetViews(5, 10, epoch), 1)).To(Equal(5))
+	some := fleetViews(5, 0, epoch)
+	some[0].Load.Running[0], some[1].Load.Running[0] = 10, 10
+	some[0].Endpoint, some[1].Endpoint = "a", "b"
+	g.Expect(group(some, 1)).To(BeNumerically("<=", 3))
+	// What was full once and isn't asked any more has room again.
+	g.Expect(group(fleetViews(5, 10, epoch.Add(-time.Minute)), 1)).To(Equal(2))
+	// Where endpoints tell nothing, a quarter of all requests tells of all.
+	silent := fleetViews(5, 0, time.Time{})
+	for i := range silent {
+		silent[i].Inflight = 3
+	}
+	g.Expect(group(silent, 1)).To(Equal(2))
+	g.Expect(group(silent, 0.25)).To(Equal(5))
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -66,6 +66,7 @@
 	mu    sync.Mutex
 	token quantile // seconds for a token of output
 	read  quantile // seconds for a token of a prompt
+	first quantile // seconds to the first token of prompts with little to read
 }
 
 // speeds is what an estimate of an endpoint rests on.
@@ -73,6 +74,8 @@
 	// Token is the time between two tokens, 0 if unknown, and PerToken that for
 	// reading one token of a prompt, in seconds.
 	Token, PerToken float64
+	// First is what a prompt takes besides, however short it is.
+	First float64
 }
 
 func (e *engineSpeeds) sawTokens(perToken float64) {
@@ -81,10 +84,24 @@
 	e.token.add(perToken, tokenQuantile)
 }
 
-func (e *engineSpeeds) sawRead(perToken float64) {
+// sawFirst takes how long the first token of a prompt took of which so many tokens
+// had to be read.
+func (e *engineSpeeds) sawFirst(took float64, tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.read.add(perToken, readQuantile)
+	if tokens >= leastRead {
+		e.read.add(took/float64(tokens), readQuantile)
+		return
+	}
+	e.first.add(took-e.perToken()*float64(tokens), readQuantile)
+}
+
+// perToken is the time for reading a token. e.mu is held.
+func (e *engineSpeeds) perToken() float64 {
+	if e.read.samples < leastSamples {
+		return firstPerToken
+	}
+	return e.read.value
 }
 
 // of is what is expected of an endpoint whose own time for a token is known as far
@@ -92,14 +109,15 @@
 func (e *engineSpeeds) of(own quantile) speeds {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := speeds{PerToken: firstPerToken}
-	if e.read.samples >= leastSamples {
-		s.PerToken = e.read.value
-	}
+	s := speeds{PerToken: e.perToken()}
 	if e.token.samples < leastSamples {
 		return s
 	}
 	s.Token = e.token.value
+	if e.first.samples >= leastSamples {
+		// A prompt with nothing to read has its first token after one step.
+		s.First = max(0, e.first.value-s.Token)
+	}
 	if own.samples < leastSamples {
 		return s
 	}
@@ -111,8 +129,9 @@
 
 // pace measures one stream: the times between its events.
 type pace struct {
-	stride float64 // tokens an event
-	last   time.Time
+	stride  float64 // tokens an event
+	last    time.Time
+	longest time.Duration // between two events
 }
 
 // event takes the arrival of an event and returns the time for a token, 0 if it
@@ -123,5 +142,6 @@
 	if last.IsZero() {
 		return 0
 	}
+	p.longest = max(p.longest, now.Sub(last))
 	return now.Sub(last).Seconds() / max(p.stride, 1)
 }
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+func TestWhatAPromptTakesHoweverShortIsLearned(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	all := known(p, engines(3))
+	now := epoch
+	fixed := 30 * time.Millisecond
+	for i := range 300 {
+		e := engine{shape: shapes[1], waits: fixed + seconds(shapes[1].token)}
+		tokens := 100
+		if i%3 == 0 {
+			tokens = 4000
+		}
+		now = e.answer(p, now, "e0", prompt.Prompt{Tokens: tokens})
+	}
+	// Long prompts have it spread over their tokens.
+	g.Expect(p.Views(now, all)[0].First).To(BeNumerically("~", fixed.Seconds(), 0.3*fixed.Seconds()))
+}
+
 // An overload, in which all requests wait, isn't taken for slow reading.
 func TestWaitingIsNotTakenForReading(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -17,6 +17,9 @@
 	// MaxGap and Stride are as in Request.
 	MaxGap time.Duration
 	Stride int
+	// Objective is the time to the first event of an answer that is on time; 0 if
+	// any will do.
+	Objective time.Duration
 }
 
 // Account is a request's place in what the pool knows of its endpoint. Each of
@@ -29,6 +32,7 @@
 	tight    bool
 	sent     time.Time
 	gap      time.Duration
+	goal     time.Duration // to the first event
 	// alone says that the prompt's time to the first token tells of its reading: this
 	// router knows what was cached, and sent nothing that is read before.
 	alone bool
@@ -44,7 +48,7 @@
 func (p *Pool) SentWork(now time.Time, endpoint string, w Work) *Account {
 	a := &Account{
 		pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight,
-		sent: now, gap: w.MaxGap, pace: pace{stride: float64(w.Stride)},
+		sent: now, gap: w.MaxGap, goal: w.Objective, pace: pace{stride: float64(w.Stride)},
 	}
 	a.change(func(st *state) {
 		st.sent(now)
@@ -91,8 +95,8 @@
 	if a.begun.IsZero() {
 		a.begun = now
 		a.Read()
-		if a.alone && a.tokens >= leastRead && a.engines != nil {
-			a.engines.sawRead(now.Sub(a.sent).Seconds() / float64(a.tokens))
+		if a.alone && a.engines != nil {
+			a.engines.sawFirst(now.Sub(a.sent).Seconds(), a.tokens)
 		}
 	}
 	perToken := a.pace.event(now)
@@ -118,11 +122,18 @@
 			a.change(func(st *state) { st.tight = max(0, st.tight-1) })
 		}
 		if learner, ok := a.pool.cfg.Policy.(Learner); ok && !a.begun.IsZero() {
-			learner.Ended(a.gap, a.pace.last.Sub(a.sent))
+			learner.Ended(a.pace.last, a.gap, a.pace.last.Sub(a.sent), a.late())
 		}
 	})
 }
 
+// late says whether the answer began or paused too late.
+func (a *Account) late() bool {
+	began := a.goal > 0 && a.begun.Sub(a.sent) > a.goal
+	paused := a.gap > 0 && a.pace.longest > a.gap
+	return began || paused
+}
+
 func (a *Account) change(f func(*state)) {
 	sh := a.pool.shard(a.endpoint)
 	sh.mu.Lock()
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -153,6 +153,7 @@
 	}
 	c, err := f.pool.ChooseExpecting(time.Now(), ask, r.Candidates, r.TriedEndpoint)
 	r.Read, r.Wait, r.Source, r.Copy, r.Tight = c.Read, c.Wait, c.Source, nil, c.Tight
+	r.Kept = c.Kept
 	if canCopy(r) {
 		r.Copy = c.Copy
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -38,7 +38,7 @@
 func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
 	work := balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight, Stride: r.Stride}
 	if r.Route != nil {
-		work.MaxGap = r.Route.MaxGap
+		work.MaxGap, work.Objective = r.Route.MaxGap, r.Route.Objective
 	}
 	account := f.pool.SentWork(sent, r.Endpoint.Name, work)
 	r.Began, r.Heard, r.HeardEvent = account.Read, account.Heard, account.Event
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -7,9 +7,10 @@
 	"coveferry/internal/balance"
 )
 
-// demandFor is how long a router's word on its demand counts: a little longer
-// than the time between two words to the same of three seeds.
-const demandFor = 3500 * time.Millisecond
+// demandFor is how long a router's word on its demand counts: a little longer than
+// the time between two words of a router. The demand of those that say theirs less
+// often, to one of the seeds in turn, is taken to be like that of the others.
+const demandFor = 1500 * time.Millisecond
 
 // demands are what other routers said of their demand. It is safe for concurrent
 // use.
@@ -23,7 +24,9 @@
 
 type saidDemand struct {
 	demand balance.Demand
-	at     time.Time
+	// routers is at how many routers that is.
+	routers int
+	at      time.Time
 }
 
 // ShareDemand has this router tell others of its demand.
@@ -37,10 +40,15 @@
 // said lately.
 func (s *Source) OthersDemand() balance.Demand {
 	now := time.Now()
-	if d, ok := s.demands.fromReader(now); ok {
-		return d
+	demand, routers, ok := s.demands.fromReader(now)
+	if !ok {
+		demand, routers = s.demands.sum(now, "")
 	}
-	return s.demands.sum(now, "")
+	if known := s.members.count(now); 0 < routers && routers < known {
+		// A reader hears its own failure domain, and of the others only now and then.
+		demand = demand.Times(float64(known) / float64(routers))
+	}
+	return demand
 }
 
 func (d *demands) ask() balance.Demand {
@@ -59,27 +67,26 @@
 	if d.by == nil {
 		d.by = make(map[string]saidDemand)
 	}
-	d.by[vm] = saidDemand{demand: said, at: at}
+	d.by[vm] = saidDemand{demand: said, routers: 1, at: at}
 }
 
 // tell notes what a reader said of all others.
-func (d *demands) tell(said balance.Demand, at time.Time) {
+func (d *demands) tell(said balance.Demand, routers int, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told = saidDemand{demand: said, at: at}
+	d.told = saidDemand{demand: said, routers: routers, at: at}
 }
 
-func (d *demands) fromReader(now time.Time) (balance.Demand, bool) {
+func (d *demands) fromReader(now time.Time) (said balance.Demand, routers int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.told.demand, now.Sub(d.told.at) < time.Second
+	return d.told.demand, d.told.routers, now.Sub(d.told.at) < time.Second
 }
 
-// sum adds up what routers said lately, but for one of them.
-func (d *demands) sum(now time.Time, but string) balance.Demand {
+// sum adds up what routers said lately, but for one of them, and says how many did.
+func (d *demands) sum(now time.Time, but string) (all balance.Demand, routers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var all balance.Demand
 	for vm, said := range d.by {
 		if now.Sub(said.at) > demandFor {
 			delete(d.by, vm)
@@ -87,7 +94,8 @@
 		}
 		if vm != but {
 			all = all.Plus(said.demand)
+			routers++
 		}
 	}
-	return all
+	return all, routers
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -73,6 +73,19 @@
 	return list
 }
 
+// count is how many other routers were heard of lately.
+func (m *members) count(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, h := range m.known {
+		if now.Sub(h.at) <= heardFor {
+			n++
+		}
+	}
+	return n
+}
+
 // readers are the routers that read for a failure domain, as far as this router
 // knows, itself included if it is one.
 func (m *members) readers(now time.Time, domain string) []Member {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -85,8 +85,9 @@
 	// AgeMillis is how long ago all this was certainly the newest.
 	AgeMillis int64 `json:"age_ms"`
 	// Demand is what all requests ask for that the reader knows of, but for
-	// the asker's.
-	Demand balance.Demand `json:"demand"`
+	// the asker's, and DemandOf at how many routers.
+	Demand   balance.Demand `json:"demand"`
+	DemandOf int            `json:"demand_of"`
 	// Loads are the newest load reports that the reader knows of.
 	Loads []balance.LoadWord `json:"loads,omitempty"`
 	// Failures are those of all routers that the reader knows of, but for the
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -198,7 +198,7 @@
 	if err := s.note(peer, sent, err); err != nil {
 		return follow.Reading{}, err
 	}
-	s.demands.tell(reply.Demand, sent)
+	s.demands.tell(reply.Demand, reply.DemandOf, sent)
 	s.loads.hear(sent, reply.Loads)
 	s.takeFailures(time.Now(), reply.Failures)
 	age, err := s.checkAge(peer, reply.AgeMillis)
@@ -322,7 +322,8 @@
 	}
 	// The age is taken first: what is told may be newer than it says.
 	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1}
-	reply.Demand = s.demands.ask().Plus(s.demands.sum(now, req.From.VM))
+	others, routers := s.demands.sum(now, req.From.VM)
+	reply.Demand, reply.DemandOf = s.demands.ask().Plus(others), routers+1
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
 	reply.Loads = s.loads.all(now)
 	s.failures.said(req.From.VM, req.Failures, now)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -59,6 +59,8 @@
 	Resume *bundle.Endpoint
 	// Tight says that long prompts beside it would make the stream late.
 	Tight bool
+	// Kept is how many endpoints were kept for such streams.
+	Kept int
 	// Stride is how many tokens an event of the answer holds; 0 if unknown.
 	Stride int
 	// MaxRuns is the most endpoints at which the request may run; 0 is the
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -156,7 +156,7 @@
 		Int("candidates", len(r.Candidates)).Array("attempts", trailArray(r.Trail)).
 		Dur("left", time.Until(r.Deadline)).Dur("first", firstAfter(r))
 	if r.Prompt.Tokens > 0 {
-		log.Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.Tight).
+		log.Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.Tight).Int("kept", r.Kept).
 			Dur("expected", r.Wait).Dur("max_gap", r.Delivered.MaxGap)
 	}
 }
