Let no kind join those apart whose reading beside streams would make them late

Change: a prompt counts as reading half as long again beside streams, and a kind joins only if under a fiftieth of those apart would be late by it.

--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -79,12 +79,17 @@
 	return next
 }
 
+// besideStreams is how much longer a prompt takes to read beside streams that run than
+// by itself, as it was learned.
+const besideStreams = 1.5
+
 // harmless says whether hardly any stream of other kinds would be late by a kind's
 // prompts at so many endpoints that are theirs together.
 func harmless(k Kind, others Demand, endpoints int, f fleet) bool {
 	rate := k.rate() / float64(max(endpoints, 1))
+	read := besideStreams * k.read()
 	for _, o := range others {
-		if late(rate*beyond(o.room(f), k.read(), rate*k.read()), o.held()) > apartFrom {
+		if late(rate*beyond(o.room(f), read, rate*read), o.held()) > togetherBelow {
 			return false
 		}
 	}
