Tell the demand of services apart

From reading the change: the demand of all services of engines was one, so that a deployment with two models would have kept endpoints of one apart by the streams of the other. Kinds are now told by service and pause, up to 64; the decision is by service. Needs are worked out from lists of kinds instead of added and taken away.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,8 +13,9 @@
 
 // Request is what the choice of an endpoint depends on.
 type Request struct {
-	Tier  int // rank; 0 is the highest
-	Class string
+	Service string // of a routed request
+	Tier    int    // rank; 0 is the highest
+	Class   string
 	// Prefix is a hash of the start of the prompt; requests that share it
 	// profit from the same endpoint's prefix cache. 0 means none.
 	Prefix uint64
@@ -28,6 +29,9 @@
 	Once bool
 }
 
+// kind is the kind that the request is of.
+func (r *Request) kind() kindKey { return kindKey{r.Service, r.MaxGap.Milliseconds()} }
+
 // View is what a router knows of one endpoint at one moment.
 type View struct {
 	Endpoint      string
--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -13,7 +13,7 @@
 // endpoints that are kept for such streams, in another failure domain if there is
 // one.
 func (p PromptAware) Copy(req Request, views []View, chosen int) int {
-	apart := p.demand.decided()
+	apart := p.demand.decided(req.Service)
 	tight := apart.tightFor(req.MaxGap)
 	if !tight && !req.Once || req.Prompt.Tokens > copyRatio*req.Prompt.Output {
 		return -1
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -16,12 +16,14 @@
 	fastHalfLife = time.Second
 )
 
-// maxKinds bounds the kinds of request that are told apart; what comes beyond
-// counts as one that may pause for ever.
-const maxKinds = 16
+// maxKinds bounds the kinds of request that are told apart: five for each of a dozen
+// models. What comes beyond isn't counted.
+const maxKinds = 64
 
-// Kind is the requests whose streams may pause equally long, as decaying sums.
+// Kind is the requests for a service whose streams may pause equally long, as decaying
+// sums.
 type Kind struct {
+	Service string `json:"service"`
 	// GapMillis is the longest pause between two events; 0 if any will do.
 	GapMillis int64 `json:"gap"`
 	// Requests is their number by the longer memory, Recent by the shorter.
@@ -55,14 +57,34 @@
 	return sum / requests
 }
 
-// Demand is what requests ask for, by kind, in the order of their pauses.
+func (k Kind) key() kindKey { return kindKey{k.Service, k.GapMillis} }
+
+// kindKey names a kind.
+type kindKey struct {
+	service   string
+	gapMillis int64
+}
+
+func (k kindKey) compare(o kindKey) int {
+	return cmp.Or(cmp.Compare(k.service, o.service), cmp.Compare(k.gapMillis, o.gapMillis))
+}
+
+// Demand is what requests ask for, by kind, in the order of services and pauses.
 type Demand []Kind
 
+// of is the part for a service.
+func (d Demand) of(service string) Demand {
+	return slices.DeleteFunc(slices.Clone(d), func(k Kind) bool { return k.Service != service })
+}
+
 // Plus adds two demands.
 func (d Demand) Plus(o Demand) Demand {
 	sum := slices.Clone(d)
 	for _, k := range o {
-		i := sum.place(k.GapMillis)
+		i := sum.place(k.key())
+		if i < 0 {
+			continue
+		}
 		sum[i].Requests += k.Requests
 		sum[i].Recent += k.Recent
 		sum[i].Read += k.Read
@@ -95,19 +117,18 @@
 	return sum
 }
 
-// place is where a kind stands, which is added if there is room for one more.
-func (d *Demand) place(gapMillis int64) int {
-	i, found := slices.BinarySearchFunc(*d, gapMillis, func(k Kind, gap int64) int { return cmp.Compare(k.GapMillis, gap) })
+// place is where a kind stands, which is added if there is room for one more; else it
+// is -1.
+func (d *Demand) place(key kindKey) int {
+	i, found := slices.BinarySearchFunc(*d, key, func(k Kind, key kindKey) int { return k.key().compare(key) })
 	switch {
 	case found:
 		return i
-	case len(*d) < maxKinds:
-		*d = slices.Insert(*d, i, Kind{GapMillis: gapMillis})
-		return i
-	case gapMillis == 0:
-		return 0 // the one that may hardly pause stands for it
+	case len(*d) >= maxKinds:
+		return -1
 	}
-	return d.place(0)
+	*d = slices.Insert(*d, i, Kind{Service: key.service, GapMillis: key.gapMillis})
+	return i
 }
 
 // decay has sums age. What is next to nothing is dropped.
@@ -136,24 +157,29 @@
 	at   time.Time
 	seen Demand
 	// held is how long streams of a kind held their slots.
-	held map[int64]mean
+	held map[kindKey]mean
 	// others is what other routers see, nil if they don't say.
 	others func() Demand
-	last   separation
+	// last is what was decided last for each service.
+	last map[string]separation
 	// part is this router's part of all requests, as last worked out; 0 before.
 	part float64
 }
 
 // add notes a request that takes so long to read.
-func (d *demand) add(now time.Time, gap, read time.Duration) {
+func (d *demand) add(now time.Time, key kindKey, read time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	k := &d.seen[d.seen.place(gap.Milliseconds())]
+	i := d.seen.place(key)
+	if i < 0 {
+		return
+	}
+	k := &d.seen[i]
 	k.Requests++
 	k.Recent++
 	k.Read += read.Seconds()
-	k.Held += d.heldFor(k.GapMillis)
+	k.Held += d.heldFor(key)
 }
 
 const (
@@ -164,8 +190,8 @@
 	heldShare = 0.05
 )
 
-func (d *demand) heldFor(gapMillis int64) float64 {
-	if held, ok := d.held[gapMillis]; ok {
+func (d *demand) heldFor(key kindKey) float64 {
+	if held, ok := d.held[key]; ok {
 		return held.value
 	}
 	return firstHeld
@@ -184,23 +210,26 @@
 }
 
 // ended notes a stream that held its slot for so long.
-func (d *demand) ended(now time.Time, gap, held time.Duration, late bool) {
+func (d *demand) ended(now time.Time, key kindKey, held time.Duration, late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
-	k := &d.seen[d.seen.place(gap.Milliseconds())]
-	k.Ended++
+	i := d.seen.place(key)
+	if i < 0 {
+		return
+	}
+	d.seen[i].Ended++
 	if late {
-		k.Late++
+		d.seen[i].Late++
 	}
 	if d.held == nil || len(d.held) > maxKinds {
-		d.held = make(map[int64]mean)
+		d.held = make(map[kindKey]mean)
 	}
-	d.held[gap.Milliseconds()] = d.held[gap.Milliseconds()].add(held.Seconds())
+	d.held[key] = d.held[key].add(held.Seconds())
 }
 
-// separate decides which endpoints of a fleet are kept apart now, and for whom.
-func (d *demand) separate(now time.Time, f fleet) separation {
+// separate decides which endpoints of a service are kept apart now, and for whom.
+func (d *demand) separate(now time.Time, service string, f fleet) separation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
@@ -209,8 +238,12 @@
 		all = all.Plus(d.others())
 	}
 	d.part = perRequest(d.seen.requests(), all.requests())
-	d.last = d.last.next(all, f)
-	return d.last
+	if d.last == nil || len(d.last) > maxKinds {
+		d.last = make(map[string]separation)
+	}
+	next := d.last[service].next(all.of(service), f)
+	d.last[service] = next
+	return next
 }
 
 // share is this router's part of all requests, from just above 0 to 1.
@@ -223,11 +256,11 @@
 // leastShare is the part of one router of the largest fleet planned for.
 const leastShare = 0.001
 
-// decided is what was decided last.
-func (d *demand) decided() separation {
+// decided is what was decided last for a service.
+func (d *demand) decided(service string) separation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.last
+	return d.last[service]
 }
 
 // own is what this router sees.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -106,9 +106,9 @@
 
 // Learner is a Policy that learns from answers.
 type Learner interface {
-	// Ended notes that a stream that may pause for gap has ended, after it had its
-	// endpoint for so long, and whether it began or paused too late.
-	Ended(now time.Time, gap, held time.Duration, late bool)
+	// Ended notes that a stream of a service that may pause for gap has ended, after it
+	// had its endpoint for so long, and whether it began or paused too late.
+	Ended(now time.Time, service string, gap, held time.Duration, late bool)
 }
 
 // ChooseExpecting is Choose that also tells what is expected of the choice.
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -38,26 +38,26 @@
 	if req.Prompt.Tokens == 0 {
 		return leastBusy(views, usable, rnd), true
 	}
-	apart := p.demand.separate(now, fleetOf(req, views, usable))
+	apart := p.demand.separate(now, req.Service, fleetOf(req, views, usable))
 	tight := apart.tightFor(req.MaxGap)
 	group := groupFor(now, tight, apart.kept, p.demand.share(), views, usable)
 	home := homeOf(req, views, group)
 	countOthers(views)
 	chosen := cheapest(req, views, group, home, tight, rnd)
 	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
-	p.demand.add(now, req.MaxGap, seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
+	p.demand.add(now, req.kind(), seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
 	return chosen, true
 }
 
 // Tight implements Expecter.
 func (p PromptAware) Tight(req Request) (tight bool, kept int) {
-	apart := p.demand.decided()
+	apart := p.demand.decided(req.Service)
 	return apart.tightFor(req.MaxGap), apart.kept
 }
 
 // Ended implements Learner.
-func (p PromptAware) Ended(now time.Time, gap, held time.Duration, late bool) {
-	p.demand.ended(now, gap, held, late)
+func (p PromptAware) Ended(now time.Time, service string, gap, held time.Duration, late bool) {
+	p.demand.ended(now, kindKey{service, gap.Milliseconds()}, held, late)
 }
 
 // fleetOf is what the usable endpoints have in common.
--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -52,10 +52,7 @@
 	}
 	var next separation
 	var apart Demand
-	var tight, bulk need
-	for _, k := range d {
-		bulk.add(k, 1)
-	}
+	rest := slices.Clone(d)
 	for i, k := range d {
 		limit := apartFrom
 		if slices.Contains(last.tight, k.GapMillis) {
@@ -64,18 +61,15 @@
 		if lateByOthers(d, i, f) <= limit {
 			continue
 		}
-		tight.add(k, 1)
-		bulk.add(k, -1)
-		kept := divide(last.kept, f, tight, bulk)
-		if !harmless(k, apart, kept, f) {
-			tight.add(k, -1)
-			bulk.add(k, 1)
+		with := append(slices.Clone(apart), k)
+		without := slices.DeleteFunc(slices.Clone(rest), func(o Kind) bool { return o.key() == k.key() })
+		if !harmless(k, apart, divide(last.kept, f, with, without), f) {
 			continue
 		}
-		apart = append(apart, k)
+		apart, rest = with, without
 		next.tight = append(next.tight, k.GapMillis)
 	}
-	next.kept = divide(last.kept, f, tight, bulk)
+	next.kept = divide(last.kept, f, apart, rest)
 	return next
 }
 
@@ -98,7 +92,8 @@
 
 // divide gives each side its part of the endpoints by what it needs, and no less than
 // what it can't do without.
-func divide(last int, f fleet, tight, bulk need) int {
+func divide(last int, f fleet, apart, others Demand) int {
+	tight, bulk := needOf(apart), needOf(others)
 	kept := split(last, f.endpoints, tight.endpoints(f), bulk.endpoints(f))
 	least, rest := int(math.Ceil(tight.least(f))), int(math.Ceil(bulk.least(f)))
 	if least+rest > f.endpoints {
@@ -159,12 +154,15 @@
 // late, so that endpoints go to the side that lacks them more than was foreseen.
 const lateWeight = 8.0
 
-// add adds a kind, or takes it out again with a sign of -1.
-func (n *need) add(k Kind, sign float64) {
-	n.reading = max(0, n.reading+sign*k.rate()*k.read())
-	n.running = max(0, n.running+sign*k.rate()*k.held())
-	n.ended = max(0, n.ended+sign*k.Ended)
-	n.late = max(0, n.late+sign*k.Late)
+func needOf(kinds Demand) need {
+	var n need
+	for _, k := range kinds {
+		n.reading += k.rate() * k.read()
+		n.running += k.rate() * k.held()
+		n.ended += k.Ended
+		n.late += k.Late
+	}
+	return n
 }
 
 // endpoints is how many endpoints that takes, by what binds.
--- a/internal/balance/separate_test.go
+++ b/internal/balance/separate_test.go
@@ -106,9 +106,7 @@
 		d[0].Requests, d[0].Held = d[0].Requests*2, d[0].Held*2
 		d[0].Recent *= 2
 		got := last.next(d, s.fleet(n))
-		var tight, bulk need
-		tight.add(d[0], 1)
-		bulk.add(d[1], 1)
+		tight, bulk := needOf(d[:1]), needOf(d[1:])
 		if math.Ceil(tight.least(s.fleet(n)))+math.Ceil(bulk.least(s.fleet(n))) > float64(n) {
 			return // one of them has to be overloaded
 		}
@@ -175,3 +173,27 @@
 	g.Expect(group(silent, 1)).To(Equal(2))
 	g.Expect(group(silent, 0.25)).To(Equal(5))
 }
+
+func TestServicesAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	d := &demand{}
+	s := shapes[0]
+	for _, k := range s.mixed(9, 0.3) {
+		k.Service = "a"
+		d.seen = append(d.seen, k)
+	}
+	g.Expect(d.separate(epoch, "a", s.fleet(9)).kept).To(BeNumerically(">", 0))
+	g.Expect(d.separate(epoch, "b", s.fleet(9))).To(Equal(separation{}))
+	g.Expect(d.decided("a").kept).To(BeNumerically(">", 0))
+}
+
+func TestKindsBeyondTheBoundAreNotCounted(t *testing.T) {
+	g := NewWithT(t)
+	d := &demand{}
+	for gap := range int64(2 * maxKinds) {
+		d.add(epoch, kindKey{"s", gap}, time.Millisecond)
+		d.ended(epoch, kindKey{"s", gap}, time.Second, true)
+	}
+	g.Expect(d.own(epoch)).To(HaveLen(maxKinds))
+	g.Expect(d.own(epoch).Plus(Demand{{Service: "t", Requests: 1}})).To(HaveLen(maxKinds))
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -10,8 +10,9 @@
 
 // Work is what a request asks of its endpoint.
 type Work struct {
-	Tier   int
-	Prompt prompt.Prompt
+	Service string // of a routed request
+	Tier    int
+	Prompt  prompt.Prompt
 	// Tight says that the stream is late if long prompts delay it.
 	Tight bool
 	// MaxGap and Stride are as in Request.
@@ -31,6 +32,7 @@
 	tokens   int
 	tight    bool
 	sent     time.Time
+	service  string
 	gap      time.Duration
 	goal     time.Duration // to the first event
 	// alone says that the prompt's time to the first token tells of its reading: this
@@ -48,7 +50,7 @@
 func (p *Pool) SentWork(now time.Time, endpoint string, w Work) *Account {
 	a := &Account{
 		pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight,
-		sent: now, gap: w.MaxGap, goal: w.Objective, pace: pace{stride: float64(w.Stride)},
+		sent: now, service: w.Service, gap: w.MaxGap, goal: w.Objective, pace: pace{stride: float64(w.Stride)},
 	}
 	a.change(func(st *state) {
 		st.sent(now)
@@ -122,7 +124,7 @@
 			a.change(func(st *state) { st.tight = max(0, st.tight-1) })
 		}
 		if learner, ok := a.pool.cfg.Policy.(Learner); ok && !a.begun.IsZero() {
-			learner.Ended(a.pace.last, a.gap, a.pace.last.Sub(a.sent), a.late())
+			learner.Ended(a.pace.last, a.service, a.gap, a.pace.last.Sub(a.sent), a.late())
 		}
 	})
 }
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -106,7 +106,7 @@
 		r.Tried = append(r.Tried, r.Endpoint.Name)
 		return nil
 	}
-	ask := balance.Request{Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent}
+	ask := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent}
 	if r.Route != nil {
 		r.Stride = stride(r)
 		ask.MaxGap, ask.Stride = r.Route.MaxGap, r.Stride
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -36,7 +36,7 @@
 
 // sendDirect sends an attempt and keeps the pool's account of it.
 func (f *Filter) sendDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
-	work := balance.Work{Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight, Stride: r.Stride}
+	work := balance.Work{Service: r.Service, Tier: r.Tier, Prompt: r.Prompt, Tight: r.Tight, Stride: r.Stride}
 	if r.Route != nil {
 		work.MaxGap, work.Objective = r.Route.MaxGap, r.Route.Objective
 	}
