Don't change sides in a burst, and give what runs its rank and its room

A kind counted as late by others only beyond what it was late by its own prompts; in an overload that is all, so that nothing remained. Then engines put back what runs for what is more urgent, the newest first where ranks are equal.

Change: lateness by others alone decides who is kept apart. Endpoints that tell no load count as full by this router's share of all requests, so that the last ones aren't filled beyond their slots. Among requests of one tier the route's own tier orders the rank that endpoints are told, as far as ten ranks do; tiers go first.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -13,8 +13,9 @@
 	// streamCost is what one more stream in a batch costs those in it. 4
 	// was no better.
 	streamCost = 2.0
-	// fullCost is added where all slots are taken: a request waits there for
-	// another one's end, which is a part of a stream's two to three seconds.
+	// fullCost is added where all slots are taken, more where more requests are there:
+	// one waits for another one's end, which is a part of a stream's two to three
+	// seconds, or has another one put back.
 	fullCost = 500.0
 	// rereadFactor is how much more a token that has to be read again, or
 	// fetched, counts than its time: it delays the streams beside it as well.
@@ -89,11 +90,22 @@
 // countOthers notes in all views how many requests all routers together send for
 // each of this router's. Those that a report lacks count as so many: who sees the
 // same reports makes the same choice, and an endpoint that looks empty to all would
-// get the requests of all.
-func countOthers(views []View) {
+// get the requests of all. share is this router's part of all requests; it tells of
+// endpoints that say nothing.
+func countOthers(views []View, share float64) {
 	others := 1 / ownPart(views)
+	mean := 0.0
 	for i := range views {
 		views[i].Others = others
+		mean += float64(views[i].Inflight) / float64(len(views))
+	}
+	for i := range views {
+		if views[i].ReportedAt.IsZero() {
+			// Where a router has few requests they differ by chance, and count the
+			// less the fewer they are.
+			likely := (float64(views[i].Inflight) + 1) * mean / (mean + 1)
+			views[i].Expected = likely / share
+		}
 	}
 }
 
@@ -115,8 +127,8 @@
 	if !tight {
 		cost += pausePenalty * float64(v.Tight)
 	}
-	if v.requests() >= v.slots() {
-		cost += fullCost
+	if all := max(v.requests(), v.Expected); all >= v.slots() {
+		cost += fullCost * all / v.slots()
 	}
 	return cost
 }
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -40,9 +40,10 @@
 	}
 	apart := p.demand.separate(now, req.Service, fleetOf(req, views, usable))
 	tight := apart.tightFor(req.MaxGap)
-	group := groupFor(now, tight, apart.kept, p.demand.share(), views, usable)
+	share := p.demand.share()
+	group := groupFor(now, tight, apart.kept, share, views, usable)
 	home := homeOf(req, views, group)
-	countOthers(views)
+	countOthers(views, share)
 	chosen := cheapest(req, views, group, home, tight, rnd)
 	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
 	p.demand.add(now, req.kind(), seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -103,25 +103,23 @@
 }
 
 // lateByOthers is the share of a kind's streams that would pause for too long by the
-// prompts of other kinds, if all used all endpoints alike, and wouldn't by their own.
+// prompts of other kinds, if all used all endpoints alike. How many are late by their
+// own doesn't matter: in an overload that is most of them, and the others still harm.
 func lateByOthers(d Demand, kind int, f fleet) float64 {
 	if d[kind].GapMillis == 0 {
 		return 0
 	}
-	room := d[kind].room(f)
-	all, own := 0.0, 0.0
 	busy := 0.0
 	for _, k := range d {
 		busy += k.rate() * k.read() / float64(f.endpoints)
 	}
+	rate := 0.0
 	for i, k := range d {
-		rate := k.rate() / float64(f.endpoints) * beyond(room, k.read(), busy)
-		all += rate
-		if i == kind {
-			own = rate
+		if i != kind {
+			rate += k.rate() / float64(f.endpoints) * beyond(d[kind].room(f), k.read(), busy)
 		}
 	}
-	return late(all, d[kind].held()) - late(own, d[kind].held())
+	return late(rate, d[kind].held())
 }
 
 // room is how many seconds of reading a stream's pause leaves room for.
--- a/internal/balance/separate_test.go
+++ b/internal/balance/separate_test.go
@@ -197,3 +197,16 @@
 	g.Expect(d.own(epoch)).To(HaveLen(maxKinds))
 	g.Expect(d.own(epoch).Plus(Demand{{Service: "t", Requests: 1}})).To(HaveLen(maxKinds))
 }
+
+// In a burst of streams that may hardly pause most are late by their own prompts. They
+// are still the ones to keep apart: the others would have them late as well, and keeping
+// those apart instead has all routers change sides.
+func TestABurstOfTheKindKeptApartDoesNotChangeSides(t *testing.T) {
+	g := NewWithT(t)
+	s := shapes[1]
+	d := Demand{
+		kindOf(s, 200*time.Millisecond, 63, 2200, 900), kindOf(s, 300*time.Millisecond, 16, 3400, 50),
+	}
+	g.Expect(separation{tight: []int64{200}, kept: 4}.next(d, s.fleet(9)).tight).To(Equal([]int64{200}))
+	g.Expect(separation{}.next(d, s.fleet(9)).tight).To(Equal([]int64{200}))
+}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -151,7 +151,7 @@
 		Endpoint:  r.Endpoint.Name,
 		Address:   r.Endpoint.Address,
 		Team:      r.TeamName,
-		Tier:      r.Tier,
+		Tier:      r.Table.Rank(r.Tier, r.Route.Tier),
 		Left:      max(time.Millisecond, r.Left(f.clock())),
 		LastEvent: r.Delivered.LastEvent,
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -127,6 +127,7 @@
 	routes   []Route
 	longest  map[string]time.Duration
 	keyForm  func(string) string
+	ranks    map[standing]int
 }
 
 // NewTable builds a table. Its error is an *Error that names the faulty place.
@@ -140,6 +141,7 @@
 		routes:   c.Routes,
 		keyForm:  c.KeyForm,
 		longest:  make(map[string]time.Duration, len(c.Services)),
+		ranks:    ranksOf(c),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
