--- a/internal/peers/narrow_test.go
+++ b/internal/peers/narrow_test.go
@@ -49,22 +49,32 @@
 	net.Conn
 	link *vmLink
 	out  chan []byte
+	// closed ends the sender.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // maxWrites is more than the test ever has on the way.
 const maxWrites = 4096
 
 func newLinkConn(c net.Conn, link *vmLink) *linkConn {
-	lc := &linkConn{Conn: c, link: link, out: make(chan []byte, maxWrites)}
-	go func() {
-		for p := range lc.out {
-			time.Sleep(time.Until(link.reserve(len(p))))
-			if _, err := c.Write(p); err != nil {
+	lc := &linkConn{Conn: c, link: link, out: make(chan []byte, maxWrites), closed: make(chan struct{})}
+	go lc.send()
+	return lc
+}
+
+func (c *linkConn) send() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case p := <-c.out:
+			time.Sleep(time.Until(c.link.reserve(len(p))))
+			if _, err := c.Conn.Write(p); err != nil {
 				return
 			}
 		}
-	}()
-	return lc
+	}
 }
 
 func (c *linkConn) Write(p []byte) (int, error) {
@@ -73,7 +83,7 @@
 }
 
 func (c *linkConn) Close() error {
-	c.out <- nil // wakes the sender, whose next write fails
+	c.closeOnce.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
 
