Place copies among the endpoints at hand, and scale a kind's sums in one place

A copy's place was looked for among as many endpoints as were kept by the decision made last; another request may have made that with more endpoints meanwhile, as a retry leaves out those that were tried. The slice then went beyond its end and the request's handler panicked. Otherwise the choice is as it was.

The fields of a kind were multiplied one by one in two places; that is one function now, the results are the same.

--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -20,7 +20,9 @@
 	}
 	usable := usableViews(views)
 	if tight {
-		kept := rankForTight(views, usable)[:apart.kept]
+		// What was decided last may have been for more endpoints, as a retry leaves
+		// out those that were tried.
+		kept := rankForTight(views, usable)[:min(apart.kept, len(usable))]
 		if to := copyAmong(req.Prompt, views, kept, chosen); to >= 0 {
 			return to
 		}
--- /dev/null
+++ b/internal/balance/copy_test.go
@@ -0,0 +1,19 @@
+package balance
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// A retry has fewer endpoints to choose among than the request that decided last.
+func TestACopyIsPlacedAmongFewerEndpointsThanWereKeptLast(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPromptAware()
+	p.demand.last = map[string]separation{"": {tight: []int64{250}, kept: 9}}
+	views := []View{
+		{Endpoint: "a", FailureDomain: "x", Weight: 1},
+		{Endpoint: "b", FailureDomain: "y", Weight: 1},
+	}
+	g.Expect(p.Copy(tight(1), views, 0)).To(Equal(1))
+}
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -99,16 +99,21 @@
 func (d Demand) Times(x float64) Demand {
 	more := slices.Clone(d)
 	for i := range more {
-		more[i].Requests *= x
-		more[i].Recent *= x
-		more[i].Read *= x
-		more[i].Held *= x
-		more[i].Ended *= x
-		more[i].Late *= x
+		more[i].scale(x, x)
 	}
 	return more
 }
 
+// scale multiplies the sums of the longer memory, and that of the shorter.
+func (k *Kind) scale(slow, fast float64) {
+	k.Requests *= slow
+	k.Read *= slow
+	k.Held *= slow
+	k.Ended *= slow
+	k.Late *= slow
+	k.Recent *= fast
+}
+
 func (d Demand) requests() float64 {
 	sum := 0.0
 	for _, k := range d {
@@ -136,12 +141,7 @@
 	slow := math.Exp2(-age.Seconds() / slowHalfLife.Seconds())
 	fast := math.Exp2(-age.Seconds() / fastHalfLife.Seconds())
 	for i := range d {
-		d[i].Requests *= slow
-		d[i].Read *= slow
-		d[i].Held *= slow
-		d[i].Ended *= slow
-		d[i].Late *= slow
-		d[i].Recent *= fast
+		d[i].scale(slow, fast)
 	}
 	return slices.DeleteFunc(d, func(k Kind) bool { return max(k.Requests, k.Ended) < leastRequests })
 }
