Keep the links of VMs for tests with the network in memory

Cause: the stand-in of a VM's link lay in one test file of peers; the store's client is to be tested behind such links as well.

--- a/internal/peers/narrow_test.go
+++ b/internal/peers/narrow_test.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,84 +22,6 @@
 	"coveferry/internal/route"
 )
 
-// vmLink is the link of one VM: what it sends waits for what it sent before.
-type vmLink struct {
-	mu   sync.Mutex
-	mbps float64
-	free time.Time
-	sent int
-}
-
-// reserve returns when so many bytes will have been sent.
-func (l *vmLink) reserve(bytes int) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); l.free.Before(now) {
-		l.free = now
-	}
-	l.free = l.free.Add(time.Duration(float64(bytes) * 8 / l.mbps * float64(time.Microsecond)))
-	l.sent += bytes
-	return l.free
-}
-
-// linkConn is a connection that sends over a link. Writes return at once, as a
-// writer that slept under a lock would stop the clock of the test.
-type linkConn struct {
-	net.Conn
-	link *vmLink
-	out  chan []byte
-	// closed ends the sender.
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-// maxWrites is more than the test ever has on the way.
-const maxWrites = 4096
-
-func newLinkConn(c net.Conn, link *vmLink) *linkConn {
-	lc := &linkConn{Conn: c, link: link, out: make(chan []byte, maxWrites), closed: make(chan struct{})}
-	go lc.send()
-	return lc
-}
-
-func (c *linkConn) send() {
-	for {
-		select {
-		case <-c.closed:
-			return
-		case p := <-c.out:
-			time.Sleep(time.Until(c.link.reserve(len(p))))
-			if _, err := c.Conn.Write(p); err != nil {
-				return
-			}
-		}
-	}
-}
-
-func (c *linkConn) Write(p []byte) (int, error) {
-	c.out <- bytes.Clone(p)
-	return len(p), nil
-}
-
-func (c *linkConn) Close() error {
-	c.closeOnce.Do(func() { close(c.closed) })
-	return c.Conn.Close()
-}
-
-// linkListener is a listener whose answers go over a link.
-type linkListener struct {
-	net.Listener
-	link *vmLink
-}
-
-func (l linkListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newLinkConn(c, l.link), nil
-}
-
 // bigStore holds a configuration that has to come over the link of who reads it.
 type bigStore struct {
 	mu     sync.Mutex
@@ -122,13 +43,13 @@
 // linkedView is the store as a router reaches it over its link.
 type linkedView struct {
 	store *bigStore
-	link  *vmLink
+	link  *memnet.Link
 }
 
 func (v linkedView) reading() follow.Reading {
 	c := v.store.get()
 	size, _ := json.Marshal(c)
-	time.Sleep(time.Until(v.link.reserve(len(size))))
+	time.Sleep(time.Until(v.link.Reserve(len(size))))
 	entries := []directory.Entry{{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}}
 	return follow.Reading{Config: c, List: directory.Reading{Whole: true, Entries: entries, Revision: c.Version}}
 }
@@ -162,27 +83,27 @@
 // linkedNode is a router behind a link.
 type linkedNode struct {
 	node
-	link *vmLink
+	link *memnet.Link
 }
 
 func startLinked(ctx context.Context, g *WithT, n *memnet.Net, store *bigStore, i int, mbps float64, seeds []string) *linkedNode {
 	vm := fmt.Sprint("vm", i)
 	l, err := n.Listen(address(i))
 	g.Expect(err).NotTo(HaveOccurred())
-	link := &vmLink{mbps: mbps}
+	link := memnet.NewLink(mbps)
 	dial := n.Dialer(vm)
 	pool := control.NewPool(control.ClientConfig{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return newLinkConn(c, link), nil
+		return link.Conn(c), nil
 	}}, 0)
 	source := New(Config{
 		Self: Member{VM: vm, FailureDomain: "domain", Address: address(i), Cores: 1, LinkMbps: mbps}, Seeds: seeds,
 		Source: linkedView{store, link}, Pool: pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Log: zerolog.Nop(),
 	})
-	server := control.NewServer(control.ServerConfig{Listener: linkListener{l, link}})
+	server := control.NewServer(control.ServerConfig{Listener: link.Listener(l)})
 	source.Register(server)
 	follower := follow.New(follow.Config{
 		Source: source, Log: zerolog.Nop(), Clock: time.Now, OnDirectory: func(*directory.Directory) {},
@@ -241,7 +162,7 @@
 				}
 				total := 0
 				for _, node := range nodes {
-					total += node.link.sent
+					total += node.link.Sent()
 				}
 				t.Logf("%d routes: %d KB over all links", routes, total>>10)
 			})
