Give calls to the store up by silence, not after a fixed time

Cause: a call that waits for news might last .4 s beyond its wait, a reading .6 s, whatever it carried. A configuration of 1 MB takes 1.1 s over a link of 10 Mbit/s, so that the call failed as often as it was made, and with it all news of endpoints that leave and all proof that the knowledge of keys is fresh. Class: a fixed bound on a transfer whose size others decide. Change: package idle has contexts that end when nothing was heard for too long; the store's client says what it hears. The bounds are the same, on silence. A race in a test of follow (a field written without its lock) is mended.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"coveferry/internal/clock"
 	"coveferry/internal/directory"
+	"coveferry/internal/idle"
 	"coveferry/internal/route"
 )
 
@@ -18,8 +19,8 @@
 	// Wait is how long a call waits for a change. With Slack it bounds how old
 	// the knowledge of a calm source gets.
 	Wait time.Duration
-	// Slack is how much longer than it should a call may take before it is
-	// given up.
+	// Slack is how much longer than it should a call may take before something
+	// comes, and may then be silent, before it is given up.
 	Slack time.Duration
 	// Pace is the least time between two calls that succeed, so that a source
 	// in which something changes all the time isn't asked without a pause.
@@ -178,7 +179,10 @@
 	if w.whole {
 		return f.cfg.Source.Read(ctx, w.fresh)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.wait+f.cfg.Timing.Slack)
+	// Not a fixed time: a configuration of a megabyte takes 1.1 s over a link of
+	// 10 Mbit/s. Calls of .4 s and their wait failed on it again and again, and with
+	// them all news of endpoints.
+	ctx, cancel := idle.WithTimeout(ctx, w.wait+f.cfg.Timing.Slack, f.cfg.Timing.Slack)
 	defer cancel()
 	return f.cfg.Source.Await(ctx, f.Directory().Revision(), w.wait)
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -129,7 +129,7 @@
 	s.mu.Lock()
 	s.watches++
 	s.lastAfter = after
-	away, lost, changed := s.away, s.lost, s.changed
+	away, lost, changed, delay := s.away, s.lost, s.changed, s.delay
 	s.lost = false
 	if s.revision > after && !away && !lost {
 		defer s.mu.Unlock()
@@ -145,7 +145,7 @@
 	}
 	select {
 	case <-changed:
-	case <-time.After(wait + s.delay):
+	case <-time.After(wait + delay):
 	case <-ctx.Done():
 		return follow.Reading{}, ctx.Err()
 	}
@@ -202,7 +202,9 @@
 
 func TestAgeCountsFromWhenAReadingWasSent(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		s.mu.Lock()
 		s.delay = 200 * time.Millisecond
+		s.mu.Unlock()
 		after(1100 * time.Millisecond)
 		// The call that waits was sent at 0 and hasn't been answered.
 		g.Expect(f.Age()).To(Equal(1100 * time.Millisecond))
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/directory"
+	"coveferry/internal/idle"
 	"coveferry/internal/route"
 )
 
@@ -37,7 +38,8 @@
 	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
 }
 
-// Store is the service behind all sources, by its calls.
+// Store is the service behind all sources, by its calls. As an answer may take long
+// because it is long, a call tells its context of each part that comes: see idle.Heard.
 type Store interface {
 	// Config reads the newest configuration, and the revision at that time.
 	Config(ctx context.Context) (*route.Config, uint64, error)
@@ -59,7 +61,7 @@
 // Reader reads a store. It implements Source.
 type Reader struct {
 	Store
-	// CallTimeout bounds each call of Read.
+	// CallTimeout bounds the silence in each call of Read.
 	CallTimeout time.Duration
 }
 
@@ -85,13 +87,13 @@
 }
 
 func (r Reader) config(ctx context.Context) (*route.Config, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, r.CallTimeout, r.CallTimeout)
 	defer cancel()
 	return r.Store.Config(ctx)
 }
 
 func (r Reader) page(ctx context.Context, behind string, fresh bool) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, r.CallTimeout, r.CallTimeout)
 	defer cancel()
 	return r.Store.Page(ctx, behind, fresh)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
+	"coveferry/internal/idle"
 	"coveferry/internal/route"
 )
 
@@ -124,7 +125,7 @@
 // domains: the source may turn away this router alone.
 func (s *Source) awaitAsReader(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	r, err := s.awaitDirectly(ctx, after, wait)
-	if err == nil || errors.Is(err, follow.ErrHistoryLost) || errors.Is(ctx.Err(), context.Canceled) {
+	if err == nil || errors.Is(err, follow.ErrHistoryLost) || errors.Is(context.Cause(ctx), context.Canceled) {
 		return r, err
 	}
 	heard, peerErr := s.ask(context.WithoutCancel(ctx), s.askNews)
@@ -143,7 +144,7 @@
 	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
 		return follow.Reading{}, ctx.Err()
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := idle.WithTimeout(ctx, callTimeout, callTimeout)
 	defer cancel()
 	return s.direct.Await(ctx, after, follow.AtOnce)
 }
