Read the newest configuration alone where too many versions were missed

Cause: news of the store hold each version that was missed, whole. More than 4 MB of it were cut off, couldn't be decoded, and were asked for again and again, on links of any width: found by looking for the same cause elsewhere. Change: an answer that is longer than the largest value (which the settings tell) and some news beside it counts as history that is lost: the newest configuration and the list are then read by themselves.

--- a/internal/cli/directcmd/directcmd.go
+++ b/internal/cli/directcmd/directcmd.go
@@ -26,7 +26,7 @@
 		Callers:       s.Callers.String(),
 		Ready:         s.Ready.String(),
 		ReadyPattern:  platform.ReadyPattern,
-		Store:         platform.NewStore(s.Store.String()),
+		Store:         platform.NewStore(s.Store.String(), s.MaxValue),
 		Protocol:      platform.Protocol{},
 		Health:        platform.Health,
 		Bounds:        boundsOf(s),
