Have the soak grow the configuration behind narrow links, and show what it found

Cause: no run of the soak had a configuration of more than some routes, a link with a bandwidth, or looked whether an added route is served: it couldn't have found the fault.

--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -95,6 +95,34 @@
 	})
 }
 
+// filling is a reader that fills what it is given, a kilobyte a millisecond, as the
+// reader of a body in chunks does while a chunk lasts.
+type filling struct{ left int }
+
+func (f *filling) Read(p []byte) (int, error) {
+	n := min(len(p), f.left)
+	if n == 0 {
+		return 0, io.EOF
+	}
+	f.left -= n
+	time.Sleep(time.Duration(n) * time.Millisecond / 1024)
+	return n, nil
+}
+
+// A router gave up calls "after 1168260 bytes of the answer" again and again while they
+// came as fast as its link of 10 Mbit/s let them: its reads were of up to 385 KB, which
+// took .3 s, the silence that was allowed.
+func TestALongReadIsHeardInParts(t *testing.T) {
+	play(t, func(g *WithT) {
+		ctx, cancel := idle.WithTimeout(context.Background(), first, quiet)
+		defer cancel()
+		got, err := io.ReadAll(idle.Reader(ctx, &filling{left: 4 << 20}))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(HaveLen(4 << 20))
+		g.Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+}
+
 func TestItEndsWithItsParentAndWhenCancelled(t *testing.T) {
 	play(t, func(g *WithT) {
 		parent, cancelParent := context.WithCancel(context.Background())
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -39,9 +39,11 @@
 func (c *caller) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(time.Duration(c.rnd.ExpFloat64() * float64(meanThink)))
-		route := c.soak.routes[c.rnd.IntN(len(c.soak.routes))]
+		route, added := c.soak.pickRoute(c.rnd)
 		key, team := c.soak.keys.pick(c.rnd)
-		c.soak.record(c.call(route, fmt.Sprintf("c%d-%d", c.number, n), key, team))
+		call := c.call(route, fmt.Sprintf("c%d-%d", c.number, n), key, team)
+		call.Added = added
+		c.soak.record(call)
 	}
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,6 +17,7 @@
 	PromiseNotRun   Promise = "what was refused as not run did not run"
 	PromiseRevoked  Promise = "a revoked key no longer works after the bound"
 	PromiseValid    Promise = "a valid key is not said to be unknown"
+	PromiseConfig   Promise = "a route of the configuration is known after the bound"
 	PromiseDrain    Promise = "a leaving endpoint gets no new work after the bound"
 	PromiseRoute    Promise = "a request runs at its route's service, for its team"
 	PromiseCancel   Promise = "work ends soon after its caller has left"
@@ -29,10 +30,10 @@
 // Bounds are what the promises allow.
 type Bounds struct {
 	// Where one of them is 0, nothing is demanded there.
-	Revoke, Drain time.Duration
-	// Slack is added to both for what the machine adds.
+	Revoke, Drain, Config time.Duration
+	// Slack is added to each for what the machine adds.
 	Slack time.Duration
-	// Contact is how long after a fault a router isn't held to Drain and Cancel.
+	// Contact is how long after a fault a router isn't held to Drain, Config and Cancel.
 	Contact    time.Duration
 	Cancel     time.Duration
 	RetryRatio float64
@@ -47,6 +48,8 @@
 	Repeatable bool
 	Stream     bool
 	Sent, End  time.Time
+	// Added is when the request's route was added; zero if it stood from the start.
+	Added time.Time
 	// Left says that the caller left before the answer.
 	Left bool
 	// Status is 0 if no answer came. Whole says that the answer ended in good
@@ -154,12 +157,24 @@
 	if call.Status == 401 && !wasRevoked {
 		c.add(PromiseValid, call.ID, "its key was never taken away")
 	}
+	if call.Status == 404 && c.mustKnowRoute(call) {
+		c.add(PromiseConfig, call.ID, "its route was added %s before", call.Sent.Sub(call.Added))
+	}
 	for _, r := range runs {
 		c.run(call, r)
 	}
 	c.stop(call, runs)
 }
 
+// mustKnowRoute says whether the request's route must be in force at its router.
+func (c *checker) mustKnowRoute(call Call) bool {
+	if call.Added.IsZero() {
+		return true
+	}
+	late := c.bounds.Config > 0 && call.Sent.Sub(call.Added) > c.bounds.Config+c.bounds.Slack
+	return late && c.inTouch(call, Execution{})
+}
+
 // stop judges a request that ran while its router was stopping as planned.
 func (c *checker) stop(call Call, runs []Execution) {
 	stopping := slices.ContainsFunc(c.seen.Stops[call.Router], func(s Span) bool { return s.touches(call.Sent, call.End) })
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -33,7 +33,9 @@
 // promises are those that a run breaks.
 func promises(s Seen) []Promise {
 	var broken []Promise
-	for _, v := range Check(s, DefaultBounds()) {
+	bounds := DefaultBounds()
+	bounds.Config = configWithin
+	for _, v := range Check(s, bounds) {
 		broken = append(broken, v.Promise)
 	}
 	return broken
@@ -50,6 +52,11 @@
 		{PromiseNotRun, func(s *Seen) { s.Calls[0].Status, s.Calls[0].Whole, s.LastFault = 503, false, at(10) }},
 		{PromiseRevoked, func(s *Seen) { s.Revoked["k"] = at(4) }},
 		{PromiseValid, func(s *Seen) { s.Calls[0].Status, s.LastFault = 401, at(10) }},
+		{PromiseConfig, func(s *Seen) { s.Calls[0].Status, s.Calls[0].Whole, s.LastFault = 404, false, at(10) }},
+		{PromiseConfig, func(s *Seen) {
+			s.Calls[0].Status, s.Calls[0].Whole, s.LastFault = 404, false, at(10)
+			s.Calls[0].Added = at(6)
+		}},
 		{PromiseDrain, func(s *Seen) { s.Drained["e1"] = at(7) }},
 		{PromiseRoute, func(s *Seen) { s.Runs[0].Service = "other" }},
 		{PromiseRoute, func(s *Seen) { s.Runs[0].Team = "other" }},
@@ -117,6 +124,6 @@
 			}
 		}
 	}
-	g.Expect(struck).To(HaveLen(len(kinds)))
+	g.Expect(struck).To(HaveLen(len(kinds) + 1))
 	g.Expect(overlap).To(BeNumerically(">", 100))
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,9 @@
 
 	KeyRevoked Kind = "key_revoked" // a key is taken away, another added
 	Routes     Kind = "routes"      // timeouts of the routes change
+	// ConfigGrow makes the configuration grow by many routes that nobody asks for, or
+	// shrink again, and adds one that callers ask for. Only narrow seeds have it.
+	ConfigGrow Kind = "config_grow"
 )
 
 var kinds = []Kind{
@@ -84,8 +87,15 @@
 	meanGap = 900 * time.Millisecond
 	// seriesChance is how often a fault is followed by another of its kind at once.
 	seriesChance = 0.25
+	// meanGrowGap is the mean time between two faults of kind ConfigGrow: some seconds,
+	// as a value of a megabyte takes one over a narrow link.
+	meanGrowGap = 4 * time.Second
 )
 
+// NarrowOf says whether the routers of a seed reach the store over narrow links while
+// the configuration grows: the last four of eight seeds.
+func NarrowOf(seed uint64) bool { return seed/4%2 == 1 }
+
 // Plan is what happens in a run of the seed that lasts so long.
 func Plan(seed uint64, length time.Duration) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 0))
@@ -109,10 +119,24 @@
 			plan = append(plan, f)
 		}
 	}
+	if NarrowOf(seed) {
+		plan = append(plan, growth(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// growth has random numbers of its own, so that the other faults of a seed are the same
+// with and without it.
+func growth(seed uint64, end time.Duration) []Fault {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var plan []Fault
+	for at := calmStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanGrowGap)) {
+		plan = append(plan, Fault{At: at, Kind: ConfigGrow, Target: rnd.IntN(1 << 16)})
+	}
+	return plan
+}
+
 // upTo is a random time from 0 to d.
 func upTo(rnd *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(rnd.Float64() * float64(d))
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 )
 
 // proxyDelay is what HarmDelay adds to each piece, one way: more than a region's
@@ -23,8 +24,10 @@
 	listener net.Listener
 	target   string
 	harm     atomic.Pointer[Harm]
-	mu       sync.Mutex
-	open     map[net.Conn]struct{}
+	// link is what comes back from the target goes over; nil is as fast as it can.
+	link *rate.Limiter
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
 }
 
 // NewProxy returns a proxy that passes connections on to a target.
@@ -38,6 +41,13 @@
 	return p, nil
 }
 
+// Narrow has all that comes back from the target share a link of so many Mbit/s. It is
+// for a proxy that doesn't run yet.
+func (p *Proxy) Narrow(mbps float64) {
+	const bytesPerMbit = 1e6 / 8
+	p.link = rate.NewLimiter(rate.Limit(mbps*bytesPerMbit), proxyBytes)
+}
+
 // Address is where the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -146,6 +156,11 @@
 		p.waitWhile(h)
 		return false
 	}
+	if p.link != nil && !forward {
+		if err := p.link.WaitN(context.Background(), len(piece)); err != nil {
+			return false // never: a piece is no larger than the limiter's burst
+		}
+	}
 	_, err := to.Write(piece)
 	return err == nil
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -53,8 +54,18 @@
 	drainFor = 4 * time.Second
 	// startWithin is how long the programs may take to be ready.
 	startWithin = 5 * time.Second
+	// narrowMbps is the link of a router to the store in narrow seeds, maxUnused how many
+	// routes nobody asks for then: together with the others some 900 KB, of the 1 MB that
+	// the store takes and that need over a second on such a link.
+	narrowMbps = 10
+	maxUnused  = 4500
+	// addedChance is how often a caller asks for a route that was added.
+	addedChance = 0.1
 )
 
+// configWithin is how soon a configuration must be in force where that is demanded.
+const configWithin = 3 * time.Second
+
 // DefaultBounds are those that settings and checker use where all are in force.
 func DefaultBounds() Bounds {
 	return Bounds{
@@ -74,6 +85,9 @@
 	case 0:
 		b.Revoke, b.Drain = 0, 0
 	}
+	if NarrowOf(seed) {
+		b.Config = configWithin
+	}
 	return b
 }
 
@@ -100,6 +114,8 @@
 	mu        sync.Mutex
 	version   int
 	timeout   time.Duration
+	unused    int             // routes that nobody asks for
+	added     []added         // routes that were added
 	endpoints []*endpointProc // those that serve; faults take one out
 	started   int             // endpoints, to name them
 	all       []*Process
@@ -108,6 +124,12 @@
 	log       *os.File
 }
 
+// added is a route that was added to the configuration, and when.
+type added struct {
+	route Route
+	at    time.Time
+}
+
 type routerProc struct {
 	router   Router
 	number   int
@@ -189,7 +211,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
-	r.wire.Publish(Config{Version: r.version, Routes: r.routes, Timeout: r.timeout, Keys: r.keys.teams()})
+	routes := slices.Clone(r.routes)
+	for _, a := range r.added {
+		routes = append(routes, a.route)
+	}
+	r.wire.Publish(Config{Version: r.version, Routes: routes, Unused: r.unused, Timeout: r.timeout, Keys: r.keys.teams()})
+}
+
+// pickRoute picks one of the routes that stand from the start or, now and then, the
+// newest of those that were added, and says when it was.
+func (r *run) pickRoute(rnd *rand.Rand) (Route, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.added) > 0 && rnd.Float64() < addedChance {
+		newest := r.added[len(r.added)-1]
+		return newest.route, newest.at
+	}
+	return r.routes[rnd.IntN(len(r.routes))], time.Time{}
 }
 
 func (r *run) startRouters(ctx context.Context) error {
@@ -207,6 +245,9 @@
 		if err != nil {
 			return err
 		}
+		if NarrowOf(r.opts.Seed) {
+			way.Narrow(narrowMbps)
+		}
 		go way.Run(ctx)
 		p := &routerProc{number: i, way: way, settings: filepath.Join(r.opts.Dir, fmt.Sprintf("router-%d.conf", i))}
 		p.router = Router{
@@ -214,6 +255,9 @@
 			Callers: free[each*i], Ready: free[each*i+1], Control: free[each*i+2],
 			Store: way.Address(), Seeds: seeds, Bounds: BoundsOf(r.opts.Seed), StopWithin: stopWithin,
 		}
+		if NarrowOf(r.opts.Seed) {
+			p.router.LinkMbps = narrowMbps
+		}
 		r.routers = append(r.routers, p)
 		if err := r.startRouter(p); err != nil {
 			return err
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -35,6 +35,8 @@
 		r.timeout = routeTimeout + time.Duration(f.Target%5)*time.Second
 		r.mu.Unlock()
 		r.publish()
+	case ConfigGrow:
+		r.grow(f.Target)
 	case EndpointKill, EndpointPause, EndpointDrain, EndpointWay:
 		r.strikeEndpoint(ctx, f)
 	}
@@ -135,6 +137,17 @@
 	}
 }
 
+// grow changes how many routes nobody asks for, and adds one that callers ask for. The
+// moment is that from which the store has the change.
+func (r *run) grow(target int) {
+	r.mu.Lock()
+	r.unused = target % (maxUnused + 1)
+	prefix := fmt.Sprintf("/added-%d/", len(r.added))
+	r.added = append(r.added, added{route: Route{Name: "added" + prefix, Service: "plain", Prefix: prefix, Repeatable: true}, at: time.Now()})
+	r.mu.Unlock()
+	r.publish()
+}
+
 func harmWay(ctx context.Context, way *Proxy, f Fault) {
 	way.Set(f.Harm)
 	sleepUntil(ctx, time.Now().Add(f.For))
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -14,6 +14,8 @@
 	Callers, Ready, Control, Store string
 	Seeds                          []string
 	Bounds                         Bounds
+	// LinkMbps is what its settings say of its link; 0 says nothing.
+	LinkMbps float64
 	// StopWithin is the time from SIGTERM to SIGKILL.
 	StopWithin time.Duration
 }
@@ -30,6 +32,8 @@
 type Config struct {
 	Version int
 	Routes  []Route
+	// Unused is how many routes there are besides that nobody asks for.
+	Unused  int
 	Timeout time.Duration
 	// Keys are those of each team.
 	Keys map[string][]string
