Bound a single read of an answer that is watched for silence

Cause: a body in chunks fills the buffer that it is given while the chunk lasts, and the buffer of an answer of a megabyte grows to hundreds of kilobytes: reads took .3 s on a link of 10 Mbit/s and counted as silence. Found by the soak. Change: reads are of 16 KB at most.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// maxRead bounds a single read, in bytes. A body in chunks fills what it is given while
+// a chunk lasts: reads of 385 KB took .3 s over 10 Mbit/s, and so looked like silence.
+// These take that long at .4 Mbit/s.
+const maxRead = 16 << 10
+
 // reader notes what comes from another reader.
 type reader struct {
 	ctx  context.Context
@@ -84,7 +89,7 @@
 
 // Read implements io.Reader.
 func (r reader) Read(p []byte) (int, error) {
-	n, err := r.from.Read(p)
+	n, err := r.from.Read(p[:min(len(p), maxRead)])
 	if n > 0 {
 		Heard(r.ctx)
 	}
