Wait less for news where a configuration takes long to arrive

Cause: while a large configuration arrives nothing confirms what is known; with calls that wait for a second before that, knowledge gets too old for peers, which then all read the store, and to stay ready. Change: a call waits shorter by what the last configuration took to arrive, which the store's client measures. Where that is milliseconds nothing changes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -66,6 +66,8 @@
 	// keepAbsentUntil is until when endpoints stay that the list lacks after an
 	// outage. Only Run uses it.
 	keepAbsentUntil time.Time
+	// arrival is how long the last configuration took to arrive. Only Run uses it.
+	arrival time.Duration
 }
 
 // New returns a follower that knows nothing until Run.
@@ -132,9 +134,12 @@
 }
 
 // nextWait is how long the next call waits: no longer than until endpoints that
-// are only kept for a while are to be dropped.
+// are only kept for a while are to be dropped, and shorter by what a configuration
+// takes to arrive. Until the next one has arrived nothing confirms what is known: with
+// 1.1 s, of a megabyte over 10 Mbit/s, it was 4.0 s old where calls waited for a second
+// besides, too old for peers (2.4 s) and to stay ready (2.8 s).
 func (f *Follower) nextWait(now time.Time) time.Duration {
-	wait := f.cfg.Timing.Wait
+	wait := max(f.cfg.Timing.Wait-f.arrival, min(f.cfg.Timing.Wait, f.cfg.Timing.Pace))
 	if left := f.keepAbsentUntil.Sub(now); left > 0 {
 		wait = min(wait, left+time.Millisecond)
 	}
@@ -167,6 +172,7 @@
 	at := sent.Add(-r.Age)
 	f.merge(r.List, at)
 	if r.Config != nil {
+		f.arrival = r.Arrival
 		if err := f.take(r.Config); err != nil {
 			return err
 		}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -26,6 +26,9 @@
 	// Age is how old the reading may have been when it was asked for; 0 if the
 	// service itself answered.
 	Age time.Duration
+	// Arrival is how long the answer that brought the configuration took from its first
+	// byte to its last; 0 if none came, or if that isn't known.
+	Arrival time.Duration
 }
 
 // Source is what a Follower reads.
@@ -68,13 +71,15 @@
 
 // Read implements Source.
 func (r Reader) Read(ctx context.Context, fresh bool) (Reading, error) {
+	begun := time.Now()
 	config, revision, err := r.config(ctx)
 	if err != nil {
 		return Reading{}, err
 	}
+	arrival := time.Since(begun) // a call that doesn't wait
 	// The pages are no snapshot, and the configuration was read at another time:
 	// what is known for certain is what the oldest of them says.
-	whole := Reading{Config: config, List: directory.Reading{Whole: true, Revision: revision}}
+	whole := Reading{Config: config, Arrival: arrival, List: directory.Reading{Whole: true, Revision: revision}}
 	for behind, more := "", true; more; more = behind != "" {
 		page, err := r.page(ctx, behind, fresh)
 		if err != nil {
