Say what ended a wait, and what the bounds on calls to the store bound

Cause: contexts that end by silence are cancelled with a cause, so that their plain error reads 'canceled' in logs. Change: the cause is returned; two comments on bounds.

--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -55,10 +55,10 @@
 	// is: some answers' time, and ten calls a second of each reader.
 	minWait = 200 * time.Millisecond
 	minPace = 100 * time.Millisecond
-	// readTimeout bounds one call; the service answers in milliseconds, in
-	// a quarter of a second when it is slow.
+	// readTimeout bounds the silence in one call, before its answer and in it; the
+	// service answers in milliseconds, in a quarter of a second when it is slow.
 	readTimeout = 600 * time.Millisecond
-	// watchSlack is the same for a call that waits, beyond its wait.
+	// watchSlack is the same for a call that waits, where it comes on top of the wait.
 	watchSlack = 400 * time.Millisecond
 	// listReturn is how long entries may take to be back after the service was
 	// away; the operators say about two seconds.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -112,7 +112,7 @@
 		return s.awaitAsReader(ctx, after, wait)
 	}
 	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
-		return follow.Reading{}, ctx.Err()
+		return follow.Reading{}, context.Cause(ctx)
 	}
 	r, err := s.ask(ctx, s.askNews)
 	if err == nil || errors.Is(err, follow.ErrHistoryLost) || !s.mayAskDirectly(time.Now()) {
@@ -142,7 +142,7 @@
 		return s.direct.Await(ctx, after, wait)
 	}
 	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
-		return follow.Reading{}, ctx.Err()
+		return follow.Reading{}, context.Cause(ctx)
 	}
 	ctx, cancel := idle.WithTimeout(ctx, callTimeout, callTimeout)
 	defer cancel()
