--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -70,6 +70,13 @@
 	s.changed = make(chan struct{})
 }
 
+// with changes what the service does, which no call is told of.
+func (s *source) with(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
 // leave removes an endpoint.
 func (s *source) leave(name string) {
 	s.set(func() {
@@ -202,9 +209,7 @@
 
 func TestAgeCountsFromWhenAReadingWasSent(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
-		s.mu.Lock()
-		s.delay = 200 * time.Millisecond
-		s.mu.Unlock()
+		s.with(func() { s.delay = 200 * time.Millisecond })
 		after(1100 * time.Millisecond)
 		// The call that waits was sent at 0 and hasn't been answered.
 		g.Expect(f.Age()).To(Equal(1100 * time.Millisecond))
@@ -217,15 +222,11 @@
 func TestAgeGrowsWhileTheSourceIsAwayAndTheTableStays(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(time.Millisecond)
-		s.mu.Lock()
-		s.away = true
-		s.mu.Unlock()
+		s.with(func() { s.away = true })
 		after(10 * time.Second)
 		g.Expect(f.Age()).To(BeNumerically(">", 8*time.Second))
 		g.Expect(f.Table().Version()).To(Equal(uint64(1)))
-		s.mu.Lock()
-		s.away = false
-		s.mu.Unlock()
+		s.with(func() { s.away = false })
 		after(time.Second)
 		g.Expect(f.Age()).To(BeNumerically("<", 1500*time.Millisecond))
 	})
@@ -234,11 +235,11 @@
 func TestALostHistoryHasTheWholeReadAgain(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(time.Millisecond)
-		s.mu.Lock()
-		s.lost = true
-		s.version = 9 // changed where no call was told of it
-		s.entries, s.oldEntries = s.entries[:1], s.entries
-		s.mu.Unlock()
+		s.with(func() {
+			s.lost = true
+			s.version = 9 // changed where no call was told of it
+			s.entries, s.oldEntries = s.entries[:1], s.entries
+		})
 		after(1500 * time.Millisecond)
 		g.Expect(f.Table().Version()).To(Equal(uint64(9)))
 		g.Expect(f.Directory().For("s")).To(HaveLen(1))
@@ -289,14 +290,10 @@
 func TestEntriesThatLapsedInAnOutageAreKeptUntilTheyWouldBeBack(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(100 * time.Millisecond)
-		s.mu.Lock()
-		s.away = true
-		s.mu.Unlock()
+		s.with(func() { s.away = true })
 		after(4 * time.Second)
 		s.leave("b")
-		s.mu.Lock()
-		s.away = false
-		s.mu.Unlock()
+		s.with(func() { s.away = false })
 		after(time.Second)
 		g.Expect(f.Directory().For("s")).To(HaveLen(2))
 		after(3 * time.Second)
@@ -307,13 +304,11 @@
 func TestAnOutageThatOnlyThePeersNoticedKeepsEntriesToo(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(100 * time.Millisecond)
-		s.mu.Lock()
-		s.peerAge = 3500 * time.Millisecond // all calls succeed, what they tell is old
-		s.mu.Unlock()
+		s.with(func() {
+			s.peerAge = 3500 * time.Millisecond // all calls succeed, what they tell is old
+		})
 		after(4 * time.Second)
-		s.mu.Lock()
-		s.peerAge = 0
-		s.mu.Unlock()
+		s.with(func() { s.peerAge = 0 })
 		s.leave("b")
 		after(500 * time.Millisecond)
 		g.Expect(f.Directory().For("s")).To(HaveLen(2))
@@ -327,13 +322,9 @@
 		after(3 * time.Second)
 		// A peer in calm times: what it knows is up to two waits old, and fresh right
 		// after something changed there twice.
-		s.mu.Lock()
-		s.peerAge = 900 * time.Millisecond
-		s.mu.Unlock()
+		s.with(func() { s.peerAge = 900 * time.Millisecond })
 		after(2100 * time.Millisecond)
-		s.mu.Lock()
-		s.peerAge = 0
-		s.mu.Unlock()
+		s.with(func() { s.peerAge = 0 })
 		s.leave("b")
 		after(timing.Pace)
 		g.Expect(f.Directory().For("s")).To(HaveLen(1))
@@ -343,13 +334,9 @@
 func TestAfterAFailedCallTheNextDoesNotWait(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(300 * time.Millisecond)
-		s.mu.Lock()
-		s.away = true
-		s.mu.Unlock()
+		s.with(func() { s.away = true })
 		after(3 * time.Second)
-		s.mu.Lock()
-		s.away = false
-		s.mu.Unlock()
+		s.with(func() { s.away = false })
 		// A call that is under way fails within the slack, and a pause follows.
 		after(timing.Slack + 450*time.Millisecond)
 		g.Expect(f.Age()).To(BeNumerically("<", timing.Slack+450*time.Millisecond))
--- /dev/null
+++ b/internal/peers/shared_test.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
+	"coveferry/internal/load"
+)
+
+func TestRoutersKnowTheDemandOfAllOthersOnce(t *testing.T) {
+	for _, routers := range []int{2, 3, 12} {
+		play(t, routers, func(g *WithT, f *fleet) {
+			for _, n := range f.nodes {
+				n.source.ShareDemand(func() balance.Demand {
+					return balance.Demand{{GapMillis: 1, Requests: 1}, {GapMillis: 2, Requests: 10}}
+				})
+			}
+			time.Sleep(4 * time.Second)
+			for _, n := range f.nodes {
+				heard := n.source.OthersDemand()
+				g.Expect(heard).To(HaveLen(2), n.vm)
+				g.Expect(heard[1].Requests).To(BeNumerically("~", 10*heard[0].Requests, 1e-9), n.vm)
+				g.Expect(heard[0].Requests).To(BeNumerically("<", float64(routers-1)+0.5), n.vm)
+				// What a reader doesn't hear from other failure domains is taken to
+				// be like what it hears.
+				g.Expect(heard[0].Requests).To(BeNumerically(">", float64(routers-1)-0.5), n.vm)
+			}
+		})
+	}
+}
+
+func TestRoutersHearTheLoadReportsOfOthersInTheirFailureDomain(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		pools := make([]*balance.Pool, len(f.nodes))
+		for i, n := range f.nodes {
+			pools[i] = balance.NewPool(balance.Config{})
+			pools[i].Views(time.Now(), []*bundle.Endpoint{{Name: "e", Slots: 64}})
+			n.source.ShareLoads(pools[i])
+		}
+		report := load.Report{Slots: 64}
+		report.Running[0] = 17
+		pools[2].Report(time.Now(), "e", report)
+		received := time.Now()
+		time.Sleep(600 * time.Millisecond)
+		for i, pool := range pools {
+			v := pool.Views(time.Now(), []*bundle.Endpoint{{Name: "e", Slots: 64}})[0]
+			if f.nodes[i].source.cfg.Self.FailureDomain != f.nodes[2].source.cfg.Self.FailureDomain {
+				continue // it has readers of its own
+			}
+			g.Expect(v.Load.TotalRunning()).To(Equal(17), f.nodes[i].vm)
+			g.Expect(v.ReportedAt).To(BeTemporally("~", received, 5*time.Millisecond), f.nodes[i].vm)
+		}
+	})
+}
+
+func TestAnEndpointThatFailsForTwoRoutersIsAvoidedByTheOthersOfTheirDomain(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		endpoints := []*bundle.Endpoint{
+			{Name: "bad", Services: []string{"s"}}, {Name: "lone", Services: []string{"s"}},
+		}
+		for i := range 7 {
+			endpoints = append(endpoints, &bundle.Endpoint{Name: fmt.Sprint("good", i), Services: []string{"s"}})
+		}
+		pools := make([]*balance.Pool, len(f.nodes))
+		weights := func(i int) (bad, lone float64) {
+			views := pools[i].Views(time.Now(), endpoints)
+			return views[0].Weight, views[1].Weight
+		}
+		for i, n := range f.nodes {
+			pools[i] = balance.NewPool(balance.Config{})
+			weights(i)
+			n.source.ShareFailures(pools[i])
+		}
+		attempt := func(i int, endpoint string, res balance.Result, times int) {
+			for range times {
+				pools[i].Sent(time.Now(), endpoint)
+				pools[i].Done(time.Now(), endpoint, res, 0)
+			}
+		}
+		for i := range pools {
+			attempt(i, fmt.Sprint("good", i%7), balance.ResultOK, 10)
+		}
+		attempt(0, "bad", balance.ResultFailed, 2)
+		attempt(2, "bad", balance.ResultFailed, 2)
+		attempt(4, "lone", balance.ResultFailed, 3)
+		time.Sleep(700 * time.Millisecond)
+		for i := range pools {
+			bad, lone := weights(i)
+			g.Expect(lone).To(Equal(1.0), f.nodes[i].vm)
+			if f.nodes[i].source.cfg.Self.FailureDomain == "domain0" {
+				g.Expect(bad).To(BeZero(), f.nodes[i].vm)
+			} else {
+				g.Expect(bad).To(Equal(1.0), f.nodes[i].vm)
+			}
+		}
+	})
+}
+
+func TestDemandOfARouterThatFellSilentIsForgotten(t *testing.T) {
+	play(t, 3, func(g *WithT, f *fleet) {
+		f.nodes[1].source.ShareDemand(func() balance.Demand { return balance.Demand{{Requests: 1}} })
+		time.Sleep(2 * time.Second)
+		g.Expect(f.nodes[0].source.OthersDemand()).To(Equal(balance.Demand{{Requests: 1}}))
+		f.nodes[1].end()
+		time.Sleep(demandFor + 2*time.Second)
+		g.Expect(f.nodes[0].source.OthersDemand()).To(BeEmpty())
+	})
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,11 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -130,22 +128,6 @@
 	at    time.Time
 }
 
-type routerProc struct {
-	router   Router
-	number   int
-	settings string
-	way      *Proxy // to the store
-	starting sync.Mutex
-	mu       sync.Mutex
-	process  *Process
-}
-
-type endpointProc struct {
-	endpoint Endpoint
-	way      *Proxy
-	process  *Process
-}
-
 // Run plays one seed.
 func Run(ctx context.Context, opts Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -182,42 +164,6 @@
 	return r.result(plan), ctx.Err()
 }
 
-func (r *run) start(ctx context.Context) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Wrap(err, "soak: listen for the store")
-	}
-	r.store = l.Addr().String()
-	srv := &http.Server{Handler: r.wire.Store()}
-	go func() { _ = srv.Serve(l) }() // ends when the server is closed
-	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	r.publish()
-	for _, service := range []string{"model", "plain"} {
-		for i := range r.opts.Endpoints {
-			if err := r.startEndpoint(ctx, service, domainOf(i)); err != nil {
-				return err
-			}
-		}
-	}
-	return r.startRouters(ctx)
-}
-
-// domains is in how many failure domains routers and endpoints are.
-const domains = 2
-
-func domainOf(i int) string { return fmt.Sprintf("domain-%d", i%domains) }
-
-func (r *run) publish() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.version++
-	routes := slices.Clone(r.routes)
-	for _, a := range r.added {
-		routes = append(routes, a.route)
-	}
-	r.wire.Publish(Config{Version: r.version, Routes: routes, Unused: r.unused, Timeout: r.timeout, Keys: r.keys.teams()})
-}
-
 // pickRoute picks one of the routes that stand from the start or, now and then, the
 // newest of those that were added, and says when it was.
 func (r *run) pickRoute(rnd *rand.Rand) (Route, time.Time) {
@@ -230,117 +176,6 @@
 	return r.routes[rnd.IntN(len(r.routes))], time.Time{}
 }
 
-func (r *run) startRouters(ctx context.Context) error {
-	const each = 3
-	free, err := r.ports.free(each * r.opts.Routers)
-	if err != nil {
-		return err
-	}
-	var seeds []string
-	for i := range min(each, r.opts.Routers) {
-		seeds = append(seeds, free[each*i+2])
-	}
-	for i := range r.opts.Routers {
-		way, err := NewProxy(r.store)
-		if err != nil {
-			return err
-		}
-		if NarrowOf(r.opts.Seed) {
-			way.Narrow(narrowMbps)
-		}
-		go way.Run(ctx)
-		p := &routerProc{number: i, way: way, settings: filepath.Join(r.opts.Dir, fmt.Sprintf("router-%d.conf", i))}
-		p.router = Router{
-			Name: fmt.Sprintf("router-%d", i), FailureDomain: domainOf(i),
-			Callers: free[each*i], Ready: free[each*i+1], Control: free[each*i+2],
-			Store: way.Address(), Seeds: seeds, Bounds: BoundsOf(r.opts.Seed), StopWithin: stopWithin,
-		}
-		if NarrowOf(r.opts.Seed) {
-			p.router.LinkMbps = narrowMbps
-		}
-		r.routers = append(r.routers, p)
-		if err := r.startRouter(p); err != nil {
-			return err
-		}
-	}
-	return r.awaitRouters()
-}
-
-// awaitRouters waits until all routers take connections.
-func (r *run) awaitRouters() error {
-	until := time.Now().Add(startWithin)
-	for _, p := range r.routers {
-		for {
-			conn, err := net.Dial("tcp", p.router.Callers)
-			if err == nil {
-				_ = conn.Close()
-				break
-			}
-			if time.Now().After(until) {
-				return errors.Wrapf(err, "soak: %s isn't up", p.router.Name)
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-	return nil
-}
-
-// startRouter writes the router's settings and starts it. p.mu isn't held.
-func (r *run) startRouter(p *routerProc) error {
-	if err := os.WriteFile(p.settings, []byte(r.wire.Settings(p.router)), 0o600); err != nil {
-		return errors.Wrap(err, "soak: write settings")
-	}
-	env := []string{r.wire.SettingsVariable() + "=" + p.settings}
-	process, err := StartProcess(p.router.Name, r.log, nil, env, r.opts.Daemon, "direct")
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	p.process = process
-	p.mu.Unlock()
-	r.mu.Lock()
-	r.all = append(r.all, process)
-	r.mu.Unlock()
-	return nil
-}
-
-// startEndpoint starts an endpoint behind a proxy and lists it.
-func (r *run) startEndpoint(ctx context.Context, service, domain string) error {
-	free, err := r.ports.free(1)
-	if err != nil {
-		return err
-	}
-	way, err := NewProxy(free[0])
-	if err != nil {
-		return err
-	}
-	go way.Run(ctx)
-	r.mu.Lock()
-	r.started++
-	name := fmt.Sprintf("i-%s-%03d", service, r.started)
-	r.mu.Unlock()
-	e := &endpointProc{way: way, endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: free[0]}}
-	args := r.wire.EndpointArgs(e.endpoint, eventsOf(service), eventPause)
-	e.process, err = StartProcess(name, r.log, func(line []byte) { r.hear(e.endpoint, line) }, nil, r.opts.Tool, args...)
-	if err != nil {
-		return err
-	}
-	e.endpoint.Address = way.Address()
-	r.mu.Lock()
-	r.all = append(r.all, e.process)
-	r.endpoints = append(r.endpoints, e)
-	r.mu.Unlock()
-	r.wire.List(e.endpoint)
-	return nil
-}
-
-func eventsOf(service string) int {
-	if service == "model" {
-		return streamEvents
-	}
-	return 0
-}
-
 // hear takes a line of an endpoint's records.
 func (r *run) hear(e Endpoint, line []byte) {
 	var rec Record
