--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -102,8 +102,9 @@
 	return age, nil
 }
 
-// readPages reads the whole list from a peer, and what changed in the configuration. What changes between its parts is told
-// as news afterwards, since the oldest revision counts.
+// readPages reads the whole list from a peer, and what changed in the configuration.
+// What changes between its parts is told as news afterwards, since the oldest revision
+// counts.
 func (s *Source) readPages(ctx context.Context, peer Member) (follow.Reading, error) {
 	base := s.config()
 	var whole follow.Reading
