Read the newest configuration alone after an outage

Cause: news hold each version that was missed, whole and the newest last. After an outage with three versions of 900 KB a link of 10 Mbit/s carried 1.7 MB of them in vain before the newest was read. Change: a router whose calls to the store have failed asks what changed in the list, which is short, and reads the newest configuration by itself.

--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -52,6 +52,9 @@
 	Page(ctx context.Context, behind string, fresh bool) (Page, error)
 	// Await is as in Source.
 	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+	// Changes tells at once what changed in the list after the revision. Its error is
+	// as that of Await.
+	Changes(ctx context.Context, after uint64) (directory.Reading, error)
 }
 
 // Page is a part of the list.
@@ -92,6 +95,25 @@
 	return whole, nil
 }
 
+// CatchUp tells at once what changed after the revision, as Await does, but of the
+// configuration the newest version alone. News hold each version that was missed, whole:
+// after an outage with three of 900 KB they took 2.1 s more over a link of 10 Mbit/s.
+func (r Reader) CatchUp(ctx context.Context, after uint64) (Reading, error) {
+	list, err := r.changes(ctx, after)
+	if err != nil {
+		return Reading{}, err
+	}
+	begun := time.Now()
+	config, _, err := r.config(ctx)
+	return Reading{Config: config, Arrival: time.Since(begun), List: list}, err
+}
+
+func (r Reader) changes(ctx context.Context, after uint64) (directory.Reading, error) {
+	ctx, cancel := idle.WithTimeout(ctx, r.CallTimeout, r.CallTimeout)
+	defer cancel()
+	return r.Store.Changes(ctx, after)
+}
+
 func (r Reader) config(ctx context.Context) (*route.Config, uint64, error) {
 	ctx, cancel := idle.WithTimeout(ctx, r.CallTimeout, r.CallTimeout)
 	defer cancel()
--- a/internal/peers/direct.go
+++ b/internal/peers/direct.go
@@ -17,7 +17,7 @@
 
 // watched is a source that knows for how long its calls have failed.
 type watched struct {
-	follow.Source
+	Origin
 	mu sync.Mutex
 	// failing is when the first call failed that no success has followed; zero
 	// while calls succeed or none was made. failed is when the last one did.
@@ -53,7 +53,7 @@
 // Read implements follow.Source.
 func (w *watched) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
 	sent := time.Now()
-	r, err := w.Source.Read(ctx, fresh)
+	r, err := w.Origin.Read(ctx, fresh)
 	w.note(sent, err)
 	return r, err
 }
@@ -61,7 +61,15 @@
 // Await implements follow.Source. A source that lost its history answers.
 func (w *watched) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	sent := time.Now()
-	r, err := w.Source.Await(ctx, after, wait)
+	r, err := w.Origin.Await(ctx, after, wait)
+	w.note(sent, err)
+	return r, err
+}
+
+// CatchUp implements Origin.
+func (w *watched) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+	sent := time.Now()
+	r, err := w.Origin.CatchUp(ctx, after)
 	w.note(sent, err)
 	return r, err
 }
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -100,6 +100,10 @@
 	return follow.Reading{List: directory.Reading{Revision: after}}, nil
 }
 
+func (v view) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+	return v.Await(ctx, after, follow.AtOnce)
+}
+
 // node is a router as far as reading goes.
 type node struct {
 	vm       string
--- a/internal/peers/narrow_test.go
+++ b/internal/peers/narrow_test.go
@@ -68,6 +68,10 @@
 	return follow.Reading{List: directory.Reading{Revision: after}}, ctx.Err()
 }
 
+func (v linkedView) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+	return v.Await(ctx, after, follow.AtOnce)
+}
+
 // routesOf is a configuration of so many routes.
 func routesOf(version uint64, routes int) *route.Config {
 	c := &route.Config{Version: version, Services: []route.Service{{Name: "s"}}, Teams: map[string]*route.Team{"key": {Name: "team"}}}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -26,7 +26,7 @@
 	// Seeds are control addresses of some routers, which may be stale or down.
 	Seeds []string
 	// Source is read by the routers that read for others.
-	Source follow.Source
+	Source Origin
 	// Pool reaches peers.
 	Pool *control.Pool
 	// Every is the time between two questions to a peer.
@@ -36,6 +36,14 @@
 	Log    zerolog.Logger
 }
 
+// Origin is the source that peers read for each other.
+type Origin interface {
+	follow.Source
+	// CatchUp tells at once what changed after a revision, of the configuration only
+	// the newest version. See follow.Reader.
+	CatchUp(ctx context.Context, after uint64) (follow.Reading, error)
+}
+
 // directEvery is the least time between two calls to the source by a router that
 // doesn't read for others: where nobody knows more, its readers are asking already.
 const directEvery = 800 * time.Millisecond
@@ -69,7 +77,7 @@
 
 // New returns a source that is alone until Run.
 func New(cfg Config) *Source {
-	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: &watched{Source: cfg.Source}}
+	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: &watched{Origin: cfg.Source}}
 }
 
 // Tell sets what this router tells others; before it tells nothing.
@@ -136,7 +144,8 @@
 }
 
 // awaitDirectly waits at the source. While its calls fail they don't wait: peers
-// tell the news, and what matters is to notice that the source is back.
+// tell the news, and what matters is to notice that the source is back and to have the
+// newest of what was missed.
 func (s *Source) awaitDirectly(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	if s.direct.lost() == 0 {
 		return s.direct.Await(ctx, after, wait)
@@ -146,7 +155,7 @@
 	}
 	ctx, cancel := idle.WithTimeout(ctx, callTimeout, callTimeout)
 	defer cancel()
-	return s.direct.Await(ctx, after, follow.AtOnce)
+	return s.direct.CatchUp(ctx, after)
 }
 
 // mayAskDirectly says whether this router, which isn't a reader, may ask the
