Leave out the entries of the list that can't be used, and only these

Cause: the list of endpoints lies under a prefix to which others may write. One value that couldn't be decoded had the whole answer thrown away, configuration and news of all good entries included: a router couldn't start, and running ones refused all requests with keys some seconds later. Change: items are decoded one by one; what can't be used is logged once and counted (coveferry_list_unreadable_entries_total), and takes its endpoint away. The list also holds where the configuration beside it can't be read.

An endpoint is its name and its process: one that starts again under its name inherits nothing. Cause: nothing read when a process started. After a restart routers believed in caches that were gone, in requests that had ended, and held the crash against the new process; words of an endpoint that had moved counted as late for ever. Change: an entry's incarnation goes with the endpoint through list, peers, membership and attempts; the pool begins anew, and what is left of the process before isn't counted.

--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -28,6 +28,9 @@
 	// avoidFor is how long an endpoint is avoided then. Its health checks may be
 	// good all the while, so that only requests can tell whether it has recovered.
 	avoidFor = 3 * time.Second
+	// failuresOfBefore is how long after a restart others' words may still count attempts
+	// at the process before: as long as attempts count, and some time on the way.
+	failuresOfBefore = failureWindow + time.Second
 )
 
 // FailureWord is what one router tells another of attempts at an endpoint.
@@ -134,7 +137,10 @@
 		}
 		n := st.results(now)
 		w := FailureWord{Endpoint: name, Attempts: n.Total, Failed: n.Part, Witnesses: min(1, n.Part)}
-		seen[st.group] = append(seen[st.group], w.Plus(heard[name]))
+		if now.Sub(st.restartedAt) > failuresOfBefore {
+			w = w.Plus(heard[name])
+		}
+		seen[st.group] = append(seen[st.group], w)
 	}
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -286,8 +286,17 @@
 	sh.state(endpoint).leaving = leaving
 }
 
-// Forget drops what is known of an endpoint, for one that is gone or that came
-// back as a new incarnation.
+// Restart notes that another process is at an endpoint from now on. It inherits nothing:
+// no cached parts, no running requests, no load, no failures. What other routers saw of
+// the one before may still be told for a while and isn't taken for this one's.
+func (p *Pool) Restart(now time.Time, endpoint string) {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.states[endpoint] = &state{restartedAt: now}
+}
+
+// Forget drops what is known of an endpoint, for one that is gone.
 func (p *Pool) Forget(endpoint string) {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -66,6 +66,9 @@
 	token      quantile
 	engines    *engineSpeeds
 	avoidUntil time.Time
+	// restartedAt is when this router heard that the process took another one's place;
+	// zero if it is the first that is known.
+	restartedAt time.Time
 }
 
 func (st *state) view(c *bundle.Endpoint, v *View) {
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -59,7 +59,7 @@
 
 // hear takes in a report that another router received at a moment.
 func (st *state) hear(at time.Time, w LoadWord) {
-	if !at.After(st.reportedAt) {
+	if !at.After(st.reportedAt) || at.Before(st.restartedAt) {
 		return
 	}
 	st.load.Running, st.load.Queued = [len(st.load.Running)]int{}, [len(st.load.Queued)]int{}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -28,13 +28,16 @@
 type Account struct {
 	pool     *Pool
 	endpoint string
-	tier     int
-	tokens   int
-	tight    bool
-	sent     time.Time
-	service  string
-	gap      time.Duration
-	goal     time.Duration // to the first event
+	// state is that of the process to which the request was sent. What comes of it later
+	// isn't held against another one that has followed under the endpoint's name.
+	state   *state
+	tier    int
+	tokens  int
+	tight   bool
+	sent    time.Time
+	service string
+	gap     time.Duration
+	goal    time.Duration // to the first event
 	// alone says that the prompt's time to the first token tells of its reading: this
 	// router knows what was cached, and sent nothing that is read before.
 	alone bool
@@ -52,21 +55,27 @@
 		pool: p, endpoint: endpoint, tier: min(w.Tier, load.MaxTiers-1), tight: w.Tight,
 		sent: now, service: w.Service, gap: w.MaxGap, goal: w.Objective, pace: pace{stride: float64(w.Stride)},
 	}
-	a.change(func(st *state) {
-		st.sent(now)
-		a.engines = st.engines
-		if w.Tight {
-			st.tight++
-		}
-		if w.Prompt.Tokens > 0 {
-			a.tokens = st.send(now, w.Prompt)
-			a.alone = a.tokens <= w.Prompt.Own() && st.unread() == 0
-			st.prefill[a.tier] += a.tokens
-		}
-	})
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	a.begin(sh.state(endpoint), w)
 	return a
 }
 
+// begin notes the request at its endpoint, whose shard is locked.
+func (a *Account) begin(st *state, w Work) {
+	a.state, a.engines = st, st.engines
+	st.sent(a.sent)
+	if w.Tight {
+		st.tight++
+	}
+	if w.Prompt.Tokens > 0 {
+		a.tokens = st.send(a.sent, w.Prompt)
+		a.alone = a.tokens <= w.Prompt.Own() && st.unread() == 0
+		st.prefill[a.tier] += a.tokens
+	}
+}
+
 // send notes a prompt and returns how many of its tokens are to be read.
 func (st *state) send(now time.Time, p prompt.Prompt) int {
 	tokens := p.Tokens - st.recent.cached(now, p)
@@ -136,9 +145,22 @@
 	return began || paused
 }
 
+// Done notes how the request ended. Times to the first token differ by prompts, not by
+// endpoints, and aren't compared.
+func (a *Account) Done(now time.Time, res Result) {
+	failing := false
+	a.change(func(st *state) {
+		st.done(now, res, 0, a.pool.cfg.FirstTokenShare)
+		failing = res == ResultFailed && st.health.failures > a.pool.cfg.Outlier.FailureShare
+	})
+	a.pool.detect(now, failing)
+}
+
 func (a *Account) change(f func(*state)) {
 	sh := a.pool.shard(a.endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	f(sh.state(a.endpoint))
+	if sh.states[a.endpoint] == a.state {
+		f(a.state)
+	}
 }
--- a/internal/bundle/types.go
+++ b/internal/bundle/types.go
@@ -5,6 +5,7 @@
 package bundle
 
 import (
+	"cmp"
 	"time"
 
 	"coveferry/internal/units"
@@ -114,11 +115,18 @@
 	Direct bool `json:"direct,omitempty"`
 	// Slots is how many requests the endpoint runs at once.
 	Slots int `json:"slots" jsonc:"required"`
+	// Incarnation names the process at the address, where a list of endpoints tells it;
+	// one that starts again has another. A bundle doesn't, and agents tell their own.
+	Incarnation string `json:"-"`
 	// Placement is what the agent has the engine hold; without it the agent
 	// gives its engine no orders.
 	Placement Placement `json:"placement,omitzero"`
 }
 
+// Process names the process at the endpoint, as far as can be told: that of another
+// incarnation, or at another address, holds and knows nothing of the one before.
+func (e *Endpoint) Process() string { return cmp.Or(e.Incarnation, e.Address) }
+
 // Placement is what an engine is to hold, which its agent orders.
 type Placement struct {
 	// Models are loaded; other models of the bundle are unloaded once enough
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	d.follower = follow.New(follow.Config{
-		Source: source, Timing: timing(cfg.Bounds), Log: log,
+		Source: source, Timing: timing(cfg.Bounds), Log: log, Metrics: d.reg,
 		OnDirectory: d.takeDirectory,
 	})
 	if d.peers != nil {
@@ -173,7 +173,9 @@
 	places := make([]membership.Place, len(entries))
 	vms := make([]membership.VM, len(entries))
 	for i, e := range entries {
-		places[i] = membership.Place{Endpoint: e.Endpoint.Name, VM: e.Endpoint.VM, Address: e.Endpoint.Address}
+		places[i] = membership.Place{
+			Endpoint: e.Endpoint.Name, VM: e.Endpoint.VM, Address: e.Endpoint.Address, Incarnation: e.Endpoint.Process(),
+		}
 		vms[i] = membership.VM{Name: e.Endpoint.VM, Leaving: e.Draining}
 	}
 	d.members.Learn(membership.Bundle{Places: places})
--- a/internal/directory/compare.go
+++ b/internal/directory/compare.go
@@ -15,7 +15,7 @@
 }
 
 func sameEntry(a, b Entry) bool {
-	return a.Draining == b.Draining && a.kept == b.kept &&
+	return a.Draining == b.Draining && a.kept == b.kept && a.Incarnation == b.Incarnation &&
 		a.Endpoint.Address == b.Endpoint.Address &&
 		a.Endpoint.FailureDomain == b.Endpoint.FailureDomain &&
 		a.Endpoint.Slots == b.Endpoint.Slots &&
@@ -27,7 +27,7 @@
 	for _, name := range sortedNames(entries) {
 		e := entries[name]
 		// A hash never fails.
-		_, _ = fmt.Fprintln(d, name, e.Draining, e.Endpoint.Address, e.Endpoint.FailureDomain, e.Endpoint.Slots, e.Endpoint.Services)
+		_, _ = fmt.Fprintln(d, name, e.Draining, e.Incarnation, e.Endpoint.Address, e.Endpoint.FailureDomain, e.Endpoint.Slots, e.Endpoint.Services)
 	}
 	return d.Sum64()
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,10 @@
 	Endpoint bundle.Endpoint
 	// Draining says that the endpoint takes no new work.
 	Draining bool
+	// Incarnation names the process behind the entry: one that starts again under the
+	// same name has another. Incarnations have no order, as clocks may be set back.
+	// Empty if the list doesn't tell.
+	Incarnation string `json:",omitempty"`
 	// kept says that the list lacks the endpoint, which may be back: it counts
 	// for this router only.
 	kept bool
@@ -28,10 +32,19 @@
 	Whole   bool
 	Entries []Entry
 	Gone    []string
+	// Unreadable are entries of which nothing can be used. They hide no other, and an
+	// endpoint that was listed under such a name is gone.
+	Unreadable []Unreadable
 	// Revision is the list's own counter of changes at the time of reading.
 	Revision uint64
 }
 
+// Unreadable is an entry that can't be used, and why.
+type Unreadable struct {
+	Name  string
+	Cause error
+}
+
 // Directory is an immutable set of endpoints.
 type Directory struct {
 	entries   map[string]Entry
@@ -131,6 +144,9 @@
 	if now.Before(keepAbsentUntil) {
 		d.keepAbsent(next)
 	}
+	for _, u := range r.Unreadable {
+		delete(next, u.Name)
+	}
 	if sameEntries(d.entries, next) {
 		return d.at(r.Revision), false
 	}
@@ -138,7 +154,7 @@
 }
 
 func (r *Reading) changesNothing() bool {
-	return !r.Whole && len(r.Entries) == 0 && len(r.Gone) == 0
+	return !r.Whole && len(r.Entries) == 0 && len(r.Gone) == 0 && len(r.Unreadable) == 0
 }
 
 // at is the same directory as of a later revision.
@@ -159,6 +175,7 @@
 		}
 	}
 	for _, e := range r.Entries {
+		e.Endpoint.Incarnation = e.Incarnation
 		next[e.Endpoint.Name] = e
 	}
 	for _, name := range r.Gone {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -126,3 +127,39 @@
 	g.Expect(page[0].Endpoint.Name).To(Equal("c"))
 	g.Expect(more).To(BeTrue())
 }
+
+func TestAnEndpointThatStartedAgainIsAnother(t *testing.T) {
+	g := NewWithT(t)
+	first, second := entry("a", "1"), entry("a", "1")
+	first.Incarnation, second.Incarnation = "100", "90" // its clock was set back
+	d := merge(directory.Empty(), 1, time.Time{}, first)
+	g.Expect(d.For("s")[0].Process()).To(Equal("100"))
+	later, changed := d.Merge(directory.Reading{Entries: []directory.Entry{second}, Revision: 2}, now, time.Time{})
+	g.Expect(changed).To(BeTrue())
+	g.Expect(later.For("s")[0].Process()).To(Equal("90"))
+	g.Expect(later.Digest()).NotTo(Equal(d.Digest()), "peers are told")
+	told, _ := d.ChangesTo(later)
+	text, err := json.Marshal(told)
+	g.Expect(err).NotTo(HaveOccurred())
+	var heard []directory.Entry
+	g.Expect(json.Unmarshal(text, &heard)).To(Succeed())
+	peer, _ := d.Merge(directory.Reading{Entries: heard, Revision: 2}, now, time.Time{})
+	g.Expect(peer.Digest()).To(Equal(later.Digest()))
+	g.Expect(peer.For("s")[0].Process()).To(Equal("90"))
+	late, _ := later.Merge(directory.Reading{Entries: []directory.Entry{first}, Revision: 1}, now, time.Time{})
+	g.Expect(late.For("s")[0].Process()).To(Equal("90"), "older news come late")
+}
+
+func TestAnEntryThatCantBeUsedTakesItsEndpointAway(t *testing.T) {
+	g := NewWithT(t)
+	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"), entry("c", "3"))
+	overwritten := directory.Reading{Unreadable: []directory.Unreadable{{Name: "a"}}, Revision: 2}
+	for _, keep := range []time.Time{{}, now.Add(time.Second)} { // also after an outage
+		d, changed := d.Merge(overwritten, now, keep)
+		g.Expect(changed).To(BeTrue())
+		g.Expect(names(d)).To(Equal([]string{"b", "c"}))
+	}
+	whole := directory.Reading{Whole: true, Entries: []directory.Entry{entry("b", "2")}, Unreadable: overwritten.Unreadable, Revision: 3}
+	d, _ = d.Merge(whole, now, now.Add(time.Second))
+	g.Expect(names(d)).To(Equal([]string{"b", "c"}), "c is kept for a while, a isn't")
+}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
 	"coveferry/internal/load"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -45,8 +46,8 @@
 	err := f.exchangeDirect(ctx, r, next)
 	r.Began, r.Heard, r.HeardEvent = nil, nil, nil
 	account.Ended()
-	// Times to the first token differ by prompts, not by endpoints.
-	f.settle(ctx, r.Endpoint.Name, err, 0)
+	f.observe(ctx, r.Endpoint, err)
+	account.Done(time.Now(), result(ctx, err))
 	return err
 }
 
@@ -74,10 +75,10 @@
 		return &LostError{Sent: true, Cause: errors.Newf("the answer belongs to request %q", reply.ID)}
 	}
 	if reply.Moved {
-		f.observer.Failed(r.Endpoint.Name, false)
+		f.observer.Failed(r.Endpoint.Name, r.Endpoint.Process(), false)
 		return refusedDirect(resp.StatusCode, reply)
 	}
-	f.learnDirect(r.Endpoint.Name, reply)
+	f.learnDirect(r.Endpoint, reply)
 	if reply.NotRun {
 		return refusedDirect(resp.StatusCode, reply)
 	}
@@ -90,7 +91,7 @@
 }
 
 // learnDirect takes in what the head of an answer says of its endpoint.
-func (f *Filter) learnDirect(endpoint string, reply upstream.Reply) {
+func (f *Filter) learnDirect(e *bundle.Endpoint, reply upstream.Reply) {
 	now := time.Now()
 	var report load.Report
 	if reply.Load != nil {
@@ -98,9 +99,9 @@
 	}
 	// Answers carry no number of their own; they are read in their order.
 	report.Seq = uint64(f.answers.Add(1))
-	counts := f.observer.Answered(endpoint, wire.Clock{Incarnation: endpoint}, report)
+	counts := f.observer.Answered(e.Name, wire.Clock{Incarnation: e.Process()}, report)
 	if counts && reply.Load != nil {
-		f.pool.Report(now, endpoint, report)
+		f.pool.Report(now, e.Name, report)
 	}
 }
 
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -76,7 +76,7 @@
 	}
 	f.pool.Sent(sent, r.Endpoint.Name)
 	err := f.exchange(ctx, r, body, next)
-	f.settle(ctx, r.Endpoint.Name, err, firstToken(r, sent))
+	f.settle(ctx, r.Endpoint, err, firstToken(r, sent))
 	return err
 }
 
@@ -116,9 +116,9 @@
 }
 
 // settle tells the pool and the observer how an attempt ended.
-func (f *Filter) settle(ctx context.Context, endpoint string, err error, firstToken time.Duration) {
-	f.observe(ctx, endpoint, err)
-	f.pool.Done(time.Now(), endpoint, result(ctx, err), firstToken)
+func (f *Filter) settle(ctx context.Context, e *bundle.Endpoint, err error, firstToken time.Duration) {
+	f.observe(ctx, e, err)
+	f.pool.Done(time.Now(), e.Name, result(ctx, err), firstToken)
 }
 
 // request makes the attempt's request to an endpoint's agent.
--- a/internal/filters/dispatch/observe.go
+++ b/internal/filters/dispatch/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coveferry/internal/bundle"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/load"
 	"coveferry/internal/wire"
@@ -17,8 +18,8 @@
 	// earlier incarnation of the agent and must not count.
 	Answered(endpoint string, clock wire.Clock, report load.Report) bool
 	// Failed takes a connection that was refused, so that nothing was sent, or
-	// that broke later.
-	Failed(endpoint string, sent bool)
+	// that broke later. incarnation is that of the process it led to, empty if unknown.
+	Failed(endpoint, incarnation string, sent bool)
 }
 
 // Observe has an observer told of each attempt from now on. It must be called
@@ -29,18 +30,18 @@
 type unobserved struct{}
 
 func (unobserved) Answered(string, wire.Clock, load.Report) bool { return true }
-func (unobserved) Failed(string, bool)                           {}
+func (unobserved) Failed(string, string, bool)                   {}
 
 // observe tells of an attempt whose connection failed. One that the caller or
 // the deadline ended says nothing of the connection.
-func (f *Filter) observe(ctx context.Context, endpoint string, err error) {
+func (f *Filter) observe(ctx context.Context, e *bundle.Endpoint, err error) {
 	var lost *LostError
 	var cut *relay.BrokenError
 	switch {
 	case err == nil || ctx.Err() != nil:
 	case errors.As(err, &lost):
-		f.observer.Failed(endpoint, lost.Sent)
+		f.observer.Failed(e.Name, e.Process(), lost.Sent)
 	case errors.As(err, &cut) && cut.Ending == "":
-		f.observer.Failed(endpoint, true)
+		f.observer.Failed(e.Name, e.Process(), true)
 	}
 }
--- a/internal/filters/dispatch/observe_test.go
+++ b/internal/filters/dispatch/observe_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/bundle"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/load"
 	"coveferry/internal/wire"
@@ -15,7 +16,7 @@
 type notes struct{ failed []bool }
 
 func (*notes) Answered(string, wire.Clock, load.Report) bool { return true }
-func (n *notes) Failed(_ string, sent bool)                  { n.failed = append(n.failed, sent) }
+func (n *notes) Failed(_, _ string, sent bool)               { n.failed = append(n.failed, sent) }
 
 func TestObserverIsToldOfConnectionsOnly(t *testing.T) {
 	gone, cancel := context.WithCancel(t.Context())
@@ -36,7 +37,7 @@
 		n := &notes{}
 		f := &Filter{}
 		f.Observe(n)
-		f.observe(c.ctx, "e0", c.err)
+		f.observe(c.ctx, &bundle.Endpoint{Name: "e0"}, c.err)
 		NewWithT(t).Expect(n.failed).To(Equal(c.want), "%v", c.err)
 	}
 }
--- a/internal/filters/dispatch/pair.go
+++ b/internal/filters/dispatch/pair.go
@@ -74,7 +74,7 @@
 
 // reservation is a request for a place at one endpoint of a pair.
 type reservation struct {
-	endpoint string
+	endpoint *bundle.Endpoint
 	req      *http.Request
 	sent     time.Time
 	claimed  func() bool
@@ -102,12 +102,12 @@
 			return err
 		}
 		req.Header.Set("Expect", expectContinue)
-		pair[i] = &reservation{endpoint: e.Name, req: req, claimed: func() bool { return b.claimed(i) }}
+		pair[i] = &reservation{endpoint: e, req: req, claimed: func() bool { return b.claimed(i) }}
 	}
 	replies := make(chan reply, len(pair))
 	for _, res := range pair {
 		res.sent = time.Now()
-		f.pool.Sent(res.sent, res.endpoint)
+		f.pool.Sent(res.sent, res.endpoint.Name)
 		go func() { replies <- f.reserve(res) }()
 	}
 	return f.awaitPair(r, endpoints, replies, next)
@@ -125,7 +125,7 @@
 		// Without the body the agent can't have run anything.
 		err = &LostError{Sent: res.claimed(), Cause: err}
 	} else {
-		f.learn(res.endpoint, resp.Header)
+		f.learn(res.endpoint.Name, resp.Header)
 		err = errors.CombineErrors(readRefusal(resp), resp.Body.Close())
 	}
 	f.settle(res.req.Context(), res.endpoint, err, 0)
@@ -140,22 +140,15 @@
 	for range endpoints {
 		p := <-replies
 		if p.resp != nil {
-			r.Endpoint = named(endpoints, p.endpoint)
+			r.Endpoint = p.endpoint
 			err := f.answer(p.req.Context(), r, p.resp, next)
 			f.settle(p.req.Context(), p.endpoint, err, firstToken(r, p.sent))
 			return err
 		}
-		if told.reservation == nil || p.claimed() || p.endpoint == endpoints[0].Name && !told.claimed() {
+		if told.reservation == nil || p.claimed() || p.endpoint == endpoints[0] && !told.claimed() {
 			told = p
 		}
 	}
-	r.Endpoint = named(endpoints, told.endpoint)
+	r.Endpoint = told.endpoint
 	return told.err
 }
-
-func named(endpoints [2]*bundle.Endpoint, name string) *bundle.Endpoint {
-	if endpoints[1].Name == name {
-		return endpoints[1]
-	}
-	return endpoints[0]
-}
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -70,10 +70,10 @@
 	return !w.deaf && w.Observer.Answered(endpoint, clock, report)
 }
 
-func (w witness) Failed(endpoint string, sent bool) {
+func (w witness) Failed(endpoint, incarnation string, sent bool) {
 	w.tries.note(endpoint)
 	if !w.deaf {
-		w.Observer.Failed(endpoint, sent)
+		w.Observer.Failed(endpoint, incarnation, sent)
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/clock"
@@ -51,6 +52,8 @@
 	// the VM was suspended.
 	Clock clock.Clock
 	Log   zerolog.Logger
+	// Metrics takes the follower's counters; nil for none.
+	Metrics prometheus.Registerer
 }
 
 // Follower holds what was read last. It is safe for concurrent use.
@@ -68,6 +71,8 @@
 	keepAbsentUntil time.Time
 	// arrival is how long the last configuration took to arrive. Only Run uses it.
 	arrival time.Duration
+	// unreadable are the entries of the list that can't be used. Only Run uses it.
+	unreadable *unreadable
 }
 
 // New returns a follower that knows nothing until Run.
@@ -77,6 +82,7 @@
 	}
 	f := &Follower{cfg: cfg}
 	f.directory.Store(directory.Empty())
+	f.unreadable = newUnreadable(cfg.Log, cfg.Metrics)
 	f.source = link{name: "configuration and list of endpoints", log: cfg.Log}
 	return f
 }
@@ -170,7 +176,12 @@
 		return err
 	}
 	at := sent.Add(-r.Age)
+	f.unreadable.take(r.List)
 	f.merge(r.List, at)
+	if r.Unreadable != nil {
+		f.cfg.Log.Error().Err(r.Unreadable).Msg("a configuration can't be read; the last one stays")
+		return &UnusableError{Cause: r.Unreadable}
+	}
 	if r.Config != nil {
 		f.arrival = r.Arrival
 		if err := f.take(r.Config); err != nil {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -17,12 +17,18 @@
 // The whole has to be read again.
 var ErrHistoryLost = errors.New("follow: the source no longer holds this history")
 
+// ErrUnreadable is a configuration that can't be decoded. The last one stays in force.
+var ErrUnreadable = errors.New("follow: the configuration can't be read")
+
 // Reading is what a source says of the configuration and of the list of
 // endpoints. The revision of both is that of the list.
 type Reading struct {
 	// Config is nil if it didn't change.
 	Config *route.Config
-	List   directory.Reading
+	// Unreadable is why a configuration that is there can't be read; the list holds all
+	// the same.
+	Unreadable error
+	List       directory.Reading
 	// Age is how old the reading may have been when it was asked for; 0 if the
 	// service itself answered.
 	Age time.Duration
@@ -45,7 +51,8 @@
 // Store is the service behind all sources, by its calls. As an answer may take long
 // because it is long, a call tells its context of each part that comes: see idle.Heard.
 type Store interface {
-	// Config reads the newest configuration, and the revision at that time.
+	// Config reads the newest configuration, and the revision at that time. With an
+	// error that is ErrUnreadable the revision holds.
 	Config(ctx context.Context) (*route.Config, uint64, error)
 	// Page reads a part of the list, behind the name that ended the part
 	// before. One that needn't be fresh costs less and may be seconds old.
@@ -59,8 +66,7 @@
 
 // Page is a part of the list.
 type Page struct {
-	Entries  []directory.Entry
-	Revision uint64
+	directory.Reading
 	// Next is the name behind which the next page begins; empty for the last.
 	Next string
 }
@@ -76,13 +82,13 @@
 func (r Reader) Read(ctx context.Context, fresh bool) (Reading, error) {
 	begun := time.Now()
 	config, revision, err := r.config(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrUnreadable) {
 		return Reading{}, err
 	}
 	arrival := time.Since(begun) // a call that doesn't wait
 	// The pages are no snapshot, and the configuration was read at another time:
 	// what is known for certain is what the oldest of them says.
-	whole := Reading{Config: config, Arrival: arrival, List: directory.Reading{Whole: true, Revision: revision}}
+	whole := Reading{Config: config, Unreadable: err, Arrival: arrival, List: directory.Reading{Whole: true, Revision: revision}}
 	for behind, more := "", true; more; more = behind != "" {
 		page, err := r.page(ctx, behind, fresh)
 		if err != nil {
@@ -90,6 +96,7 @@
 		}
 		whole.List.Revision = min(whole.List.Revision, page.Revision)
 		whole.List.Entries = append(whole.List.Entries, page.Entries...)
+		whole.List.Unreadable = append(whole.List.Unreadable, page.Unreadable...)
 		behind = page.Next
 	}
 	return whole, nil
@@ -105,7 +112,12 @@
 	}
 	begun := time.Now()
 	config, _, err := r.config(ctx)
-	return Reading{Config: config, Arrival: time.Since(begun), List: list}, err
+	read := Reading{Config: config, Arrival: time.Since(begun), List: list}
+	if errors.Is(err, ErrUnreadable) {
+		read.Unreadable = err
+		return read, nil
+	}
+	return read, err
 }
 
 func (r Reader) changes(ctx context.Context, after uint64) (directory.Reading, error) {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -42,7 +42,7 @@
 			return c.judge(now, e, nil)
 		}
 	case ConnectionResult:
-		if e := c.endpoints[ev.Endpoint]; e != nil {
+		if e := c.endpoints[ev.Endpoint]; e != nil && e.place.mayBe(ev.Incarnation) {
 			e.fail(ev.Result)
 			return c.judge(now, e, nil)
 		}
@@ -83,11 +83,16 @@
 	var changes []Change
 	next := make(map[string]*evidence, len(b.Places))
 	for _, p := range b.Places {
-		e := c.endpoints[p.Endpoint]
+		before := c.endpoints[p.Endpoint]
+		e := before
 		if e == nil || e.place != p {
-			e = newEvidence(p, now, e)
+			e = newEvidence(p, now, before)
 			e.list, e.listAt = c.list.word(p.VM), now
 		}
+		if before != nil && !before.place.mayBe(p.Incarnation) {
+			e.begin()
+			changes = append(changes, Change{Endpoint: p.Endpoint, From: before.state, To: e.state, Reason: ReasonRestarted})
+		}
 		next[p.Endpoint] = e
 	}
 	for name, e := range c.endpoints {
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -32,6 +32,7 @@
 	ReasonCheck      Reason = "check"      // it answered a health check
 	ReasonConnection Reason = "connection" // connections to the agent fail
 	ReasonReturned   Reason = "returned"   // it came back
+	ReasonRestarted  Reason = "restarted"  // another process is there under its name
 )
 
 // Event is something that was learnt: Bundle, ListRead, ListRenewed, OwnWord,
@@ -39,7 +40,12 @@
 type Event interface{ event() }
 
 // Place is an endpoint of the bundle, the VM that it runs on and its address.
-type Place struct{ Endpoint, VM, Address string }
+type Place struct {
+	Endpoint, VM, Address string
+	// Incarnation names the process there where the source of endpoints tells; another
+	// one is a new process. Empty where agents tell it themselves.
+	Incarnation string
+}
 
 // Bundle names all endpoints that may be used. Others never are, whatever the
 // list says.
@@ -88,7 +94,9 @@
 // ConnectionResult is a failure on a connection. An answer is an OwnWord.
 type ConnectionResult struct {
 	Endpoint string
-	Result   Result
+	// Incarnation is that of the process to which it led; empty if unknown.
+	Incarnation string
+	Result      Result
 }
 
 // Silence says that requests are open at an endpoint from which nothing at all
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -60,6 +60,17 @@
 	return e
 }
 
+// begin makes the evidence that of a process which has just started in the place of
+// another: neither its state nor what the list said holds for this one.
+func (e *evidence) begin() {
+	e.state, e.list = Live, unlisted
+}
+
+// mayBe says whether a process of this incarnation may be the one at the place.
+func (p Place) mayBe(incarnation string) bool {
+	return p.Incarnation == "" || incarnation == "" || p.Incarnation == incarnation
+}
+
 // retire notes an earlier incarnation, if one was heard of.
 func (e *evidence) retire(incarnation string) {
 	if incarnation == "" {
@@ -74,7 +85,7 @@
 // agent's start, by its VM's clock. A clock that was set back keeps a new
 // incarnation unheard until it has caught up or the bundle moves the endpoint.
 func (e *evidence) isLate(w OwnWord) bool {
-	if slices.Contains(e.old, w.Incarnation) {
+	if slices.Contains(e.old, w.Incarnation) || !e.place.mayBe(w.Incarnation) {
 		return true
 	}
 	return w.Incarnation != e.incarnation && w.Seq < e.seq
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptrace"
@@ -64,30 +65,32 @@
 func (p *Prober) probe(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	status, err := p.ask(ctx, name)
+	place := p.tracker.place(name)
+	status, err := p.ask(ctx, place)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return // the router stops
 	}
 	p.tracker.metrics.probes.WithLabelValues(outcomeOf(err)).Inc()
 	var failed *ProbeError
 	if errors.As(err, &failed) {
-		p.tracker.Failed(name, failed.Sent)
+		p.tracker.Failed(name, place.Incarnation, failed.Sent)
 		return
 	}
 	p.tracker.checked(name, status.Clock, status.Load)
 }
 
 // ask asks once. Its error is a *ProbeError.
-func (p *Prober) ask(ctx context.Context, name string) (wire.Status, error) {
+func (p *Prober) ask(ctx context.Context, of Place) (wire.Status, error) {
 	if p.health != nil {
-		return p.askHealth(ctx, name)
+		return p.askHealth(ctx, of)
 	}
+	name := of.Endpoint
 	sent := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
 	})
 	var status wire.Status
-	url := p.scheme + "://" + p.tracker.address(name) + wire.PathStatus
+	url := p.scheme + "://" + of.Address + wire.PathStatus
 	err := getJSON(ctx, p.client, url, maxStatusBytes, &status)
 	if err == nil && status.Endpoint != name {
 		err = errors.Newf("the address belongs to %q", status.Endpoint)
@@ -98,22 +101,23 @@
 	return status, nil
 }
 
-// askHealth turns the word of an endpoint without an agent into a status. The
-// endpoint's name is that of one incarnation.
-func (p *Prober) askHealth(ctx context.Context, name string) (wire.Status, error) {
-	sent, err := p.health(ctx, name)
+// askHealth turns the word of an endpoint without an agent into a status. It is taken for
+// that of the process which was known to be there when it was asked.
+func (p *Prober) askHealth(ctx context.Context, of Place) (wire.Status, error) {
+	sent, err := p.health(ctx, of.Endpoint)
 	if err != nil {
-		return wire.Status{}, &ProbeError{Endpoint: name, Sent: sent, Cause: err}
+		return wire.Status{}, &ProbeError{Endpoint: of.Endpoint, Sent: sent, Cause: err}
 	}
-	return wire.Status{Endpoint: name, Clock: wire.Clock{Incarnation: name}}, nil
+	return wire.Status{Endpoint: of.Endpoint, Clock: wire.Clock{Incarnation: cmp.Or(of.Incarnation, of.Endpoint)}}, nil
 }
 
-// address is that of an endpoint in the bundle in force, empty if it has none.
-func (t *Tracker) address(endpoint string) string {
+// place is where an endpoint is by the bundle in force; it has a name alone if the bundle
+// doesn't know it.
+func (t *Tracker) place(endpoint string) Place {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.core.endpoints[endpoint]; e != nil {
-		return e.place.Address
+		return e.place
 	}
-	return ""
+	return Place{Endpoint: endpoint}
 }
--- a/internal/membership/prober_test.go
+++ b/internal/membership/prober_test.go
@@ -82,7 +82,7 @@
 
 func TestSuspectReturnsSlowlyOnceItAnswers(t *testing.T) {
 	playStand(t, func(s *stand) {
-		s.tracker.Failed("e0", false)
+		s.tracker.Failed("e0", "", false)
 		time.Sleep(time.Minute)
 		s.expect(Suspect)
 		s.start(statusOf("a", 1, false))
@@ -120,7 +120,7 @@
 // An address that has come to another endpoint answers, but not for this one.
 func TestAnswerOfAnotherEndpointDoesNotCount(t *testing.T) {
 	playStand(t, func(s *stand) {
-		s.tracker.Failed("e0", false)
+		s.tracker.Failed("e0", "", false)
 		other := statusOf("a", 1, false)
 		other.Endpoint = "e9"
 		s.start(other)
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -18,6 +18,7 @@
 	SetSuspect(endpoint string, suspect bool)
 	Return(now time.Time, endpoint string)
 	Forget(endpoint string)
+	Restart(now time.Time, endpoint string)
 }
 
 // Config is what a tracker needs.
@@ -96,12 +97,12 @@
 }
 
 // Failed implements dispatch.Observer.
-func (t *Tracker) Failed(endpoint string, sent bool) {
+func (t *Tracker) Failed(endpoint, incarnation string, sent bool) {
 	result := Refused
 	if sent {
 		result = Broken
 	}
-	t.Learn(ConnectionResult{Endpoint: endpoint, Result: result})
+	t.Learn(ConnectionResult{Endpoint: endpoint, Incarnation: incarnation, Result: result})
 }
 
 // probes takes note of the time and returns the endpoints to ask now.
@@ -128,6 +129,8 @@
 	switch {
 	case ch.To == Gone && ch.Reason == ReasonBundle:
 		pool.Forget(ch.Endpoint)
+	case ch.Reason == ReasonRestarted:
+		pool.Restart(now, ch.Endpoint)
 	case ch.To == Live:
 		pool.Return(now, ch.Endpoint)
 	default:
