Fetch shared parts from the home that others filled

Cause: a router fetched from where it had itself sent the most of a prompt, or from the first in an order of all endpoints. One of a hundred routers has sent little, and what it sent were the beginnings that nearly all prompts have; and the first in the order may be kept for other requests and never had the part. Change: the home in the group that the kind uses, unless this router knows of an endpoint that has all parts.

--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -4,31 +4,62 @@
 // cache rather than read.
 const minFetch = 256
 
-// Source implements Expecter. The endpoint that all routers prefer for the
-// prompt has probably read it; for a prompt that is at its home, the next in the
-// home's order has what was sent there while another was the home.
-func (p PromptAware) Source(req Request, views []View, chosen int) int {
+// Source implements Expecter. Where this router knows of an endpoint that has all shared
+// parts, that is it. Else it is the home, which has what all routers sent there, and for a
+// prompt that is at its home the next in the home's order, which has what was sent there
+// while another was the home. One that has some of the parts is no better: one router of a
+// hundred sees of most parts only those that nearly all prompts have, and fetched these
+// where the home has all.
+func (p PromptAware) Source(req Request, views, leaving []View, chosen int) int {
 	key := req.Prompt.Home()
-	if key == 0 || req.Prompt.Shared()-views[chosen].Cached < minFetch {
+	shared := req.Prompt.Shared()
+	if key == 0 || shared-views[chosen].Cached < minFetch {
 		return -1
 	}
 	best := -1
-	for i := range views {
-		if i == chosen || views[i].Weight < 1 {
-			continue
+	consider := func(i int, v *View) {
+		if i == chosen || v.Weight < 1 {
+			return
 		}
-		if best < 0 || moreCached(key, &views[i], &views[best]) {
+		if best < 0 || betterSource(key, shared, v, viewAt(views, leaving, best)) {
 			best = i
 		}
 	}
+	for _, i := range p.homesFor(req, views) {
+		consider(i, &views[i])
+	}
+	// The caches of endpoints that leave are still there.
+	for i := range leaving {
+		consider(len(views)+i, &leaving[i])
+	}
 	return best
 }
 
-// moreCached says whether a has probably more of a prompt cached than b: by what
-// this router sent there, and else by the order that all routers follow.
-func moreCached(key uint64, a, b *View) bool {
-	if a.Cached != b.Cached {
-		return a.Cached > b.Cached
+// homesFor are the endpoints among which the request's kind has its homes. An endpoint
+// that is kept for others never had such prompts, however high it ranks: where a third was
+// kept apart, a third of the fetches asked for what wasn't there, and the prompts were
+// read again.
+func (p PromptAware) homesFor(req Request, views []View) []int {
+	apart := p.demand.decided(req.Service)
+	ranked := rankForTight(views, usableViews(views))
+	kept := min(apart.kept, max(len(ranked)-1, 0))
+	if !apart.tightFor(req.MaxGap) {
+		return ranked[kept:]
+	}
+	return ranked[:max(kept, min(1, len(ranked)))]
+}
+
+func viewAt(views, leaving []View, i int) *View {
+	if i < len(views) {
+		return &views[i]
+	}
+	return &leaving[i-len(views)]
+}
+
+// betterSource says whether a more probably has all shared parts cached than b.
+func betterSource(key uint64, shared int, a, b *View) bool {
+	if hasA, hasB := a.Cached >= shared, b.Cached >= shared; hasA != hasB {
+		return hasA
 	}
 	return rendezvous(key, a.Endpoint) > rendezvous(key, b.Endpoint)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -96,9 +96,9 @@
 	// many endpoints such requests are.
 	Tight(req Request) (tight bool, kept int)
 	// Source is the place of the endpoint from which to fetch what the chosen
-	// one lacks, -1 if there is none. Behind the views stand those of endpoints
-	// that are leaving, whose caches are still there.
-	Source(req Request, views []View, chosen int) int
+	// one lacks, -1 if there is none. Those that are leaving count on behind the
+	// others.
+	Source(req Request, views, leaving []View, chosen int) int
 	// Copy is the place of the endpoint to which to copy the run's memory, -1
 	// if that isn't worth its price.
 	Copy(req Request, views []View, chosen int) int
@@ -126,8 +126,7 @@
 	}
 	choice.Wait, choice.Read = e.Wait(req, s.views, i), e.Read(req, s.views, i)
 	choice.Tight, choice.Kept = e.Tight(req)
-	with := append(s.views, s.leaving...)
-	if source := e.Source(req, with, i); source >= 0 {
+	if source := e.Source(req, s.views, s.leaving, i); source >= 0 {
 		choice.Source = candidates[append(s.from, s.leavingFrom...)[source]]
 	}
 	if copied := e.Copy(req, s.views, i); copied >= 0 {
