Give the more urgent side of a service the endpoints that it needs first

Cause: endpoints are split between streams that may hardly pause and the others. In an overload both got the same part of what they needed, so that the most urgent streams were left 6 of 180 endpoints while long prompts came at twice the usual rate. Change: demand says how urgent its requests are, and where there are too few endpoints the more urgent side has what it needs before the other, up to three quarters of all.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,7 +15,9 @@
 type Request struct {
 	Service string // of a routed request
 	Tier    int    // rank; 0 is the highest
-	Class   string
+	// Rank is the tier and, among those of one tier, the urgency of the request's route.
+	Rank  int
+	Class string
 	// Prefix is a hash of the start of the prompt; requests that share it
 	// profit from the same endpoint's prefix cache. 0 means none.
 	Prefix uint64
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -29,6 +29,8 @@
 	// Requests is their number by the longer memory, Recent by the shorter.
 	Requests float64 `json:"n"`
 	Recent   float64 `json:"recent"`
+	// Ranks is the sum of the ranks of Requests, 0 for each of the most urgent.
+	Ranks float64 `json:"rank"`
 	// Read is the seconds that an engine reads the prompts of Requests, and Held
 	// those for which they hold a slot.
 	Read float64 `json:"read"`
@@ -87,6 +89,7 @@
 		}
 		sum[i].Requests += k.Requests
 		sum[i].Recent += k.Recent
+		sum[i].Ranks += k.Ranks
 		sum[i].Read += k.Read
 		sum[i].Held += k.Held
 		sum[i].Ended += k.Ended
@@ -107,6 +110,7 @@
 // scale multiplies the sums of the longer memory, and that of the shorter.
 func (k *Kind) scale(slow, fast float64) {
 	k.Requests *= slow
+	k.Ranks *= slow
 	k.Read *= slow
 	k.Held *= slow
 	k.Ended *= slow
@@ -174,8 +178,8 @@
 	part float64
 }
 
-// add notes a request that takes so long to read.
-func (d *demand) add(now time.Time, key kindKey, read time.Duration) {
+// add notes a request of a rank that takes so long to read.
+func (d *demand) add(now time.Time, key kindKey, rank int, read time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decay(now)
@@ -186,6 +190,7 @@
 	k := &d.seen[i]
 	k.Requests++
 	k.Recent++
+	k.Ranks += float64(rank)
 	k.Read += read.Seconds()
 	k.Held += d.heldFor(key)
 }
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -47,7 +47,7 @@
 	countOthers(views, share)
 	chosen := cheapest(req, views, group, home, tight, rnd)
 	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
-	p.demand.add(now, req.kind(), seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
+	p.demand.add(now, req.kind(), req.Rank, seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
 	return chosen, true
 }
 
--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -91,15 +91,36 @@
 }
 
 // divide gives each side its part of the endpoints by what it needs, and no less than
-// what it can't do without.
+// what it can't do without. Where that is more than there are, the more urgent side gets
+// what it needs first.
 func divide(last int, f fleet, apart, others Demand) int {
 	tight, bulk := needOf(apart), needOf(others)
 	kept := split(last, f.endpoints, tight.endpoints(f), bulk.endpoints(f))
 	least, rest := int(math.Ceil(tight.least(f))), int(math.Ceil(bulk.least(f)))
 	if least+rest > f.endpoints {
-		return split(last, f.endpoints, tight.least(f), bulk.least(f))
+		kept = split(last, f.endpoints, tight.least(f), bulk.least(f))
+	} else {
+		kept = min(max(kept, least), f.endpoints-rest)
 	}
-	return min(max(kept, least), f.endpoints-rest)
+	switch {
+	case tight.urgency() < bulk.urgency():
+		return max(kept, first(tight, f))
+	case bulk.urgency() < tight.urgency():
+		return min(kept, f.endpoints-first(bulk, f))
+	}
+	return kept
+}
+
+// firstShare is the most of the endpoints that the more urgent side takes before the other
+// has what it needs, so that no kind starves however much is asked of the more urgent.
+const firstShare = 0.75
+
+// first is how many endpoints a side has before a less urgent one. In an overload both
+// sides got the same part of what they needed: with 1.5 to 2 times the usual long prompts
+// the streams that may hardly pause were left 6 of 180 endpoints, and half of them were
+// late, for 4% more of the long prompts on time.
+func first(n need, f fleet) int {
+	return int(math.Min(math.Ceil(n.endpoints(f)), firstShare*float64(f.endpoints)))
 }
 
 // lateByOthers is the share of a kind's streams that would pause for too long by the
@@ -146,6 +167,7 @@
 type need struct {
 	reading, running float64
 	ended, late      float64
+	requests, ranks  float64
 }
 
 // lateWeight is by how much of itself a need grows for the share of answers that are
@@ -159,10 +181,15 @@
 		n.running += k.rate() * k.held()
 		n.ended += k.Ended
 		n.late += k.Late
+		n.requests += k.Requests
+		n.ranks += k.Ranks
 	}
 	return n
 }
 
+// urgency is the mean rank of the requests, the lower the more urgent.
+func (n need) urgency() float64 { return perRequest(n.ranks, n.requests) }
+
 // endpoints is how many endpoints that takes, by what binds.
 func (n need) endpoints(f fleet) float64 {
 	foreseen := max(n.reading/readTarget, n.running/(fillTarget*max(f.slots, 1)))
--- a/internal/balance/separate_test.go
+++ b/internal/balance/separate_test.go
@@ -192,7 +192,7 @@
 	g := NewWithT(t)
 	d := &demand{}
 	for gap := range int64(2 * maxKinds) {
-		d.add(epoch, kindKey{"s", gap}, time.Millisecond)
+		d.add(epoch, kindKey{"s", gap}, 0, time.Millisecond)
 		d.ended(epoch, kindKey{"s", gap}, time.Second, true)
 	}
 	g.Expect(d.own(epoch)).To(HaveLen(maxKinds))
@@ -211,3 +211,37 @@
 	g.Expect(separation{tight: []int64{200}, kept: 4}.next(d, s.fleet(9)).tight).To(Equal([]int64{200}))
 	g.Expect(separation{}.next(d, s.fleet(9)).tight).To(Equal([]int64{200}))
 }
+
+// In an overload, with 1.5 to 2 times the usual long prompts and a fifth of 180 endpoints
+// lost, both sides got the same part of what they needed: the streams that may hardly
+// pause, which are the most urgent, were left 6 endpoints, a third of them was late at
+// seconds 6 to 9 and half of them when they grew after that. Evidence: the logs of 44 of
+// 103 routers, by the number of endpoints that each took for kept.
+func TestInAnOverloadTheMoreUrgentHaveWhatTheyNeedFirst(t *testing.T) {
+	for _, s := range shapes {
+		for _, n := range []int{9, 55, 180} {
+			g := NewWithT(t)
+			d := s.mixed(n, 0.2)
+			d[1].Requests, d[1].Recent, d[1].Read, d[1].Held = 8*d[1].Requests, 8*d[1].Recent, 8*d[1].Read, 8*d[1].Held
+			need := int(math.Ceil(needOf(d[:1]).endpoints(s.fleet(n))))
+			alike := separation{}.next(d, s.fleet(n)).kept
+			g.Expect(alike).To(BeNumerically("<", need), "%s, %d", s.name, n)
+
+			d[1].Ranks = 2 * d[1].Requests
+			urgent := separation{}.next(d, s.fleet(n)).kept
+			g.Expect(urgent).To(Equal(need), "%s, %d", s.name, n)
+
+			// However much they need, the others keep their part or a quarter.
+			d[0].Requests, d[0].Recent, d[0].Held = 40*d[0].Requests, 40*d[0].Recent, 40*d[0].Held
+			flooded := separation{}.next(d, s.fleet(n)).kept
+			d[1].Ranks = 0
+			part := separation{}.next(d, s.fleet(n)).kept
+			g.Expect(flooded).To(BeNumerically("<=", max(part, 3*n/4)), "%s, %d", s.name, n)
+
+			// Where the long prompts are the more urgent, it is the other way round.
+			d[0].Ranks, d[1].Ranks = 3*d[0].Requests, d[1].Requests
+			reverse := separation{}.next(d, s.fleet(n)).kept
+			g.Expect(reverse).To(BeNumerically("<=", max(1, n/4+1)), "%s, %d", s.name, n)
+		}
+	}
+}
--- a/internal/balance/start_test.go
+++ b/internal/balance/start_test.go
@@ -17,13 +17,15 @@
 const fleetRouters = 103
 
 // arrivals are the requests of one router of the fleet: long prompts, and streams that may
-// hardly pause.
+// hardly pause, at equal distances from a moment within the first.
 func arrivals(d *demand, from, to time.Duration) {
 	long, tight := kindKey{"s", 1500}, kindKey{"s", 400}
-	for at := from; at < to; at += 250 * time.Millisecond {
-		d.add(epoch.Add(at), long, 120*time.Millisecond)
-		if (at/(250*time.Millisecond))%2 == 0 {
-			d.add(epoch.Add(at), tight, 15*time.Millisecond)
+	const every = 250 * time.Millisecond
+	for n := from / every; n*every+every/2 < to; n++ {
+		at := epoch.Add(n*every + every/2)
+		d.add(at, long, 2, 120*time.Millisecond)
+		if n%2 == 1 {
+			d.add(at, tight, 0, 15*time.Millisecond)
 		}
 	}
 }
@@ -61,7 +63,7 @@
 	g.Expect(d.share()).To(BeNumerically("~", 1.0/fleetRouters, 0.01))
 	// One that has most of the traffic finds so.
 	for i := range 4000 {
-		d.add(epoch.Add(time.Duration(i)*time.Millisecond), kindKey{"s", 400}, 0)
+		d.add(epoch.Add(time.Duration(i)*time.Millisecond), kindKey{"s", 400}, 0, 0)
 	}
 	d.separate(epoch.Add(4*time.Second), "s", f)
 	g.Expect(d.share()).To(BeNumerically(">", 0.4))
