Have the soak restart endpoints under their names and write strange entries

Cause: neither was in the soak, and both are new on the platform. Change: the third of four seeds also has endpoints that start again with their name and address, and entries of the list that name no endpoint, half of them over an endpoint's own. The other faults of all seeds are what they were.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,12 @@
 	// ConfigGrow makes the configuration grow by many routes that nobody asks for, or
 	// shrink again, and adds one that callers ask for. Only narrow seeds have it.
 	ConfigGrow Kind = "config_grow"
+	// EndpointRestart is SIGKILL, and another process soon has its name and address.
+	// ListEntry is an entry of the list that somebody else writes, under a name of its own
+	// or that of an endpoint, which writes its own again a second later. Only seeds with
+	// strange lists have them.
+	EndpointRestart Kind = "endpoint_restart"
+	ListEntry       Kind = "list_entry"
 )
 
 var kinds = []Kind{
@@ -96,6 +102,28 @@
 // the configuration grows: the last four of eight seeds.
 func NarrowOf(seed uint64) bool { return seed/4%2 == 1 }
 
+// StrangeListOf says whether in a seed endpoints start again under their names and others
+// write to the list: the third of four seeds.
+func StrangeListOf(seed uint64) bool { return seed%4 == 2 }
+
+// meanStrangeGap is the mean time between two faults of strange lists.
+const meanStrangeGap = 2 * time.Second
+
+// strangeList has random numbers of its own, as growth.
+func strangeList(seed uint64, end time.Duration) []Fault {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	var plan []Fault
+	for at := calmStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanStrangeGap)) {
+		f := Fault{At: at, Kind: EndpointRestart, Target: rnd.IntN(1 << 16), For: shortestFault + upTo(rnd, longestFault-shortestFault)}
+		if rnd.IntN(2) == 0 {
+			f.Kind = ListEntry
+		}
+		f.For = min(f.For, end-at)
+		plan = append(plan, f)
+	}
+	return plan
+}
+
 // Plan is what happens in a run of the seed that lasts so long.
 func Plan(seed uint64, length time.Duration) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 0))
@@ -122,6 +150,9 @@
 	if NarrowOf(seed) {
 		plan = append(plan, growth(seed, end)...)
 	}
+	if StrangeListOf(seed) {
+		plan = append(plan, strangeList(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -26,8 +26,10 @@
 
 type endpointProc struct {
 	endpoint Endpoint
-	way      *Proxy
-	process  *Process
+	// listens is the address of its process, to which the way leads.
+	listens string
+	way     *Proxy
+	process *Process
 }
 
 func (r *run) start(ctx context.Context) error {
@@ -155,21 +157,34 @@
 	r.started++
 	name := fmt.Sprintf("i-%s-%03d", service, r.started)
 	r.mu.Unlock()
-	e := &endpointProc{way: way, endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: free[0]}}
-	args := r.wire.EndpointArgs(e.endpoint, eventsOf(service), eventPause)
-	e.process, err = StartProcess(name, r.log, func(line []byte) { r.hear(e.endpoint, line) }, nil, r.opts.Tool, args...)
-	if err != nil {
+	e := &endpointProc{way: way, listens: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: way.Address()}}
+	if err := r.runEndpoint(e); err != nil {
 		return err
 	}
-	e.endpoint.Address = way.Address()
 	r.mu.Lock()
-	r.all = append(r.all, e.process)
 	r.endpoints = append(r.endpoints, e)
 	r.mu.Unlock()
 	r.wire.List(e.endpoint)
 	return nil
 }
 
+// runEndpoint starts an endpoint's process.
+func (r *run) runEndpoint(e *endpointProc) error {
+	e.endpoint.Born = time.Now()
+	listens := e.endpoint
+	listens.Address = e.listens
+	args := r.wire.EndpointArgs(listens, eventsOf(listens.Service), eventPause)
+	process, err := StartProcess(listens.Name, r.log, func(line []byte) { r.hear(listens, line) }, nil, r.opts.Tool, args...)
+	if err != nil {
+		return err
+	}
+	e.process = process
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, process)
+	return nil
+}
+
 func eventsOf(service string) int {
 	if service == "model" {
 		return streamEvents
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -37,8 +37,10 @@
 		r.publish()
 	case ConfigGrow:
 		r.grow(f.Target)
-	case EndpointKill, EndpointPause, EndpointDrain, EndpointWay:
+	case EndpointKill, EndpointPause, EndpointDrain, EndpointWay, EndpointRestart:
 		r.strikeEndpoint(ctx, f)
+	case ListEntry:
+		r.writeStrange(ctx, f)
 	}
 }
 
@@ -180,6 +182,10 @@
 		return
 	case EndpointPause:
 		r.pauseEndpoint(ctx, e, f.For)
+	case EndpointRestart:
+		if !r.restartEndpoint(ctx, e, f.For) {
+			return
+		}
 	default:
 		harmWay(ctx, e.way, f)
 	}
@@ -253,3 +259,45 @@
 		r.wire.List(e.endpoint)
 	}
 }
+
+// restartEndpoint ends an endpoint's process and starts another with its name and address,
+// before its entry lapses or after.
+func (r *run) restartEndpoint(ctx context.Context, e *endpointProc, d time.Duration) bool {
+	e.process.End()
+	sleepUntil(ctx, time.Now().Add(min(d, lapse)))
+	if d > lapse {
+		r.wire.Unlist(e.endpoint.Name)
+		sleepUntil(ctx, time.Now().Add(d-lapse))
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if err := r.runEndpoint(e); err != nil {
+		fmt.Fprintln(r.opts.Progress, err)
+		return false
+	}
+	r.wire.List(e.endpoint)
+	return true
+}
+
+// heartbeat is how soon an endpoint writes its entry again that somebody else wrote over.
+const heartbeat = time.Second
+
+// writeStrange writes an entry that names no endpoint to use, half of them over that of an
+// endpoint, which has no entry until it writes its own again.
+func (r *run) writeStrange(ctx context.Context, f Fault) {
+	if f.Target%2 == 0 {
+		r.wire.ListStrange(fmt.Sprintf("i-strange-%d", f.Target%7), f.Target)
+		return
+	}
+	e := r.takeEndpoint(f.Target / 2)
+	if e == nil {
+		return
+	}
+	r.wire.ListStrange(e.endpoint.Name, f.Target)
+	sleepUntil(ctx, time.Now().Add(heartbeat))
+	r.wire.List(e.endpoint)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endpoints = append(r.endpoints, e)
+}
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -43,6 +43,8 @@
 type Endpoint struct {
 	Name, Service, FailureDomain, Address string
 	Draining                              bool
+	// Born is when its process started.
+	Born time.Time
 }
 
 // Record is a line by which an endpoint tells what it runs.
@@ -62,6 +64,9 @@
 	Publish(Config)
 	List(Endpoint)
 	Unlist(name string)
+	// ListStrange writes an entry under a name that names no endpoint to use; which, the
+	// number says.
+	ListStrange(name string, number int)
 	// FailStore has the store fail its callers; HarmNone ends that.
 	FailStore(Harm)
 	// SettingsVariable names the variable that holds the path of a settings file,
