Count shared parts as to be read while a fleet has just started

Cause: at its home a prompt's shared parts were taken to be cached, which nothing is right after the start; long prompts take three times as long to read then, and no endpoints were kept apart from them. Change: for three seconds after its first requests a router counts them as to be read.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -271,6 +271,19 @@
 	equalPart = 50
 )
 
+// coldFor is how long after a router's first requests it counts shared parts as still to be
+// read at their homes, unless it has sent them there. In a fleet that has just started
+// they are, and reading takes three times as long for it; a router that joins others is
+// one of many that say what is asked for.
+const coldFor = 3 * time.Second
+
+// cold says whether homes may not have read the parts that prompts share.
+func (d *demand) cold() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counted < coldFor
+}
+
 // whole is what is seen as it would be had it been counted for ever. A sum that has been
 // counted for half a second holds a sixth of what it will: routers that had just started
 // took a full load for one that needs no endpoints apart, and a third of the streams that
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -46,7 +46,7 @@
 	home := homeOf(req, views, group)
 	countOthers(views, share)
 	chosen := cheapest(req, views, group, home, tight, rnd)
-	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home)
+	read := req.Prompt.Own() + reread(req, &views[chosen], chosen == home && !p.demand.cold())
 	p.demand.add(now, req.kind(), req.Rank, seconds(views[chosen].First+views[chosen].PerToken*float64(read)))
 	return chosen, true
 }
--- a/internal/balance/start_test.go
+++ b/internal/balance/start_test.go
@@ -78,3 +78,27 @@
 	arrivals(d, time.Minute, time.Minute+time.Second)
 	g.Expect(d.own(epoch.Add(time.Minute + time.Second))[1].Requests).To(BeNumerically("<", 0.6*steady[1].Requests))
 }
+
+// In a fleet that has just started no home has read anything.
+func TestAtFirstSharedPartsCountAsToBeRead(t *testing.T) {
+	g := NewWithT(t)
+	policy := NewPromptAware()
+	p := NewPool(Config{Policy: policy})
+	all := engines(9)
+	mean := func(now time.Time) float64 {
+		d := policy.Demand(now)
+		return d[len(d)-1].read()
+	}
+	ask := func(now time.Time, key int) {
+		_, a := send(p, now, unseen(uint64(key)), all)
+		a.Ended()
+	}
+	for i := range 4 {
+		ask(epoch.Add(time.Duration(i)*100*time.Millisecond), 100+i)
+	}
+	first := mean(epoch.Add(400 * time.Millisecond))
+	for i := range 100 {
+		ask(epoch.Add(coldFor+time.Duration(i)*100*time.Millisecond), 200+i)
+	}
+	g.Expect(first).To(BeNumerically(">", 2*mean(epoch.Add(coldFor+10*time.Second))))
+}
