--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -104,23 +104,24 @@
 	}
 	switch {
 	case tight.urgency() < bulk.urgency():
-		return max(kept, first(tight, f))
+		return kept + yielded(kept, f.endpoints-kept, tight, f)
 	case bulk.urgency() < tight.urgency():
-		return min(kept, f.endpoints-first(bulk, f))
+		return kept - yielded(f.endpoints-kept, kept, bulk, f)
 	}
 	return kept
 }
 
-// firstShare is the most of the endpoints that the more urgent side takes before the other
-// has what it needs, so that no kind starves however much is asked of the more urgent.
-const firstShare = 0.75
-
-// first is how many endpoints a side has before a less urgent one. In an overload both
-// sides got the same part of what they needed: with 1.5 to 2 times the usual long prompts
-// the streams that may hardly pause were left 6 of 180 endpoints, and half of them were
-// late, for 4% more of the long prompts on time.
-func first(n need, f fleet) int {
-	return int(math.Min(math.Ceil(n.endpoints(f)), firstShare*float64(f.endpoints)))
+// mostYield is the most of its endpoints that the less urgent side yields to the more
+// urgent: what it loses by that is a tenth of what it could do, at the most.
+const mostYield = 0.1
+
+// yielded is how many of the other side's endpoints a side gets that is more urgent and
+// needs more than it has. In an overload both sides get the same part of what they need:
+// with 1.5 to 2 times the usual long prompts the streams that may hardly pause were left 6
+// of 180 endpoints, and half of them were late, for 4% more of the long prompts on time.
+func yielded(has, others int, n need, f fleet) int {
+	lacks := int(math.Ceil(n.endpoints(f))) - has
+	return max(0, min(lacks, int(mostYield*float64(others))))
 }
 
 // lateByOthers is the share of a kind's streams that would pause for too long by the
