Count all readers of a failure domain, four times a second

Cause: where links are narrow two readers share a domain, and the word of one replaced that of the other, so that what a domain asks for jumped between two halves. Change: a reader's word stands beside the other's; what two heard twice is scaled down. Readers greet each other four times a second instead of twice where domains are few.

--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -19,7 +19,8 @@
 	mu  sync.Mutex
 	own func() balance.Demand // nil where nobody asks
 	by  map[string]saidDemand
-	// domains is what readers of other failure domains said of these.
+	// domains is what readers of other failure domains said, by the reader: where links
+	// are narrow several share a domain, and each hears some of its routers.
 	domains map[string]saidDemand
 	// told is what a reader said of all others.
 	told saidDemand
@@ -49,8 +50,8 @@
 		demand, routers = s.demands.sum(now, "")
 	}
 	known := s.members.count(now)
-	if 0 < routers && routers < known {
-		// A reader hears its own failure domain, and of the others only now and then.
+	if 0 < routers && 0 < known && routers != known {
+		// Some weren't heard, or two readers heard the same.
 		demand = demand.Times(float64(known) / float64(routers))
 	}
 	return balance.Others{Demand: demand, Routers: known}
@@ -87,7 +88,7 @@
 	if d.domains == nil {
 		d.domains = make(map[string]saidDemand)
 	}
-	d.domains[from.FailureDomain] = saidDemand{domain: from.FailureDomain, demand: said.Demand, routers: said.Routers, at: at}
+	d.domains[from.VM] = saidDemand{domain: from.FailureDomain, demand: said.Demand, routers: said.Routers, at: at}
 }
 
 // domainDemand is what this router heard in its own failure domain, itself included;
@@ -119,12 +120,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetOld(now)
+	spoken := make(map[string]bool)
 	for _, said := range d.domains {
 		all = all.Plus(said.demand)
 		routers += said.routers
+		spoken[said.domain] = true
 	}
 	for vm, said := range d.by {
-		if _, spoken := d.domains[said.domain]; vm != but && !spoken {
+		if vm != but && !spoken[said.domain] {
 			all = all.Plus(said.demand)
 			routers++
 		}
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -73,7 +73,7 @@
 	// domainsEvery is the time between two words of a reader to those of other failure
 	// domains, and domainsPace what it is for each of them at the least, so that 27
 	// domains cost a reader some 20 words a second.
-	domainsEvery = 500 * time.Millisecond
+	domainsEvery = 250 * time.Millisecond
 	domainsPace  = 50 * time.Millisecond
 )
 
