Don't send a request on to endpoints that have just said they are full

Cause: a request that an endpoint had no room for was sent to the next, also where this router had heard from all that they are full. Change: an endpoint that refused for want of room counts as full for a quarter of a second, or until a report tells of less; a request that one has had isn't sent to it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,6 +27,9 @@
 	// if any will do. Stride is how many tokens an event holds.
 	MaxGap time.Duration
 	Stride int
+	// Again says that an endpoint has had the request before: it isn't sent to one that is
+	// known to be full, and to none if all are.
+	Again bool
 	// Once says that the request may not run again after its endpoint broke off.
 	Once bool
 }
@@ -73,6 +76,8 @@
 	Token, PerToken float64
 	// First is how many seconds a prompt takes besides, however short it is.
 	First float64
+	// Full says that it had no room just now.
+	Full bool
 	// Weight is 1 for a healthy endpoint; less for one that comes back
 	// slowly after it was found slow, failing or away; 0 for one that is
 	// shed or suspect.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -202,6 +202,7 @@
 	speed := st.engines.of(st.token)
 	v.Token, v.PerToken, v.First = speed.Token, speed.PerToken, speed.First
 	v.Cached = st.recent.cached(now, pr)
+	v.Full = st.full(now)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
 	if st.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 // Choose implements Policy.
 func (p PromptAware) Choose(now time.Time, req Request, views []View, rnd *rand.Rand) (int, bool) {
 	usable := usableViews(views)
+	if req.Again {
+		usable = slices.DeleteFunc(usable, func(i int) bool { return views[i].Full })
+	}
 	if len(usable) == 0 {
 		return 0, false
 	}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -66,6 +66,10 @@
 	token      quantile
 	engines    *engineSpeeds
 	avoidUntil time.Time
+	// refusedAt is when the endpoint last refused a request of this router for want of
+	// room, and refusedWith how many requests it then had.
+	refusedAt   time.Time
+	refusedWith int
 	// restartedAt is when this router heard that the process took another one's place;
 	// zero if it is the first that is known.
 	restartedAt time.Time
@@ -144,3 +148,16 @@
 	}
 	return time.Duration(st.running / st.drain * float64(time.Second))
 }
+
+// fullFor is how long an endpoint that had no room counts as full, unless a report of it
+// tells otherwise: by then other routers have told of its load.
+const fullFor = 250 * time.Millisecond
+
+// full says whether the endpoint had no room just now.
+func (st *state) full(now time.Time) bool {
+	if st.refusedAt.IsZero() || now.Sub(st.refusedAt) > fullFor {
+		return false
+	}
+	has := st.load.TotalRunning() + st.load.TotalQueued()
+	return has >= st.refusedWith
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -145,6 +145,13 @@
 	return began || paused
 }
 
+// Refused notes that the endpoint had no room for the request.
+func (a *Account) Refused(now time.Time) {
+	a.change(func(st *state) {
+		st.refusedAt, st.refusedWith = now, st.load.TotalRunning()+st.load.TotalQueued()
+	})
+}
+
 // Done notes how the request ended. Times to the first token differ by prompts, not by
 // endpoints, and aren't compared.
 func (a *Account) Done(now time.Time, res Result) {
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -106,7 +106,7 @@
 		r.Tried = append(r.Tried, r.Endpoint.Name)
 		return nil
 	}
-	ask := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent}
+	ask := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent, Again: len(r.Tried) > 0}
 	if r.Route != nil {
 		r.Stride = stride(r)
 		ask.MaxGap, ask.Stride = r.Route.MaxGap, r.Stride
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -46,6 +46,9 @@
 	err := f.exchangeDirect(ctx, r, next)
 	r.Began, r.Heard, r.HeardEvent = nil, nil, nil
 	account.Ended()
+	if isFull(err) {
+		account.Refused(time.Now())
+	}
 	f.observe(ctx, r.Endpoint, err)
 	account.Done(time.Now(), result(ctx, err))
 	return err
@@ -105,6 +108,12 @@
 	}
 }
 
+// isFull says whether an attempt ended for want of room at its endpoint.
+func isFull(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Reason == string(sched.ReasonQueueFull)
+}
+
 func refusedDirect(status int, reply upstream.Reply) error {
 	refusal := wire.Refusal{Run: wire.RunNot}
 	switch {
