Keep words between domains for as long as a router's own, and write the pages

Cause: while some failure domains are lost a round of words waits for them, longer than the words of the others counted; the pages lacked what is new. Measured: tests of peers.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -42,15 +42,15 @@
 
 // cheapest is the endpoint at which the request costs itself and others the
 // least time: its home, if it has one, or one of so many others, drawn by chance.
-func cheapest(req Request, views []View, group []int, home, looks int, tight bool, rnd *rand.Rand) int {
+func cheapest(req Request, views []View, group []int, home, drawn int, tight bool, rnd *rand.Rand) int {
 	start := rnd.IntN(len(group))
 	best, bestCost := group[start], promptCost(req, &views[group[start]], group[start] == home, tight)
 	if home >= 0 {
 		best, bestCost = home, promptCost(req, &views[home], true, tight)
 	}
-	for n := range looks {
+	for n := range drawn {
 		i := group[(start+n)%len(group)]
-		if looks < len(group) {
+		if drawn < len(group) {
 			i = group[rnd.IntN(len(group))]
 		}
 		if cost := promptCost(req, &views[i], i == home, tight); cost < bestCost {
--- a/internal/balance/separate.go
+++ b/internal/balance/separate.go
@@ -92,7 +92,7 @@
 
 // divide gives each side its part of the endpoints by what it needs, and no less than
 // what it can't do without. Where that is more than there are, the more urgent side gets
-// what it needs first.
+// some of the other's.
 func divide(last int, f fleet, apart, others Demand) int {
 	tight, bulk := needOf(apart), needOf(others)
 	kept := split(last, f.endpoints, tight.endpoints(f), bulk.endpoints(f))
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -150,12 +150,13 @@
 }
 
 // domainWords is how many words of a failure domain's reader may be missed before what it
-// said last no longer counts.
+// said last no longer counts, where that is longer than demandFor: while some domains are
+// lost, each round of words waits for them.
 const domainWords = 3
 
 // forgetOld forgets what was said long ago. d.mu is held.
 func (d *demands) forgetOld(now time.Time) {
 	maps.DeleteFunc(d.by, func(_ string, said saidDemand) bool { return now.Sub(said.at) > demandFor })
-	limit := domainWords * domainsGap(len(d.domains))
+	limit := max(demandFor, domainWords*domainsGap(len(d.domains)))
 	maps.DeleteFunc(d.domains, func(_ string, said saidDemand) bool { return now.Sub(said.at) > limit })
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -168,15 +168,15 @@
 	return s.direct.CatchUp(ctx, after)
 }
 
-// pauseAfter is the least time between two calls to the source by a router that isn't a
-// reader, by why its peers told it nothing. Where they answer that they know nothing
-// themselves their readers are asking, several times a second.
+// pauseAfter is the least time between two calls to the source by a router that knows
+// nothing and isn't a reader, by why its peers told it nothing. Where they answer that they
+// know nothing themselves their readers are asking, several times a second.
 func pauseAfter(err error) time.Duration {
 	var refused *control.Error
 	if errors.As(err, &refused) {
 		return nothingEvery
 	}
-	return directEvery
+	return 0
 }
 
 // mayAskDirectly says whether this router may ask the source now that last did at least
