--- a/internal/balance/expect.go
+++ b/internal/balance/expect.go
@@ -25,7 +25,7 @@
 }
 
 // waitTime is how long a request waits for others until its own prompt is read. Prompts of
-// a higher tier are read first, so only those of the request's own tier and above count.
+// a higher rank are read first, so only those of the request's own rank and above count.
 // What other routers have sent isn't known; on the whole it is like what this one sent to
 // the endpoints of the request's group. At others more or less waits: where long prompts
 // had to wait, streams were refused that are kept apart from them, 30 in half a second.
--- a/internal/daemon/directtimes.go
+++ b/internal/daemon/directtimes.go
@@ -23,9 +23,8 @@
 	// paceShare of DrainWithin lies between two calls at least, so that where
 	// something changes all the time several may fail before a leaving endpoint
 	// must be out of use; and spareShare of what a call that is lost and the next one
-	// leave of DrainWithin, where that is more. Endpoints whose heartbeats are news end
-	// every wait at once: at 186 of them and a bound of 4 s each reader made 2.5 calls a
-	// second, and makes one.
+	// leave of DrainWithin, where that is more: where heartbeats are news each wait ends at
+	// once, and a reader calls as often as it may.
 	paceShare  = 0.1
 	spareShare = 0.5
 	// outageSlacks is how many calls without a wait must have failed for the
