--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -124,6 +124,6 @@
 			}
 		}
 	}
-	g.Expect(struck).To(HaveLen(len(kinds) + 3), "and growth, restarts and strange entries")
+	g.Expect(struck).To(HaveLen(len(kinds)+3), "and growth, restarts and strange entries")
 	g.Expect(overlap).To(BeNumerically(">", 100))
 }
