Drop a field that only a test read, and divide endpoints in one place

Cause: Since took the place of Others in a view, and the part of the endpoints for a kind was worked out twice, in groupFor and in groupOf. Change: Others is gone, its test asks the same figure of Since, which the choice uses; groupFor begins with groupOf. Behaviour as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -55,11 +55,8 @@
 	// SinceReport counts those of this router's requests that were sent after
 	// the last report arrived and haven't ended, so that the report misses them.
 	SinceReport int
-	// Others is how many requests all routers together probably sent for each
-	// of those; a policy that needs it works it out from all views.
-	Others float64
 	// Since is how many requests all routers together probably sent that the last report
-	// lacks.
+	// lacks; a policy that needs it works it out from all views.
 	Since float64
 	// Expected is how many requests all routers together probably have there, where
 	// the endpoint doesn't say; a policy that needs it works it out from all views.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -77,7 +77,6 @@
 	part := ownPart(views)
 	inflight, sent := 0.0, 0.0
 	for i := range views {
-		views[i].Others = 1 / part
 		inflight += float64(views[i].Inflight) / float64(len(views))
 		sent += float64(views[i].SinceReport) / float64(len(views))
 	}
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -46,7 +46,7 @@
 	apart := p.demand.separate(now, req.Service, fleetOf(req, views, usable))
 	tight := apart.tightFor(req.MaxGap)
 	share := p.demand.share()
-	group := groupFor(now, tight, apart.kept, share, views, usable)
+	group := groupFor(now, tight, apart, share, views, usable)
 	home := homeOf(req, views, group)
 	seen := looks(len(group), share)
 	countOthers(views, share, float64(seen)/float64(len(group)))
@@ -75,12 +75,13 @@
 
 // groupFor is the part of the endpoints that a kind uses. share is this router's part
 // of all requests.
-func groupFor(now time.Time, tight bool, kept int, share float64, views []View, usable []int) []int {
+func groupFor(now time.Time, tight bool, apart separation, share float64, views []View, usable []int) []int {
 	ranked := rankForTight(views, usable)
+	group := apart.groupOf(tight, ranked)
 	if !tight {
-		return ranked[min(kept, len(ranked)-1):]
+		return group
 	}
-	most := max(kept, 1)
+	most := len(group)
 	for most < len(ranked) && full(now, views, ranked[:most], share) {
 		most++
 	}
--- a/internal/balance/separate_test.go
+++ b/internal/balance/separate_test.go
@@ -155,7 +155,7 @@
 	g := NewWithT(t)
 	usable := []int{0, 1, 2, 3, 4}
 	group := func(views []View, share float64) int {
-		return len(groupFor(epoch, true, 2, share, views, usable))
+		return len(groupFor(epoch, true, separation{kept: 2}, share, views, usable))
 	}
 	g.Expect(group(fleetViews(5, 4, epoch), 1)).To(Equal(2))
 	g.Expect(group(fleetViews(5, 8, epoch), 1)).To(Equal(5), "some slots stay free for what routers don't know yet")
--- a/internal/balance/words_test.go
+++ b/internal/balance/words_test.go
@@ -75,7 +75,7 @@
 		{Endpoint: "empty", Inflight: 1, SinceReport: 1, Load: loaded(38, 0), Weight: 1},
 	}
 	countOthers(views, 1, 1)
-	g.Expect(views[0].Others).To(BeNumerically("~", 33, 2))
+	g.Expect(views[1].Since).To(BeNumerically("~", 33, 2), "for the one request of its own")
 	g.Expect(views[1].requests()).To(BeNumerically(">", views[0].requests()))
 }
 
