Tell in the lines of requests under which endpoints ended which request it is

Change: identity of a request by its content; the filter quarantine only notes attempts that ended with their endpoints. No decision changes.

--- /dev/null
+++ b/internal/filters/quarantine/lost.go
@@ -0,0 +1,45 @@
+// Package quarantine knows requests under which endpoints end. It stands between
+// attempts and choose.
+package quarantine
+
+import (
+	"io"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"coveferry/internal/filters/dispatch"
+	"coveferry/internal/filters/relay"
+	"coveferry/internal/wire"
+)
+
+// endpointLost says whether an attempt ended with the endpoint that it had reached, as
+// far as its error shows: the connection broke, or the agent says that its engine broke
+// off. An answer, also one that says that it failed, shows that the endpoint lives.
+func endpointLost(err error) bool {
+	var refused *dispatch.RefusedError
+	var lost *dispatch.LostError
+	var cut *relay.BrokenError
+	switch {
+	case errors.As(err, &refused):
+		// With a status the engine has answered.
+		return refused.Reason == wire.ReasonEngineFailed && refused.EngineStatus == 0
+	case errors.As(err, &lost):
+		return lost.Sent && connectionBroke(lost.Cause)
+	case errors.As(err, &cut):
+		return cut.Ending == wire.EndingEngineFailed || cut.Ending == "" && connectionBroke(cut.Cause)
+	}
+	return false
+}
+
+// connectionBroke says whether the other side or the way there ended a connection, rather
+// than that what came on it was no answer. A VM that went dark shows by a timeout of the
+// connection.
+func connectionBroke(err error) bool {
+	for _, broke := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, broke) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,6 +19,7 @@
 	FieldEndpoint = "endpoint" // of the agent
 	FieldRequest  = "request"  // id, as callers get it
 	FieldTeam     = "team"
+	FieldIdentity = "identity" // of a request by its content, the same each time it comes
 	FieldClass    = "class"
 	FieldTier     = "tier"    // by name
 	FieldBundle   = "bundle"  // version in force
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -10,6 +10,7 @@
 	"coveferry/internal/bundle"
 	"coveferry/internal/completion"
 	"coveferry/internal/once"
+	"coveferry/internal/poison"
 	"coveferry/internal/prompt"
 	"coveferry/internal/route"
 	"coveferry/internal/wire"
@@ -105,6 +106,8 @@
 	Latest func() *bundle.Snapshot
 	// Trail lists the attempts made, for the log.
 	Trail []Step
+	// Lost counts the attempts that ended with their endpoints. Set by quarantine.
+	Lost int
 	// Stream of the current attempt's answer.
 	Answer *http.Response
 
@@ -126,6 +129,8 @@
 
 	// Writer is where the caller's answer goes. Used by relay alone.
 	Writer http.ResponseWriter
+
+	identity poison.Identity // 0 until it is asked for
 }
 
 // Step is one attempt and what came of it.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,9 +6,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"coveferry/internal/api"
 	"coveferry/internal/filters/relay"
+	"coveferry/internal/logging"
 	"coveferry/internal/request"
 	"coveferry/internal/slo"
 	"coveferry/internal/wire"
@@ -24,6 +26,7 @@
 type metrics struct {
 	requests   *prometheus.CounterVec
 	attempts   prometheus.Counter
+	lost       prometheus.Counter
 	tokens     *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
 }
@@ -38,6 +41,10 @@
 			Name: "coveferry_router_attempts_total",
 			Help: "Attempts sent to agents.",
 		}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coveferry_router_endpoints_lost_total",
+			Help: "Attempts that ended with the endpoint that they had reached: its connection broke, or its agent says that the engine did.",
+		}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_tokens_total",
 			Help: "Tokens delivered to callers.",
@@ -49,7 +56,7 @@
 		}, []string{"class"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.tokens, m.firstToken)
+		reg.MustRegister(m.requests, m.attempts, m.lost, m.tokens, m.firstToken)
 	}
 	return m
 }
@@ -63,6 +70,7 @@
 	result := resultOf(err)
 	rt.metrics.requests.WithLabelValues(class, result).Inc()
 	rt.metrics.attempts.Add(float64(len(r.Tried)))
+	rt.metrics.lost.Add(float64(r.Lost))
 	if r.Delivered.Tokens > 0 {
 		rt.metrics.tokens.WithLabelValues(class).Add(float64(r.Delivered.Tokens))
 		rt.metrics.firstToken.WithLabelValues(class).Observe(r.Delivered.FirstToken.Sub(r.Arrived).Seconds())
@@ -72,9 +80,19 @@
 		return
 	}
 	rt.recordService(r, err)
-	rt.cfg.Log.Debug().Err(err).Str("request", r.ID).Str("team", team).Str("class", class).
+	log := rt.cfg.Log.Debug().Err(err).Str("request", r.ID).Str("team", team).Str("class", class).
 		Str("result", result).Stringers("trail", trail(r)).Int("tokens", r.Delivered.Tokens).
-		Dur("took", time.Since(r.Arrived)).Msg("request ended")
+		Dur("took", time.Since(r.Arrived))
+	logLost(log, r)
+	log.Msg("request ended")
+}
+
+// logLost adds, for a request under which endpoints ended, by what it is known again:
+// lines of one identity at several routers are the same request.
+func logLost(log *zerolog.Event, r *request.Request) {
+	if r.Lost > 0 {
+		log.Int("lost", r.Lost).Stringer(logging.FieldIdentity, r.Identity())
+	}
 }
 
 // recordService counts the request towards its class's objective. One that
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/filters/attempts"
 	"coveferry/internal/filters/choose"
 	"coveferry/internal/filters/match"
+	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
@@ -64,6 +65,7 @@
 		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // which route does it take?
 		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // may its key use the route?
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand),                     // repeat the rest where that is safe
+		quarantine.Filter{},                                         // do endpoints end under it?
 		choose.New(choose.Config{ // which endpoint?
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
@@ -155,6 +157,7 @@
 	log.Str(logging.FieldTeam, r.TeamName).Int(logging.FieldTier, r.Tier).
 		Int("candidates", len(r.Candidates)).Array("attempts", trailArray(r.Trail)).
 		Dur("left", time.Until(r.Deadline)).Dur("first", firstAfter(r))
+	logLost(log, r)
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.Tight).Int("kept", r.Kept).
 			Dur("expected", r.Wait).Dur("max_gap", r.Delivered.MaxGap)
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
@@ -80,6 +82,7 @@
 	age      time.Duration
 	turnAway bool
 	table    *route.Table
+	log      bytes.Buffer // the router's lines
 	// answer is what an endpoint does with a request; it gets the connection.
 	answer func(endpoint string, req *http.Request, conn net.Conn)
 }
@@ -132,7 +135,7 @@
 		w.router = router.New(router.Config{
 			Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client,
 			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
-			Rand: func() float64 { return 0 },
+			Rand: func() float64 { return 0 }, Log: zerolog.New(zerolog.SyncWriter(&w.log)),
 			Routing: &router.Routing{
 				Table:     func() *route.Table { return w.table },
 				Endpoints: func(string) []*bundle.Endpoint { return endpoints },
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"coveferry/internal/filters/dispatch"
 	"coveferry/internal/filters/limit"
 	"coveferry/internal/filters/narrow"
+	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/shed"
 	"coveferry/internal/limits"
@@ -137,6 +138,7 @@
 		near,                      // which endpoints does this router use?
 		shed.New(rt.cfg.Throttle, pool, rt.cfg.Rand), // would endpoints refuse it anyway?
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand),      // repeat the rest where that is safe
+		quarantine.Filter{},                          // do endpoints end under it?
 		rt.choose(near),                              // which endpoint?
 		rt.dispatch(client),                          // ask its agent
 		relay.Filter{},                               // pass the answer on
