Hold back requests under which three endpoints ended, at all routers

Cause: nothing knew a request again. Evidence of failure was kept of endpoints only, a request's own attempts were forgotten with it, so that each router sent the same request to one endpoint after the other. Ruled out: routers that know and don't tell (one router without peers does the same), retries of one request (one attempt each). Change: a request is known by its content; endpoints that end under it are counted until one answers it, told from router to router, and from the third on the request is refused as not run.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -21,6 +21,7 @@
 	"coveferry/internal/logging"
 	"coveferry/internal/membership"
 	"coveferry/internal/peers"
+	"coveferry/internal/poison"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
 	"coveferry/internal/telemetry"
@@ -101,6 +102,7 @@
 	client   *http.Client
 	router   *router.Router
 	callers  *server.Server
+	poison   *poison.Table
 	peers    *peers.Source // nil where each router reads for itself
 	control  *control.Server
 }
@@ -112,6 +114,7 @@
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{Policy: policy, Seed: membership.SeedOf(cfg.VM)})
 	d.members = newMembers(cfg.VM, d.pool, d.reg, log)
+	d.poison = newPoison(cfg.VM, d.reg, log)
 	source, err := d.startPeers()
 	if err != nil {
 		return nil, err
@@ -126,6 +129,7 @@
 		policy.HearOthers(d.peers.OthersDemand)
 		d.peers.ShareLoads(d.pool)
 		d.peers.ShareFailures(d.pool)
+		d.peers.SharePoison(d.poison)
 	}
 	d.router = d.newRouter()
 	l, err := net.Listen("tcp", cfg.Callers)
@@ -150,6 +154,7 @@
 		MaxOpen:      directMaxOpen,
 		MaxBodyBytes: directMaxBodyBytes,
 		Observer:     d.members,
+		Poison:       d.poison,
 		Log:          d.log,
 		Metrics:      d.reg,
 		Routing: &router.Routing{
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -187,7 +187,7 @@
 	if d.Action != retry.ActionGiveUp {
 		step.Next = "repeat"
 	}
-	if r.Endpoint != nil && !errors.Is(err, choose.ErrNone) {
+	if r.Endpoint != nil && !errors.Is(err, choose.ErrNone) && d.Reason != reasonQuarantined {
 		step.Endpoint = r.Endpoint.Name
 	}
 	r.Trail = append(r.Trail, step)
--- a/internal/filters/attempts/judge.go
+++ b/internal/filters/attempts/judge.go
@@ -5,6 +5,7 @@
 
 	"coveferry/internal/filters/choose"
 	"coveferry/internal/filters/dispatch"
+	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/retry"
 	"coveferry/internal/sched"
@@ -14,6 +15,9 @@
 // reasonFinal is noted where no other endpoint could do better.
 const reasonFinal retry.Reason = "final"
 
+// reasonQuarantined is noted where endpoints ended under the request.
+const reasonQuarantined retry.Reason = "quarantined"
+
 // judgement is what an attempt's error says of it.
 type judgement struct {
 	outcome retry.Outcome
@@ -36,6 +40,7 @@
 	var expired *dispatch.ExpiredError
 	var pinned *choose.PinnedError
 	var late *choose.LateError
+	var quarantined *quarantine.HeldError
 	switch {
 	case err == nil:
 		return judgement{outcome: retry.OutcomeCompleted}
@@ -43,6 +48,8 @@
 		return judgement{outcome: outcomeOf(pinned.Run()), final: true, reason: reasonFinal}
 	case errors.As(err, &late):
 		return judgement{outcome: retry.OutcomeNotRun, final: true, reason: retry.ReasonOverload}
+	case errors.As(err, &quarantined):
+		return judgement{outcome: retry.OutcomeNotRun, final: true, reason: reasonQuarantined}
 	case errors.As(err, &refused):
 		return judgeRefusal(refused, held)
 	case errors.As(err, &expired):
--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -39,9 +39,10 @@
 	// A question may be late; a report that is told twice does no harm.
 	req.Loads = s.loads.own(time.Now(), 2*s.cfg.Every)
 	req.Failures = s.failures.own(time.Now())
+	req.Poison = s.poison.ask()
 	base := own.Config()
 	req.Version = versionOf(base)
-	sent := time.Now()
+	sent, sentClock := time.Now(), s.cfg.Clock()
 	reply, err := control.Call(ctx, s.client(peer.Address), methodNews, req)
 	if err := s.note(peer, sent, err); err != nil {
 		return follow.Reading{}, err
@@ -49,6 +50,7 @@
 	s.demands.tell(reply.Demand, reply.DemandOf, sent)
 	s.loads.hear(sent, reply.Loads)
 	s.takeFailures(time.Now(), reply.Failures)
+	s.poison.answered(sentClock, reply.Poison)
 	age, err := s.checkAge(peer, reply.AgeMillis)
 	if err != nil {
 		return follow.Reading{}, err
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -120,16 +120,23 @@
 	store *store
 	nodes []*node
 	seeds []string
+	mbps  float64 // of each router's link; 0 isn't known
 }
 
 // maxAge is above two waits, as in the daemon: knowledge gets that old in calm times.
 const maxAge = 2350 * time.Millisecond
 
 func play(t *testing.T, routers int, do func(g *WithT, f *fleet)) {
+	t.Helper()
+	playLinks(t, routers, 0, do)
+}
+
+// playLinks is the same with links of mbps.
+func playLinks(t *testing.T, routers int, mbps float64, do func(g *WithT, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}}
+		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, mbps: mbps}
 		for i := range min(3, routers) {
 			f.seeds = append(f.seeds, address(i))
 		}
@@ -153,8 +160,8 @@
 	n := &node{vm: vm}
 	n.pool = control.NewPool(control.ClientConfig{Dial: f.net.Dialer(vm)}, 0)
 	n.source = New(Config{
-		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%2), Address: address(i)}, Seeds: f.seeds,
-		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Log: zerolog.Nop(),
+		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%2), Address: address(i), LinkMbps: f.mbps}, Seeds: f.seeds,
+		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Clock: time.Now, Log: zerolog.Nop(),
 	})
 	n.server = control.NewServer(control.ServerConfig{Listener: l})
 	n.source.Register(n.server)
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -53,8 +53,8 @@
 
 // greet tells a router of this one, and hears whom it knows.
 func (s *Source) greet(ctx context.Context, seed string) {
-	sent := time.Now()
-	req := helloRequest{From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent)}
+	sent, sentClock := time.Now(), s.cfg.Clock()
+	req := helloRequest{From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent), Poison: s.poison.ask()}
 	reply, err := control.Call(ctx, s.client(seed), methodHello, req)
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("router", seed).Msg("a router that was greeted doesn't answer")
@@ -62,6 +62,7 @@
 	}
 	s.members.hear(reply.From, sent)
 	s.demands.hear(reply.From, reply.Demand, sent)
+	s.poison.answered(sentClock, reply.Poison)
 	s.hearDomain(reply.From, reply.Domain, sent)
 	s.members.toldOf(reply.From.VM, reply.Known, sent)
 	for _, m := range reply.Members {
@@ -99,8 +100,16 @@
 	}
 }
 
-// greetReaders greets a reader of each other failure domain.
+// greetReaders greets a reader of each other failure domain, and where requests crash
+// endpoints the other readers of this one: its routers ask different ones.
 func (s *Source) greetReaders(ctx context.Context, domains []string) {
+	if s.poison.hasNews() {
+		for _, reader := range s.members.readers(time.Now(), s.cfg.Self.FailureDomain) {
+			if reader != s.cfg.Self {
+				s.greet(ctx, reader.Address)
+			}
+		}
+	}
 	for _, domain := range domains {
 		readers := s.members.readers(time.Now(), domain)
 		if domain != s.cfg.Self.FailureDomain && len(readers) > 0 {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -7,6 +7,7 @@
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/identity"
+	"coveferry/internal/poison"
 )
 
 // callTimeout bounds a call to a peer: long beside the milliseconds that it
@@ -56,6 +57,7 @@
 	Demand balance.Demand `json:"demand"`
 	// Domain is what a reader heard in its failure domain, itself included.
 	Domain domainDemand `json:"domain,omitzero"`
+	Poison poison.Words `json:"poison,omitzero"`
 }
 
 type helloReply struct {
@@ -67,6 +69,7 @@
 	// Demand is what this router's own requests ask for, and Domain as in the request.
 	Demand balance.Demand `json:"demand"`
 	Domain domainDemand   `json:"domain,omitzero"`
+	Poison poison.Words   `json:"poison,omitzero"`
 }
 
 // newsRequest asks what changed since what the asker knows.
@@ -82,6 +85,8 @@
 	Loads []balance.LoadWord `json:"loads,omitempty"`
 	// Failures are the asker's own attempts of late where some failed.
 	Failures []balance.FailureWord `json:"failures,omitempty"`
+	// Poison is what the asker knows of requests under which endpoints end.
+	Poison poison.Words `json:"poison,omitzero"`
 }
 
 type newsReply struct {
@@ -105,6 +110,8 @@
 	// Failures are those of all routers that the reader knows of, but for the
 	// asker's.
 	Failures []balance.FailureWord `json:"failures,omitempty"`
+	// Poison is what the reader knows of requests under which endpoints end.
+	Poison poison.Words `json:"poison,omitzero"`
 }
 
 // pageRequest asks for everything, in parts.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,7 +33,9 @@
 	Every time.Duration
 	// MaxAge is the age from which what peers say is too old.
 	MaxAge time.Duration
-	Log    zerolog.Logger
+	// Clock tells when others said what; nil is clock.Boot.
+	Clock clock.Clock
+	Log   zerolog.Logger
 }
 
 // Origin is the source that peers read for each other.
@@ -58,6 +60,7 @@
 	demands  demands
 	loads    loads
 	failures failures
+	poison   poisonWords
 	log      changelog
 	configs  configlog
 	direct   *watched // the source itself
@@ -80,6 +83,9 @@
 
 // New returns a source that is alone until Run.
 func New(cfg Config) *Source {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Boot
+	}
 	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: &watched{Origin: cfg.Source}}
 }
 
--- /dev/null
+++ b/internal/peers/poison.go
@@ -0,0 +1,65 @@
+package peers
+
+import (
+	"sync/atomic"
+	"time"
+
+	"coveferry/internal/poison"
+)
+
+// Poison is what a router knows of requests under which endpoints end. See poison.Table.
+type Poison interface {
+	// HasNews says that something is to be told at once.
+	HasNews() bool
+	Tell(theirs uint64) poison.Words
+	Hear(said time.Time, words []poison.Word)
+}
+
+// poisonWords are what routers tell each other of such requests: with each question to a
+// reader and its answer, and between readers of failure domains, so that all know within a
+// second or two. It is safe for concurrent use.
+type poisonWords struct {
+	known atomic.Pointer[Poison]
+	// theirs is the digest that a reader said last.
+	theirs atomic.Uint64
+}
+
+// SharePoison has this router tell others under which requests endpoints ended, and hear
+// of what they saw.
+func (s *Source) SharePoison(known Poison) { s.poison.known.Store(&known) }
+
+// ask is what is told with a question.
+func (p *poisonWords) ask() poison.Words { return p.tell(p.theirs.Load()) }
+
+// tell is what is told to a router that said this digest.
+func (p *poisonWords) tell(theirs uint64) poison.Words {
+	known := p.known.Load()
+	if known == nil {
+		return poison.Words{}
+	}
+	return (*known).Tell(theirs)
+}
+
+func (p *poisonWords) hasNews() bool {
+	known := p.known.Load()
+	return known != nil && (*known).HasNews()
+}
+
+// hear takes in what a router said at a moment.
+func (p *poisonWords) hear(said time.Time, words poison.Words) {
+	if known := p.known.Load(); known != nil && len(words.Words) > 0 {
+		(*known).Hear(said, words.Words)
+	}
+}
+
+// answered takes in the answer to a question that was sent at a moment.
+func (p *poisonWords) answered(sent time.Time, words poison.Words) {
+	p.theirs.Store(words.Digest)
+	p.hear(sent, words)
+}
+
+// heard takes in a question of this moment, and returns what is to be told in turn.
+func (p *poisonWords) heard(now time.Time, words poison.Words) poison.Words {
+	p.hear(now, words)
+	return p.tell(words.Digest)
+}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -24,7 +24,7 @@
 	s.hearDomain(req.From, req.Domain, now)
 	return helloReply{
 		From: s.cfg.Self, Members: s.members.neededBy(req.From, now), Known: s.members.byName(now),
-		Demand: s.demands.ask(), Domain: s.domainDemand(now),
+		Demand: s.demands.ask(), Domain: s.domainDemand(now), Poison: s.poison.heard(s.cfg.Clock(), req.Poison),
 	}, nil
 }
 
@@ -54,6 +54,7 @@
 	reply.Demand, reply.DemandOf = s.demands.ask().Plus(others), routers+1
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
 	reply.Loads = s.loads.all(now)
+	reply.Poison = s.poison.heard(s.cfg.Clock(), req.Poison)
 	s.failures.said(req.From.VM, req.Failures, now)
 	reply.Failures = s.failures.of(now, req.From.VM)
 	if reply.Config, err = s.configs.since(own.Config(), req.Version); err != nil {
--- /dev/null
+++ b/internal/poison/table.go
@@ -0,0 +1,234 @@
+package poison
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coveferry/internal/clock"
+)
+
+const (
+	// maxRecords bounds the requests of which something is known: an endpoint that ends
+	// takes at most some hundred with it. Some 200 bytes each.
+	maxRecords = 1024
+	// forgetAfter is how long it counts that an endpoint ended under a request: one that
+	// comes back later is no storm. Of a request that was held back it is remembered for
+	// heldMemory beyond that, so that one that comes once an hour is known.
+	forgetAfter = 10 * time.Minute
+	heldMemory  = 2 * time.Hour
+)
+
+// Verdict says what to do with a request.
+type Verdict struct {
+	// Held says that it must not be sent to an endpoint, After that time at the earliest.
+	Held  bool
+	After time.Duration
+	// Lost is how many endpoints ended under it lately, as far as is kept.
+	Lost int
+	// Trial says that it is let through to see whether it is harmless now.
+	Trial bool
+}
+
+// Event is a change of what is done with a request.
+type Event struct {
+	Identity Identity
+	// Held says that it is held back from now on, else that it is no longer.
+	Held bool
+	// Endpoints are those that ended under it.
+	Endpoints []string
+}
+
+// Config is what a Table needs.
+type Config struct {
+	// Router names this router, so that not all let a request through at once.
+	Router string
+	// Clock tells times; nil is clock.Boot, so that what others are told is right after the
+	// VM was suspended.
+	Clock clock.Clock
+	// OnEvent takes each change; nil for nobody. It must not wait.
+	OnEvent func(Event)
+}
+
+// Table knows requests under which endpoints ended, and holds back those under which too
+// many did. It is safe for concurrent use. It is one shard: it is empty but for the minutes
+// after an endpoint was lost.
+type Table struct {
+	cfg     Config
+	size    atomic.Int64
+	mu      sync.Mutex
+	records map[Identity]*record
+}
+
+// NewTable returns a table that knows nothing.
+func NewTable(cfg Config) *Table {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Boot
+	}
+	return &Table{cfg: cfg, records: make(map[Identity]*record)}
+}
+
+// Empty says that nothing is known of any request, so that none needs to be identified.
+func (t *Table) Empty() bool { return t.size.Load() == 0 }
+
+// Ask says what to do with a request that is about to be sent to an endpoint.
+func (t *Table) Ask(id Identity) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil || !r.poisonous() {
+		return Verdict{}
+	}
+	now := t.cfg.Clock()
+	if now.Sub(r.latest()) > memory(r) {
+		delete(t.records, id)
+		t.size.Store(int64(len(t.records)))
+		return Verdict{}
+	}
+	until := r.heldUntil(t.share(id))
+	if now.Before(until) {
+		return Verdict{Held: true, After: until.Sub(now), Lost: len(r.losses)}
+	}
+	r.try(now)
+	r.changed = now
+	return Verdict{Lost: len(r.losses), Trial: true}
+}
+
+// share is where in the stagger this router lets a request through, from [0, 1).
+func (t *Table) share(id Identity) float64 {
+	return float64(xxhash.Sum64String(t.cfg.Router+id.String())) / math.MaxUint64
+}
+
+// Lost notes that an endpoint ended while it ran a request.
+func (t *Table) Lost(id Identity, l Loss) {
+	t.change(id, true, func(r *record) bool { return r.lose(l) })
+}
+
+// Completed notes that a request was answered just now.
+func (t *Table) Completed(id Identity) {
+	now := t.cfg.Clock()
+	t.change(id, false, func(r *record) bool { return r.complete(now) })
+}
+
+// change has do change the record of a request, and tells of what that changes. A request
+// of which nothing is known gets a record if create is set.
+func (t *Table) change(id Identity, create bool, do func(*record) (news bool)) {
+	event, changed := t.apply(id, create, do)
+	if changed && t.cfg.OnEvent != nil {
+		t.cfg.OnEvent(event)
+	}
+}
+
+func (t *Table) apply(id Identity, create bool, do func(*record) (news bool)) (e Event, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil && !create {
+		return Event{}, false
+	}
+	if r == nil {
+		r = &record{}
+		t.add(id, r)
+	}
+	before := Event{Identity: id, Held: r.poisonous(), Endpoints: endpointsOf(r.losses)}
+	if do(r) {
+		r.changed = t.cfg.Clock()
+	}
+	if r.poisonous() {
+		return Event{Identity: id, Held: true, Endpoints: endpointsOf(r.losses)}, !before.Held
+	}
+	before.Held = false
+	return before, len(before.Endpoints) >= maxLost
+}
+
+func endpointsOf(losses []Loss) []string {
+	names := make([]string, len(losses))
+	for i, l := range losses {
+		names[i] = l.Endpoint
+	}
+	return names
+}
+
+// add adds a record, in the place of one that is outdated or matters least. t.mu is held.
+func (t *Table) add(id Identity, r *record) {
+	now := t.cfg.Clock()
+	for old, o := range t.records {
+		if now.Sub(o.latest()) > memory(o) {
+			delete(t.records, old)
+		}
+	}
+	if len(t.records) >= maxRecords {
+		t.dropLeast()
+	}
+	t.records[id] = r
+	t.size.Store(int64(len(t.records)))
+}
+
+// memory is how long a record counts.
+func memory(r *record) time.Duration {
+	if r.poisonous() {
+		return r.hold() + heldMemory
+	}
+	return forgetAfter
+}
+
+// dropLeast drops the record with the fewest losses, of these the oldest. t.mu is held.
+func (t *Table) dropLeast() {
+	var least Identity
+	var of *record
+	for id, r := range t.records {
+		if of == nil || cmp.Or(cmp.Compare(len(r.losses), len(of.losses)), r.latest().Compare(of.latest())) < 0 {
+			least, of = id, r
+		}
+	}
+	delete(t.records, least)
+}
+
+// Held is how many requests are held back.
+func (t *Table) Held() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, r := range t.records {
+		if r.poisonous() {
+			n++
+		}
+	}
+	return n
+}
+
+// sorted lists the identities whose records fit, those that matter most first: by losses,
+// then those lost before an answer began, as a request that crashes engines mostly is, and
+// of these the latest news. t.mu is held.
+func (t *Table) sorted(fits func(*record) bool) []Identity {
+	var ids []Identity
+	for id, r := range t.records {
+		if fits(r) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b Identity) int {
+		x, y := t.records[a], t.records[b]
+		return cmp.Or(
+			cmp.Compare(len(y.losses), len(x.losses)), cmp.Compare(y.early(), x.early()),
+			y.changed.Compare(x.changed), cmp.Compare(a, b),
+		)
+	})
+	return ids
+}
+
+// early counts the losses before an answer began.
+func (r *record) early() int {
+	n := 0
+	for _, l := range r.losses {
+		if l.Early {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/poison/table_test.go
@@ -0,0 +1,235 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// world is some routers' tables by one clock.
+type world struct {
+	now    time.Time
+	events []Event
+}
+
+func newWorld() *world { return &world{now: time.Unix(1000, 0)} }
+
+func (w *world) table(router string) *Table {
+	return NewTable(Config{
+		Router: router, Clock: func() time.Time { return w.now },
+		OnEvent: func(e Event) { w.events = append(w.events, e) },
+	})
+}
+
+// run sends a request that takes its endpoint down after a while.
+func (w *world) run(t *Table, endpoint string, takes time.Duration) {
+	sent := w.now
+	w.now = w.now.Add(takes)
+	t.Lost(id, Loss{Endpoint: endpoint, Sent: sent, At: w.now, Early: true})
+}
+
+const (
+	id    = Identity(7)
+	takes = 300 * time.Millisecond
+)
+
+func TestARequestIsHeldBackOnceThreeEndpointsEndedUnderIt(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for i, held := range []bool{false, false, true} {
+		w.run(table, fmt.Sprint("e", i), takes)
+		g.Expect(table.Ask(id).Held).To(Equal(held), "after %d", i+1)
+	}
+	g.Expect(table.Ask(8).Held).To(BeFalse())
+	g.Expect(table.Ask(id).After).To(BeNumerically(">=", 6*time.Minute))
+	g.Expect(w.events).To(Equal([]Event{{Identity: id, Held: true, Endpoints: []string{"e0", "e1", "e2"}}}))
+	g.Expect(table.Held()).To(Equal(1))
+}
+
+// A connection that breaks again and again at an endpoint that lives is no sign of a request
+// that ends endpoints.
+func TestAnEndpointCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for range 5 {
+		w.run(table, "e", takes)
+	}
+	g.Expect(table.Ask(id).Held).To(BeFalse())
+}
+
+// Endpoints crash at random and a caller's same request meets three of them over time: it
+// is answered in between and stays in use.
+func TestAnAnswerClearsARequest(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for i := range 6 {
+		w.run(table, fmt.Sprint("e", i), takes)
+		if i%2 == 1 {
+			w.now = w.now.Add(time.Second)
+			table.Completed(id)
+		}
+		g.Expect(table.Ask(id).Held).To(BeFalse(), "after %d", i+1)
+	}
+}
+
+// All endpoints of a service lose power while a status request that a caller always sends
+// alike runs at each: that one is tried again after ten seconds, when they are back.
+func TestEndpointsThatEndAtTheSameMomentHoldARequestBackForAWhileOnly(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for i := range 6 {
+		table.Lost(id, Loss{Endpoint: fmt.Sprint("e", i), Sent: w.now, At: w.now.Add(takes)})
+	}
+	w.now = w.now.Add(takes)
+	g.Expect(table.Ask(id).Held).To(BeTrue())
+	w.now = w.now.Add(firstHold + firstHold/staggerShare)
+	g.Expect(table.Ask(id)).To(Equal(Verdict{Lost: 6, Trial: true}))
+	g.Expect(table.Ask(id).Held).To(BeTrue(), "one at a time")
+	table.Completed(id)
+	g.Expect(table.Ask(id)).To(Equal(Verdict{}))
+	g.Expect(w.events[1]).To(HaveField("Held", BeFalse()))
+}
+
+// A request that ends every endpoint comes twice a second for a day: the endpoints that it
+// costs. Without a trial one that is harmless by now would never be served again; with one
+// a minute it would cost 1,440.
+func TestWhatARequestThatNeverStopsCosts(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	lost := 0
+	for end := w.now.Add(24 * time.Hour); w.now.Before(end); w.now = w.now.Add(500 * time.Millisecond) {
+		if !table.Ask(id).Held {
+			lost++
+			w.run(table, fmt.Sprint("e", lost), takes)
+		}
+	}
+	g.Expect(lost).To(BeNumerically("<=", 30))
+}
+
+// 880 routers let the same request through after the same time, and hear of each other
+// within two seconds.
+func TestRoutersDontTryARequestAllAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	first := w.table("a")
+	for i := range maxLost {
+		w.run(first, fmt.Sprint("e", i), takes)
+	}
+	const routers, hears = 880, 2 * time.Second
+	var tables []*Table
+	for i := range routers {
+		table := w.table(fmt.Sprint("r", i))
+		table.Hear(w.now, first.Tell(0).Words)
+		tables = append(tables, table)
+	}
+	tried := 0
+	var triedAt time.Time
+	for end := w.now.Add(10 * time.Minute); w.now.Before(end); w.now = w.now.Add(250 * time.Millisecond) {
+		if tried > 0 && w.now.Sub(triedAt) > hears {
+			break
+		}
+		for _, table := range tables {
+			if !table.Ask(id).Held {
+				tried++
+				if tried == 1 {
+					triedAt = w.now
+				}
+			}
+		}
+	}
+	// 880 in a stagger of 90 s are some 20 in the two seconds.
+	g.Expect(tried).To(BeNumerically("<", 60))
+	g.Expect(tried).To(BeNumerically(">", 0))
+}
+
+func TestWhatIsOutdatedIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for i := range 2 {
+		w.run(table, fmt.Sprint("e", i), takes)
+	}
+	w.now = w.now.Add(forgetAfter + time.Minute)
+	table.Lost(8, Loss{Endpoint: "x", Sent: w.now, At: w.now})
+	w.run(table, "e2", takes)
+	g.Expect(table.Ask(id).Held).To(BeFalse())
+}
+
+// An endpoint with hundreds of requests ends again and again: what ends it stays known
+// beside all that only ran there.
+func TestATableThatIsFullKeepsWhatMattersMost(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	for crash := range maxLost {
+		endpoint := fmt.Sprint("e", crash)
+		w.run(table, endpoint, takes)
+		for other := range maxRecords {
+			table.Lost(Identity(100+crash*maxRecords+other), Loss{Endpoint: endpoint, Sent: w.now, At: w.now})
+		}
+	}
+	g.Expect(len(table.records)).To(Equal(maxRecords))
+	g.Expect(table.Ask(id).Held).To(BeTrue())
+	// It is the first of what others are told, and at once beside its bystanders.
+	words := table.Tell(0).Words
+	g.Expect(words).To(HaveLen(maxWords))
+	g.Expect(words[0].Identity).To(Equal(id))
+}
+
+func TestWhatEndedAnEndpointBeforeItAnsweredIsToldFirst(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld()
+	table := w.table("a")
+	w.run(table, "e", takes)
+	for other := range 200 {
+		table.Lost(Identity(100+other), Loss{Endpoint: "e", Sent: w.now, At: w.now})
+	}
+	g.Expect(table.Tell(0).Words[0].Identity).To(Equal(id))
+}
+
+// Words may be lost, late, twice and in any order: tables that heard of each other at last
+// hold back the same requests.
+func TestTablesThatTellEachOtherAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld()
+		tables := []*Table{w.table("a"), w.table("b"), w.table("c")}
+		pick := rapid.SampledFrom(tables)
+		ids := rapid.SampledFrom([]Identity{1, 2})
+		rt.Repeat(map[string]func(*rapid.T){
+			"lose": func(rt *rapid.T) {
+				w.now = w.now.Add(takes)
+				e := fmt.Sprint("e", rapid.IntRange(0, 20).Draw(rt, "endpoint"))
+				pick.Draw(rt, "table").Lost(ids.Draw(rt, "id"), Loss{Endpoint: e, Sent: w.now.Add(-takes), At: w.now})
+			},
+			"complete": func(rt *rapid.T) {
+				w.now = w.now.Add(time.Second)
+				pick.Draw(rt, "table").Completed(ids.Draw(rt, "id"))
+			},
+			"tell": func(rt *rapid.T) {
+				from, to := pick.Draw(rt, "from"), pick.Draw(rt, "to")
+				to.Hear(w.now, from.Tell(to.Digest()).Words)
+			},
+			"wait": func(*rapid.T) { w.now = w.now.Add(spreadFor) },
+		})
+		for range 3 {
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Hear(w.now, from.Tell(to.Digest()).Words)
+				}
+			}
+		}
+		for _, other := range tables[1:] {
+			if other.Digest() != tables[0].Digest() {
+				rt.Fatalf("digests %x and %x", tables[0].Digest(), other.Digest())
+			}
+		}
+	})
+}
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -65,7 +65,7 @@
 		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // which route does it take?
 		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // may its key use the route?
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand),                     // repeat the rest where that is safe
-		quarantine.Filter{},                                         // do endpoints end under it?
+		rt.quarantine(),                                             // did endpoints end under it?
 		choose.New(choose.Config{ // which endpoint?
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
@@ -114,13 +114,19 @@
 	out.RequestID = r.ID
 	out.Fractions = true
 	out.Status = honestStatus(out.Status, out.Run)
-	var late *choose.LateError
-	if out.Run == wire.RunNot && out.RetryAfter > 0 && !errors.As(err, &late) {
+	if out.Run == wire.RunNot && out.RetryAfter > 0 && !knowsWhen(err) {
 		out.RetryAfter = min(out.RetryAfter, routedRetryAfter)
 	}
 	out.Write(r.Writer)
 }
 
+// knowsWhen says whether the refusal's own time to come back is the best guess.
+func knowsWhen(err error) bool {
+	var late *choose.LateError
+	var held *quarantine.HeldError
+	return errors.As(err, &late) || errors.As(err, &held)
+}
+
 // honestStatus keeps those statuses which callers take for the promise that a
 // request didn't run from requests of which that isn't certain.
 func honestStatus(status int, run wire.Run) int {
--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -1,9 +1,11 @@
 package router_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"regexp"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -65,3 +67,71 @@
 		g.Expect(call(g, client, "POST", "/once/", "another").status).To(Equal(200))
 	})
 }
+
+// What an endpoint answers, however wrong, shows that it lives: the request is sent on.
+func TestOnlyEndpointsThatEndHoldARequestBack(t *testing.T) {
+	answer := func(status int, header, body string) func(string, *http.Request, net.Conn) {
+		return func(_ string, req *http.Request, conn net.Conn) {
+			writeAnswer(conn, status, strings.ReplaceAll(header, "ID", req.Header.Get("Id")), body)
+		}
+	}
+	cut := func(_ string, req *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
+		_ = conn.Close()
+	}
+	for _, c := range []struct {
+		name string
+		does func(string, *http.Request, net.Conn)
+		held bool
+	}{
+		{"ends", reset, true},
+		{"ends in mid-answer", cut, true},
+		{"fails", answer(500, "Id: ID\r\nSigned: f\r\n", "sorry"), false},
+		{"is full", answer(503, "Id: ID\r\nNot-Run: 1\r\n", ""), false},
+		{"answers another request", answer(200, "Id: other\r\nSigned: x\r\n", "no"), false},
+		{"doesn't sign", answer(200, "Id: ID\r\n", "no"), false},
+		{"talks nonsense", func(_ string, _ *http.Request, conn net.Conn) { _, _ = conn.Write([]byte("nonsense\r\n\r\n")) }, false},
+	} {
+		playRouted(t, func(g *WithT, w *world, client *http.Client) {
+			w.answer = c.does
+			held := false
+			for range 12 {
+				held = held || strings.Contains(call(g, client, "POST", "/once/", deadly).body, "quarantined")
+			}
+			g.Expect(held).To(Equal(c.held), c.name)
+		})
+	}
+}
+
+// A caller isn't told that its request didn't run because a later attempt was held back.
+func TestARequestThatRanBeforeItIsHeldBackIsNotSaidNotToHaveRun(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = reset
+		var statuses []int
+		for range 4 {
+			before := w.count()
+			got := call(g, client, "POST", "/safe/", deadly)
+			statuses = append(statuses, got.status)
+			if w.count() > before {
+				g.Expect(got.status).To(Equal(502))
+			}
+		}
+		g.Expect(statuses[len(statuses)-1]).To(Equal(503))
+	})
+}
+
+// A stream that is held back in its middle ends as one that broke off.
+func TestAStreamThatEndsItsEndpointsIsNotResumedForEver(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(_ string, req *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+			_, _ = fmt.Fprint(conn, "d\r\nid: 1\ndata: a\r\n")
+			_ = conn.Close()
+		}
+		for range 6 {
+			call(g, client, "POST", "/resume/", deadly)
+		}
+		g.Expect(w.count()).To(BeNumerically("<=", 5))
+		g.Expect(call(g, client, "POST", "/resume/", deadly).status).To(Equal(503))
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,7 @@
 	"coveferry/internal/limits"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
+	"coveferry/internal/poison"
 	"coveferry/internal/slo"
 	"coveferry/internal/subset"
 	"coveferry/internal/throttle"
@@ -72,6 +73,9 @@
 	// Limits holds teams to their limits; nil does so at this router alone.
 	// The router has it follow the bundle in force.
 	Limits *limits.Limiter
+	// Poison knows requests under which endpoints ended; nil is a table of its own. It has
+	// the router's clock.
+	Poison *poison.Table
 	// Observer is told what attempts show of endpoints; nil tells nobody.
 	Observer dispatch.Observer
 	// Service counts how requests of each class and tier met their targets;
@@ -105,6 +109,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
+	if cfg.Poison == nil {
+		cfg.Poison = poison.NewTable(poison.Config{Router: cfg.Name, Clock: cfg.Clock})
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
@@ -138,7 +145,7 @@
 		near,                      // which endpoints does this router use?
 		shed.New(rt.cfg.Throttle, pool, rt.cfg.Rand), // would endpoints refuse it anyway?
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand),      // repeat the rest where that is safe
-		quarantine.Filter{},                          // do endpoints end under it?
+		rt.quarantine(),                              // did endpoints end under it?
 		rt.choose(near),                              // which endpoint?
 		rt.dispatch(client),                          // ask its agent
 		relay.Filter{},                               // pass the answer on
@@ -156,6 +163,10 @@
 	return f
 }
 
+func (rt *Router) quarantine() *quarantine.Filter {
+	return quarantine.New(rt.cfg.Poison, rt.cfg.Clock, rt.cfg.Log)
+}
+
 func (rt *Router) choose(near *narrow.Filter) *choose.Filter {
 	return choose.New(choose.Config{
 		Pool: rt.cfg.Pool, Latest: near.Latest,
