--- a/internal/cli/standincmd/replica.go
+++ b/internal/cli/standincmd/replica.go
@@ -1,6 +1,7 @@
 package standincmd
 
 import (
+	"os"
 	"time"
 
 	"coveferry/internal/cli"
@@ -17,6 +18,11 @@
 
 // Run implements kong's command.
 func (c *ReplicaCmd) Run(env *cli.Env) error {
-	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout}
+	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash}
 	return serve(env, c.Listen, replica)
 }
+
+// exitCrashed is the status of a stand-in that a request has made crash.
+const exitCrashed = 3
+
+func crash() { os.Exit(exitCrashed) }
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -120,7 +121,9 @@
 	store *store
 	nodes []*node
 	seeds []string
-	mbps  float64 // of each router's link; 0 isn't known
+	// shape of the fleet
+	domains int     // failure domains; 0 is 2
+	mbps    float64 // of each router's link; 0 isn't known
 }
 
 // maxAge is above two waits, as in the daemon: knowledge gets that old in calm times.
@@ -128,15 +131,15 @@
 
 func play(t *testing.T, routers int, do func(g *WithT, f *fleet)) {
 	t.Helper()
-	playLinks(t, routers, 0, do)
+	playShape(t, routers, 2, 0, do)
 }
 
-// playLinks is the same with links of mbps.
-func playLinks(t *testing.T, routers int, mbps float64, do func(g *WithT, f *fleet)) {
+// playShape is the same in so many failure domains with links of mbps.
+func playShape(t *testing.T, routers, domains int, mbps float64, do func(g *WithT, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, mbps: mbps}
+		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: domains, mbps: mbps}
 		for i := range min(3, routers) {
 			f.seeds = append(f.seeds, address(i))
 		}
@@ -160,7 +163,7 @@
 	n := &node{vm: vm}
 	n.pool = control.NewPool(control.ClientConfig{Dial: f.net.Dialer(vm)}, 0)
 	n.source = New(Config{
-		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%2), Address: address(i), LinkMbps: f.mbps}, Seeds: f.seeds,
+		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%cmp.Or(f.domains, 2)), Address: address(i), LinkMbps: f.mbps}, Seeds: f.seeds,
 		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Clock: time.Now, Log: zerolog.Nop(),
 	})
 	n.server = control.NewServer(control.ServerConfig{Listener: l})
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -100,16 +100,8 @@
 	}
 }
 
-// greetReaders greets a reader of each other failure domain, and where requests crash
-// endpoints the other readers of this one: its routers ask different ones.
+// greetReaders greets a reader of each other failure domain.
 func (s *Source) greetReaders(ctx context.Context, domains []string) {
-	if s.poison.hasNews() {
-		for _, reader := range s.members.readers(time.Now(), s.cfg.Self.FailureDomain) {
-			if reader != s.cfg.Self {
-				s.greet(ctx, reader.Address)
-			}
-		}
-	}
 	for _, domain := range domains {
 		readers := s.members.readers(time.Now(), domain)
 		if domain != s.cfg.Self.FailureDomain && len(readers) > 0 {
--- a/internal/peers/poison.go
+++ b/internal/peers/poison.go
@@ -9,15 +9,12 @@
 
 // Poison is what a router knows of requests under which endpoints end. See poison.Table.
 type Poison interface {
-	// HasNews says that something is to be told at once.
-	HasNews() bool
 	Tell(theirs uint64) poison.Words
 	Hear(said time.Time, words []poison.Word)
 }
 
 // poisonWords are what routers tell each other of such requests: with each question to a
-// reader and its answer, and between readers of failure domains, so that all know within a
-// second or two. It is safe for concurrent use.
+// reader, each greeting, and the answers, so that all know within two seconds. It is safe for concurrent use.
 type poisonWords struct {
 	known atomic.Pointer[Poison]
 	// theirs is the digest that a reader said last.
@@ -40,11 +37,6 @@
 	return (*known).Tell(theirs)
 }
 
-func (p *poisonWords) hasNews() bool {
-	known := p.known.Load()
-	return known != nil && (*known).HasNews()
-}
-
 // hear takes in what a router said at a moment.
 func (p *poisonWords) hear(said time.Time, words poison.Words) {
 	if known := p.known.Load(); known != nil && len(words.Words) > 0 {
--- a/internal/peers/poison_test.go
+++ b/internal/peers/poison_test.go
@@ -29,10 +29,10 @@
 // Each of three routers loses one endpoint under the same request: none alone knows enough.
 func TestAllRoutersHearUnderWhichRequestsEndpointsEnd(t *testing.T) {
 	for _, c := range []struct {
-		routers int
-		mbps    float64 // 10 makes several readers of a failure domain
-	}{{2, 0}, {3, 0}, {12, 0}, {24, 10}} {
-		playLinks(t, c.routers, c.mbps, func(g *WithT, f *fleet) {
+		routers, domains int
+		mbps             float64 // 10 makes several readers of a failure domain
+	}{{2, 2, 0}, {3, 2, 0}, {12, 2, 0}, {24, 2, 10}, {24, 1, 10}, {27, 9, 0}} {
+		playShape(t, c.routers, c.domains, c.mbps, func(g *WithT, f *fleet) {
 			tables := make([]*poison.Table, len(f.nodes))
 			for i, n := range f.nodes {
 				tables[i] = n.table()
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -44,17 +44,18 @@
 	now := time.Now()
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From, req.Demand, now)
+	// Heard also by a router that has nothing to tell yet.
+	poison := s.poison.heard(s.cfg.Clock(), req.Poison)
 	own, err := s.known()
 	if err != nil {
 		return newsReply{}, err
 	}
 	// The age is taken first: what is told may be newer than it says.
-	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1}
+	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1, Poison: poison}
 	others, routers := s.demands.sum(now, req.From.VM)
 	reply.Demand, reply.DemandOf = s.demands.ask().Plus(others), routers+1
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
 	reply.Loads = s.loads.all(now)
-	reply.Poison = s.poison.heard(s.cfg.Clock(), req.Poison)
 	s.failures.said(req.From.VM, req.Failures, now)
 	reply.Failures = s.failures.of(now, req.From.VM)
 	if reply.Config, err = s.configs.since(own.Config(), req.Version); err != nil {
--- a/internal/poison/word.go
+++ b/internal/poison/word.go
@@ -57,22 +57,6 @@
 	return w
 }
 
-// HasNews says that something was learned lately that others may not know yet.
-func (t *Table) HasNews() bool {
-	if t.Empty() {
-		return false
-	}
-	now := t.cfg.Clock()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range t.records {
-		if now.Sub(r.changed) < spreadFor {
-			return true
-		}
-	}
-	return false
-}
-
 // Digest is over the requests that are held back.
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,11 +51,11 @@
 func (c *caller) call(route Route, id, key, team string) Call {
 	call := Call{
 		ID: id, Key: key, Team: team, Service: route.Service, Router: c.router,
-		Repeatable: route.Repeatable, Stream: route.Stream,
+		Repeatable: route.Repeatable, Stream: route.Stream, Deadly: route.Deadly,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if route.Stream && c.rnd.Float64() < leaveChance {
+	if route.Stream && !route.Deadly && c.rnd.Float64() < leaveChance {
 		call.Left = true
 		time.AfterFunc(upTo(c.rnd, leaveAfter), cancel)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,7 @@
 	PromiseRetries  Promise = "repeats stay within their share of the requests"
 	PromiseStop     Promise = "a planned stop cuts off no request"
 	PromiseRecovery Promise = "after the last fault requests are served again"
+	PromiseDeadly   Promise = "a request that ends endpoints is sent to few"
 	PromiseAlive    Promise = "no program ends by itself"
 )
 
@@ -47,7 +48,9 @@
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
 	Stream     bool
-	Sent, End  time.Time
+	// Deadly says that it ends each endpoint that runs it.
+	Deadly    bool
+	Sent, End time.Time
 	// Added is when the request's route was added; zero if it stood from the start.
 	Added time.Time
 	// Left says that the caller left before the answer.
@@ -81,6 +84,8 @@
 	Revoked, Drained map[string]time.Time
 	// Harmed are the times at which each router, its ways or the store had faults.
 	Harmed map[int][]Span
+	// Down are the times at which each router's process didn't run.
+	Down map[int][]Span
 	// Stops are the planned stops of each router, from SIGTERM to its end.
 	Stops map[int][]Span
 	// EndpointHarmed are the harms of endpoints.
@@ -122,6 +127,7 @@
 		}
 	}
 	c.retries()
+	c.deadly()
 	c.recovery()
 	for _, exit := range seen.Exits {
 		c.add(PromiseAlive, "", "%s", exit)
@@ -230,7 +236,7 @@
 	all, served := 0, 0
 	for _, call := range c.seen.Calls {
 		_, revoked := c.seen.Revoked[call.Key]
-		if call.Sent.Before(from) || call.Left || revoked {
+		if call.Sent.Before(from) || call.Left || call.Deadly || revoked {
 			continue
 		}
 		all++
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,6 +68,15 @@
 			s.Stops[0] = []Span{{From: at(10.5), To: at(16)}}
 		}},
 		{PromiseRecovery, func(s *Seen) { s.Calls[0].Status = 502 }},
+		{PromiseDeadly, func(s *Seen) {
+			for i := range 7 {
+				id := fmt.Sprint("deadly-", i)
+				s.Calls = append(s.Calls, Call{ID: id, Key: "k", Team: "t", Service: "s", Sent: at(10 + float64(2*i)), End: at(10.1 + float64(2*i)), Deadly: true})
+				s.Runs = append(s.Runs, Execution{ID: id, Endpoint: fmt.Sprint("m", i), Service: "s", Team: "t", Begin: at(10 + float64(2*i))})
+			}
+			s.Runs = append(s.Runs, Execution{ID: "deadly-6", Endpoint: "m9", Service: "s", Team: "t", Begin: at(23)})
+			s.Runs = append(s.Runs, Execution{ID: "deadly-6", Endpoint: "m10", Service: "s", Team: "t", Begin: at(24)})
+		}},
 		{PromiseAlive, func(s *Seen) { s.Exits = []string{"router-0 ended by itself"} }},
 		{PromiseRetries, func(s *Seen) {
 			for range 60 {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -71,6 +71,23 @@
 	_ = p.cmd.Process.Signal(sig) // one that has ended gets none
 }
 
+// ExpectEnd says that the process may end by itself from now on.
+func (p *Process) ExpectEnd() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expected = true
+}
+
+// ended says whether the process has ended.
+func (p *Process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Failure is how the process ended by itself, nil if it didn't.
 func (p *Process) Failure() error {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -120,6 +121,8 @@
 	seen      Seen
 	begun     map[string]int // index in seen.Runs by endpoint and request
 	log       *os.File
+	// crashes are the deadly caller and the endpoints that it has ended.
+	crashes sync.WaitGroup
 }
 
 // added is a route that was added to the configuration, and when.
@@ -152,7 +155,7 @@
 		begun: make(map[string]int), log: log,
 		seen: Seen{
 			Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, Harmed: map[int][]Span{},
-			Stops: map[int][]Span{}, EndpointHarmed: map[string][]Span{},
+			Down: map[int][]Span{}, Stops: map[int][]Span{}, EndpointHarmed: map[string][]Span{},
 		},
 	}
 	defer r.end()
@@ -177,7 +180,7 @@
 }
 
 // hear takes a line of an endpoint's records.
-func (r *run) hear(e Endpoint, line []byte) {
+func (r *run) hear(ctx context.Context, p *endpointProc, e Endpoint, line []byte) {
 	var rec Record
 	if err := json.Unmarshal(line, &rec); err != nil || rec.ID == "" {
 		return // a line of its log
@@ -191,6 +194,9 @@
 		}
 		return
 	}
+	if strings.HasPrefix(rec.ID, deadlyID) {
+		r.crashes.Go(func() { r.crash(ctx, p) })
+	}
 	r.begun[key] = len(r.seen.Runs)
 	r.seen.Runs = append(r.seen.Runs, Execution{
 		ID: rec.ID, Endpoint: e.Name, Service: e.Service, Team: rec.Team, Resumed: rec.Resumed, Begin: rec.At,
@@ -215,6 +221,9 @@
 		}
 		callers.Go(func() { c.run(load) })
 	}
+	faulty, calm := context.WithDeadline(ctx, began.Add(r.opts.For-CalmEnd))
+	defer calm()
+	awaitCrashes := r.startDeadly(faulty)
 	for _, f := range plan {
 		if !sleepUntil(ctx, began.Add(f.At)) {
 			break
@@ -223,6 +232,8 @@
 		faults.Go(func() { r.strike(ctx, f) })
 	}
 	faults.Wait()
+	<-faulty.Done()
+	awaitCrashes()
 	r.mu.Lock()
 	r.seen.LastFault = time.Now()
 	r.mu.Unlock()
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -158,7 +158,7 @@
 	name := fmt.Sprintf("i-%s-%03d", service, r.started)
 	r.mu.Unlock()
 	e := &endpointProc{way: way, listens: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: way.Address()}}
-	if err := r.runEndpoint(e); err != nil {
+	if err := r.runEndpoint(ctx, e); err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -169,12 +169,12 @@
 }
 
 // runEndpoint starts an endpoint's process.
-func (r *run) runEndpoint(e *endpointProc) error {
+func (r *run) runEndpoint(ctx context.Context, e *endpointProc) error {
 	e.endpoint.Born = time.Now()
 	listens := e.endpoint
 	listens.Address = e.listens
 	args := r.wire.EndpointArgs(listens, eventsOf(listens.Service), eventPause)
-	process, err := StartProcess(listens.Name, r.log, func(line []byte) { r.hear(listens, line) }, nil, r.opts.Tool, args...)
+	process, err := StartProcess(listens.Name, r.log, func(line []byte) { r.hear(ctx, e, listens, line) }, nil, r.opts.Tool, args...)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -17,7 +17,10 @@
 	case RouterStop:
 		r.stopRouter(ctx, router)
 	case RouterPause:
-		r.harmRouter(router, func() { signalFor(ctx, router.current(), syscall.SIGSTOP, syscall.SIGCONT, f.For) })
+		r.harmRouter(router, func() {
+			defer r.down(router)()
+			signalFor(ctx, router.current(), syscall.SIGSTOP, syscall.SIGCONT, f.For)
+		})
 	case RouterReload:
 		r.reload(router)
 	case StoreWay:
@@ -88,10 +91,18 @@
 	}
 }
 
+// down notes that a router's process doesn't run until the function that it returns is called.
+func (r *run) down(p *routerProc) (up func()) {
+	from := time.Now()
+	r.noteHarm(r.seen.Down, p.number, from)
+	return func() { r.endHarm(r.seen.Down, p.number, from) }
+}
+
 // endRouter ends a router's process and starts it again after a while. Where two
 // faults strike the same router, the second finds the process that runs then.
 func (r *run) endRouter(ctx context.Context, p *routerProc, sig syscall.Signal, d time.Duration) {
 	process := p.current()
+	defer r.down(p)()
 	process.Signal(sig)
 	process.Signal(syscall.SIGCONT)
 	if !process.WaitFor(stopWithin) {
@@ -189,6 +200,11 @@
 	default:
 		harmWay(ctx, e.way, f)
 	}
+	if e.process.ended() {
+		r.wire.Unlist(name)
+		r.replace(ctx, e)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	spans := r.seen.EndpointHarmed[name]
@@ -272,7 +288,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err := r.runEndpoint(e); err != nil {
+	if err := r.runEndpoint(ctx, e); err != nil {
 		fmt.Fprintln(r.opts.Progress, err)
 		return false
 	}
@@ -296,6 +312,11 @@
 	}
 	r.wire.ListStrange(e.endpoint.Name, f.Target)
 	sleepUntil(ctx, time.Now().Add(heartbeat))
+	if e.process.ended() {
+		r.wire.Unlist(e.endpoint.Name)
+		r.replace(ctx, e)
+		return
+	}
 	r.wire.List(e.endpoint)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -26,6 +26,9 @@
 	// Prefix begins the paths of its requests.
 	Prefix             string
 	Stream, Repeatable bool
+	// Deadly says that a request is always the same one, and ends each endpoint that runs it
+	// after DeadlyGrace.
+	Deadly bool
 }
 
 // Config is what the operator publishes.
