--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -176,7 +176,8 @@
 // takeDirectory has membership follow the list of endpoints.
 func (d *directRouter) takeDirectory(dir *directory.Directory) {
 	entries := dir.Entries()
-	d.log.Info().Int("endpoints", len(entries)).Uint64("revision", dir.Revision()).Msg("list of endpoints changed")
+	d.log.Info().Int("endpoints", len(entries)).Int("kept", dir.Kept()).Uint64("revision", dir.Revision()).
+		Msg("list of endpoints changed")
 	places := make([]membership.Place, len(entries))
 	vms := make([]membership.VM, len(entries))
 	for i, e := range entries {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -120,6 +120,9 @@
 	return build(listed, d.revision)
 }
 
+// Kept is how many of the endpoints the list lacks.
+func (d *Directory) Kept() int { return d.kept }
+
 // Len is the number of endpoints.
 func (d *Directory) Len() int { return len(d.entries) }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -83,6 +83,12 @@
 	f := &Follower{cfg: cfg}
 	f.directory.Store(directory.Empty())
 	f.unreadable = newUnreadable(cfg.Log, cfg.Metrics)
+	if cfg.Metrics != nil {
+		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "coveferry_list_kept_endpoints",
+			Help: "Endpoints that are used though the list lacks them, since it may have lost their entries in an outage.",
+		}, func() float64 { return float64(f.Directory().Kept()) }))
+	}
 	f.source = link{name: "configuration and list of endpoints", log: cfg.Log}
 	return f
 }
@@ -240,6 +246,8 @@
 	now := time.Now()
 	if last := f.confirmed.Load(); last != nil && at.Sub(*last) > f.cfg.Timing.Outage {
 		f.keepAbsentUntil = now.Add(f.cfg.Timing.Return)
+		f.cfg.Log.Warn().Dur("gap", at.Sub(*last)).Dur("age", f.cfg.Clock().Sub(at)).Uint64("revision", r.Revision).
+			Msg("nothing was known for longer than entries last; endpoints that the list lacks are kept for a while")
 	}
 	next, changed := f.Directory().Merge(r, now, f.keepAbsentUntil)
 	f.directory.Store(next)
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -33,7 +33,8 @@
 	version uint64
 	calls   int
 	away    map[string]bool
-	second  bool // a second endpoint is listed
+	silent  map[string]bool // these get no answer at all
+	second  bool            // a second endpoint is listed
 }
 
 func (s *store) count() int {
@@ -48,10 +49,16 @@
 	vm string
 }
 
-func (v view) call() (uint64, error) {
+func (v view) call(ctx context.Context) (uint64, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.calls++
+	if v.silent[v.vm] {
+		v.mu.Unlock()
+		<-ctx.Done()
+		v.mu.Lock()
+		return 0, ctx.Err()
+	}
 	if v.away[v.vm] {
 		return 0, errAway
 	}
@@ -77,13 +84,15 @@
 	}
 }
 
-func (v view) Read(context.Context, bool) (follow.Reading, error) {
-	version, err := v.call()
+func (v view) Read(ctx context.Context, _ bool) (follow.Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	version, err := v.call(ctx)
 	return v.reading(version), err
 }
 
 func (v view) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
-	version, err := v.call()
+	version, err := v.call(ctx)
 	if err != nil {
 		return follow.Reading{}, err
 	}
@@ -105,6 +114,9 @@
 	return v.Await(ctx, after, follow.AtOnce)
 }
 
+// readTimeout bounds a single read, as in the daemon.
+const readTimeout = 600 * time.Millisecond
+
 // node is a router as far as reading goes.
 type node struct {
 	vm       string
@@ -226,6 +238,16 @@
 	}
 }
 
+// silence has the store answer some routers nothing; none ends that.
+func (f *fleet) silence(vms ...string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.silent = make(map[string]bool)
+	for _, vm := range vms {
+		f.store.silent[vm] = true
+	}
+}
+
 // inForce counts the routers that run by a version.
 func (f *fleet) inForce(version uint64) int {
 	count := 0
