Keep endpoints that the list lacks only where the store may have been away

Cause: a gap of 2.96 s in what ten routers had heard was taken for an outage of the store, which others read all the while; they used endpoints that had left for 2.5 s more. Ruled out: peers that tell what they keep, older lists merged over newer ones (revisions rise). Change: routers tell each other over which span somebody read the store without a gap; a gap that such a span bridges keeps nothing.

--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -34,6 +34,7 @@
 		Pool:   control.NewPool(control.ClientConfig{Log: d.log}, 0),
 		Every:  peerEvery,
 		MaxAge: peerAge(d.cfg.Bounds),
+		Outage: timing(d.cfg.Bounds).Outage,
 		Log:    d.log,
 	})
 	d.peers.Register(d.control)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -69,6 +69,8 @@
 	// keepAbsentUntil is until when endpoints stay that the list lacks after an
 	// outage. Only Run uses it.
 	keepAbsentUntil time.Time
+	// gap is that for which they are kept. Only Run uses it.
+	gap Span
 	// arrival is how long the last configuration took to arrive. Only Run uses it.
 	arrival time.Duration
 	// unreadable are the entries of the list that can't be used. Only Run uses it.
@@ -145,15 +147,15 @@
 	}
 }
 
-// nextWait is how long the next call waits: no longer than until endpoints that
-// are only kept for a while are to be dropped, and shorter by what a configuration
-// takes to arrive. Until the next one has arrived nothing confirms what is known: with
+// nextWait is how long the next call waits: as short as may be while endpoints are only
+// kept for a while, since others may tell that they have left, and shorter by what a
+// configuration takes to arrive. Until the next one has arrived nothing confirms what is known: with
 // 1.1 s, of a megabyte over 10 Mbit/s, it was 4.0 s old where calls waited for a second
 // besides, too old for peers (2.4 s) and to stay ready (2.8 s).
 func (f *Follower) nextWait(now time.Time) time.Duration {
 	wait := max(f.cfg.Timing.Wait-f.arrival, min(f.cfg.Timing.Wait, f.cfg.Timing.Pace))
 	if left := f.keepAbsentUntil.Sub(now); left > 0 {
-		wait = min(wait, left+time.Millisecond)
+		wait = min(wait, f.cfg.Timing.Pace, left+time.Millisecond)
 	}
 	return wait
 }
@@ -183,7 +185,7 @@
 	}
 	at := sent.Add(-r.Age)
 	f.unreadable.take(r.List)
-	f.merge(r.List, at)
+	f.merge(r, at)
 	if r.Unreadable != nil {
 		f.cfg.Log.Error().Err(r.Unreadable).Msg("a configuration can't be read; the last one stays")
 		return &UnusableError{Cause: r.Unreadable}
@@ -242,20 +244,40 @@
 
 // merge takes in what a reading says of the list as of a moment. The first
 // reading after an outage lacks entries of endpoints that live and will be back.
-func (f *Follower) merge(r directory.Reading, at time.Time) {
+func (f *Follower) merge(r Reading, at time.Time) {
 	now := time.Now()
-	if last := f.confirmed.Load(); last != nil && at.Sub(*last) > f.cfg.Timing.Outage {
-		f.keepAbsentUntil = now.Add(f.cfg.Timing.Return)
-		f.cfg.Log.Warn().Dur("gap", at.Sub(*last)).Dur("age", f.cfg.Clock().Sub(at)).Uint64("revision", r.Revision).
-			Msg("nothing was known for longer than entries last; endpoints that the list lacks are kept for a while")
-	}
-	next, changed := f.Directory().Merge(r, now, f.keepAbsentUntil)
+	f.noteOutage(r, at, now)
+	next, changed := f.Directory().Merge(r.List, now, f.keepAbsentUntil)
 	f.directory.Store(next)
 	if changed {
 		f.cfg.OnDirectory(next)
 	}
 }
 
+// noteOutage has what the list lacks kept for a while behind a gap in what this router
+// knows in which the service may have been away for longer than entries last. It wasn't
+// where somebody read it all the while, as this reading may tell or a later one: what the
+// list then lacks has left. Without this, routers to which others told news 2 s late sent
+// requests to endpoints 4.3 s after these had left.
+func (f *Follower) noteOutage(r Reading, at, now time.Time) {
+	most := f.cfg.Timing.Outage
+	if last := f.confirmed.Load(); last != nil && at.Sub(*last) > most {
+		f.gap = Span{From: *last, To: at}
+		f.keepAbsentUntil = now.Add(f.cfg.Timing.Return)
+	}
+	if !now.Before(f.keepAbsentUntil) {
+		return
+	}
+	if r.Steady.bridges(f.gap.From, f.gap.To, most) {
+		f.keepAbsentUntil = now
+		return
+	}
+	if f.gap.To.Equal(at) {
+		f.cfg.Log.Warn().Dur("gap", at.Sub(f.gap.From)).Dur("age", f.cfg.Clock().Sub(at)).Uint64("revision", r.List.Revision).
+			Msg("nothing was known for longer than entries last; endpoints that the list lacks are kept for a while")
+	}
+}
+
 // confirm notes that what is known was the newest at a moment. One that is
 // earlier than another says nothing new.
 func (f *Follower) confirm(at time.Time) {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -32,11 +32,22 @@
 	// Age is how old the reading may have been when it was asked for; 0 if the
 	// service itself answered.
 	Age time.Duration
+	// Steady is a span over which somebody read the service itself without a gap; empty if
+	// that isn't known.
+	Steady Span
 	// Arrival is how long the answer that brought the configuration took from its first
 	// byte to its last; 0 if none came, or if that isn't known.
 	Arrival time.Duration
 }
 
+// Span is a span of time by the clock that counts all pauses.
+type Span struct{ From, To time.Time }
+
+// bridges says whether the span leaves no more than so much open between two moments.
+func (s Span) bridges(from, to time.Time, most time.Duration) bool {
+	return s.From.Sub(from) <= most && to.Sub(s.To) <= most
+}
+
 // Source is what a Follower reads.
 type Source interface {
 	// Read reads everything, but for a configuration that is in force here already. A
--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -40,6 +40,7 @@
 	req.Loads = s.loads.own(time.Now(), 2*s.cfg.Every)
 	req.Failures = s.failures.own(time.Now())
 	req.Poison = s.poison.ask()
+	req.Steady = s.steady.word(s.cfg.Clock())
 	base := own.Config()
 	req.Version = versionOf(base)
 	sent, sentClock := time.Now(), s.cfg.Clock()
@@ -51,6 +52,7 @@
 	s.loads.hear(sent, reply.Loads)
 	s.takeFailures(time.Now(), reply.Failures)
 	s.poison.answered(sentClock, reply.Poison)
+	s.steady.hear(sentClock, reply.Steady)
 	age, err := s.checkAge(peer, reply.AgeMillis)
 	if err != nil {
 		return follow.Reading{}, err
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -139,7 +139,10 @@
 }
 
 // maxAge is above two waits, as in the daemon: knowledge gets that old in calm times.
-const maxAge = 2350 * time.Millisecond
+const (
+	maxAge = 2350 * time.Millisecond
+	outage = 2800 * time.Millisecond
+)
 
 func play(t *testing.T, routers int, do func(g *WithT, f *fleet)) {
 	t.Helper()
@@ -176,7 +179,7 @@
 	n.pool = control.NewPool(control.ClientConfig{Dial: f.net.Dialer(vm)}, 0)
 	n.source = New(Config{
 		Self: Member{VM: vm, FailureDomain: fmt.Sprint("domain", i%cmp.Or(f.domains, 2)), Address: address(i), LinkMbps: f.mbps}, Seeds: f.seeds,
-		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Clock: time.Now, Log: zerolog.Nop(),
+		Source: view{f.store, vm}, Pool: n.pool, Every: 250 * time.Millisecond, MaxAge: maxAge, Outage: outage, Clock: time.Now, Log: zerolog.Nop(),
 	})
 	n.server = control.NewServer(control.ServerConfig{Listener: l})
 	n.source.Register(n.server)
@@ -184,7 +187,7 @@
 		Source: n.source, Log: zerolog.Nop(), Clock: time.Now,
 		Timing: follow.Timing{
 			Wait: time.Second, Slack: 400 * time.Millisecond, Pace: 200 * time.Millisecond,
-			Outage: 2800 * time.Millisecond, Return: 2500 * time.Millisecond,
+			Outage: outage, Return: 2500 * time.Millisecond,
 		},
 		OnDirectory: func(*directory.Directory) {},
 	})
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -54,7 +54,7 @@
 // greet tells a router of this one, and hears whom it knows.
 func (s *Source) greet(ctx context.Context, seed string) {
 	sent, sentClock := time.Now(), s.cfg.Clock()
-	req := helloRequest{From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent), Poison: s.poison.ask()}
+	req := helloRequest{From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent), Poison: s.poison.ask(), Steady: s.steady.word(sentClock)}
 	reply, err := control.Call(ctx, s.client(seed), methodHello, req)
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("router", seed).Msg("a router that was greeted doesn't answer")
@@ -63,6 +63,7 @@
 	s.members.hear(reply.From, sent)
 	s.demands.hear(reply.From, reply.Demand, sent)
 	s.poison.answered(sentClock, reply.Poison)
+	s.steady.hear(sentClock, reply.Steady)
 	s.hearDomain(reply.From, reply.Domain, sent)
 	s.members.toldOf(reply.From.VM, reply.Known, sent)
 	for _, m := range reply.Members {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -58,6 +58,7 @@
 	// Domain is what a reader heard in its failure domain, itself included.
 	Domain domainDemand `json:"domain,omitzero"`
 	Poison poison.Words `json:"poison,omitzero"`
+	Steady steadyWord   `json:"steady,omitzero"`
 }
 
 type helloReply struct {
@@ -70,6 +71,7 @@
 	Demand balance.Demand `json:"demand"`
 	Domain domainDemand   `json:"domain,omitzero"`
 	Poison poison.Words   `json:"poison,omitzero"`
+	Steady steadyWord     `json:"steady,omitzero"`
 }
 
 // newsRequest asks what changed since what the asker knows.
@@ -87,6 +89,8 @@
 	Failures []balance.FailureWord `json:"failures,omitempty"`
 	// Poison is what the asker knows of requests under which endpoints end.
 	Poison poison.Words `json:"poison,omitzero"`
+	// Steady is the span over which the asker knows that the source was read.
+	Steady steadyWord `json:"steady,omitzero"`
 }
 
 type newsReply struct {
@@ -112,6 +116,8 @@
 	Failures []balance.FailureWord `json:"failures,omitempty"`
 	// Poison is what the reader knows of requests under which endpoints end.
 	Poison poison.Words `json:"poison,omitzero"`
+	// Steady is the span over which the reader knows that the source was read.
+	Steady steadyWord `json:"steady,omitzero"`
 }
 
 // pageRequest asks for everything, in parts.
--- a/internal/peers/outage_test.go
+++ b/internal/peers/outage_test.go
@@ -60,3 +60,30 @@
 	})
 	return late
 }
+
+// Entries lapse while the store is away for all, and are back within two seconds of its
+// return: until then all routers go on with the endpoints that they knew.
+func TestEndpointsThatLapseWhileTheStoreIsSilentToAllAreKept(t *testing.T) {
+	play(t, 12, func(g *WithT, f *fleet) {
+		f.change(2, true)
+		time.Sleep(3 * time.Second)
+		var all []string
+		for i := range f.nodes {
+			all = append(all, fmt.Sprint("vm", i))
+		}
+		f.silence(all...)
+		time.Sleep(5 * time.Second)
+		f.change(3, false)
+		f.silence()
+		for range 3 {
+			time.Sleep(600 * time.Millisecond)
+			for _, n := range f.nodes {
+				g.Expect(n.follower.Directory().Len()).To(Equal(2), n.vm)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range f.nodes {
+			g.Expect(n.follower.Directory().Len()).To(Equal(1), "%s: what isn't back is gone", n.vm)
+		}
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,6 +33,9 @@
 	Every time.Duration
 	// MaxAge is the age from which what peers say is too old.
 	MaxAge time.Duration
+	// Outage is the longest gap in what a router reads of the source by which that hasn't
+	// been away.
+	Outage time.Duration
 	// Clock tells when others said what; nil is clock.Boot.
 	Clock clock.Clock
 	Log   zerolog.Logger
@@ -61,6 +64,7 @@
 	loads    loads
 	failures failures
 	poison   poisonWords
+	steady   steady
 	log      changelog
 	configs  configlog
 	direct   *watched // the source itself
@@ -86,7 +90,8 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
-	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: &watched{Origin: cfg.Source}}
+	direct := &watched{Origin: cfg.Source, clock: cfg.Clock, outage: cfg.Outage}
+	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: direct, steady: steady{own: direct.span, outage: cfg.Outage}}
 }
 
 // Others is how many other routers this one has heard of lately.
@@ -107,6 +112,12 @@
 
 // Read implements follow.Source.
 func (s *Source) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
+	r, err := s.read(ctx, fresh)
+	r.Steady = s.steady.span()
+	return r, err
+}
+
+func (s *Source) read(ctx context.Context, fresh bool) (follow.Reading, error) {
 	now := time.Now()
 	reader := s.members.isReader(now)
 	if reader {
@@ -132,6 +143,12 @@
 // Await implements follow.Source. A router that doesn't read asks its readers
 // again and again instead of waiting at the source.
 func (s *Source) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	r, err := s.await(ctx, after, wait)
+	r.Steady = s.steady.span()
+	return r, err
+}
+
+func (s *Source) await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
 	if s.members.isReader(time.Now()) {
 		return s.awaitAsReader(ctx, after, wait)
 	}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -22,9 +22,11 @@
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From, req.Demand, now)
 	s.hearDomain(req.From, req.Domain, now)
+	s.steady.hear(s.cfg.Clock(), req.Steady)
 	return helloReply{
 		From: s.cfg.Self, Members: s.members.neededBy(req.From, now), Known: s.members.byName(now),
 		Demand: s.demands.ask(), Domain: s.domainDemand(now), Poison: s.poison.heard(s.cfg.Clock(), req.Poison),
+		Steady: s.steady.word(s.cfg.Clock()),
 	}, nil
 }
 
@@ -45,13 +47,15 @@
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From, req.Demand, now)
 	// Heard also by a router that has nothing to tell yet.
-	poison := s.poison.heard(s.cfg.Clock(), req.Poison)
+	clock := s.cfg.Clock()
+	poison := s.poison.heard(clock, req.Poison)
+	s.steady.hear(clock, req.Steady)
 	own, err := s.known()
 	if err != nil {
 		return newsReply{}, err
 	}
 	// The age is taken first: what is told may be newer than it says.
-	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1, Poison: poison}
+	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1, Poison: poison, Steady: s.steady.word(clock)}
 	others, routers := s.demands.sum(now, req.From.VM)
 	reply.Demand, reply.DemandOf = s.demands.ask().Plus(others), routers+1
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
