Forget losses that count no longer, also of a request that comes again

Cause: a request's record was only forgotten beside others: three endpoints that ended hours apart under a rare request would have held it back. Change: what is outdated is dropped when it is asked for. Measured: TestWhatIsOutdatedIsForgotten, which now loses the third endpoint without another request beside it, fails on the parent.

--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -20,6 +20,11 @@
 	firstHold   = 10 * time.Second
 	holdGrowth  = 6
 	longestHold = time.Hour
+	// forgetAfter is how long it counts that an endpoint ended under a request: one that
+	// comes back later is no storm. Of a request that was held back it is remembered for
+	// heldMemory beyond that, so that one that comes once an hour is known.
+	forgetAfter = 10 * time.Minute
+	heldMemory  = 2 * time.Hour
 	// staggerShare of the time for which a request is held back is how far routers let their
 	// trials begin apart, so that the first one's outcome is known to the others.
 	staggerShare = 4
@@ -130,3 +135,23 @@
 	}
 	return latest
 }
+
+// outdated says that what is known counts no longer.
+func (r *record) outdated(now time.Time) bool {
+	memory := forgetAfter
+	if r.poisonous() {
+		memory = r.hold() + heldMemory
+	}
+	return now.Sub(r.latest()) > memory
+}
+
+// early counts the losses before an answer began.
+func (r *record) early() int {
+	n := 0
+	for _, l := range r.losses {
+		if l.Early {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -17,11 +17,6 @@
 	// maxRecords bounds the requests of which something is known: an endpoint that ends
 	// takes at most some hundred with it. Some 200 bytes each.
 	maxRecords = 1024
-	// forgetAfter is how long it counts that an endpoint ended under a request: one that
-	// comes back later is no storm. Of a request that was held back it is remembered for
-	// heldMemory beyond that, so that one that comes once an hour is known.
-	forgetAfter = 10 * time.Minute
-	heldMemory  = 2 * time.Hour
 )
 
 // Verdict says what to do with a request.
@@ -80,14 +75,9 @@
 func (t *Table) Ask(id Identity) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[id]
-	if r == nil || !r.poisonous() {
-		return Verdict{}
-	}
 	now := t.cfg.Clock()
-	if now.Sub(r.latest()) > memory(r) {
-		delete(t.records, id)
-		t.size.Store(int64(len(t.records)))
+	r := t.known(id, now)
+	if r == nil || !r.poisonous() {
 		return Verdict{}
 	}
 	until := r.heldUntil(t.share(id))
@@ -99,6 +89,18 @@
 	return Verdict{Lost: len(r.losses), Trial: true}
 }
 
+// known is the record of a request; nil if there is none, or one that counts no longer.
+// t.mu is held.
+func (t *Table) known(id Identity, now time.Time) *record {
+	r := t.records[id]
+	if r == nil || !r.outdated(now) {
+		return r
+	}
+	delete(t.records, id)
+	t.size.Store(int64(len(t.records)))
+	return nil
+}
+
 // share is where in the stagger this router lets a request through, from [0, 1).
 func (t *Table) share(id Identity) float64 {
 	return float64(xxhash.Sum64String(t.cfg.Router+id.String())) / math.MaxUint64
@@ -127,23 +129,24 @@
 func (t *Table) apply(id Identity, create bool, do func(*record) (news bool)) (e Event, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[id]
+	now := t.cfg.Clock()
+	r := t.known(id, now)
 	if r == nil && !create {
 		return Event{}, false
 	}
 	if r == nil {
 		r = &record{}
-		t.add(id, r)
+		t.add(id, r, now)
 	}
-	before := Event{Identity: id, Held: r.poisonous(), Endpoints: endpointsOf(r.losses)}
+	wasHeld, ended := r.poisonous(), endpointsOf(r.losses)
 	if do(r) {
-		r.changed = t.cfg.Clock()
+		r.changed = now
 	}
-	if r.poisonous() {
-		return Event{Identity: id, Held: true, Endpoints: endpointsOf(r.losses)}, !before.Held
+	held := r.poisonous()
+	if held {
+		ended = endpointsOf(r.losses)
 	}
-	before.Held = false
-	return before, len(before.Endpoints) >= maxLost
+	return Event{Identity: id, Held: held, Endpoints: ended}, held != wasHeld
 }
 
 func endpointsOf(losses []Loss) []string {
@@ -155,10 +158,9 @@
 }
 
 // add adds a record, in the place of one that is outdated or matters least. t.mu is held.
-func (t *Table) add(id Identity, r *record) {
-	now := t.cfg.Clock()
+func (t *Table) add(id Identity, r *record, now time.Time) {
 	for old, o := range t.records {
-		if now.Sub(o.latest()) > memory(o) {
+		if o.outdated(now) {
 			delete(t.records, old)
 		}
 	}
@@ -169,14 +171,6 @@
 	t.size.Store(int64(len(t.records)))
 }
 
-// memory is how long a record counts.
-func memory(r *record) time.Duration {
-	if r.poisonous() {
-		return r.hold() + heldMemory
-	}
-	return forgetAfter
-}
-
 // dropLeast drops the record with the fewest losses, of these the oldest. t.mu is held.
 func (t *Table) dropLeast() {
 	var least Identity
@@ -221,14 +215,3 @@
 	})
 	return ids
 }
-
-// early counts the losses before an answer began.
-func (r *record) early() int {
-	n := 0
-	for _, l := range r.losses {
-		if l.Early {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -158,9 +158,15 @@
 		w.run(table, fmt.Sprint("e", i), takes)
 	}
 	w.now = w.now.Add(forgetAfter + time.Minute)
-	table.Lost(8, Loss{Endpoint: "x", Sent: w.now, At: w.now})
 	w.run(table, "e2", takes)
 	g.Expect(table.Ask(id).Held).To(BeFalse())
+	for i := range maxLost {
+		w.run(table, fmt.Sprint("f", i), takes)
+	}
+	g.Expect(table.Ask(id).Held).To(BeTrue())
+	w.now = w.now.Add(longestHold + heldMemory + time.Minute)
+	g.Expect(table.Ask(id)).To(Equal(Verdict{}))
+	g.Expect(table.Empty()).To(BeTrue())
 }
 
 // An endpoint with hundreds of requests ends again and again: what ends it stays known
