--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -41,6 +41,8 @@
 	freshens  int
 	unusable  bool
 	lastAfter uint64
+	// steady is the span over which others read the service; nil if nobody says.
+	steady func() follow.Span
 }
 
 // change is what a revision did to the list.
@@ -120,6 +122,9 @@
 // news is what changed after a revision. s.mu is held.
 func (s *source) news(after uint64) follow.Reading {
 	r := follow.Reading{List: directory.Reading{Revision: s.revision}, Age: s.peerAge}
+	if s.steady != nil {
+		r.Steady = s.steady()
+	}
 	if s.revision > after {
 		r.Config = s.config()
 	}
@@ -317,6 +322,24 @@
 	})
 }
 
+// What peers told was old, while others read the service all the while: the same without
+// the words on that is TestAnOutageThatOnlyThePeersNoticedKeepsEntriesToo.
+func TestAGapInWhatPeersTellIsNoOutageWhereOthersReadOn(t *testing.T) {
+	play(t, func(g *WithT, s *source, f *follow.Follower) {
+		begun := time.Now()
+		after(100 * time.Millisecond)
+		s.with(func() {
+			s.peerAge = 3500 * time.Millisecond
+			s.steady = func() follow.Span { return follow.Span{From: begun, To: time.Now()} }
+		})
+		after(4 * time.Second)
+		s.with(func() { s.peerAge = 0 })
+		s.leave("b")
+		after(500 * time.Millisecond)
+		g.Expect(f.Directory().For("s")).To(HaveLen(1))
+	})
+}
+
 func TestKnowledgeThatGetsFreshWithoutAnOutageKeepsNothing(t *testing.T) {
 	play(t, func(g *WithT, s *source, f *follow.Follower) {
 		after(3 * time.Second)
--- /dev/null
+++ b/internal/follow/suspend_test.go
@@ -0,0 +1,36 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/directory"
+	"coveferry/internal/follow"
+)
+
+// A VM that is suspended loses time that timers don't count, and that callers and the
+// operator's bounds do.
+func TestKnowledgeAgesWhileTheVMIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSource()
+		var suspended time.Duration
+		boot := func() time.Time { return time.Now().Add(suspended) }
+		f := follow.New(follow.Config{Source: s, Timing: timing, Log: zerolog.Nop(), Clock: boot, OnDirectory: func(*directory.Directory) {}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		after(300 * time.Millisecond)
+		suspended = 8 * time.Second
+		g.Expect(f.Age()).To(BeNumerically(">", 8*time.Second), "keys must not be trusted on waking")
+		// What left meanwhile is told by the first call that is sent after waking.
+		s.leave("b")
+		after(timing.Wait + timing.Slack)
+		g.Expect(f.Age()).To(BeNumerically("<", timing.Wait+timing.Slack))
+	})
+}
