Hold requests back for five seconds at first

Cause: all endpoints of a service that crash at once are back after four to five seconds; a request that each of them ran was held back for ten.

--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -15,9 +15,9 @@
 	// firstHold is how long a request is held back under which maxLost endpoints ended at
 	// once, as they do when a failure domain loses power: long enough for endpoints to be
 	// back. It grows by holdGrowth for each time that one ended after the one before, which
-	// only the request explains: six minutes after three in turn. Past longestHold one
+	// only the request explains: three minutes after three in turn. Past longestHold one
 	// endpoint an hour is what it costs to find out that the request is harmless now.
-	firstHold   = 10 * time.Second
+	firstHold   = 5 * time.Second
 	holdGrowth  = 6
 	longestHold = time.Hour
 	// forgetAfter is how long it counts that an endpoint ended under a request: one that
