Count each loss that an agent reports, and name things by what they are

Shadowed package names renamed, long lines wrapped. Measured: TestWhatAnAgentSaysOfItsEngineCountsEachTime fails on the parent.

--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -71,13 +71,21 @@
 	case ctx.Err() == nil && endpointLost(err):
 		r.Lost++
 		f.table.Lost(r.Identity(), poison.Loss{
-			Endpoint: r.Endpoint.Name + "/" + r.Endpoint.Process(),
-			Sent:     sent, At: f.clock(), Early: r.Delivered.Tokens == 0,
+			Endpoint: processOf(r), Sent: sent, At: f.clock(), Early: r.Delivered.Tokens == 0,
 		})
 	}
 	return err
 }
 
+// processOf names what ended: the endpoint's process, or behind an agent, which outlives its
+// engine and names none, the one that ran just this attempt.
+func processOf(r *request.Request) string {
+	if r.Kind == wire.KindRouted {
+		return r.Endpoint.Name + "/" + r.Endpoint.Process()
+	}
+	return fmt.Sprintf("%s/%s.%d", r.Endpoint.Name, r.ID, r.Epoch)
+}
+
 func (f *Filter) check(r *request.Request) error {
 	if f.table.Empty() {
 		return nil // no request has to be identified
--- /dev/null
+++ b/internal/filters/quarantine/quarantine_test.go
@@ -0,0 +1,51 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
+	"coveferry/internal/filters/dispatch"
+	"coveferry/internal/filters/quarantine"
+	"coveferry/internal/filters/relay"
+	"coveferry/internal/poison"
+	"coveferry/internal/request"
+	"coveferry/internal/wire"
+)
+
+// attempts sends a request so often to one endpoint, each time from another caller's try, and
+// says whether it was held back in the end. Each attempt ends with err.
+func attempts(kind wire.Kind, times int, err error) (held bool) {
+	f := quarantine.New(poison.NewTable(poison.Config{}), clock.Boot, zerolog.Nop())
+	for i := range times {
+		r := &request.Request{Kind: kind, ID: string(rune('a' + i)), Epoch: 1, Body: []byte("same"), Endpoint: &bundle.Endpoint{Name: "e", Address: "a"}}
+		got := f.Do(context.Background(), r, func(context.Context, *request.Request) error { return err })
+		var quarantined *quarantine.HeldError
+		held = errors.As(got, &quarantined)
+	}
+	return held
+}
+
+// An agent outlives its engine: three times that it says that the engine broke off are three
+// engines that ended, also where there is but one endpoint.
+func TestWhatAnAgentSaysOfItsEngineCountsEachTime(t *testing.T) {
+	g := NewWithT(t)
+	failed := &dispatch.RefusedError{Refusal: wire.Refusal{Reason: wire.ReasonEngineFailed, Run: wire.RunUnknown}}
+	g.Expect(attempts(wire.KindChat, 3, failed)).To(BeFalse())
+	g.Expect(attempts(wire.KindChat, 4, failed)).To(BeTrue())
+	g.Expect(attempts(wire.KindChat, 4, &relay.BrokenError{Ending: wire.EndingEngineFailed})).To(BeTrue())
+	answered := &dispatch.RefusedError{Refusal: wire.Refusal{Reason: wire.ReasonEngineFailed, Run: wire.RunUnknown, EngineStatus: 500}}
+	g.Expect(attempts(wire.KindChat, 9, answered)).To(BeFalse(), "an engine that answers lives")
+}
+
+// Without an agent the same process can't end twice: its connections break, for whatever reason.
+func TestAnEndpointWithoutAnAgentCountsOnce(t *testing.T) {
+	broke := &dispatch.LostError{Sent: true, Cause: io.EOF}
+	NewWithT(t).Expect(attempts(wire.KindRouted, 9, broke)).To(BeFalse())
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -149,9 +149,9 @@
 
 // nextWait is how long the next call waits: as short as may be while endpoints are only
 // kept for a while, since others may tell that they have left, and shorter by what a
-// configuration takes to arrive. Until the next one has arrived nothing confirms what is known: with
-// 1.1 s, of a megabyte over 10 Mbit/s, it was 4.0 s old where calls waited for a second
-// besides, too old for peers (2.4 s) and to stay ready (2.8 s).
+// configuration takes to arrive. Until the next one has arrived nothing confirms what is
+// known: with 1.1 s, of a megabyte over 10 Mbit/s, it was 4.0 s old where calls waited for a
+// second besides, too old for peers (2.4 s) and to stay ready (2.8 s).
 func (f *Follower) nextWait(now time.Time) time.Duration {
 	wait := max(f.cfg.Timing.Wait-f.arrival, min(f.cfg.Timing.Wait, f.cfg.Timing.Pace))
 	if left := f.keepAbsentUntil.Sub(now); left > 0 {
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -58,7 +58,10 @@
 // greet tells a router of this one, and hears whom it knows.
 func (s *Source) greet(ctx context.Context, seed string) {
 	sent, sentClock := time.Now(), s.cfg.Clock()
-	req := helloRequest{From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent), Poison: s.poison.ask(greetedFor), Steady: s.steady.word(sentClock)}
+	req := helloRequest{
+		From: s.cfg.Self, Demand: s.demands.ask(), Domain: s.domainDemand(sent),
+		Poison: s.poison.ask(greetedFor), Steady: s.steady.word(sentClock),
+	}
 	reply, err := control.Call(ctx, s.client(seed), methodHello, req)
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("router", seed).Msg("a router that was greeted doesn't answer")
--- a/internal/peers/poison.go
+++ b/internal/peers/poison.go
@@ -14,7 +14,8 @@
 }
 
 // poisonWords are what routers tell each other of such requests: with each question to a
-// reader, each greeting, and the answers, so that all know within two seconds. It is safe for concurrent use.
+// reader, each greeting, and the answers, so that all know within two seconds. It is safe
+// for concurrent use.
 type poisonWords struct {
 	known atomic.Pointer[Poison]
 	// theirs is the digest that a reader said last.
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -22,11 +22,12 @@
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From, req.Demand, now)
 	s.hearDomain(req.From, req.Domain, now)
-	s.steady.hear(s.cfg.Clock(), req.Steady)
+	at := s.cfg.Clock()
+	s.steady.hear(at, req.Steady)
 	return helloReply{
 		From: s.cfg.Self, Members: s.members.neededBy(req.From, now), Known: s.members.byName(now),
-		Demand: s.demands.ask(), Domain: s.domainDemand(now), Poison: s.poison.heard(s.cfg.Clock(), req.Poison, greetedFor),
-		Steady: s.steady.word(s.cfg.Clock()),
+		Demand: s.demands.ask(), Domain: s.domainDemand(now),
+		Poison: s.poison.heard(at, req.Poison, greetedFor), Steady: s.steady.word(at),
 	}, nil
 }
 
@@ -47,15 +48,15 @@
 	s.members.hear(req.From, now)
 	s.demands.hear(req.From, req.Demand, now)
 	// Heard also by a router that has nothing to tell yet.
-	clock := s.cfg.Clock()
-	poison := s.poison.heard(clock, req.Poison, s.newsFor())
-	s.steady.hear(clock, req.Steady)
+	at := s.cfg.Clock()
+	poisonous := s.poison.heard(at, req.Poison, s.newsFor())
+	s.steady.hear(at, req.Steady)
 	own, err := s.known()
 	if err != nil {
 		return newsReply{}, err
 	}
 	// The age is taken first: what is told may be newer than it says.
-	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1, Poison: poison, Steady: s.steady.word(clock)}
+	reply := newsReply{AgeMillis: own.Age().Milliseconds() + 1, Poison: poisonous, Steady: s.steady.word(at)}
 	others, routers := s.demands.sum(now, req.From.VM)
 	reply.Demand, reply.DemandOf = s.demands.ask().Plus(others), routers+1
 	s.loads.hear(now.Add(-loadsOnWay), req.Loads)
