--- a/internal/peers/direct.go
+++ b/internal/peers/direct.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"coveferry/internal/clock"
 	"coveferry/internal/follow"
 )
 
@@ -19,12 +18,9 @@
 // watched is a source that knows for how long its calls have failed.
 type watched struct {
 	Origin
-	clock clock.Clock
-	// outage is the longest gap between two answers that is none, and steady the span over
-	// which this router had answers without one.
-	outage time.Duration
-	mu     sync.Mutex
-	steady follow.Span
+	// answered is called for each answer.
+	answered func()
+	mu       sync.Mutex
 	// failing is when the first call failed that no success has followed; zero
 	// while calls succeed or none was made. failed is when the last one did.
 	failing, failed time.Time
@@ -48,7 +44,7 @@
 	now := time.Now()
 	if err == nil || errors.Is(err, follow.ErrHistoryLost) {
 		w.failing = time.Time{}
-		w.answered(w.clock())
+		w.answered()
 		return
 	}
 	if w.failing.IsZero() || now.Sub(w.failed) > silentFor {
@@ -57,21 +53,6 @@
 	w.failed = now
 }
 
-// answered notes an answer of the source. w.mu is held.
-func (w *watched) answered(now time.Time) {
-	if now.Sub(w.steady.To) > w.outage {
-		w.steady.From = now
-	}
-	w.steady.To = now
-}
-
-// span is the span over which this router had answers without a gap.
-func (w *watched) span() follow.Span {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.steady
-}
-
 // Read implements follow.Source.
 func (w *watched) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
 	sent := time.Now()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,8 +90,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
-	direct := &watched{Origin: cfg.Source, clock: cfg.Clock, outage: cfg.Outage}
-	return &Source{cfg: cfg, members: newMembers(cfg.Self), direct: direct, steady: steady{own: direct.span, outage: cfg.Outage}}
+	s := &Source{cfg: cfg, members: newMembers(cfg.Self), steady: steady{outage: cfg.Outage}}
+	s.direct = &watched{Origin: cfg.Source, answered: func() { s.steady.answered(cfg.Clock()) }}
+	return s
 }
 
 // Others is how many other routers this one has heard of lately.
--- a/internal/peers/steady.go
+++ b/internal/peers/steady.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,8 +12,6 @@
 // others in turn. It says that the source wasn't away, whatever gap there is in what this
 // router knows. It is safe for concurrent use.
 type steady struct {
-	// own is the span of this router's own calls.
-	own func() follow.Span
 	// outage is the longest gap that is none: entries of the list last longer.
 	outage time.Duration
 	mu     sync.Mutex
@@ -27,37 +26,27 @@
 
 // span is what is known.
 func (s *steady) span() follow.Span {
-	own := s.own()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(own)
 	return s.known
 }
 
+// answered notes that the source answered this router.
+func (s *steady) answered(now time.Time) { s.add(follow.Span{From: now, To: now}) }
+
 // add joins a span to what is known, if there is no gap between them; else the later one
-// counts. s.mu is held.
+// counts.
 func (s *steady) add(other follow.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case other.From.Sub(s.known.To) > s.outage:
 		s.known = other
 	case s.known.From.Sub(other.To) > s.outage:
 	default:
-		s.known = follow.Span{From: earlier(s.known.From, other.From), To: later(s.known.To, other.To)}
-	}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+		s.known.From = slices.MinFunc([]time.Time{s.known.From, other.From}, time.Time.Compare)
+		s.known.To = slices.MaxFunc([]time.Time{s.known.To, other.To}, time.Time.Compare)
 	}
-	return b
-}
-
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
 }
 
 // word is what to tell others.
@@ -75,7 +64,5 @@
 		return
 	}
 	to := said.Add(-time.Duration(w.AgoMillis) * time.Millisecond)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.add(follow.Span{From: to.Add(-time.Duration(w.ForMillis) * time.Millisecond), To: to})
 }
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -116,24 +116,17 @@
 // heldUntil is when a router may let it through again that begins its trials this share,
 // from [0, 1), of the stagger later.
 func (r *record) heldUntil(share float64) time.Time {
-	latest := r.tried
-	if n := len(r.losses); n > 0 && r.losses[n-1].At.After(latest) {
-		latest = r.losses[n-1].At
-	}
 	hold := r.hold()
-	return latest.Add(hold + time.Duration(share*float64(hold)/staggerShare))
+	return r.latest().Add(hold + time.Duration(share*float64(hold)/staggerShare))
 }
 
 // latest is when something last happened.
 func (r *record) latest() time.Time {
-	latest := r.completed
-	if r.tried.After(latest) {
-		latest = r.tried
-	}
-	if n := len(r.losses); n > 0 && r.losses[n-1].At.After(latest) {
-		latest = r.losses[n-1].At
+	times := []time.Time{r.completed, r.tried}
+	if n := len(r.losses); n > 0 {
+		times = append(times, r.losses[n-1].At)
 	}
-	return latest
+	return slices.MaxFunc(times, time.Time.Compare)
 }
 
 // outdated says that what is known counts no longer.
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -32,6 +32,9 @@
 	t.Lost(id, Loss{Endpoint: endpoint, Sent: sent, At: w.now, Early: true})
 }
 
+// digestOf is what a table says of the requests that it holds back.
+func digestOf(t *Table) uint64 { return t.Tell(0, 0).Digest }
+
 const (
 	id = Identity(7)
 	// spread is how long news are told.
@@ -224,20 +227,20 @@
 			},
 			"tell": func(rt *rapid.T) {
 				from, to := pick.Draw(rt, "from"), pick.Draw(rt, "to")
-				to.Hear(w.now, from.Tell(to.Digest(), spread).Words)
+				to.Hear(w.now, from.Tell(digestOf(to), spread).Words)
 			},
 			"wait": func(*rapid.T) { w.now = w.now.Add(spread) },
 		})
 		for range 3 {
 			for _, from := range tables {
 				for _, to := range tables {
-					to.Hear(w.now, from.Tell(to.Digest(), spread).Words)
+					to.Hear(w.now, from.Tell(digestOf(to), spread).Words)
 				}
 			}
 		}
 		for _, other := range tables[1:] {
-			if other.Digest() != tables[0].Digest() {
-				rt.Fatalf("digests %x and %x", tables[0].Digest(), other.Digest())
+			if digestOf(other) != digestOf(tables[0]) {
+				rt.Fatalf("digests %x and %x", digestOf(tables[0]), digestOf(other))
 			}
 		}
 	})
--- a/internal/poison/word.go
+++ b/internal/poison/word.go
@@ -53,14 +53,7 @@
 	return w
 }
 
-// Digest is over the requests that are held back.
-func (t *Table) Digest() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.digest()
-}
-
-// digest is the same with t.mu held.
+// digest is over the requests that are held back. t.mu is held.
 func (t *Table) digest() uint64 {
 	var sum uint64
 	for id, r := range t.records {
--- a/internal/router/routed_outcomes_test.go
+++ b/internal/router/routed_outcomes_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -25,7 +24,6 @@
 	unmarked := func(_ string, req *http.Request, conn net.Conn) {
 		writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nSigned: f\r\n", "busy")
 	}
-	reset := func(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
 	foreign := func(_ string, _ *http.Request, conn net.Conn) {
 		writeAnswer(conn, 200, "Id: other\r\nSigned: x\r\n", "not yours")
 	}
@@ -33,10 +31,6 @@
 		writeAnswer(conn, 200, "Id: "+req.Header.Get("Id")+"\r\n", "between")
 	}
 	garbage := func(_ string, _ *http.Request, conn net.Conn) { _, _ = conn.Write([]byte("garbage\r\n\r\n")) }
-	short := func(_ string, req *http.Request, conn net.Conn) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
-		_ = conn.Close()
-	}
 	for _, c := range []struct {
 		name   string
 		first  func(string, *http.Request, net.Conn)
--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -16,6 +16,12 @@
 // reset is an endpoint that ends while it runs a request.
 func reset(_ string, _ *http.Request, conn net.Conn) { _ = conn.Close() }
 
+// short is one that ends in the middle of its answer.
+func short(_ string, req *http.Request, conn net.Conn) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
+	_ = conn.Close()
+}
+
 // Which requests are the same couldn't be told from the lines of different callers' tries.
 func TestTheLineOfARequestUnderWhichAnEndpointEndedTellsWhichItIs(t *testing.T) {
 	playRouted(t, func(g *WithT, w *world, client *http.Client) {
@@ -75,17 +81,13 @@
 			writeAnswer(conn, status, strings.ReplaceAll(header, "ID", req.Header.Get("Id")), body)
 		}
 	}
-	cut := func(_ string, req *http.Request, conn net.Conn) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nContent-Length: 10\r\n\r\nhalf", req.Header.Get("Id"))
-		_ = conn.Close()
-	}
 	for _, c := range []struct {
 		name string
 		does func(string, *http.Request, net.Conn)
 		held bool
 	}{
 		{"ends", reset, true},
-		{"ends in mid-answer", cut, true},
+		{"ends in mid-answer", short, true},
 		{"fails", answer(500, "Id: ID\r\nSigned: f\r\n", "sorry"), false},
 		{"is full", answer(503, "Id: ID\r\nNot-Run: 1\r\n", ""), false},
 		{"answers another request", answer(200, "Id: other\r\nSigned: x\r\n", "no"), false},
