Soak of endpoints that fail a part of their requests, and of what routers tell

The test that let runs that go on from others repeat without bound is replaced by a stricter one: they are arrivals like any other.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -22,6 +22,8 @@
 	PromiseRoute    Promise = "a request runs at its route's service, for its team"
 	PromiseCancel   Promise = "work ends soon after its caller has left"
 	PromiseRetries  Promise = "repeats stay within their share of the requests"
+	PromiseTold     Promise = "a router tells of all that it sends"
+	PromisePlaces   Promise = "a request runs at no more endpoints than its route allows"
 	PromiseStop     Promise = "a planned stop cuts off no request"
 	PromiseRecovery Promise = "after the last fault requests are served again"
 	PromiseDeadly   Promise = "a request that ends endpoints is sent to few"
@@ -38,10 +40,15 @@
 	// Slack is added to each for what the machine adds.
 	Slack time.Duration
 	// Contact is how long after a fault a router isn't held to Drain, Config and Cancel.
-	Contact    time.Duration
-	Cancel     time.Duration
-	RetryRatio float64
-	RetrySlack int
+	Contact time.Duration
+	Cancel  time.Duration
+	// RetryRatio of the requests for a service in a RetryWindow, and RetrySlack more, is how
+	// often it may get a request again from all routers.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+	// RetrySlackStated says that routers are told of the slack.
+	RetrySlackStated bool
 	// Evacuate is how soon a failure domain must get nothing. ColdExcess times what a cold
 	// endpoint takes in a second, and ColdSlack more, is what it may get in one.
 	Evacuate   time.Duration
@@ -110,6 +117,8 @@
 	Cold      map[string][]Span
 	// Limited are the times at which each endpoint named a limit.
 	Limited map[string][]Limited
+	// Told is how many attempts at endpoints a request's router tells of, by request.
+	Told map[string]int
 	// Exits are programs that ended by themselves.
 	Exits []string
 	// LastFault is when the last fault had ended.
@@ -147,6 +156,9 @@
 		}
 	}
 	c.retries()
+	c.repeats()
+	c.told()
+	c.places()
 	c.deadly()
 	c.cold()
 	c.limits()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -99,6 +99,27 @@
 				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.5)})
 			}
 		}},
+		{PromiseRetries, func(s *Seen) {
+			for range 60 {
+				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(10.5)})
+			}
+		}},
+		{PromiseRetries, func(s *Seen) { // few in all, many in a window
+			for i := range 1000 {
+				s.Calls = append(s.Calls, Call{ID: fmt.Sprint("c", i), Key: "k", Service: "s", Sent: at(100 + float64(i)), Status: 200, Whole: true})
+			}
+			for i := range 60 {
+				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(11 + float64(i)/10)})
+			}
+		}},
+		{PromiseTold, func(s *Seen) {
+			s.Told = map[string]int{"b": 1}
+			s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.5)})
+		}},
+		{PromisePlaces, func(s *Seen) {
+			s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.5)})
+			s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e3", Service: "s", Team: "t", Begin: at(10.6)})
+		}},
 	} {
 		seen := good()
 		c.spoil(&seen)
@@ -143,8 +164,8 @@
 				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(9 + float64(i)/4)})
 			}
 		},
-		"a run that goes on from another": func(s *Seen) {
-			for range 60 {
+		"runs that go on from others, within the operator's bound": func(s *Seen) {
+			for range 50 {
 				s.Runs = append(s.Runs, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(10.5)})
 			}
 		},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,9 @@
 	// EndpointLimit is that an endpoint names in its answers how many requests a second it
 	// takes from all routers. Only seeds with limits have it.
 	EndpointLimit Kind = "endpoint_limit"
+	// EndpointFailing is that an endpoint fails a part of what it has read. Only seeds with
+	// failing endpoints have it.
+	EndpointFailing Kind = "endpoint_failing"
 	// Evacuate is an order that a failure domain gets nothing, until it is removed. Only
 	// seeds with evacuations have it; endpoints that start in them are cold.
 	Evacuate Kind = "evacuate"
@@ -184,6 +187,9 @@
 	if LimitingOf(seed) {
 		plan = append(plan, limiting(seed, end)...)
 	}
+	if FailingOf(seed) {
+		plan = append(plan, failing(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,7 +69,8 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		Revoke: 5 * time.Second, Drain: 2 * time.Second, Slack: 500 * time.Millisecond,
-		Contact: 3 * time.Second, Cancel: 500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 50,
+		Contact: 3 * time.Second, Cancel: 500 * time.Millisecond,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		Evacuate: 5 * time.Second, ColdExcess: 1.5, ColdSlack: 5,
 		LimitExcess: 1.5, LimitSlack: 5, LimitWithin: 3 * time.Second, LimitWindow: 4 * time.Second,
 	}
@@ -89,6 +90,7 @@
 	if NarrowOf(seed) {
 		b.Config = configWithin
 	}
+	b.RetrySlackStated = FailingOf(seed)
 	return b
 }
 
@@ -162,6 +164,7 @@
 			Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, Harmed: map[int][]Span{},
 			Down: map[int][]Span{}, Stops: map[int][]Span{}, EndpointHarmed: map[string][]Span{},
 			Domains: map[string]string{}, Evacuated: map[string][]Span{}, Cold: map[string][]Span{}, Limited: map[string][]Limited{},
+			Told: map[string]int{},
 		},
 	}
 	defer r.end()
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -137,7 +137,7 @@
 		return errors.Wrap(err, "soak: write settings")
 	}
 	env := []string{r.wire.SettingsVariable() + "=" + p.settings}
-	process, err := StartProcess(p.router.Name, r.log, nil, env, r.opts.Daemon, "direct")
+	process, err := StartProcess(p.router.Name, r.log, r.hearRouter, env, r.opts.Daemon, "direct")
 	if err != nil {
 		return err
 	}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -48,6 +48,8 @@
 		r.evacuate(ctx, f)
 	case EndpointLimit:
 		r.limitEndpoint(ctx, f)
+	case EndpointFailing:
+		r.failEndpoints(ctx, f)
 	}
 }
 
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -77,6 +77,8 @@
 	// NameLimit has the stand-in of an endpoint at an address name a limit in its answers, in
 	// requests a second; a negative one is none.
 	NameLimit(ctx context.Context, address string, perSecond float64) error
+	// Fail has the stand-in of an endpoint at an address fail requests from now on.
+	Fail(ctx context.Context, address string, f Failing) error
 	// Evacuate writes or removes the order that a failure domain gets nothing.
 	Evacuate(domain string, ordered bool)
 	// ListStrange writes an entry under a name that names no endpoint to use; which, the
