Tell on how many connections an attempt was sent, and how much of the retries was used

Cause: by lines and metrics it couldn't be told whether repeats beyond the bound are a router's own, or how much of its part a router thinks it has. Change: each attempt's part of the line, a counter of further connections, gauges of retries used and allowed for each service. No change of what is decided.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -168,11 +168,13 @@
 }
 
 func (d *directRouter) newRouter() *router.Router {
+	retries := directRetries(d.cfg.Bounds, d.routers, membership.SeedOf(d.cfg.VM))
+	d.reg.MustRegister(newRetryUsage(retries.Budget))
 	return router.New(router.Config{
 		Name:         d.cfg.VM,
 		Pool:         d.pool,
 		Client:       d.client,
-		Retry:        directRetries(d.cfg.Bounds, d.routers, membership.SeedOf(d.cfg.VM)),
+		Retry:        retries,
 		BodyTimeout:  directBodyTimeout,
 		MaxOpen:      directMaxOpen,
 		MaxBodyBytes: directMaxBodyBytes,
--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -1,6 +1,12 @@
 package daemon
 
-import "coveferry/internal/retry"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/retry"
+)
 
 const (
 	// budgetShare of the operator's ratio is used for retries: callers' own
@@ -23,3 +29,35 @@
 	}
 	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(budget)}
 }
+
+// retryUsage has metrics tell how much of its part of each service's retries this router has
+// used. Summed over the routers, what is allowed stays below what the operator allows.
+type retryUsage struct {
+	budget           *retry.Budget
+	retries, allowed *prometheus.Desc
+}
+
+func newRetryUsage(budget *retry.Budget) retryUsage {
+	desc := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, []string{"service"}, nil)
+	}
+	return retryUsage{
+		budget:  budget,
+		retries: desc("coveferry_router_retries_in_window", "Retries that this router made in the window of its budget."),
+		allowed: desc("coveferry_router_retries_allowed", "Retries that the budget allows this router in a window."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (u retryUsage) Describe(descs chan<- *prometheus.Desc) {
+	descs <- u.retries
+	descs <- u.allowed
+}
+
+// Collect implements prometheus.Collector.
+func (u retryUsage) Collect(metrics chan<- prometheus.Metric) {
+	for service, usage := range u.budget.UsageOf(time.Now()) {
+		metrics <- prometheus.MustNewConstMetric(u.retries, prometheus.GaugeValue, float64(usage.Retries), service)
+		metrics <- prometheus.MustNewConstMetric(u.allowed, prometheus.GaugeValue, usage.Allowed, service)
+	}
+}
--- /dev/null
+++ b/internal/daemon/directretries_test.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/retry"
+)
+
+// What a router thinks that it may send again couldn't be seen while it happened.
+func TestMetricsTellHowMuchOfTheRetriesIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	policy := directRetries(DirectBounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 52}, func() int { return 3 }, 1)
+	for range 20 {
+		policy.First(time.Now(), "s", 0)
+	}
+	g.Expect(policy.Decide(retry.Attempt{Number: 1, Target: "s", Outcome: retry.OutcomeNotRun}, time.Now(), 0).Action).To(Equal(retry.ActionRetry))
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(newRetryUsage(policy.Budget))
+	families, err := reg.Gather()
+	g.Expect(err).NotTo(HaveOccurred())
+	values := make(map[string]float64)
+	for _, f := range families {
+		g.Expect(f.Metric[0].Label[0].GetValue()).To(Equal("s"))
+		values[f.GetName()] = f.Metric[0].Gauge.GetValue()
+	}
+	g.Expect(values["coveferry_router_retries_in_window"]).To(Equal(1.0))
+	g.Expect(values["coveferry_router_retries_allowed"]).To(BeNumerically("~", 0.15*20+26.0/3, 0.01))
+}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -109,7 +109,7 @@
 	f.policy.First(time.Now(), r.Service, r.Tier)
 	h := newHistory()
 	for r.Epoch = 1; ; r.Epoch++ {
-		r.RateLimit, r.LimitPart = upstream.RateLimit{}, ""
+		r.RateLimit, r.LimitPart, r.Connections = upstream.RateLimit{}, "", 0
 		h.add(next(ctx, r))
 		if ended, err := h.endAtLimit(ctx, r); ended {
 			return err
@@ -192,7 +192,10 @@
 // note adds the attempt that just ended to the request's trail.
 func note(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
-	step.Limit, step.Part = r.RateLimit.String(), r.LimitPart
+	step.Limit, step.Part, step.Connections = r.RateLimit.String(), r.LimitPart, r.Connections
+	if d.Budget != nil {
+		step.Budget = d.Budget.String()
+	}
 	if err != nil {
 		step.Outcome = err.Error()
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -55,15 +55,14 @@
 func (f *Filter) exchangeDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.Connections++ }}
 	req, err := f.directRequest(httptrace.WithClientTrace(ctx, trace), r)
 	if err != nil {
 		return err
 	}
 	resp, err := f.direct.client.Do(req)
 	if err != nil {
-		return &LostError{Sent: connected, Cause: err}
+		return &LostError{Sent: r.Connections > 0, Cause: err}
 	}
 	defer resp.Body.Close()
 	r.Heard(time.Now())
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -114,6 +114,8 @@
 	// RateLimit is what the endpoint of the latest attempt said of its own limit. Set by
 	// dispatch.
 	RateLimit upstream.RateLimit
+	// Connections counts those on which the latest attempt was sent. Set by dispatch.
+	Connections int
 	// LimitPart tells by which limit of its endpoint the latest attempt was sent; empty if
 	// that had named none. Set by choose.
 	LimitPart string
@@ -154,11 +156,22 @@
 	// Limit is the limit that the endpoint named in its answer, and Part by which limit and
 	// which part of it the request was sent; empty if there is none.
 	Limit, Part string
+	// Connections counts those on which the attempt was sent.
+	Connections int
+	// Budget tells how much of the retry budget was used when a retry was charged to it or
+	// refused by it; empty if neither.
+	Budget string
 }
 
 // String is the step as a line of a log.
 func (s Step) String() string {
 	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s", s.Epoch, s.Endpoint, s.Outcome, s.Tokens, s.Next)
+	if s.Connections > 1 {
+		text += fmt.Sprintf(", on %d connections", s.Connections)
+	}
+	if s.Budget != "" {
+		text += ", " + s.Budget
+	}
 	if s.Part != "" {
 		text += ", by " + s.Part
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -72,13 +74,62 @@
 	for _, c := range tiers.Sums(now) {
 		all += c.Total
 	}
-	floor, next := b.floor(), b.step(now, target, tier)
+	next := b.step(now, target, tier)
 	return tiers.AddIf(now, tier, window.Counts{Part: 1}, func(so window.Counts) bool {
-		allowed := b.cfg.Ratio*float64(so.Total) + floor*part(so.Total, all)
-		return float64(so.Part)+next <= allowed
+		return float64(so.Part)+next <= b.allowed(so.Total, all)
 	})
 }
 
+// allowed is how many retries a tier may make in a window that made so many first attempts,
+// of all that were made.
+func (b *Budget) allowed(own, all int) float64 {
+	return b.cfg.Ratio*float64(own) + b.floor()*part(own, all)
+}
+
+// Usage is how much of its budget a router has used.
+type Usage struct {
+	// Retries were made in the window, of those that are Allowed.
+	Retries int
+	Allowed float64
+	// Routers share the floor that is a part of what is allowed.
+	Routers int
+}
+
+// String is the usage as a line of a log tells it.
+func (u Usage) String() string {
+	return fmt.Sprintf("retries %d of %.1f by one of %d routers", u.Retries, u.Allowed, u.Routers)
+}
+
+// Usage is that of a tier at a target.
+func (b *Budget) Usage(now time.Time, target string, tier int) Usage {
+	sums := b.of(target).Sums(now)
+	all := 0
+	for _, c := range sums {
+		all += c.Total
+	}
+	so := sums[min(max(tier, 0), load.MaxTiers-1)]
+	return Usage{Retries: so.Part, Allowed: b.allowed(so.Total, all), Routers: b.routers()}
+}
+
+// UsageOf is that of all tiers together at each target.
+func (b *Budget) UsageOf(now time.Time) map[string]Usage {
+	b.mu.Lock()
+	targets := maps.Clone(b.targets)
+	b.mu.Unlock()
+	usage := make(map[string]Usage, len(targets))
+	for target, tiers := range targets {
+		u := Usage{Routers: b.routers()}
+		all := 0
+		for _, c := range tiers.Sums(now) {
+			u.Retries += c.Part
+			all += c.Total
+		}
+		u.Allowed = b.allowed(all, all)
+		usage[target] = u
+	}
+	return usage
+}
+
 // step is the part of a retry that must be allowed for it to be made: 1, or with a seed a
 // number from [0, 1) that is drawn for each window.
 func (b *Budget) step(now time.Time, target string, tier int) float64 {
@@ -91,11 +142,15 @@
 
 // floor is how many retries in a window are this router's part of the floor.
 func (b *Budget) floor() float64 {
-	floor := b.cfg.Floor * b.cfg.Window.Seconds()
+	return b.cfg.Floor * b.cfg.Window.Seconds() / float64(b.routers())
+}
+
+// routers is how many routers share the floor.
+func (b *Budget) routers() int {
 	if b.cfg.Routers == nil {
-		return floor
+		return 1
 	}
-	return floor / float64(max(1, b.cfg.Routers()))
+	return max(1, b.cfg.Routers())
 }
 
 // part of a whole; all of it where there is nothing yet.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -52,6 +52,8 @@
 	Reason Reason // with ActionGiveUp
 	// Delay is how long to wait before the next attempt.
 	Delay time.Duration
+	// Budget is what was used of the budget that was charged or that refused; nil if neither.
+	Budget *Usage
 }
 
 // Policy decides about retries. Its fields must not change while it is in use;
@@ -122,13 +124,19 @@
 	if !a.Deadline.IsZero() && !now.Add(delay).Before(a.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if charged && !p.Budget.TryRetry(now, a.Target, a.Tier) {
-		return Decision{Reason: ReasonBudget}
-	}
+	d := Decision{Action: ActionRetry, Delay: delay}
 	if a.Delivered {
-		return Decision{Action: ActionResume, Delay: delay}
+		d.Action = ActionResume
+	}
+	if !charged {
+		return d
 	}
-	return Decision{Action: ActionRetry, Delay: delay}
+	if !p.Budget.TryRetry(now, a.Target, a.Tier) {
+		d = Decision{Reason: ReasonBudget}
+	}
+	usage := p.Budget.Usage(now, a.Target, a.Tier)
+	d.Budget = &usage
+	return d
 }
 
 // charged says whether another attempt counts as a retry. One that resumes an
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -28,6 +28,7 @@
 	attempts   prometheus.Counter
 	lost       prometheus.Counter
 	limited    prometheus.Counter
+	again      prometheus.Counter
 	tokens     *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
 }
@@ -50,6 +51,10 @@
 			Name: "coveferry_router_limit_answers_total",
 			Help: "Attempts whose endpoint named in its answer how many requests a second it takes from all routers.",
 		}),
+		again: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coveferry_router_connections_again_total",
+			Help: "Connections beyond the first on which an attempt was sent to its endpoint.",
+		}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_tokens_total",
 			Help: "Tokens delivered to callers.",
@@ -61,7 +66,7 @@
 		}, []string{"class"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.lost, m.limited, m.tokens, m.firstToken)
+		reg.MustRegister(m.requests, m.attempts, m.lost, m.limited, m.again, m.tokens, m.firstToken)
 	}
 	return m
 }
@@ -77,6 +82,7 @@
 	rt.metrics.attempts.Add(float64(len(r.Tried)))
 	rt.metrics.lost.Add(float64(r.Lost))
 	rt.metrics.limited.Add(float64(limitedSteps(r.Trail)))
+	rt.metrics.again.Add(float64(connectionsAgain(r.Trail)))
 	if r.Delivered.Tokens > 0 {
 		rt.metrics.tokens.WithLabelValues(class).Add(float64(r.Delivered.Tokens))
 		rt.metrics.firstToken.WithLabelValues(class).Observe(r.Delivered.FirstToken.Sub(r.Arrived).Seconds())
@@ -104,6 +110,15 @@
 	return n
 }
 
+// connectionsAgain counts the connections beyond the first of each attempt.
+func connectionsAgain(trail []request.Step) int {
+	n := 0
+	for _, step := range trail {
+		n += max(0, step.Connections-1)
+	}
+	return n
+}
+
 // logLost adds, for a request under which endpoints ended, by what it is known again:
 // lines of one identity at several routers are the same request.
 func logLost(log *zerolog.Event, r *request.Request) {
--- a/internal/router/routed_outcomes_test.go
+++ b/internal/router/routed_outcomes_test.go
@@ -127,3 +127,21 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// How much of its part of the retries a router had used couldn't be seen from outside.
+func TestTheLineOfARequestTellsHowMuchOfTheBudgetWasUsed(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		good := w.answer
+		fail := true
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			if fail {
+				fail = false
+				reset(endpoint, req, conn)
+				return
+			}
+			good(endpoint, req, conn)
+		}
+		g.Expect(call(g, client, "POST", "/safe/", "x").status).To(Equal(200))
+		g.Expect(w.log.String()).To(MatchRegexp(`attempt 1 at e\d: .*, repeat, retries 1 of 10.1 by one of 1 routers"`))
+	})
+}
