--- a/internal/soak/failing.go
+++ b/internal/soak/failing.go
@@ -15,15 +15,32 @@
 // four thousand of seeds.
 func FailingOf(seed uint64) bool { return seed/4000%2 == 1 }
 
-// Failing is how an endpoint fails requests that it has read: their connections are reset.
-// The zero value fails none.
+// Failing is how an endpoint fails requests that it has read. The zero value fails none.
 type Failing struct {
 	// Share of the requests is failed, from 0 to 1.
 	Share float64 `json:"share"`
-	// After is how long after it has read one its connection is reset.
+	// After is how long after it has read one it fails it.
 	After time.Duration `json:"after"`
+	How   FailHow       `json:"how"`
 }
 
+// FailHow is what becomes of a request that is failed.
+type FailHow string
+
+// The ways to fail one.
+const (
+	// FailReset: its connection is reset.
+	FailReset FailHow = ""
+	// FailClose: its connection ends in good order, without an answer.
+	FailClose FailHow = "close"
+	// FailCut: it ends in the middle of the answer.
+	FailCut FailHow = "cut"
+	// FailSilent: nothing comes, until its caller leaves.
+	FailSilent FailHow = "silent"
+	// FailBusy: it is refused as not run.
+	FailBusy FailHow = "busy"
+)
+
 const (
 	// meanFailingGap is the mean time between two endpoints that begin to fail, which thereby
 	// overlap; they do so for shortestFailing to longestFailing.
