Tests, failing, of what routers' parts of the repeats add up to

Cause: with no endpoint in between, the parts of a fleet exceed what the operator allows in six cases: routers that start again, failures a little less than a window apart, tiers by turns, a time of day that is set, no stated slack, and a fleet that is cut into parts.

--- a/internal/daemon/directretries_test.go
+++ b/internal/daemon/directretries_test.go
@@ -30,3 +30,22 @@
 	g.Expect(values["coveferry_router_retries_in_window"]).To(Equal(1.0))
 	g.Expect(values["coveferry_router_retries_allowed"]).To(BeNumerically("~", 0.15*20+26.0/3, 0.01))
 }
+
+// What operators saw: where no slack is stated each router had a floor of its own, so that 880
+// of them made 880 repeats in ten seconds for as many requests.
+func TestRoutersShareWhatTheyMayRepeatWithoutASlack(t *testing.T) {
+	const ratio = 0.2
+	for _, routers := range []int{1, 3, 12, 31, 103, 300, 880} {
+		made := 0
+		now := time.Now()
+		for i := range routers {
+			policy := directRetries(DirectBounds{RetryRatio: ratio, RetryWindow: 10 * time.Second}, func() int { return routers }, uint64(i+1))
+			policy.First(now, "s", 0)
+			for policy.Budget.TryRetry(now, "s", 0) {
+				made++
+			}
+		}
+		const rounding = 1 // a fleet of few may make one
+		NewWithT(t).Expect(float64(made)).To(BeNumerically("<=", ratio*float64(routers)+rounding), "%d routers", routers)
+	}
+}
