Give a router that has just started no part of the shared slack for a window

What callers and operators saw: BUDGET where routers are killed again and again while endpoints fail, 176 repeats in ten seconds of 165, 188 of 182. Cause: a process that starts has used nothing, so that each start brought the router's part of the slack anew. Change: for the length of a window a router repeats only by its own requests. Why it holds: in any window only one process of each router has a part of the slack, whatever the order of starts; the other part goes by requests that each process has had itself.

--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -26,6 +26,7 @@
 	budget := retry.BudgetConfig{Ratio: budgetShare * b.RetryRatio, Window: b.RetryWindow, Floor: retryFloor, Seed: seed}
 	if b.RetrySlack > 0 && b.RetryWindow > 0 {
 		budget.Floor, budget.Routers = slackShare*b.RetrySlack/b.RetryWindow.Seconds(), routers
+		budget.Began = time.Now()
 	}
 	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(budget)}
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -37,6 +37,8 @@
 	// by itself adds up: .1 a second at each of 103 routers and for each of three tiers
 	// were 309 retries in 10 s.
 	Routers func() int
+	// Began is when this router started; needed where routers share the floor.
+	Began time.Time
 	// Seed differs between routers that share a bound. A router whose part is less than a
 	// retry in a window then makes one in as many windows as that comes to; with 0 it
 	// makes none, and at 880 routers none of them would.
@@ -76,14 +78,14 @@
 	}
 	next := b.step(now, target, tier)
 	return tiers.AddIf(now, tier, window.Counts{Part: 1}, func(so window.Counts) bool {
-		return float64(so.Part)+next <= b.allowed(so.Total, all)
+		return float64(so.Part)+next <= b.allowed(now, so.Total, all)
 	})
 }
 
 // allowed is how many retries a tier may make in a window that made so many first attempts,
 // of all that were made.
-func (b *Budget) allowed(own, all int) float64 {
-	return b.cfg.Ratio*float64(own) + b.floor()*part(own, all)
+func (b *Budget) allowed(now time.Time, own, all int) float64 {
+	return b.cfg.Ratio*float64(own) + b.floor(now)*part(own, all)
 }
 
 // Usage is how much of its budget a router has used.
@@ -108,7 +110,7 @@
 		all += c.Total
 	}
 	so := sums[min(max(tier, 0), load.MaxTiers-1)]
-	return Usage{Retries: so.Part, Allowed: b.allowed(so.Total, all), Routers: b.routers()}
+	return Usage{Retries: so.Part, Allowed: b.allowed(now, so.Total, all), Routers: b.routers()}
 }
 
 // UsageOf is that of all tiers together at each target.
@@ -124,7 +126,7 @@
 			u.Retries += c.Part
 			all += c.Total
 		}
-		u.Allowed = b.allowed(all, all)
+		u.Allowed = b.allowed(now, all, all)
 		usage[target] = u
 	}
 	return usage
@@ -140,8 +142,14 @@
 	return rand.New(rand.NewPCG(b.cfg.Seed^xxhash.Sum64String(target), drawn)).Float64()
 }
 
-// floor is how many retries in a window are this router's part of the floor.
-func (b *Budget) floor() float64 {
+// floor is how many retries in a window are this router's part of the floor. A router that
+// has just started has none where it is shared: it doesn't know what the process before it
+// used of this window, and routers that start again one after the other would each have the
+// whole of their part anew.
+func (b *Budget) floor(now time.Time) float64 {
+	if b.cfg.Routers != nil && now.Sub(b.cfg.Began) < b.cfg.Window {
+		return 0
+	}
 	return b.cfg.Floor * b.cfg.Window.Seconds() / float64(b.routers())
 }
 
