Count windows of retries by the clock that keeps running

What operators saw: BUDGET at routers whose time of day is set; a step of 11 s gives 26 repeats more behind 41. Cause: the buckets of a window were numbered by the time of day; a step forward ended them, a step back hid the newest ones until it was over. Change: buckets, and the window for which a router draws, are counted from the first use by the difference of two moments, which goes by the steady clock. Failure windows and throttles use the same ring. Why it holds: the difference doesn't change with the time of day. A play of the retries of fleets states when its routers began, so that it plays the slack as before.

--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -193,8 +193,10 @@
 	return t
 }
 
-// What operators saw: each time that the time of day of a router's VM was set, it had the whole
-// of its budget again.
+// The story: each time that the time of day of a router's VM was set, by more than a window
+// forward or back, it had the whole of its budget again, and a part of it by less.
+// The cause: windows counted by the time of day.
+// The evidence: this test, in which 26 repeats were made behind 41 without a moment passing.
 func TestAJumpOfTheTimeOfDayAllowsNoMoreRepeats(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -37,7 +37,7 @@
 	// by itself adds up: .1 a second at each of 103 routers and for each of three tiers
 	// were 309 retries in 10 s.
 	Routers func() int
-	// Began is when this router started; needed where routers share the floor.
+	// Began is when this router started; zero is when the budget is first asked.
 	Began time.Time
 	// Seed differs between routers that share a bound. A router whose part is less than a
 	// retry in a window then makes one in as many windows as that comes to; with 0 it
@@ -50,8 +50,9 @@
 // is the one that fails. In it each tier has its own, so that the retries of one can't use
 // up another's. It is safe for concurrent use.
 type Budget struct {
-	cfg BudgetConfig
-	mu  sync.Mutex
+	cfg   BudgetConfig
+	mu    sync.Mutex
+	began time.Time
 	// targets count first attempts (Total) and retries (Part), by tier.
 	targets map[string]*window.Tiers
 }
@@ -61,7 +62,7 @@
 	cfg.Ratio = cmp.Or(cfg.Ratio, defaultRatio)
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
 	cfg.Floor = cmp.Or(cfg.Floor, defaultFloor)
-	return &Budget{cfg: cfg, targets: make(map[string]*window.Tiers)}
+	return &Budget{cfg: cfg, began: cfg.Began, targets: make(map[string]*window.Tiers)}
 }
 
 // First counts the first attempt of a request.
@@ -138,7 +139,7 @@
 	if b.cfg.Seed == 0 {
 		return 1
 	}
-	drawn := uint64(now.UnixNano()/int64(b.cfg.Window))*load.MaxTiers + uint64(tier)
+	drawn := uint64(b.age(now)/b.cfg.Window)*load.MaxTiers + uint64(tier)
 	return rand.New(rand.NewPCG(b.cfg.Seed^xxhash.Sum64String(target), drawn)).Float64()
 }
 
@@ -147,12 +148,23 @@
 // used of this window, and routers that start again one after the other would each have the
 // whole of their part anew.
 func (b *Budget) floor(now time.Time) float64 {
-	if b.cfg.Routers != nil && now.Sub(b.cfg.Began) < b.cfg.Window {
+	if b.cfg.Routers != nil && b.age(now) < b.cfg.Window {
 		return 0
 	}
 	return b.cfg.Floor * b.cfg.Window.Seconds() / float64(b.routers())
 }
 
+// age is how long ago this router started, by the clock that keeps running: the time of day
+// may be set.
+func (b *Budget) age(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.began.IsZero() {
+		b.began = now
+	}
+	return max(0, now.Sub(b.began))
+}
+
 // routers is how many routers share the floor.
 func (b *Budget) routers() int {
 	if b.cfg.Routers == nil {
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -26,7 +26,7 @@
 		for i := range budgets {
 			budgets[i] = NewBudget(BudgetConfig{
 				Ratio: 0.75 * ratio, Window: window, Floor: 0.5 * slack / window.Seconds(),
-				Routers: func() int { return routers }, Seed: uint64(i + 1),
+				Routers: func() int { return routers }, Began: epoch.Add(-window), Seed: uint64(i + 1),
 			})
 		}
 		retries, requests := 0, 0
--- a/internal/throttle/window/window.go
+++ b/internal/throttle/window/window.go
@@ -16,7 +16,10 @@
 // Ring counts over the last Length of time, with a grain of a tenth of it. It
 // isn't safe for concurrent use. The zero value is invalid; see New.
 type Ring struct {
-	grain   time.Duration
+	grain time.Duration
+	// origin is when it was first used. Ticks count from there by the clock that keeps
+	// running: a time of day that is set would end the window, or begin it again.
+	origin  time.Time
 	buckets [buckets]bucket
 }
 
@@ -32,8 +35,11 @@
 
 // Add counts c at the given time.
 func (r *Ring) Add(now time.Time, c Counts) {
+	if r.origin.IsZero() {
+		r.origin = now
+	}
 	tick := r.tick(now)
-	b := &r.buckets[uint64(tick)%buckets]
+	b := &r.buckets[((tick%buckets)+buckets)%buckets]
 	if b.tick != tick {
 		*b = bucket{tick: tick}
 	}
@@ -55,4 +61,4 @@
 	return sum
 }
 
-func (r *Ring) tick(now time.Time) int64 { return now.UnixNano() / int64(r.grain) }
+func (r *Ring) tick(now time.Time) int64 { return int64(now.Sub(r.origin) / r.grain) }
