Bound the retries of all tiers at a service together

Cause: each tier was held to its part of the shared slack by its part of the requests at that moment alone. Change: a service's counts lie under one lock; a retry must be within its tier's part and within that of all tiers. A router draws once for all tiers, so that parts below one retry add up to the sum as it is. Why it holds: the sum is looked at with each retry, under the lock that counts it.

--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -57,7 +57,7 @@
 
 // Collect implements prometheus.Collector.
 func (u retryUsage) Collect(metrics chan<- prometheus.Metric) {
-	for service, usage := range u.budget.UsageOf(time.Now()) {
+	for service, usage := range u.budget.UsageOfAll(time.Now()) {
 		metrics <- prometheus.MustNewConstMetric(u.retries, prometheus.GaugeValue, float64(usage.Retries), service)
 		metrics <- prometheus.MustNewConstMetric(u.allowed, prometheus.GaugeValue, usage.Allowed, service)
 	}
--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -101,8 +101,8 @@
 // leastUsed of what the operator allows is used while all requests want to be repeated.
 const leastUsed = 0.4
 
-// steps is how many steps of a play a time takes.
-func steps(d time.Duration) int { return int(d / playStep) }
+// stepsIn is how many steps of a play a time takes.
+func stepsIn(d time.Duration) int { return int(d / playStep) }
 
 // playBound plays fleets of all sizes, each set up by a function, and has none make more
 // repeats in a window than the operator allows.
@@ -144,9 +144,9 @@
 func TestRoutersThatStartAgainMakeNoMoreRepeats(t *testing.T) {
 	const gap = 2 * time.Second
 	for name, restarts := range map[string]func(p *fleetPlay, i, step int) bool{
-		"all at once": func(_ *fleetPlay, _, step int) bool { return step%steps(gap) == 0 },
+		"all at once": func(_ *fleetPlay, _, step int) bool { return step%stepsIn(gap) == 0 },
 		"one after the other": func(p *fleetPlay, i, step int) bool {
-			return step%steps(gap) == i*steps(gap)/p.routers
+			return step%stepsIn(gap) == i*stepsIn(gap)/p.routers
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -177,8 +177,12 @@
 	}
 }
 
-// What operators saw: requests of one tier after another, each the only ones for a while, had
-// each use the whole of what tiers share.
+// The story: requests of one tier after another, each the only ones for a while, had each use
+// the whole of what tiers share.
+// The cause: windows that were too short, as above; and a tier's part of the floor goes by its
+// part of the requests at that moment, and what others had used of it before was not looked at.
+// The evidence: this play, in which 93 repeats of 92 were made, 71 with whole windows, and 59
+// since all tiers together are bounded.
 func TestTiersThatChangeMakeNoMoreRepeatsTogether(t *testing.T) {
 	for _, each := range []time.Duration{time.Second, 1500 * time.Millisecond, 3 * time.Second} {
 		t.Run(each.String(), func(t *testing.T) {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,8 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
-	"maps"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -50,11 +49,16 @@
 // is the one that fails. In it each tier has its own, so that the retries of one can't use
 // up another's. It is safe for concurrent use.
 type Budget struct {
-	cfg   BudgetConfig
+	cfg     BudgetConfig
+	mu      sync.Mutex
+	began   time.Time
+	targets map[string]*target
+}
+
+// target counts first attempts (Total) and retries (Part) at one, by tier.
+type target struct {
 	mu    sync.Mutex
-	began time.Time
-	// targets count first attempts (Total) and retries (Part), by tier.
-	targets map[string]*window.Tiers
+	tiers [load.MaxTiers]window.Ring
 }
 
 // NewBudget returns a budget that has seen no attempt.
@@ -62,85 +66,74 @@
 	cfg.Ratio = cmp.Or(cfg.Ratio, defaultRatio)
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
 	cfg.Floor = cmp.Or(cfg.Floor, defaultFloor)
-	return &Budget{cfg: cfg, began: cfg.Began, targets: make(map[string]*window.Tiers)}
+	return &Budget{cfg: cfg, began: cfg.Began, targets: make(map[string]*target)}
 }
 
 // First counts the first attempt of a request.
-func (b *Budget) First(now time.Time, target string, tier int) {
-	b.of(target).Add(now, tier, window.Counts{Total: 1})
+func (b *Budget) First(now time.Time, at string, tier int) {
+	t := b.of(at)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tiers[ringOf(tier)].Add(now, window.Counts{Total: 1})
 }
 
 // TryRetry counts a retry and returns true if the budget allows it.
-func (b *Budget) TryRetry(now time.Time, target string, tier int) bool {
-	tiers := b.of(target)
-	all := 0
-	for _, c := range tiers.Sums(now) {
-		all += c.Total
+func (b *Budget) TryRetry(now time.Time, at string, tier int) bool {
+	t := b.of(at)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tier = ringOf(tier)
+	if !b.allows(now, at, t.sums(now), tier) {
+		return false
+	}
+	t.tiers[tier].Add(now, window.Counts{Part: 1})
+	return true
+}
+
+// allows says whether a tier may make one more retry than the sums hold. Where tiers follow
+// each other, each of them was the only one for a while and may have used the whole floor:
+// where others share it, all tiers together keep to it as well.
+func (b *Budget) allows(now time.Time, at string, sums sums, tier int) bool {
+	drawn := b.draw(now, at)
+	before := 0.0
+	for i := range tier {
+		before += b.allowed(now, sums, i)
 	}
-	next := b.step(now, target, tier)
-	return tiers.AddIf(now, tier, window.Counts{Part: 1}, func(so window.Counts) bool {
-		return float64(so.Part)+next <= b.allowed(now, so.Total, all)
-	})
+	// Of the retries that all tiers may make, one for each whole step behind the draw, a tier
+	// has those that fall into its part.
+	own := steps(before+b.allowed(now, sums, tier), drawn) - steps(before, drawn)
+	if sums[tier].Part >= own {
+		return false
+	}
+	all := sums.all()
+	return b.cfg.Routers == nil || all.Part < steps(b.allowedToAll(now, all), drawn)
 }
 
-// allowed is how many retries a tier may make in a window that made so many first attempts,
-// of all that were made.
-func (b *Budget) allowed(now time.Time, own, all int) float64 {
-	return b.cfg.Ratio*float64(own) + b.floor(now)*part(own, all)
+// steps is how many of drawn, drawn+1, drawn+2 and so on are within a bound.
+func steps(bound, drawn float64) int {
+	const rounding = 1e-9 // of sums of parts
+	return max(0, int(math.Floor(bound-drawn+rounding))+1)
 }
 
-// Usage is how much of its budget a router has used.
-type Usage struct {
-	// Retries were made in the window, of those that are Allowed.
-	Retries int
-	Allowed float64
-	// Routers share the floor that is a part of what is allowed.
-	Routers int
+// allowed is how many retries a tier may make in the window.
+func (b *Budget) allowed(now time.Time, sums sums, tier int) float64 {
+	own := sums[tier].Total
+	return b.cfg.Ratio*float64(own) + b.floor(now)*part(own, sums.all().Total)
 }
 
-// String is the usage as a line of a log tells it.
-func (u Usage) String() string {
-	return fmt.Sprintf("retries %d of %.1f by one of %d routers", u.Retries, u.Allowed, u.Routers)
+// allowedToAll is how many all tiers may make together.
+func (b *Budget) allowedToAll(now time.Time, all window.Counts) float64 {
+	return b.cfg.Ratio*float64(all.Total) + b.floor(now)
 }
 
-// Usage is that of a tier at a target.
-func (b *Budget) Usage(now time.Time, target string, tier int) Usage {
-	sums := b.of(target).Sums(now)
-	all := 0
-	for _, c := range sums {
-		all += c.Total
-	}
-	so := sums[min(max(tier, 0), load.MaxTiers-1)]
-	return Usage{Retries: so.Part, Allowed: b.allowed(now, so.Total, all), Routers: b.routers()}
-}
-
-// UsageOf is that of all tiers together at each target.
-func (b *Budget) UsageOf(now time.Time) map[string]Usage {
-	b.mu.Lock()
-	targets := maps.Clone(b.targets)
-	b.mu.Unlock()
-	usage := make(map[string]Usage, len(targets))
-	for target, tiers := range targets {
-		u := Usage{Routers: b.routers()}
-		all := 0
-		for _, c := range tiers.Sums(now) {
-			u.Retries += c.Part
-			all += c.Total
-		}
-		u.Allowed = b.allowed(now, all, all)
-		usage[target] = u
-	}
-	return usage
-}
-
-// step is the part of a retry that must be allowed for it to be made: 1, or with a seed a
+// draw is the part of a retry that must be allowed for it to be made: 1, or with a seed a
 // number from [0, 1) that is drawn for each window.
-func (b *Budget) step(now time.Time, target string, tier int) float64 {
+func (b *Budget) draw(now time.Time, at string) float64 {
 	if b.cfg.Seed == 0 {
 		return 1
 	}
-	drawn := uint64(b.age(now)/b.cfg.Window)*load.MaxTiers + uint64(tier)
-	return rand.New(rand.NewPCG(b.cfg.Seed^xxhash.Sum64String(target), drawn)).Float64()
+	windows := uint64(b.age(now) / b.cfg.Window)
+	return rand.New(rand.NewPCG(b.cfg.Seed^xxhash.Sum64String(at), windows)).Float64()
 }
 
 // floor is how many retries in a window are this router's part of the floor. A router that
@@ -181,17 +174,45 @@
 	return float64(of) / float64(all)
 }
 
-func (b *Budget) of(target string) *window.Tiers {
+func (b *Budget) of(at string) *target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tiers, known := b.targets[target]
+	t, known := b.targets[at]
 	if !known && len(b.targets) >= maxTargets {
-		target = ""
-		tiers, known = b.targets[target]
+		at = ""
+		t, known = b.targets[at]
 	}
 	if !known {
-		tiers = window.NewTiers(b.cfg.Window)
-		b.targets[target] = tiers
+		t = &target{}
+		for i := range t.tiers {
+			t.tiers[i] = window.New(b.cfg.Window)
+		}
+		b.targets[at] = t
+	}
+	return t
+}
+
+// sums are the counts of a window by tier.
+type sums [load.MaxTiers]window.Counts
+
+// sums returns those of the window that ends now. t.mu is held.
+func (t *target) sums(now time.Time) sums {
+	var s sums
+	for i := range t.tiers {
+		s[i] = t.tiers[i].Sum(now)
 	}
-	return tiers
+	return s
 }
+
+func (s sums) all() window.Counts {
+	var all window.Counts
+	for _, c := range s {
+		all.Total += c.Total
+		all.Part += c.Part
+	}
+	return all
+}
+
+// ringOf is where a tier is counted. Configurations from outside may know more tiers, and
+// those beyond the last count as the last.
+func ringOf(tier int) int { return min(max(tier, 0), load.MaxTiers-1) }
