Count routers on that this one may be cut off from

What operators saw: BUDGET of a fleet that is cut into parts for over five seconds: each part had the whole of the shared slack, twelve routers cut into pairs six times as much. Cause: a router shared the slack with those that it had heard of in the last five seconds. Change: the most that there were in the last ten minutes count. Why it holds: a cut of up to that leaves each router its part of the whole, however the fleet falls apart. A router that starts during a cut knows of its part only; slackShare leaves half for that. What it costs: after a loss of routers the others have no more than their parts for that long.

--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -13,7 +13,7 @@
 	// count as requests, but those at the window's edges may count twice.
 	budgetShare = 0.75
 	// slackShare of the operator's slack is used for retries. It is shared among the
-	// routers that are known: where a fleet is cut in two, each half thinks it has all.
+	// routers that are known: one that starts while a fleet is cut knows of its part only.
 	slackShare = 0.5
 	// retryFloor is how many retries a second all routers may make besides their share of
 	// the requests where the operator states no slack.
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -46,6 +46,10 @@
 	near, domainsAt map[string]time.Time
 	// most is the most others that there ever were at once.
 	most int
+	// shared is how many others are taken to share limits, and sharedAt when there last were
+	// so many.
+	shared   int
+	sharedAt time.Time
 }
 
 type toldCount struct {
@@ -77,6 +81,7 @@
 	}
 	m.known[member.VM] = heard{member: member, at: at}
 	m.most = max(m.most, len(m.known))
+	m.noteSharing(len(m.known), at)
 	if member.FailureDomain == m.self.FailureDomain {
 		m.near[member.VM] = at
 		return
@@ -172,6 +177,7 @@
 	defer m.mu.Unlock()
 	m.told[by] = toldCount{known: known, at: at}
 	m.most = max(m.most, known)
+	m.noteSharing(known, at)
 }
 
 // byName is how many other routers were heard of lately by name.
@@ -196,6 +202,27 @@
 	return n
 }
 
+// cutFor is for how long routers count that are no longer heard of: they may be cut off from
+// this one only, and go on with their parts.
+const cutFor = 10 * time.Minute
+
+// sharing is how many other routers there are, those included that this one may be cut off
+// from.
+func (m *members) sharing(now time.Time) int {
+	n := m.count(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteSharing(n, now)
+	return m.shared
+}
+
+// noteSharing notes how many others there are at a moment. m.mu is held.
+func (m *members) noteSharing(others int, at time.Time) {
+	if others >= m.shared || at.Sub(m.sharedAt) > cutFor {
+		m.shared, m.sharedAt = others, at
+	}
+}
+
 // heardOf is how many were heard of by name. m.mu is held.
 func (m *members) heardOf(now time.Time) int {
 	n := 0
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -105,8 +105,10 @@
 	return s
 }
 
-// Others is how many other routers this one has heard of lately.
-func (s *Source) Others() int { return s.members.count(time.Now()) }
+// Others is how many other routers there are with which limits are shared. A part of a fleet
+// that is cut off must not take itself for the whole, so that routers count on for a while
+// that are no longer heard of.
+func (s *Source) Others() int { return s.members.sharing(time.Now()) }
 
 // settleFor is how long a router greets others before it knows all of its failure domain:
 // each seed once, and once more, as those that start with it greet them meanwhile.
