Test, failing, that a ratio of 0 allows no repeats

Cause: a budget's field that is 0 takes its default, and settings hand their 0 on, although the settings page says that it means none.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -72,10 +72,12 @@
 	StopWithin time.Duration
 	// RetryRatio and RetryWindow bound what endpoints get beyond the first
 	// attempt of each request, and RetrySlack is how many more each service may get in
-	// a window, each from all routers together.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// a window, each from all routers together. RetryBounded says that a ratio is stated,
+	// which may be 0.
+	RetryBounded bool
+	RetryRatio   float64
+	RetryWindow  time.Duration
+	RetrySlack   float64
 }
 
 const (
--- a/internal/daemon/directretries_test.go
+++ b/internal/daemon/directretries_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/retry"
+	"coveferry/internal/settings"
 )
 
 // What a router thinks that it may send again couldn't be seen while it happened.
@@ -48,3 +49,26 @@
 		NewWithT(t).Expect(parts).To(BeNumerically("<=", ratio*float64(routers)+floor), "%d routers", routers)
 	}
 }
+
+// What operators would see: a ratio of 0, which allows none, was taken for one that isn't
+// stated, so that a tenth of the requests was repeated.
+func TestARatioOfZeroAllowsNoRepeatsByRequests(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now().Add(time.Minute)
+	made := func(policy *retry.Policy) (n int) {
+		for range 1000 {
+			policy.First(now, "s", 0)
+		}
+		for policy.Budget.TryRetry(now, "s", 0) {
+			n++
+		}
+		return n
+	}
+	none, ok := retryPolicy(settings.Retry{MaxAttempts: 3}).(*retry.Policy)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(made(none)).To(BeZero(), "settings of a router with agents")
+	bounds := DirectBounds{RetryBounded: true, RetryWindow: 10 * time.Second, RetrySlack: 52}
+	g.Expect(made(directRetries(bounds, func() int { return 1 }, 1))).To(BeNumerically("<=", 52), "a platform's bounds")
+	bounds = DirectBounds{RetryWindow: 10 * time.Second}
+	g.Expect(made(directRetries(bounds, func() int { return 1 }, 1))).To(BeNumerically("~", 100, 5), "bounds that aren't stated")
+}
--- a/internal/daemon/onplatform/onplatform.go
+++ b/internal/daemon/onplatform/onplatform.go
@@ -56,6 +56,7 @@
 		DrainWithin:  s.DrainWithin,
 		ConfigWithin: s.ConfigWithin,
 		StopWithin:   s.StopWithin,
+		RetryBounded: s.RetryBounded,
 		RetryRatio:   s.RetryRatio,
 		RetryWindow:  s.RetryWindow,
 		RetrySlack:   s.RetrySlack,
