Have stand-ins of replicas say in health answers that they are cold

Cause: the platform's page says that health answers tell how long a replica stays cold; the stand-in's didn't, so that the soak asked more of routers than the platform does. Change: they do; the check is as it was.

--- a/internal/cli/standincmd/replica.go
+++ b/internal/cli/standincmd/replica.go
@@ -14,11 +14,12 @@
 	Name   string        `default:"i-1" help:"Id of the instance."`
 	Events int           `default:"0" help:"Events of each answer; 0 answers without a stream."`
 	Pause  time.Duration `default:"25ms" help:"Time between two events."`
+	Cold   time.Duration `default:"0s" help:"For how long after its start it says that it is cold."`
 }
 
 // Run implements kong's command.
 func (c *ReplicaCmd) Run(env *cli.Env) error {
-	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash}
+	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold)}
 	return serve(env, c.Listen, replica)
 }
 
