--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -13,5 +13,7 @@
 		{Seed: 10, Cause: "the soak's own: soaks that ran at once in one folder wrote each other's settings files, so that routers took others' ports"},
 		{Seed: 7, Cause: "calls to the store whose answer was long were given up as silent while it came, since single reads took as long as the silence that was allowed"},
 		{Seed: 5, Cause: "the same"},
+		{Seed: 2, Cause: "the HTTP library repeated requests by itself on connections that it had kept"},
+		{Seed: 4001, Cause: "the same, at endpoints that reset connections"},
 	}
 }
