Follow changes of the ratio and the slack of retries while a router runs

Cause: the settings are read again, but the budget held the bounds of the router's start, so that an operator who lowers them in an overload had to restart every router. Change: a reload hands them to the budget; what was used of the window counts on. Measured: tests of a ratio that goes down, up and to 0, with and without a slack.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -23,6 +23,7 @@
 	"coveferry/internal/membership"
 	"coveferry/internal/peers"
 	"coveferry/internal/poison"
+	"coveferry/internal/retry"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
 	"coveferry/internal/telemetry"
@@ -125,6 +126,7 @@
 	peers    *peers.Source // nil where each router reads for itself
 	control  *control.Server
 	share    endpointrate.Share // of what endpoints take from all routers
+	retries  *retry.Budget
 }
 
 func newDirect(cfg Direct, log zerolog.Logger) (*directRouter, error) {
@@ -171,7 +173,8 @@
 
 func (d *directRouter) newRouter() *router.Router {
 	retries := directRetries(d.cfg.Bounds, d.routers, membership.SeedOf(d.cfg.VM))
-	d.reg.MustRegister(newRetryUsage(retries.Budget))
+	d.retries = retries.Budget
+	d.reg.MustRegister(newRetryUsage(d.retries))
 	return router.New(router.Config{
 		Name:         d.cfg.VM,
 		Pool:         d.pool,
--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -23,17 +23,22 @@
 // directRetries bounds retries for each service over all routers, of which routers tells
 // how many there are.
 func directRetries(b DirectBounds, routers func() int, seed uint64) *retry.Policy {
-	budget := retry.BudgetConfig{
-		Ratio: budgetShare * b.RetryRatio, Window: b.RetryWindow, Floor: retryFloor,
-		Routers: routers, Began: time.Now(), Seed: seed,
-	}
+	ratio, floor := retryShares(b)
+	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{
+		Ratio: ratio, Window: b.RetryWindow, Floor: floor, Routers: routers, Began: time.Now(), Seed: seed,
+	})}
+}
+
+// retryShares are what routers use of the operator's bounds, as a retry.BudgetConfig takes them.
+func retryShares(b DirectBounds) (ratio, floor float64) {
+	ratio, floor = budgetShare*b.RetryRatio, retryFloor
 	if b.RetryBounded && b.RetryRatio == 0 {
-		budget.Ratio = retry.None
+		ratio = retry.None
 	}
 	if b.RetrySlack > 0 && b.RetryWindow > 0 {
-		budget.Floor = slackShare * b.RetrySlack / b.RetryWindow.Seconds()
+		floor = slackShare * b.RetrySlack / b.RetryWindow.Seconds()
 	}
-	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(budget)}
+	return ratio, floor
 }
 
 // retryUsage has metrics tell how much of its part of each service's retries this router has
--- a/internal/daemon/directretries_test.go
+++ b/internal/daemon/directretries_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"coveferry/internal/retry"
 	"coveferry/internal/settings"
@@ -73,3 +74,22 @@
 	bounds = DirectBounds{RetryWindow: 10 * time.Second}
 	g.Expect(made(directRetries(bounds, func() int { return 1 }, 1))).To(BeNumerically("~", 100, 5), "bounds that aren't stated")
 }
+
+func TestRetriesFollowTheSettings(t *testing.T) {
+	g := NewWithT(t)
+	bounds := DirectBounds{RetryBounded: true, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 52}
+	d := &directRouter{cfg: Direct{Reload: func() (DirectBounds, error) { return bounds, nil }}, log: zerolog.Nop()}
+	d.bounds.Store(&bounds)
+	d.retries = directRetries(bounds, func() int { return 1 }, 1).Budget
+	now := time.Now().Add(time.Minute)
+	for range 100 {
+		d.retries.First(now, "s", 0)
+	}
+	allowed := func() float64 { return d.retries.UsageOfAll(now)["s"].Allowed }
+	g.Expect(allowed()).To(BeNumerically("~", 0.15*100+26, 1e-9))
+	for _, c := range []struct{ ratio, slack, want float64 }{{0.1, 20, 0.075*100 + 10}, {0, 20, 10}, {0, 0, 1}, {0.4, 100, 0.3*100 + 50}} {
+		bounds.RetryRatio, bounds.RetrySlack = c.ratio, c.slack
+		d.reload(false)
+		g.Expect(allowed()).To(BeNumerically("~", c.want, 1e-9), "%+v", c)
+	}
+}
--- a/internal/daemon/directsettings.go
+++ b/internal/daemon/directsettings.go
@@ -15,8 +15,8 @@
 )
 
 // followSettings reads the settings again at each SIGHUP, and from time to time
-// without one, as they may change silently. The bounds on keys and stops then
-// hold; addresses and the pace of reading are those of the start.
+// without one, as they may change silently. The bounds on keys, stops and retries then
+// hold; addresses, the pace of reading and the window of retries are those of the start.
 func (d *directRouter) followSettings(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -45,6 +45,7 @@
 	}
 	changed := bounds != *d.bounds.Load()
 	d.bounds.Store(&bounds)
+	d.retries.Allow(retryShares(bounds))
 	if asked || changed {
 		d.log.Info().Bool("changed", changed).Dur("max_key_age", d.maxKeyAge()).Msg("settings read again")
 	}
--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -225,3 +225,25 @@
 	g.Expect(use(ahead)).To(BeZero(), "set forward")
 	g.Expect(use(stepped(now, -11))).To(BeZero(), "set back")
 }
+
+// An operator lowers what is allowed while a router runs, and raises it again.
+func TestABudgetFollowsWhatIsAllowed(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBudget(BudgetConfig{Ratio: 0.2, Floor: None})
+	for range 100 {
+		b.First(epoch, "s", 0)
+	}
+	use := func() (made int) {
+		for b.TryRetry(epoch, "s", 0) {
+			made++
+		}
+		return made
+	}
+	g.Expect(use()).To(Equal(20))
+	b.Allow(0.1, None)
+	g.Expect(use()).To(BeZero(), "what was used counts on")
+	b.Allow(0.3, None)
+	g.Expect(use()).To(Equal(10))
+	b.Allow(None, None)
+	g.Expect(use()).To(BeZero())
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,7 @@
 // up another's. It is safe for concurrent use.
 type Budget struct {
 	cfg     BudgetConfig
+	allows  atomic.Pointer[allowance]
 	mu      sync.Mutex
 	began   time.Time
 	targets map[string]*target
@@ -67,11 +69,22 @@
 
 // NewBudget returns a budget that has seen no attempt.
 func NewBudget(cfg BudgetConfig) *Budget {
-	cfg.Ratio = cmp.Or(cfg.Ratio, defaultRatio)
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
-	cfg.Floor = cmp.Or(cfg.Floor, defaultFloor)
-	cfg.Ratio, cfg.Floor = max(0, cfg.Ratio), max(0, cfg.Floor)
-	return &Budget{cfg: cfg, began: cfg.Began, targets: make(map[string]*target)}
+	b := &Budget{cfg: cfg, began: cfg.Began, targets: make(map[string]*target)}
+	b.Allow(cfg.Ratio, cfg.Floor)
+	return b
+}
+
+// allowance is what a budget allows: a ratio, and a floor a second.
+type allowance struct{ ratio, floor float64 }
+
+// Allow changes the ratio and the floor, which are as in a BudgetConfig. What was used of the
+// window counts on.
+func (b *Budget) Allow(ratio, floor float64) {
+	b.allows.Store(&allowance{
+		ratio: max(0, cmp.Or(ratio, defaultRatio)),
+		floor: max(0, cmp.Or(floor, defaultFloor)),
+	})
 }
 
 // First counts the first attempt of a request.
@@ -88,17 +101,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	tier = ringOf(tier)
-	if !b.allows(now, at, t.sums(now), tier) {
+	if !b.allowsOne(now, at, t.sums(now), tier) {
 		return false
 	}
 	t.tiers[tier].Add(now, window.Counts{Part: 1})
 	return true
 }
 
-// allows says whether a tier may make one more retry than the sums hold. Where tiers follow
+// allowsOne says whether a tier may make one more retry than the sums hold. Where tiers follow
 // each other, each of them was the only one for a while and may have used the whole floor:
 // where others share it, all tiers together keep to it as well.
-func (b *Budget) allows(now time.Time, at string, sums sums, tier int) bool {
+func (b *Budget) allowsOne(now time.Time, at string, sums sums, tier int) bool {
 	drawn := b.draw(now, at)
 	before := 0.0
 	for i := range tier {
@@ -123,12 +136,12 @@
 // allowed is how many retries a tier may make in the window.
 func (b *Budget) allowed(now time.Time, sums sums, tier int) float64 {
 	own := sums[tier].Total
-	return b.cfg.Ratio*float64(own) + b.floor(now)*part(own, sums.all().Total)
+	return b.allows.Load().ratio*float64(own) + b.floor(now)*part(own, sums.all().Total)
 }
 
 // allowedToAll is how many all tiers may make together.
 func (b *Budget) allowedToAll(now time.Time, all window.Counts) float64 {
-	return b.cfg.Ratio*float64(all.Total) + b.floor(now)
+	return b.allows.Load().ratio*float64(all.Total) + b.floor(now)
 }
 
 // draw is the part of a retry that must be allowed for it to be made: 1, or with a seed a
@@ -149,7 +162,7 @@
 	if b.cfg.Routers != nil && b.age(now) < b.cfg.Window {
 		return 0
 	}
-	return b.cfg.Floor * b.cfg.Window.Seconds() / float64(b.routers())
+	return b.allows.Load().floor * b.cfg.Window.Seconds() / float64(b.routers())
 }
 
 // age is how long ago this router started, by the clock that keeps running: the time of day
