Hold no request back for endpoints that live on

Cause: three broken connections at three endpoints, with no answer in between, made a request one that crashes endpoints; by chance that happens within seconds, and an endpoint that goes on answering said nothing. Change: one that answers what was sent after the loss, and within a second of it, has lived on; it counts no more for that request. The router whose own loss tips it asks the endpoints for their health; survivors are told. Why it holds: a process that ended can't answer what was sent to it afterwards, and none starts again within a second; what others told counts as lost only when it was heard.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -139,7 +139,7 @@
 	})
 	d.registerLimits()
 	d.members = newMembers(cfg.VM, d.pool, d.reg, log)
-	d.poison = newPoison(cfg.VM, d.reg, log)
+	d.poison = newPoison(cfg.VM, d.reg, log, d.checkLost)
 	source, err := d.startPeers()
 	if err != nil {
 		return nil, err
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -122,7 +122,7 @@
 		MaxBodyBytes: int64(s.Limits.MaxBodyMemory),
 		Limits:       teams.limiter,
 		Observer:     members,
-		Poison:       newPoison(id.Peer().Name, reg, log),
+		Poison:       newPoison(id.Peer().Name, reg, log, func([]string) {}), // agents outlive their engines
 		Service:      service,
 		Routing:      router.BundleRouting(inForce, server.NewDirectClient()),
 		Log:          log,
--- a/internal/filters/quarantine/lost.go
+++ b/internal/filters/quarantine/lost.go
@@ -43,3 +43,17 @@
 	}
 	return false
 }
+
+// answered says whether an attempt ended with an answer of the endpoint's own process, also one
+// that says that it failed.
+func answered(err error) bool {
+	var answer *relay.AnswerError
+	var refused *dispatch.RefusedError
+	switch {
+	case err == nil, errors.As(err, &answer):
+		return true
+	case errors.As(err, &refused):
+		return refused.Reason != wire.ReasonNotHere
+	}
+	return false
+}
--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -65,6 +65,9 @@
 	}
 	sent := f.clock()
 	err := next(ctx, r)
+	if answered(err) && r.Endpoint != nil {
+		f.table.Survived(processOf(r), sent)
+	}
 	switch {
 	case err == nil && !f.table.Empty():
 		f.table.Completed(r.Identity())
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -25,6 +25,9 @@
 	// heldMemory beyond that, so that one that comes once an hour is known.
 	forgetAfter = 10 * time.Minute
 	heldMemory  = 2 * time.Hour
+	// restartTakes is the least time that an endpoint takes to start again under its name. One
+	// that answers what was sent to it sooner after a connection to it broke has lived on.
+	restartTakes = time.Second
 	// staggerShare of the time for which a request is held back is how far routers let their
 	// trials begin apart, so that the first one's outcome is known to the others.
 	staggerShare = 4
@@ -38,11 +41,18 @@
 	Sent, At time.Time
 	// Early says that nothing of an answer had come.
 	Early bool
+	// known is when this router learned of it: what it was told may have been a little later
+	// than the time that it was told.
+	known time.Time
 }
 
 // record is what is known of one request.
 type record struct {
 	losses []Loss // the newest, by their time
+	// survivors are endpoints that broke off the request and lived on, and survived is when the
+	// latest of them was found to. What they break off tells nothing of the request.
+	survivors []string
+	survived  time.Time
 	// completed is when it was last answered; what was lost before doesn't count.
 	completed time.Time
 	// tried is when it was last let through though it was held back.
@@ -52,7 +62,7 @@
 
 // lose adds a loss and says whether it is news.
 func (r *record) lose(l Loss) bool {
-	if !l.At.After(r.completed) || r.knows(l.Endpoint) {
+	if !l.At.After(r.completed) || r.knows(l.Endpoint) || slices.Contains(r.survivors, l.Endpoint) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(r.losses, l, func(a, b Loss) int { return a.At.Compare(b.At) })
@@ -68,6 +78,28 @@
 	return slices.ContainsFunc(r.losses, func(l Loss) bool { return l.Endpoint == endpoint })
 }
 
+// survive notes that an endpoint answered what was sent to it at a moment, and says whether it
+// is thereby known to have lived on.
+func (r *record) survive(endpoint string, sent, now time.Time) bool {
+	lived := func(l Loss) bool {
+		return l.Endpoint == endpoint && sent.After(l.known) && sent.Sub(l.At) < restartTakes
+	}
+	return slices.ContainsFunc(r.losses, lived) && r.livedOn(endpoint, now)
+}
+
+// livedOn notes that an endpoint broke off the request and lived on, and says whether it is
+// news.
+func (r *record) livedOn(endpoint string, now time.Time) bool {
+	if slices.Contains(r.survivors, endpoint) {
+		return false
+	}
+	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return l.Endpoint == endpoint })
+	r.survivors = append(r.survivors, endpoint)
+	r.survivors = r.survivors[max(0, len(r.survivors)-keptLosses):]
+	r.survived = now
+	return true
+}
+
 // complete notes an answer and says whether it is news.
 func (r *record) complete(at time.Time) bool {
 	if !at.After(r.completed) {
@@ -122,7 +154,7 @@
 
 // latest is when something last happened.
 func (r *record) latest() time.Time {
-	times := []time.Time{r.completed, r.tried}
+	times := []time.Time{r.completed, r.tried, r.survived}
 	if n := len(r.losses); n > 0 {
 		times = append(times, r.losses[n-1].At)
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -37,6 +37,8 @@
 	Held bool
 	// Endpoints are those that ended under it.
 	Endpoints []string
+	// Own says that what this router itself has seen changed it.
+	Own bool
 }
 
 // Config is what a Table needs.
@@ -108,19 +110,46 @@
 
 // Lost notes that an endpoint ended while it ran a request.
 func (t *Table) Lost(id Identity, l Loss) {
-	t.change(id, true, func(r *record) bool { return r.lose(l) })
+	l.known = t.cfg.Clock()
+	t.change(id, true, true, func(r *record) bool { return r.lose(l) })
+}
+
+// Survived notes that an endpoint answered what was sent to it at a moment. Endpoints that
+// reset connections and live on would have any request that comes often taken for the cause.
+func (t *Table) Survived(endpoint string, sent time.Time) {
+	if t.Empty() {
+		return
+	}
+	for _, id := range t.lostAt(endpoint) {
+		t.change(id, false, true, func(r *record) bool { return r.survive(endpoint, sent, t.cfg.Clock()) })
+	}
+}
+
+// lostAt lists the requests that an endpoint broke off.
+func (t *Table) lostAt(endpoint string) []Identity {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []Identity
+	for id, r := range t.records {
+		if r.knows(endpoint) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // Completed notes that a request was answered just now.
 func (t *Table) Completed(id Identity) {
 	now := t.cfg.Clock()
-	t.change(id, false, func(r *record) bool { return r.complete(now) })
+	t.change(id, false, true, func(r *record) bool { return r.complete(now) })
 }
 
 // change has do change the record of a request, and tells of what that changes. A request
-// of which nothing is known gets a record if create is set.
-func (t *Table) change(id Identity, create bool, do func(*record) (news bool)) {
+// of which nothing is known gets a record if create is set. own says that this router has seen
+// it itself.
+func (t *Table) change(id Identity, create, own bool, do func(*record) (news bool)) {
 	event, changed := t.apply(id, create, do)
+	event.Own = own
 	if changed && t.cfg.OnEvent != nil {
 		t.cfg.OnEvent(event)
 	}
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -52,7 +52,7 @@
 	}
 	g.Expect(table.Ask(8).Held).To(BeFalse())
 	g.Expect(table.Ask(id).After).To(BeNumerically(">=", 3*time.Minute))
-	g.Expect(w.events).To(Equal([]Event{{Identity: id, Held: true, Endpoints: []string{"e0", "e1", "e2"}}}))
+	g.Expect(w.events).To(Equal([]Event{{Identity: id, Held: true, Endpoints: []string{"e0", "e1", "e2"}, Own: true}}))
 	g.Expect(table.Held()).To(Equal(1))
 }
 
--- a/internal/poison/word.go
+++ b/internal/poison/word.go
@@ -12,6 +12,8 @@
 type Word struct {
 	Identity Identity   `json:"identity"`
 	Losses   []LossWord `json:"losses,omitempty"`
+	// Survivors are endpoints that broke it off and lived on.
+	Survivors []string `json:"survivors,omitempty"`
 	// CompletedAgo and TriedAgo are nil if that never happened.
 	CompletedAgo *int64 `json:"completed_ago_ms,omitempty"`
 	TriedAgo     *int64 `json:"tried_ago_ms,omitempty"`
@@ -48,7 +50,7 @@
 	w := Words{Sum: t.digest()}
 	all := w.Sum != theirs
 	ids := t.sorted(func(r *record) bool {
-		return now.Sub(r.changed) < within || all && (r.poisonous() || !r.completed.IsZero())
+		return now.Sub(r.changed) < within || all && (r.poisonous() || !r.completed.IsZero() || len(r.survivors) > 0)
 	})
 	for _, id := range ids[:min(len(ids), maxWords)] {
 		w.Words = append(w.Words, t.records[id].word(id, now))
@@ -68,7 +70,7 @@
 }
 
 func (r *record) word(id Identity, now time.Time) Word {
-	w := Word{Identity: id, CompletedAgo: millisAgo(now, r.completed), TriedAgo: millisAgo(now, r.tried)}
+	w := Word{Identity: id, Survivors: r.survivors, CompletedAgo: millisAgo(now, r.completed), TriedAgo: millisAgo(now, r.tried)}
 	for _, l := range r.losses {
 		w.Losses = append(w.Losses, LossWord{
 			Endpoint: l.Endpoint, SentAgo: now.Sub(l.Sent).Milliseconds(), LostAgo: now.Sub(l.At).Milliseconds(), Early: l.Early,
@@ -87,13 +89,14 @@
 
 // Hear takes in what another router told at a moment by this table's clock.
 func (t *Table) Hear(said time.Time, words Words) {
+	now := t.cfg.Clock()
 	for _, w := range words.Words {
-		t.change(w.Identity, true, func(r *record) bool { return r.hear(said, w) })
+		t.change(w.Identity, true, false, func(r *record) bool { return r.hear(said, now, w) })
 	}
 }
 
 // hear takes in a word. What both knew may be some milliseconds off and is no news.
-func (r *record) hear(said time.Time, w Word) bool {
+func (r *record) hear(said, now time.Time, w Word) bool {
 	news := false
 	ago := func(millis int64) time.Time { return said.Add(-time.Duration(max(0, millis)) * time.Millisecond) }
 	if w.CompletedAgo != nil && isLater(ago(*w.CompletedAgo), r.completed) {
@@ -102,8 +105,11 @@
 	if w.TriedAgo != nil && isLater(ago(*w.TriedAgo), r.tried) {
 		news = r.try(ago(*w.TriedAgo)) || news
 	}
+	for _, endpoint := range w.Survivors {
+		news = r.livedOn(endpoint, now) || news
+	}
 	for _, l := range w.Losses {
-		news = r.lose(Loss{Endpoint: l.Endpoint, Sent: ago(l.SentAgo), At: ago(l.LostAgo), Early: l.Early}) || news
+		news = r.lose(Loss{Endpoint: l.Endpoint, Sent: ago(l.SentAgo), At: ago(l.LostAgo), Early: l.Early, known: now}) || news
 	}
 	return news
 }
