Work a router's share of retries out once for each decision

Cause: each tier's part asked anew how many routers there are, which walks over all that are known; one method for conditional counts had no caller left, and told survivors shared memory with the table. Change: the share is a value; the method goes; the list is copied. Behaviour as before. Measured: go test of retry, daemon, poison, throttle green.

--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -83,10 +83,14 @@
 
 // routers is how many routers there are, as far as this one has heard.
 func (d *directRouter) routers() int {
-	if d.peers == nil || d.peers.Others() == 0 {
+	if d.peers == nil {
+		return peers.LargestFleet
+	}
+	others := d.peers.Others()
+	if others == 0 {
 		return peers.LargestFleet
 	}
-	return 1 + d.peers.Others()
+	return 1 + others
 }
 
 // part is this router's part, in requests a second, of what an endpoint takes from all routers.
--- a/internal/poison/word.go
+++ b/internal/poison/word.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxWords bounds the requests in one word, some 120 bytes each. With 64, words took 7.6 KB
 // and 0.3 ms at both ends together: a reader that answers 33 routers four times a second
@@ -70,7 +73,7 @@
 }
 
 func (r *record) word(id Identity, now time.Time) Word {
-	w := Word{Identity: id, Survivors: r.survivors, CompletedAgo: millisAgo(now, r.completed), TriedAgo: millisAgo(now, r.tried)}
+	w := Word{Identity: id, Survivors: slices.Clone(r.survivors), CompletedAgo: millisAgo(now, r.completed), TriedAgo: millisAgo(now, r.tried)}
 	for _, l := range r.losses {
 		w.Losses = append(w.Losses, LossWord{
 			Endpoint: l.Endpoint, SentAgo: now.Sub(l.Sent).Milliseconds(), LostAgo: now.Sub(l.At).Milliseconds(), Early: l.Early,
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -112,19 +112,19 @@
 // each other, each of them was the only one for a while and may have used the whole floor:
 // where others share it, all tiers together keep to it as well.
 func (b *Budget) allowsOne(now time.Time, at string, sums sums, tier int) bool {
-	drawn := b.draw(now, at)
+	own, drawn := b.share(now), b.draw(now, at)
 	before := 0.0
 	for i := range tier {
-		before += b.allowed(now, sums, i)
+		before += own.ofTier(sums, i)
 	}
 	// Of the retries that all tiers may make, one for each whole step behind the draw, a tier
 	// has those that fall into its part.
-	own := steps(before+b.allowed(now, sums, tier), drawn) - steps(before, drawn)
-	if sums[tier].Part >= own {
+	may := steps(before+own.ofTier(sums, tier), drawn) - steps(before, drawn)
+	if sums[tier].Part >= may {
 		return false
 	}
 	all := sums.all()
-	return b.cfg.Routers == nil || all.Part < steps(b.allowedToAll(now, all), drawn)
+	return b.cfg.Routers == nil || all.Part < steps(own.ofAll(all), drawn)
 }
 
 // steps is how many of drawn, drawn+1, drawn+2 and so on are within a bound.
@@ -133,15 +133,29 @@
 	return max(0, int(math.Floor(bound-drawn+rounding))+1)
 }
 
-// allowed is how many retries a tier may make in the window.
-func (b *Budget) allowed(now time.Time, sums sums, tier int) float64 {
+// share is what this router may make of the retries in a window: a ratio of its first
+// attempts, and its part of the floor.
+type share struct{ ratio, floor float64 }
+
+// ofTier is how many of them are a tier's.
+func (s share) ofTier(sums sums, tier int) float64 {
 	own := sums[tier].Total
-	return b.allows.Load().ratio*float64(own) + b.floor(now)*part(own, sums.all().Total)
+	return s.ratio*float64(own) + s.floor*part(own, sums.all().Total)
 }
 
-// allowedToAll is how many all tiers may make together.
-func (b *Budget) allowedToAll(now time.Time, all window.Counts) float64 {
-	return b.allows.Load().ratio*float64(all.Total) + b.floor(now)
+// ofAll is how many all tiers may make together.
+func (s share) ofAll(all window.Counts) float64 { return s.ratio*float64(all.Total) + s.floor }
+
+// share is this router's now. A router that has just started has no part of a floor that is
+// shared: it doesn't know what the process before it used of this window, and routers that
+// start again one after the other would each have the whole of their part anew.
+func (b *Budget) share(now time.Time) share {
+	allows := b.allows.Load()
+	s := share{ratio: allows.ratio, floor: allows.floor * b.cfg.Window.Seconds() / float64(b.routers())}
+	if b.cfg.Routers != nil && b.age(now) < b.cfg.Window {
+		s.floor = 0
+	}
+	return s
 }
 
 // draw is the part of a retry that must be allowed for it to be made: 1, or with a seed a
@@ -154,17 +168,6 @@
 	return rand.New(rand.NewPCG(b.cfg.Seed^xxhash.Sum64String(at), windows)).Float64()
 }
 
-// floor is how many retries in a window are this router's part of the floor. A router that
-// has just started has none where it is shared: it doesn't know what the process before it
-// used of this window, and routers that start again one after the other would each have the
-// whole of their part anew.
-func (b *Budget) floor(now time.Time) float64 {
-	if b.cfg.Routers != nil && b.age(now) < b.cfg.Window {
-		return 0
-	}
-	return b.allows.Load().floor * b.cfg.Window.Seconds() / float64(b.routers())
-}
-
 // age is how long ago this router started, by the clock that keeps running: the time of day
 // may be set.
 func (b *Budget) age(now time.Time) time.Duration {
--- a/internal/retry/usage.go
+++ b/internal/retry/usage.go
@@ -24,7 +24,7 @@
 func (b *Budget) Usage(now time.Time, at string, tier int) Usage {
 	sums := b.sumsOf(now, b.of(at))
 	tier = ringOf(tier)
-	return Usage{Retries: sums[tier].Part, Allowed: b.allowed(now, sums, tier), Routers: b.routers()}
+	return Usage{Retries: sums[tier].Part, Allowed: b.share(now).ofTier(sums, tier), Routers: b.routers()}
 }
 
 // UsageOfAll is that of all tiers together at each target.
@@ -32,10 +32,11 @@
 	b.mu.Lock()
 	targets := maps.Clone(b.targets)
 	b.mu.Unlock()
+	own, routers := b.share(now), b.routers()
 	usage := make(map[string]Usage, len(targets))
 	for at, t := range targets {
 		all := b.sumsOf(now, t).all()
-		usage[at] = Usage{Retries: all.Part, Allowed: b.allowedToAll(now, all), Routers: b.routers()}
+		usage[at] = Usage{Retries: all.Part, Allowed: own.ofAll(all), Routers: routers}
 	}
 	return usage
 }
--- a/internal/throttle/window/tiers.go
+++ b/internal/throttle/window/tiers.go
@@ -38,19 +38,6 @@
 	l.ring.Add(now, c)
 }
 
-// AddIf counts c for a tier if what has been counted there allows it, and
-// returns whether it did.
-func (t *Tiers) AddIf(now time.Time, tier int, c Counts, allows func(so Counts) bool) bool {
-	l := t.of(tier)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !allows(l.ring.Sum(now)) {
-		return false
-	}
-	l.ring.Add(now, c)
-	return true
-}
-
 // Sums returns the counts of all tiers for the window that ends now.
 func (t *Tiers) Sums(now time.Time) [load.MaxTiers]Counts {
 	var all [load.MaxTiers]Counts
