Tests of what shows that an endpoint lives on, and of a floor that tiers share

Cause: with the bound on all tiers switched off, or with answers taken for no sign of life, no test failed. Change: a test of each. Measured: switched off in a clone: the bound on all tiers, survivors, the check of lost endpoints: a test fails each; answers as a sign of life: the new one.

--- a/internal/filters/quarantine/quarantine_test.go
+++ b/internal/filters/quarantine/quarantine_test.go
@@ -49,3 +49,31 @@
 	broke := &dispatch.LostError{Sent: true, Cause: io.EOF}
 	NewWithT(t).Expect(attempts(wire.KindRouted, 9, broke)).To(BeFalse())
 }
+
+// Whatever an endpoint answers after a loss shows that it has lived on; the answer of another
+// instance at its address does not.
+func TestWhatAnEndpointAnswersShowsThatItLivesOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer error
+		lives  bool
+	}{
+		"a whole answer":       {nil, true},
+		"a failure of its own": {&relay.AnswerError{}, true},
+		"a refusal":            {&dispatch.RefusedError{Refusal: wire.Refusal{Reason: "queue_full"}}, true},
+		"another instance":     {&dispatch.RefusedError{Refusal: wire.Refusal{Reason: wire.ReasonNotHere}}, false},
+		"a broken connection":  {&dispatch.LostError{Sent: true, Cause: io.EOF}, false},
+		"silence":              {context.DeadlineExceeded, false},
+	} {
+		f := quarantine.New(poison.NewTable(poison.Config{}), clock.Boot, zerolog.Nop())
+		send := func(endpoint, body string, outcome error) error {
+			r := &request.Request{Kind: wire.KindRouted, Body: []byte(body), Endpoint: &bundle.Endpoint{Name: endpoint, Address: "a"}}
+			return f.Do(context.Background(), r, func(context.Context, *request.Request) error { return outcome })
+		}
+		for _, e := range []string{"e0", "e1", "e2"} {
+			_ = send(e, "popular", &dispatch.LostError{Sent: true, Cause: io.EOF})
+		}
+		_ = send("e2", "another", c.answer)
+		var held *quarantine.HeldError
+		NewWithT(t).Expect(errors.As(send("e3", "popular", nil), &held)).To(Equal(!c.lives), name)
+	}
+}
--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -247,3 +247,25 @@
 	b.Allow(None, None)
 	g.Expect(use()).To(BeZero())
 }
+
+// One tier has used all that tiers share while its requests were the only ones; another one
+// follows with a hundred times as many.
+func TestWhatOneTierHasUsedOfTheFloorIsNotThereForAnother(t *testing.T) {
+	g := NewWithT(t)
+	const floor = 26 // in a window
+	b := NewBudget(BudgetConfig{
+		Ratio: None, Window: playWindow, Floor: floor / playWindow.Seconds(),
+		Routers: func() int { return 1 }, Began: epoch.Add(-playWindow),
+	})
+	use := func(tier, requests int) (made int) {
+		for range requests {
+			b.First(epoch, "s", tier)
+		}
+		for b.TryRetry(epoch, "s", tier) {
+			made++
+		}
+		return made
+	}
+	g.Expect(use(0, 10)).To(Equal(floor))
+	g.Expect(use(1, 1000)).To(BeZero())
+}
