Count repeats in a window in one place, and keep faults and checks apart

Cause: the soak and the play of failing endpoints each worked out which window has most repeats and what it allows; the file of failing endpoints held the checks as well. Change: one function, which both call; the checks have a file of their own.

--- a/internal/soak/failing.go
+++ b/internal/soak/failing.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -118,94 +115,3 @@
 		fmt.Fprintln(r.opts.Progress, "endpoint", e.endpoint.Name, "can't be told how to fail:", err)
 	}
 }
-
-// hearRouter takes a line of a router's log.
-func (r *run) hearRouter(line []byte) {
-	var ended struct {
-		Message, Request string
-		Attempts         json.RawMessage
-	}
-	if err := json.Unmarshal(line, &ended); err != nil || ended.Message != "request ended" || ended.Request == "" {
-		return // of something else
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.seen.Told[ended.Request] = AttemptsTold(ended.Attempts)
-}
-
-// AttemptsTold is how many attempts at endpoints a router's line on a request tells of.
-func AttemptsTold(attempts json.RawMessage) int {
-	var told []string
-	if err := json.Unmarshal(attempts, &told); err != nil {
-		return 0 // it ended before there could be any
-	}
-	return len(slices.DeleteFunc(told, func(a string) bool { return strings.Contains(a, " at : ") }))
-}
-
-// told compares what endpoints got with what routers tell. A router that was killed tells
-// nothing of what it had open, and one with much to tell leaves lines out.
-func (c *checker) told() {
-	for id, attempts := range c.seen.Told {
-		if n := len(c.runs[id]); n > attempts {
-			c.add(PromiseTold, id, "endpoints got it %d times, its router tells of %d attempts", n, attempts)
-		}
-	}
-}
-
-// repeats counts, in each window, what the endpoints of a service got beyond the first
-// arrival of each request. It holds for all routers together, harmed or not. Requests count
-// that were sent in the window, half a window before or a window before, whichever are most.
-func (c *checker) repeats() {
-	sent := make(map[string][]time.Time)
-	repeated := make(map[string][]time.Time)
-	for _, call := range c.seen.Calls {
-		sent[call.Service] = append(sent[call.Service], call.Sent)
-		var begins []time.Time
-		for _, r := range c.runs[call.ID] {
-			begins = append(begins, r.Begin)
-		}
-		slices.SortFunc(begins, time.Time.Compare)
-		if len(begins) > 1 {
-			repeated[call.Service] = append(repeated[call.Service], begins[1:]...)
-		}
-	}
-	for service, at := range repeated {
-		for _, from := range at {
-			n, of := countIn(at, from, c.bounds.RetryWindow), 0
-			for _, back := range []time.Duration{0, c.bounds.RetryWindow / 2, c.bounds.RetryWindow} {
-				of = max(of, countIn(sent[service], from.Add(-back), c.bounds.RetryWindow))
-			}
-			if allowed := int(c.bounds.RetryRatio*float64(of)) + c.bounds.RetrySlack; n > allowed {
-				c.add(PromiseRetries, "", "%s got %d requests again in %s, for %d sent, over %d", service, n, c.bounds.RetryWindow, of, allowed)
-				break
-			}
-		}
-	}
-}
-
-// MostPlaces is at how many endpoints a request of a soak's routes may run.
-const MostPlaces = 2
-
-// places counts at how many endpoints each request ran.
-func (c *checker) places() {
-	for id, runs := range c.runs {
-		at := make(map[string]bool)
-		for _, r := range runs {
-			at[r.Endpoint] = true
-		}
-		if len(at) > MostPlaces {
-			c.add(PromisePlaces, id, "it ran at %d endpoints, over %d", len(at), MostPlaces)
-		}
-	}
-}
-
-// countIn is how many of the moments lie in the window that begins at one.
-func countIn(at []time.Time, from time.Time, window time.Duration) int {
-	n := 0
-	for _, t := range at {
-		if !t.Before(from) && t.Sub(from) < window {
-			n++
-		}
-	}
-	return n
-}
