Leave a failure domain that falls silent as a whole

Cause: a silence was found at each endpoint alone, .6 to 1.1 s after a request of one's own had been sent there (1 s at most endpoints: what is usual of one endpoint is long), so each router paid for each endpoint.

Change: a router learns for how long it hears nothing of a failure domain's endpoints together, which is far shorter, and avoids all of them when that is exceeded, or where others found two of them silent and nobody reports their load. A line and a gauge tell of it.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -40,6 +40,9 @@
 	// OnLimit takes each change of a limit that an endpoint names; nil for nobody. It must
 	// not wait.
 	OnLimit func(LimitEvent)
+	// OnSilentDomain takes each failure domain that falls silent or no longer is; nil for
+	// nobody. It must not wait.
+	OnSilentDomain func(SilentDomain)
 	// Outlier sets up the shedding of slow and failing endpoints.
 	Outlier Outlier
 }
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -153,8 +153,9 @@
 		}
 		sh := p.shard(w.Endpoint)
 		sh.mu.Lock()
-		if st, known := sh.states[w.Endpoint]; known && !st.contradicts(now, w) && st.avoidUntil.Before(now.Add(silentFor)) {
-			st.avoidUntil = now.Add(silentFor)
+		if st, known := sh.states[w.Endpoint]; known && !st.contradicts(now, w) {
+			st.toldAt = now
+			st.avoidUntil = maxTime(st.avoidUntil, now.Add(silentFor))
 		}
 		sh.mu.Unlock()
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -25,6 +25,7 @@
 	detectAt  atomic.Int64
 	detecting sync.Mutex
 	limits    limits
+	domains   domainWatch
 }
 
 // scratch is the memory that one call of Choose works in.
@@ -239,7 +240,7 @@
 	defer sh.mu.Unlock()
 	st := sh.state(c.Name)
 	if st.group == "" {
-		st.group = peerGroup(c)
+		st.group, st.domain = peerGroup(c), c.FailureDomain
 	}
 	if st.engines == nil {
 		st.engines = p.enginesOf(st.group)
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -43,6 +43,8 @@
 	endpoints int       // that may get work
 	early     int       // at which requests are open and it is more quiet than usual
 	heardAt   time.Time // of any of them
+	engines   *engineSpeeds
+	domains   map[string]*quietDomain
 }
 
 // Silent lists the endpoints that have open requests of this router and from which nothing
@@ -55,7 +57,7 @@
 	for i := range p.shards {
 		open = p.shards[i].open(open, groups, now)
 	}
-	var silent []string
+	silent := p.silentDomains(now, groups)
 	for _, e := range open {
 		g := groups[e.group]
 		few := float64(g.early) <= mostSilent*float64(g.endpoints)
@@ -65,6 +67,7 @@
 		}
 	}
 	slices.Sort(silent)
+	silent = slices.Compact(silent)
 	p.noteSilent(now, silent)
 	return silent
 }
@@ -76,13 +79,14 @@
 	for name, st := range sh.states {
 		g := groups[st.group]
 		if g == nil {
-			g = &peerGroupState{}
+			g = &peerGroupState{engines: st.engines, domains: make(map[string]*quietDomain)}
 			groups[st.group] = g
 		}
 		if !st.leaving {
 			g.endpoints++
 		}
 		g.heardAt = maxTime(g.heardAt, st.heardAt)
+		g.domain(st.domain).note(now, name, st)
 		if st.inflight == 0 {
 			continue
 		}
@@ -150,10 +154,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.quiet.samples < leastSamples {
-		return 0, false
-	}
-	return max(leastSilence, seconds(quietFactor*e.quiet.value)), true
+	return e.quiet.limit()
 }
 
 // sawQuiet takes for how long an endpoint with open requests was heard nothing of.
--- /dev/null
+++ b/internal/balance/silentdomain.go
@@ -0,0 +1,235 @@
+package balance
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// leastSilentEndpoints is how many endpoints of a failure domain must be silent for it to
+	// be: one may have ended alone.
+	leastSilentEndpoints = 2
+	// domainTold is for how long nothing must have been heard of a failure domain where
+	// others found its endpoints silent: two of their tellings of load.
+	domainTold = 500 * time.Millisecond
+	// domainHold is how long a failure domain is avoided by one look: until the next one, with
+	// some slack.
+	domainHold = 2 * SilenceTick
+	// steadyLook is the longest time between two looks of a router that runs. One that stood
+	// still has unread answers of some endpoints and has read those of others.
+	steadyLook = leastSilence
+)
+
+// quietDomain is what a router knows of the endpoints of a group in one failure domain. It finds
+// out sooner than at each endpoint alone that all have fallen silent, and before a request is
+// sent to each of them.
+type quietDomain struct {
+	members   []string // that may get work
+	open      []quietEndpoint
+	found     int       // that somebody found silent
+	heardAt   time.Time // of any of them, by this router or by others
+	tellsLoad bool
+}
+
+// quietEndpoint is one at which requests are open and nothing was heard since a moment.
+type quietEndpoint struct {
+	name  string
+	since time.Time
+}
+
+// domainWatch is what is kept from one look for silent failure domains to the next.
+type domainWatch struct {
+	mu     sync.Mutex
+	last   time.Time // the look before
+	steady time.Time // looks have come without a long pause since
+	silent map[groupDomain]bool
+}
+
+// groupDomain names the endpoints of a group in one failure domain.
+type groupDomain struct{ group, domain string }
+
+// SilentDomain is a failure domain of which a router hears nothing any more, or hears again.
+type SilentDomain struct {
+	Group, FailureDomain string
+	Endpoints            int // of the group there
+	Silent               bool
+}
+
+// look notes a look and says whether the router has run without a long pause for a while.
+func (w *domainWatch) look(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.last) > steadyLook {
+		w.steady = now
+	}
+	w.last = now
+	return now.Sub(w.steady) >= steadyLook
+}
+
+// note notes which failure domains are silent, and returns those that weren't before and those
+// that no longer are.
+func (w *domainWatch) note(silent map[groupDomain]int) []SilentDomain {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var events []SilentDomain
+	for k, endpoints := range silent {
+		if !w.silent[k] {
+			events = append(events, SilentDomain{k.group, k.domain, endpoints, true})
+		}
+	}
+	for k := range w.silent {
+		if _, still := silent[k]; !still {
+			events = append(events, SilentDomain{Group: k.group, FailureDomain: k.domain})
+		}
+	}
+	w.silent = make(map[groupDomain]bool, len(silent))
+	for k := range silent {
+		w.silent[k] = true
+	}
+	return events
+}
+
+// SilentDomains is how many groups of endpoints this router avoids, each in one failure domain
+// of which it hears nothing.
+func (p *Pool) SilentDomains() int {
+	p.domains.mu.Lock()
+	defer p.domains.mu.Unlock()
+	return len(p.domains.silent)
+}
+
+// domain returns the state of a failure domain.
+func (g *peerGroupState) domain(name string) *quietDomain {
+	d := g.domains[name]
+	if d == nil {
+		d = &quietDomain{}
+		g.domains[name] = d
+	}
+	return d
+}
+
+// note adds an endpoint of the failure domain, whose shard is locked.
+func (d *quietDomain) note(now time.Time, name string, st *state) {
+	d.heardAt = maxTime(d.heardAt, maxTime(st.heardAt, st.reportedAt))
+	if st.leaving {
+		return
+	}
+	d.members = append(d.members, name)
+	d.tellsLoad = d.tellsLoad || !st.reportedAt.IsZero()
+	if st.isSilent(now) || now.Sub(st.toldAt) <= silentFor {
+		d.found++
+	}
+	if st.inflight > 0 {
+		d.open = append(d.open, quietEndpoint{name, st.quietSince})
+	}
+}
+
+// quiet is for how long nothing has come of several endpoints with open requests, nor of any
+// other one; 0 if there are no such endpoints.
+func (d *quietDomain) quiet(now time.Time) time.Duration {
+	if len(d.open) < leastSilentEndpoints {
+		return 0
+	}
+	slices.SortFunc(d.open, func(a, b quietEndpoint) int { return a.since.Compare(b.since) })
+	return max(0, now.Sub(maxTime(d.heardAt, d.open[leastSilentEndpoints-1].since)))
+}
+
+// isSilent says whether the failure domain is, by what is usual for the group's.
+func (d *quietDomain) isSilent(now time.Time, e *engineSpeeds) bool {
+	if d.found >= leastSilentEndpoints && now.Sub(d.heardAt) >= domainTold {
+		return true
+	}
+	if !d.tellsLoad {
+		return d.quiet(now) > SilenceLimit // a queue that grows looks like a silence
+	}
+	usual, known := e.usualDomainQuiet()
+	return known && d.quiet(now) > usual
+}
+
+// silentDomains has the endpoints of failure domains avoided that have fallen silent as a whole,
+// and returns those of them at which requests of this router are open.
+func (p *Pool) silentDomains(now time.Time, groups map[string]*peerGroupState) []string {
+	steady := p.domains.look(now)
+	silent := make(map[groupDomain]int)
+	var open []string
+	for group, g := range groups {
+		for _, domain := range g.silentDomains(now, steady) {
+			d := g.domains[domain]
+			silent[groupDomain{group, domain}] = len(d.members)
+			p.avoidAll(now.Add(domainHold), d.members)
+			for _, e := range d.open {
+				open = append(open, e.name)
+			}
+		}
+	}
+	for _, event := range p.domains.note(silent) {
+		if p.cfg.OnSilentDomain != nil {
+			p.cfg.OnSilentDomain(event)
+		}
+	}
+	return open
+}
+
+// silentDomains lists the failure domains of the group that are silent, and learns from the
+// others what is usual. Where half of the endpoints or more would be, or nothing was heard of
+// the rest, it may be this router that is cut off.
+func (g *peerGroupState) silentDomains(now time.Time, steady bool) []string {
+	var silent []string
+	endpoints := 0
+	var restHeard time.Time
+	for name, d := range g.domains {
+		if name != "" && d.isSilent(now, g.engines) {
+			silent = append(silent, name)
+			endpoints += len(d.members)
+			continue
+		}
+		restHeard = maxTime(restHeard, d.heardAt)
+		g.engines.sawDomainQuiet(d.quiet(now))
+	}
+	few := float64(endpoints) <= mostSilent*float64(g.endpoints)
+	if !steady || !few || now.Sub(restHeard) > leastSilence {
+		return nil
+	}
+	return silent
+}
+
+// avoidAll has endpoints avoided until a moment.
+func (p *Pool) avoidAll(until time.Time, endpoints []string) {
+	for _, name := range endpoints {
+		sh := p.shard(name)
+		sh.mu.Lock()
+		if st, known := sh.states[name]; known {
+			st.avoidUntil = maxTime(st.avoidUntil, until)
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// usualDomainQuiet is the silence beyond which a failure domain isn't like the others; false
+// while too little is known of them.
+func (e *engineSpeeds) usualDomainQuiet() (time.Duration, bool) {
+	if e == nil {
+		return 0, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.domainQuiet.limit()
+}
+
+// sawDomainQuiet takes for how long nothing was heard of a failure domain with open requests.
+func (e *engineSpeeds) sawDomainQuiet(quiet time.Duration) {
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.domainQuiet.add(quiet.Seconds(), quietQuantile)
+}
+
+// limit is the silence that isn't usual any more; false while too little is known.
+func (m *quantile) limit() (time.Duration, bool) {
+	if m.samples < leastSamples {
+		return 0, false
+	}
+	return max(leastSilence, seconds(quietFactor*m.value)), true
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -68,6 +68,8 @@
 	read  quantile // seconds for a token of a prompt
 	first quantile // seconds to the first token of prompts with little to read
 	quiet quantile // seconds for which nothing is heard though requests are open
+	// domainQuiet is the same of all endpoints in a failure domain together.
+	domainQuiet quantile
 }
 
 // speeds is what an estimate of an endpoint rests on.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -49,6 +49,7 @@
 	quietSince time.Time     // nothing was heard since, while requests are open
 	heardAt    time.Time     // of a part of an answer to this router
 	silentAt   time.Time     // this router found it silent last; zero if never
+	toldAt     time.Time     // others found it silent last, and nobody has heard of it since
 	recent     recentParts
 	prefill    [maxRanks]int // tokens of prompts sent that aren't known to be read
 	load       load.Report
@@ -60,6 +61,7 @@
 	leaving    bool
 	suspect    bool
 	group      string // of the endpoints that it is compared with
+	domain     string // the failure domain
 	health     health
 	// attempts are this router's of late, nil before the first; avoidUntil is
 	// until when the endpoint is avoided because it fails for several routers.
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -136,8 +136,10 @@
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{
 		Policy: policy, Seed: membership.SeedOf(cfg.VM), Part: d.part, OnLimit: d.logLimit,
+		OnSilentDomain: d.logSilentDomain,
 	})
 	d.registerLimits()
+	d.registerSilences()
 	d.members = newMembers(cfg.VM, d.pool, d.reg, log)
 	d.poison = newPoison(cfg.VM, d.reg, log, d.checkLost)
 	source, err := d.startPeers()
@@ -270,23 +272,6 @@
 	})
 }
 
-// watchSilence has endpoints asked for their health from which nothing comes
-// though requests are open there. The requests themselves wait on.
-func (d *directRouter) watchSilence(ctx context.Context) {
-	tick := time.NewTicker(balance.SilenceTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, endpoint := range d.pool.Silent(now, balance.SilenceLimit) {
-				d.members.Learn(membership.Silence{Endpoint: endpoint})
-			}
-		}
-	}
-}
-
 // addLoop adds an actor that runs until the group ends.
 func addLoop(g *run.Group, loop func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
