Tell moments to the millisecond, and what a cold endpoint began when

Lines of all processes now carry milliseconds, and the promises on cold and limited endpoints name the requests and when each began. The checks, their bounds and windows are as they were.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -33,6 +33,11 @@
 	FieldSampled  = "sampled" // on lines that may stand for others left out
 )
 
+// timeFormat tells lines of several processes apart that follow from each other.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a logger that writes to w by the settings.
 func New(s settings.Log, w io.Writer) zerolog.Logger {
 	if s.Format == settings.FormatConsole {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -273,34 +274,50 @@
 // cold counts what endpoints got in each second in which they were cold. It holds for all
 // routers, harmed or not.
 func (c *checker) cold() {
-	begins := make(map[string][]time.Time)
+	runs := make(map[string][]Execution)
 	for _, r := range c.seen.Runs {
-		begins[r.Endpoint] = append(begins[r.Endpoint], r.Begin)
+		runs[r.Endpoint] = append(runs[r.Endpoint], r)
 	}
 	most := int(c.bounds.ColdExcess*coldRate) + c.bounds.ColdSlack
 	for endpoint, spans := range c.seen.Cold {
 		for _, s := range spans {
-			if n := busiest(begins[endpoint], s, time.Second); n > most {
-				c.add(PromiseCold, "", "%s began %d requests in a second while it was cold, over %d", endpoint, n, most)
+			if in := busiest(runs[endpoint], s, time.Second); len(in) > most {
+				c.add(PromiseCold, "", "%s began %d requests in a second while it was cold, over %d: cold from %s, %s",
+					endpoint, len(in), most, s.From.Format(momentFormat), beginsOf(in))
 			}
 		}
 	}
 }
 
-// busiest is how many of the moments lie in the window of a span that has most.
-func busiest(at []time.Time, span Span, window time.Duration) int {
-	in := slices.DeleteFunc(slices.Clone(at), func(t time.Time) bool { return t.Before(span.From) || t.After(span.To) })
-	slices.SortFunc(in, time.Time.Compare)
-	most, from := 0, 0
-	for i, t := range in {
-		for t.Sub(in[from]) >= window {
+// momentFormat is how a broken promise names a moment, as the processes' lines do.
+const momentFormat = "15:04:05.000"
+
+// busiest are the runs that begin in the window of a span in which most do, in order.
+func busiest(runs []Execution, span Span, window time.Duration) []Execution {
+	in := slices.DeleteFunc(slices.Clone(runs), func(r Execution) bool { return r.Begin.Before(span.From) || r.Begin.After(span.To) })
+	slices.SortFunc(in, func(a, b Execution) int { return a.Begin.Compare(b.Begin) })
+	var most []Execution
+	from := 0
+	for i, r := range in {
+		for r.Begin.Sub(in[from].Begin) >= window {
 			from++
 		}
-		most = max(most, i-from+1)
+		if i-from+1 > len(most) {
+			most = in[from : i+1]
+		}
 	}
 	return most
 }
 
+// beginsOf names runs and when each began.
+func beginsOf(runs []Execution) string {
+	names := make([]string, len(runs))
+	for i, r := range runs {
+		names[i] = r.ID + " at " + r.Begin.Format(momentFormat)
+	}
+	return strings.Join(names, ", ")
+}
+
 func (c *checker) recovery() {
 	from := c.seen.LastFault.Add(recoveryWithin)
 	all, served := 0, 0
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -88,18 +87,19 @@
 	for _, call := range c.seen.Calls {
 		calls[call.ID] = call
 	}
-	begins := make(map[string][]time.Time)
+	runs := make(map[string][]Execution)
 	for _, r := range c.seen.Runs {
 		if call, known := calls[r.ID]; known && c.inTouch(call, r) {
-			begins[r.Endpoint] = append(begins[r.Endpoint], r.Begin)
+			runs[r.Endpoint] = append(runs[r.Endpoint], r)
 		}
 	}
 	for endpoint, limited := range c.seen.Limited {
 		for _, l := range limited {
 			span := Span{From: l.From.Add(c.bounds.LimitWithin), To: l.To}
 			most := int(c.bounds.LimitExcess*l.PerSecond*c.bounds.LimitWindow.Seconds()) + c.bounds.LimitSlack
-			if n := busiest(slices.Clone(begins[endpoint]), span, c.bounds.LimitWindow); n > most {
-				c.add(PromiseLimit, "", "%s began %d requests in %s while it named a limit of %g a second, over %d", endpoint, n, c.bounds.LimitWindow, l.PerSecond, most)
+			if in := busiest(runs[endpoint], span, c.bounds.LimitWindow); len(in) > most {
+				c.add(PromiseLimit, "", "%s began %d requests in %s while it named a limit of %g a second, over %d: %s",
+					endpoint, len(in), c.bounds.LimitWindow, l.PerSecond, most, beginsOf(in))
 			}
 		}
 	}
