Take an endpoint that answers after its connections broke for a cold one

Cause: its process had ended and started again under its name behind a proxy that takes connections and resets them. Only refused connections counted as a sign of another process. The other three endpoints named limits, so that requests were sent to the suspect one; the first answer made it live at all routers, 1 ms after it had begun, and they sent what they had.

Change: an endpoint to which connections fail gets what a cold one takes, unless most are out of this router's reach; one that answers a request sent after they broke counts as another process, as after refused connections.

Why it works: nothing sends such an endpoint more than the cold rate before a health check or the list has told, however it comes back.

Cost: nothing where a service states no cold rate.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -36,6 +36,8 @@
 	ColdRate float64
 	// Once says that the request may not run again after its endpoint broke off.
 	Once bool
+	// mostUnsure says that connections to more than half of the candidates fail.
+	mostUnsure bool
 }
 
 // kind is the kind that the request is of.
@@ -82,6 +84,8 @@
 	// Bounded says that it takes so many requests a second from all routers, and may be sent
 	// this one. One that may not isn't among the views.
 	Bounded bool
+	// Unsure says that connections to it fail or it is silent.
+	Unsure bool
 	// Aside says that it is no part of what decides who is kept apart, where homes are and
 	// how long requests wait: it takes too little, and only what costs more elsewhere.
 	Aside bool
--- a/internal/balance/bound.go
+++ b/internal/balance/bound.go
@@ -19,8 +19,11 @@
 // bound is what is known of how many requests a second an endpoint takes from all routers.
 type bound struct {
 	coldUntil time.Time
-	limit     limit
-	pace      endpointrate.Pace
+	// unsure says that connections to the endpoint fail or it is silent: it may be a process
+	// that has just started, or be one at any moment.
+	unsure bool
+	limit  limit
+	pace   endpointrate.Pace
 	// part is this router's requests a second of rate, as worked out at partAt.
 	part, rate float64
 	partAt     time.Time
@@ -30,12 +33,18 @@
 // takes; 0 bounds nothing.
 func (b *bound) cold(now time.Time, rate float64) bool { return rate > 0 && now.Before(b.coldUntil) }
 
+// takenForCold says whether the endpoint gets what a cold one does. Where nothing else may take a
+// request it goes to one that is unsure, which must not get all there is then.
+func (b *bound) takenForCold(now time.Time, req Request) bool {
+	return b.cold(now, req.ColdRate) || b.unsure && req.ColdRate > 0 && !req.mostUnsure
+}
+
 // now is what the endpoint takes at present; false if anything.
-func (b *bound) now(now time.Time, e *bundle.Endpoint, coldRate float64) (endpointrate.Bound, bool) {
-	cold := b.cold(now, coldRate)
+func (b *bound) now(now time.Time, e *bundle.Endpoint, req Request) (endpointrate.Bound, bool) {
+	cold := b.takenForCold(now, req)
 	switch {
-	case cold && (!b.limit.named || coldRate <= b.limit.perSecond):
-		return endpointrate.Cold(e.Name, e.FailureDomain, coldRate), true
+	case cold && (!b.limit.named || req.ColdRate <= b.limit.perSecond):
+		return endpointrate.Cold(e.Name, e.FailureDomain, req.ColdRate), true
 	case b.limit.named:
 		return endpointrate.Limited(e.Name, e.FailureDomain, max(b.limit.perSecond, leastRate)), true
 	}
@@ -45,7 +54,7 @@
 // rankOf is the rank by which requests yield to each other. Cold endpoints have none: they are
 // cold for a few seconds, and what yields there is lost.
 func (b *bound) rankOf(now time.Time, req Request) int {
-	if b.cold(now, req.ColdRate) {
+	if b.takenForCold(now, req) {
 		return 0
 	}
 	return req.Tier
@@ -69,7 +78,7 @@
 
 // ready says whether the endpoint, whose shard is locked, may be sent the request now.
 func (p *Pool) ready(now time.Time, st *state, e *bundle.Endpoint, req Request) bool {
-	of, bounded := st.bound.now(now, e, req.ColdRate)
+	of, bounded := st.bound.now(now, e, req)
 	if !bounded {
 		return true
 	}
@@ -95,7 +104,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(e.Name)
-	of, bounded := st.bound.now(now, e, req.ColdRate)
+	of, bounded := st.bound.now(now, e, req)
 	if !bounded {
 		return true
 	}
@@ -131,7 +140,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	b := &sh.state(e.Name).bound
-	of, bounded := b.now(now, e, req.ColdRate)
+	of, bounded := b.now(now, e, req)
 	if !bounded {
 		return 0
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -8,7 +8,30 @@
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.state(endpoint).suspect = suspect
+	st := sh.state(endpoint)
+	st.suspect, st.bound.unsure = suspect, suspect
+}
+
+// MostUnsure says whether this router's connections to more than half of the endpoints fail that
+// an endpoint is compared with: it was cut off itself.
+func (p *Pool) MostUnsure(endpoint string) bool {
+	group := p.groupOf(endpoint)
+	unsure, all := 0, 0
+	for i := range p.shards {
+		sh := &p.shards[i]
+		sh.mu.Lock()
+		for _, st := range sh.states {
+			if st.group != group || st.leaving {
+				continue
+			}
+			all++
+			if st.bound.unsure {
+				unsure++
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return 2*unsure > all
 }
 
 // Return notes that an endpoint which was leaving, suspect or gone is used
@@ -19,7 +42,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(endpoint)
-	st.leaving, st.suspect = false, false
+	st.leaving, st.suspect, st.bound.unsure = false, false, false
 	if st.health.until.Before(now) {
 		// What failed before still counts: a health check may be good where
 		// requests fail.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -142,6 +142,12 @@
 func (p *Pool) choose(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (int, error) {
 	s.pcg.Seed(p.cfg.Seed, p.choices.Add(1))
 	left := p.collect(s, now, req, candidates, skip)
+	if left.bounded > 0 && 2*left.unsure > len(candidates) {
+		// It is this router that is cut off, or was: it must find out at once when it no
+		// longer is.
+		req.mostUnsure = true
+		left = p.collect(s, now, req, candidates, skip)
+	}
 	reviveIfAllShed(s.views)
 	for {
 		i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
@@ -170,6 +176,8 @@
 	// bounded are those that take no further request now, one of them in freeIn.
 	bounded int
 	freeIn  time.Duration
+	// unsure are the candidates to which connections fail, bounded or not.
+	unsure int
 }
 
 // bound counts an endpoint that takes the next request in a while.
@@ -193,7 +201,11 @@
 		}
 		s.views = append(s.views, View{})
 		v := &s.views[len(s.views)-1]
-		switch p.view(now, c, v, req) {
+		may := p.view(now, c, v, req)
+		if v.Unsure {
+			left.unsure++
+		}
+		switch may {
 		case takesWork:
 			s.from = append(s.from, i)
 			continue
@@ -254,8 +266,9 @@
 	if st.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
 	}
-	_, v.Bounded = st.bound.now(now, c, req.ColdRate)
+	_, v.Bounded = st.bound.now(now, c, req)
 	v.Aside = st.bound.aside(now, req.ColdRate)
+	v.Unsure = st.bound.unsure
 	switch {
 	case st.leaving:
 		return leavesWork
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -39,14 +39,22 @@
 	return l
 }
 
-// returning takes an endpoint whose connections had been refused for a process that has just
-// started. Where the list can't be read nothing else tells of it: with three routers one got 15
-// requests in its first second, of 12 that it bore.
+// returning takes an endpoint whose connections had failed for a process that has just started.
+// Where the list can't be read nothing else tells of it: with three routers one got 15 requests
+// in its first second, of 12 that it bore. A router that reached hardly any endpoint was cut off
+// itself.
 func (l *endpointList) returning(name string) {
 	entry, ok := l.d.follower.Directory().Entry(name)
-	if ok {
-		l.d.pool.SetCold(time.Now(), name, l.service(entry.Endpoint.Services).Cold.For)
+	if !ok || l.d.pool.MostUnsure(name) {
+		return
 	}
+	cold := l.service(entry.Endpoint.Services).Cold
+	if cold.Rate <= 0 {
+		return
+	}
+	l.d.pool.SetCold(time.Now(), name, cold.For)
+	l.d.log.Info().Str("endpoint", name).Dur("for", cold.For).
+		Msg("endpoint returns and may be another process: it gets what a cold one takes")
 }
 
 // take has membership follow the list of endpoints. It is called by one goroutine.
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -99,7 +99,7 @@
 	}
 	// Answers carry no number of their own; they are read in their order.
 	report.Seq = uint64(f.answers.Add(1))
-	counts := f.observer.Answered(e.Name, wire.Clock{Incarnation: e.Process()}, report)
+	counts := f.observer.Answered(e.Name, wire.Clock{Incarnation: e.Process()}, sent, report)
 	if counts && reply.Load != nil {
 		f.pool.Report(now, e.Name, report)
 	}
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -204,7 +204,7 @@
 }
 
 func (f *Filter) learnLoad(endpoint string, from wire.Clock, report load.Report) {
-	if f.observer.Answered(endpoint, from, report) {
+	if f.observer.Answered(endpoint, from, time.Time{}, report) {
 		f.pool.Report(time.Now(), endpoint, report)
 	}
 }
--- a/internal/filters/dispatch/observe.go
+++ b/internal/filters/dispatch/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,9 +15,10 @@
 // Observer is told what attempts show of their endpoints. It is called by many
 // goroutines at once and must not wait.
 type Observer interface {
-	// Answered takes the report of an answer. False means that it is of an
-	// earlier incarnation of the agent and must not count.
-	Answered(endpoint string, clock wire.Clock, report load.Report) bool
+	// Answered takes the report of an answer to a request that was sent at a moment, zero
+	// if that isn't known. False means that it is of an earlier incarnation of the agent
+	// and must not count.
+	Answered(endpoint string, clock wire.Clock, sent time.Time, report load.Report) bool
 	// Failed takes a connection that was refused, so that nothing was sent, or
 	// that broke later. incarnation is that of the process it led to, empty if unknown.
 	Failed(endpoint, incarnation string, sent bool)
@@ -29,8 +31,8 @@
 // unobserved is the Observer that a filter begins with.
 type unobserved struct{}
 
-func (unobserved) Answered(string, wire.Clock, load.Report) bool { return true }
-func (unobserved) Failed(string, string, bool)                   {}
+func (unobserved) Answered(string, wire.Clock, time.Time, load.Report) bool { return true }
+func (unobserved) Failed(string, string, bool)                              {}
 
 // observe tells of an attempt whose connection failed. One that the caller or
 // the deadline ended says nothing of the connection.
--- a/internal/filters/dispatch/observe_test.go
+++ b/internal/filters/dispatch/observe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -15,8 +16,8 @@
 // notes is an observer that keeps what it is told.
 type notes struct{ failed []bool }
 
-func (*notes) Answered(string, wire.Clock, load.Report) bool { return true }
-func (n *notes) Failed(_, _ string, sent bool)               { n.failed = append(n.failed, sent) }
+func (*notes) Answered(string, wire.Clock, time.Time, load.Report) bool { return true }
+func (n *notes) Failed(_, _ string, sent bool)                          { n.failed = append(n.failed, sent) }
 
 func TestObserverIsToldOfConnectionsOnly(t *testing.T) {
 	gone, cancel := context.WithCancel(t.Context())
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -65,9 +65,9 @@
 	last  time.Duration
 }
 
-func (w witness) Answered(endpoint string, clock wire.Clock, report load.Report) bool {
+func (w witness) Answered(endpoint string, clock wire.Clock, sent time.Time, report load.Report) bool {
 	w.tries.note(endpoint)
-	return !w.deaf && w.Observer.Answered(endpoint, clock, report)
+	return !w.deaf && w.Observer.Answered(endpoint, clock, sent, report)
 }
 
 func (w witness) Failed(endpoint, incarnation string, sent bool) {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -43,7 +43,7 @@
 		}
 	case ConnectionResult:
 		if e := c.endpoints[ev.Endpoint]; e != nil && e.place.mayBe(ev.Incarnation) {
-			e.fail(ev.Result)
+			e.fail(now, ev.Result)
 			return c.judge(now, e, nil)
 		}
 	}
@@ -133,7 +133,7 @@
 	e.probe.begin(now, state, c.tuning)
 	change := Change{Endpoint: e.place.Endpoint, From: from, To: state, Reason: reason}
 	if state == Live {
-		change.Refused, e.absent = e.absent, false
+		change.MayBeNew, e.mayBeNew = e.mayBeNew, false
 	}
 	return append(changes, change)
 }
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -78,6 +78,8 @@
 	Leaving     bool
 	// Via is ReasonReport, ReasonNotice or ReasonCheck.
 	Via Reason
+	// Sent is when the request was sent that it answers; zero if that isn't known.
+	Sent time.Time
 }
 
 // Result is how a connection to an agent went.
@@ -128,7 +130,7 @@
 	Endpoint string
 	From, To State
 	Reason   Reason
-	// Refused says of one that returned that its connections had been refused, so that
-	// another process may be there.
-	Refused bool
+	// MayBeNew says of one that returned that another process may be there: connections were
+	// refused, or broke until it answered a request that was sent afterwards.
+	MayBeNew bool
 }
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -36,10 +36,11 @@
 	leaving     bool
 	via         Reason // of leaving
 
-	broken  int  // connections in a row
-	refused bool // the last connection was
-	// absent says that a connection was refused since it was last live.
-	absent bool
+	broken   int       // connections in a row
+	failedAt time.Time // the first of these, or of those refused
+	refused  bool      // the last connection was
+	// mayBeNew says that another process may be there than when it was last live.
+	mayBeNew bool
 	// silentAt is when it was last heard that requests are open there and nothing
 	// comes; zero if an answer followed.
 	silentAt time.Time
@@ -107,7 +108,8 @@
 		e.leaving, e.via = true, w.Via
 	}
 	e.answeredAt = now
-	e.broken, e.refused = 0, false
+	e.mayBeNew = e.mayBeNew || e.state == Suspect && e.answersAnew(w)
+	e.broken, e.refused, e.failedAt = 0, false, time.Time{}
 	if w.Via != ReasonCheck {
 		e.silentAt = time.Time{}
 	}
@@ -126,10 +128,20 @@
 	e.leaving = false
 }
 
-func (e *evidence) fail(r Result) {
+// answersAnew says whether the word answers a request that was sent after connections began to
+// fail: of such an answer nobody can tell whether the process is the one of before. A health
+// check says for itself what state it is in.
+func (e *evidence) answersAnew(w OwnWord) bool {
+	return w.Via == ReasonReport && !e.failedAt.IsZero() && w.Sent.After(e.failedAt)
+}
+
+func (e *evidence) fail(now time.Time, r Result) {
+	if e.failedAt.IsZero() {
+		e.failedAt = now
+	}
 	e.broken++
 	e.refused = r == Refused
-	e.absent = e.absent || e.refused
+	e.mayBeNew = e.mayBeNew || e.refused
 }
 
 // endSilence forgets a silence of which nothing was heard lately, as no request is open there
--- a/internal/membership/platform_test.go
+++ b/internal/membership/platform_test.go
@@ -57,7 +57,7 @@
 func TestReportsOfUnknownEndpointsDoNotCount(t *testing.T) {
 	playStand(t, func(s *stand) {
 		clock := wire.Clock{Incarnation: "a"}
-		s.g.Expect(s.tracker.Answered("e0", clock, load.Report{Seq: 1})).To(BeTrue())
-		s.g.Expect(s.tracker.Answered("e9", clock, load.Report{Seq: 1})).To(BeFalse())
+		s.g.Expect(s.tracker.Answered("e0", clock, time.Time{}, load.Report{Seq: 1})).To(BeTrue())
+		s.g.Expect(s.tracker.Answered("e9", clock, time.Time{}, load.Report{Seq: 1})).To(BeFalse())
 	})
 }
--- a/internal/membership/prober_test.go
+++ b/internal/membership/prober_test.go
@@ -103,7 +103,7 @@
 func TestLeavingIsAskedUntilItsNextIncarnation(t *testing.T) {
 	playStand(t, func(s *stand) {
 		s.start(statusOf("a", 2, true))
-		s.g.Expect(s.tracker.Answered("e0", wire.Clock{Incarnation: "a"}, load.Report{Seq: 1, Leaving: true})).To(BeTrue())
+		s.g.Expect(s.tracker.Answered("e0", wire.Clock{Incarnation: "a"}, time.Time{}, load.Report{Seq: 1, Leaving: true})).To(BeTrue())
 		time.Sleep(time.Minute)
 		s.expect(Leaving)
 		s.g.Expect(s.probes).To(BeNumerically(">", 2))
@@ -113,7 +113,7 @@
 		s.start(statusOf("b", 3, false))
 		time.Sleep(DefaultTuning().ProbeMax + time.Second)
 		s.expect(Live)
-		s.g.Expect(s.tracker.Answered("e0", wire.Clock{Incarnation: "a"}, load.Report{Seq: 9, Leaving: true})).To(BeFalse())
+		s.g.Expect(s.tracker.Answered("e0", wire.Clock{Incarnation: "a"}, time.Time{}, load.Report{Seq: 9, Leaving: true})).To(BeFalse())
 	})
 }
 
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -37,7 +37,7 @@
 	cfg     Config
 	metrics *metrics
 
-	// returning is told of endpoints that return after refused connections; nil for nobody.
+	// returning is told of endpoints that return as what may be another process; nil for nobody.
 	returning func(endpoint string)
 
 	mu   sync.Mutex
@@ -52,7 +52,8 @@
 }
 
 // OnReturning has a function called for each endpoint that returns after its connections
-// had been refused, before it gets work again. It must be called before the tracker is used.
+// had failed and at which another process may be, before it gets work again. It must be called
+// before the tracker is used.
 func (t *Tracker) OnReturning(f func(endpoint string)) { t.returning = f }
 
 // SetBundle takes the endpoints of the bundle in force.
@@ -77,10 +78,10 @@
 
 // Answered implements dispatch.Observer. Reports of endpoints that the bundle
 // names no more don't count either.
-func (t *Tracker) Answered(endpoint string, clock wire.Clock, report load.Report) bool {
+func (t *Tracker) Answered(endpoint string, clock wire.Clock, sent time.Time, report load.Report) bool {
 	return t.hear(OwnWord{
 		Endpoint: endpoint, Incarnation: clock.Incarnation, Seq: report.Seq,
-		Leaving: report.Leaving, Via: ReasonReport,
+		Leaving: report.Leaving, Via: ReasonReport, Sent: sent,
 	})
 }
 
@@ -139,7 +140,7 @@
 	case ch.Reason == ReasonRestarted:
 		pool.Restart(now, ch.Endpoint)
 	case ch.To == Live:
-		if ch.Refused && t.returning != nil {
+		if ch.MayBeNew && t.returning != nil {
 			t.returning(ch.Endpoint)
 		}
 		pool.Return(now, ch.Endpoint)
