Have streams go on from their copies where their failure domain is lost in silence

Cause: a stream went on from its copy only once its connection broke, and nothing breaks in silence.

Change: where a whole failure domain is silent and nothing has come from an endpoint for a second, streams that have begun there go on from their copies at endpoints in use. Not where one endpoint is silent alone: it may be slow, and a run must not go on while its endpoint works on it.

The new tests fail without it.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -334,6 +334,15 @@
 	sh.state(endpoint).leaving = leaving
 }
 
+// InUse says whether an endpoint may be sent new work and nothing speaks against it.
+func (p *Pool) InUse(now time.Time, endpoint string) bool {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, known := sh.states[endpoint]
+	return known && !st.leaving && !st.suspect && !now.Before(st.avoidUntil)
+}
+
 // Open is how many requests of this router an endpoint has.
 func (p *Pool) Open(endpoint string) int {
 	sh := p.shard(endpoint)
--- a/internal/balance/silentdomain.go
+++ b/internal/balance/silentdomain.go
@@ -44,6 +44,9 @@
 	last   time.Time // the look before
 	steady time.Time // looks have come without a long pause since
 	silent map[groupDomain]bool
+	// lost are endpoints of the silent ones that nothing was heard of for SilenceLimit
+	// though requests are open there.
+	lost []string
 }
 
 // groupDomain names the endpoints of a group in one failure domain.
@@ -67,11 +70,12 @@
 	return now.Sub(w.steady) >= steadyLook
 }
 
-// note notes which failure domains are silent, and returns those that weren't before and those
+// note notes which failure domains are silent and which endpoints are lost, and returns those that weren't before and those
 // that no longer are.
-func (w *domainWatch) note(silent map[groupDomain]int) []SilentDomain {
+func (w *domainWatch) note(silent map[groupDomain]int, lost []string) []SilentDomain {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lost = lost
 	var events []SilentDomain
 	for k, endpoints := range silent {
 		if !w.silent[k] {
@@ -90,6 +94,15 @@
 	return events
 }
 
+// Lost lists the endpoints that are taken for lost by the last look: their whole failure domain
+// is silent, and nothing has come for a second though requests are open there. A slow endpoint
+// isn't: a run must not go on elsewhere while its endpoint still works on it.
+func (p *Pool) Lost() []string {
+	p.domains.mu.Lock()
+	defer p.domains.mu.Unlock()
+	return p.domains.lost
+}
+
 // SilentDomains is how many groups of endpoints this router avoids, each in one failure domain
 // of which it hears nothing.
 func (p *Pool) SilentDomains() int {
@@ -151,7 +164,7 @@
 func (p *Pool) silentDomains(now time.Time, groups map[string]*peerGroupState) []string {
 	steady := p.domains.look(now)
 	silent := make(map[groupDomain]int)
-	var open []string
+	var open, lost []string
 	for group, g := range groups {
 		for _, domain := range g.silentDomains(now, steady) {
 			d := g.domains[domain]
@@ -159,10 +172,13 @@
 			p.avoidAll(now.Add(domainHold), d.members)
 			for _, e := range d.open {
 				open = append(open, e.name)
+				if now.Sub(e.since) >= SilenceLimit {
+					lost = append(lost, e.name)
+				}
 			}
 		}
 	}
-	for _, event := range p.domains.note(silent) {
+	for _, event := range p.domains.note(silent, lost) {
 		if p.cfg.OnSilentDomain != nil {
 			p.cfg.OnSilentDomain(event)
 		}
--- a/internal/balance/silentdomain_test.go
+++ b/internal/balance/silentdomain_test.go
@@ -139,3 +139,19 @@
 	l.run(SilenceTick)
 	g.Expect(l.p.SilentDomains()).To(BeZero(), "somebody hears of it")
 }
+
+func TestAnEndpointIsLostOnceItsFailureDomainWasSilentForASecond(t *testing.T) {
+	g := NewWithT(t)
+	l := newDomainLab()
+	l.run(900*time.Millisecond, 0, 3)
+	g.Expect(l.avoided()).To(Equal([]string{"e0", "e3"}))
+	g.Expect(l.p.Lost()).To(BeEmpty())
+	l.run(200*time.Millisecond, 0, 3)
+	g.Expect(l.p.Lost()).To(ConsistOf("e0", "e3"))
+	g.Expect(l.p.InUse(l.now, "e0")).To(BeFalse())
+	g.Expect(l.p.InUse(l.now, "e1")).To(BeTrue())
+	l.run(200 * time.Millisecond)
+	g.Expect(l.p.Lost()).To(BeEmpty())
+	l.run(2*time.Second, 3)
+	g.Expect(l.p.Lost()).To(BeEmpty(), "an endpoint that is silent alone may be slow")
+}
--- a/internal/daemon/directsilence.go
+++ b/internal/daemon/directsilence.go
@@ -11,7 +11,8 @@
 )
 
 // watchSilence has endpoints asked for their health from which nothing comes
-// though requests are open there. The requests themselves wait on.
+// though requests are open there. The requests themselves wait on, but for streams
+// that go on from copies once the endpoint is taken for lost.
 func (d *directRouter) watchSilence(ctx context.Context) {
 	tick := time.NewTicker(balance.SilenceTick)
 	defer tick.Stop()
@@ -23,6 +24,7 @@
 			for _, endpoint := range d.pool.Silent(now, balance.SilenceLimit) {
 				d.members.Learn(membership.Silence{Endpoint: endpoint})
 			}
+			d.router.LeaveSilent(d.pool.Lost())
 		}
 	}
 }
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -14,6 +14,7 @@
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/filters/relay"
 	"coveferry/internal/load"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -53,8 +54,11 @@
 // exchangeDirect sends an attempt to an endpoint that has no agent, and judges
 // by the endpoint's own mark whether it ran.
 func (f *Filter) exchangeDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if r.Copy != nil {
+		defer f.copied.follow(r, cancel)()
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.Connections++ }}
 	req, err := f.directRequest(httptrace.WithClientTrace(ctx, trace), r)
 	if err != nil {
@@ -86,7 +90,11 @@
 	}
 	r.Answer = resp
 	defer func() { r.Answer = nil }()
-	return next(ctx, r)
+	err = next(ctx, r)
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return &relay.BrokenError{Cause: errSilent}
+	}
+	return err
 }
 
 // learnDirect takes in what the head of an answer to a request that was sent at a moment says
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 	// observer learns of endpoints' membership.
 	observer Observer
 	direct   direct
+	copied   copiedRuns
 	// answers numbers the answers of endpoints without an agent.
 	answers atomic.Int64
 }
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -61,6 +61,7 @@
 // routedPipe is the path of every routed request.
 func (rt *Router) routedPipe() pipeline.Next {
 	c := rt.cfg.Routing
+	rt.direct = rt.dispatch(rt.cfg.Client)
 	return pipeline.Compose(
 		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),                         // which route does it take?
 		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}),             // may its key use the route?
@@ -70,11 +71,26 @@
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
 		}),
-		rt.dispatch(rt.cfg.Client), // send it there
-		relay.Filter{},             // pass the answer on
+		rt.direct,      // send it there
+		relay.Filter{}, // pass the answer on
 	)
 }
 
+// LeaveSilent has the streams at endpoints that are taken for lost go on from their copies,
+// those that have one at an endpoint in use. Nothing is done without Routing.
+func (rt *Router) LeaveSilent(endpoints []string) {
+	if rt.direct == nil {
+		return
+	}
+	inUse := func(endpoint string) bool { return rt.cfg.Pool.InUse(time.Now(), endpoint) }
+	for _, endpoint := range endpoints {
+		if left := rt.direct.LeaveSilent(endpoint, inUse); left > 0 {
+			rt.cfg.Log.Info().Str(logging.FieldEndpoint, endpoint).Int("streams", left).
+				Msg("endpoint is silent: streams there go on from their copies")
+		}
+	}
+}
+
 // ServeRouted answers a request by the route table.
 func (rt *Router) ServeRouted(w http.ResponseWriter, req *http.Request) {
 	rt.serve(w, req, &request.Request{
--- a/internal/router/routed_stream_test.go
+++ b/internal/router/routed_stream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -115,3 +116,48 @@
 		g.Expect(call(g, client, "POST", "/stream/", "x").err).To(HaveOccurred())
 	})
 }
+
+// A failure domain fell silent, no connection broke, and the streams there waited until their
+// callers left after 3.2 s, though their runs had been copied elsewhere: 42 of 250 urgent ones.
+func TestAStreamGoesOnFromItsCopyWhereItsEndpointIsLostInSilence(t *testing.T) {
+	for name, inUse := range map[string]bool{"copy in use": true, "copy not in use": false} {
+		t.Run(name, func(t *testing.T) {
+			playRouted(t, func(g *WithT, w *world, client *http.Client) {
+				w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+					if req.Header.Get("From-Copy") != "" {
+						events(conn, req, true, "id: 2\ndata: b\n\n")
+						return
+					}
+					for _, other := range []string{"e1", "e2", "e3"} {
+						w.pool.SetSuspect(other, !inUse && other != endpoint)
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", req.Header.Get("Id"), 15, "id: 1\ndata: a\n\n")
+					time.Sleep(time.Second)
+					w.router.LeaveSilent([]string{endpoint})
+					time.Sleep(time.Second)
+					_, _ = io.WriteString(conn, "f\r\nid: 2\ndata: z\n\n\r\n0\r\n\r\n")
+				}
+				got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+				time.Sleep(2 * time.Second) // until the first endpoint is done
+				g.Expect(got.err).NotTo(HaveOccurred())
+				last := map[bool]string{true: "b", false: "z"}[inUse]
+				g.Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: " + last + "\n\n"))
+			})
+		})
+	}
+}
+
+// Without a copy it waits on: the endpoint may be back.
+func TestAStreamWithoutACopyWaitsWhereItsEndpointIsLostInSilence(t *testing.T) {
+	playRouted(t, func(g *WithT, w *world, client *http.Client) {
+		w.answer = func(endpoint string, req *http.Request, conn net.Conn) {
+			w.router.LeaveSilent([]string{endpoint})
+			time.Sleep(time.Second)
+			w.router.LeaveSilent([]string{endpoint})
+			events(conn, req, true, "id: 1\ndata: a\n\n")
+		}
+		got := call(g, client, "POST", "/resume/", "x")
+		g.Expect(got.body).To(Equal("id: 1\ndata: a\n\n"))
+		g.Expect(w.count()).To(Equal(1))
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,8 @@
 	snapshot atomic.Pointer[bundle.Snapshot]
 	run      pipeline.Next
 	routed   pipeline.Next // nil without Routing
+	// direct sends routed requests to their endpoints; nil without Routing.
+	direct *dispatch.Filter
 	// completed and ended log how routed requests ended.
 	completed zerolog.Logger
 	ended     zerolog.Logger
