--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -154,7 +154,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.quiet.limit()
+	return e.quiet.unusual()
 }
 
 // sawQuiet takes for how long an endpoint with open requests was heard nothing of.
--- a/internal/balance/silentdomain.go
+++ b/internal/balance/silentdomain.go
@@ -10,6 +10,9 @@
 	// leastSilentEndpoints is how many endpoints of a failure domain must be silent for it to
 	// be: one may have ended alone.
 	leastSilentEndpoints = 2
+	// leastLostEndpoints is how many must be for those to be taken for lost at which requests are
+	// open: two may be slow at once.
+	leastLostEndpoints = 3
 	// domainTold is for how long nothing must have been heard of a failure domain where
 	// others found its endpoints silent: two of their tellings of load.
 	domainTold = 500 * time.Millisecond
@@ -36,6 +39,7 @@
 type quietEndpoint struct {
 	name  string
 	since time.Time
+	found bool // somebody found it silent
 }
 
 // domainWatch is what is kept from one look for silent failure domains to the next.
@@ -70,8 +74,8 @@
 	return now.Sub(w.steady) >= steadyLook
 }
 
-// note notes which failure domains are silent and which endpoints are lost, and returns those that weren't before and those
-// that no longer are.
+// note notes which failure domains are silent and which endpoints are lost, and returns the
+// domains that weren't silent before and those that no longer are.
 func (w *domainWatch) note(silent map[groupDomain]int, lost []string) []SilentDomain {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,8 +99,9 @@
 }
 
 // Lost lists the endpoints that are taken for lost by the last look: their whole failure domain
-// is silent, and nothing has come for a second though requests are open there. A slow endpoint
-// isn't: a run must not go on elsewhere while its endpoint still works on it.
+// is silent, several of them long enough, and nothing has come for a second though requests are
+// open there. A slow endpoint isn't: a run must not go on elsewhere while its endpoint still works
+// on it.
 func (p *Pool) Lost() []string {
 	p.domains.mu.Lock()
 	defer p.domains.mu.Unlock()
@@ -129,14 +134,35 @@
 	}
 	d.members = append(d.members, name)
 	d.tellsLoad = d.tellsLoad || !st.reportedAt.IsZero()
-	if st.isSilent(now) || now.Sub(st.toldAt) <= silentFor {
+	found := st.isSilent(now) || now.Sub(st.toldAt) <= silentFor
+	if found {
 		d.found++
 	}
 	if st.inflight > 0 {
-		d.open = append(d.open, quietEndpoint{name, st.quietSince})
+		d.open = append(d.open, quietEndpoint{name, st.quietSince, found})
 	}
 }
 
+// lost lists the endpoints of a silent failure domain of which nothing has come for
+// SilenceLimit though requests are open there, where enough others are as silent.
+func (d *quietDomain) lost(now time.Time) []string {
+	var names []string
+	silent := d.found
+	for _, e := range d.open {
+		if now.Sub(e.since) < SilenceLimit {
+			continue
+		}
+		names = append(names, e.name)
+		if !e.found {
+			silent++
+		}
+	}
+	if silent < leastLostEndpoints {
+		return nil
+	}
+	return names
+}
+
 // quiet is for how long nothing has come of several endpoints with open requests, nor of any
 // other one; 0 if there are no such endpoints.
 func (d *quietDomain) quiet(now time.Time) time.Duration {
@@ -170,11 +196,9 @@
 			d := g.domains[domain]
 			silent[groupDomain{group, domain}] = len(d.members)
 			p.avoidAll(now.Add(domainHold), d.members)
+			lost = append(lost, d.lost(now)...)
 			for _, e := range d.open {
 				open = append(open, e.name)
-				if now.Sub(e.since) >= SilenceLimit {
-					lost = append(lost, e.name)
-				}
 			}
 		}
 	}
@@ -187,7 +211,7 @@
 }
 
 // silentDomains lists the failure domains of the group that are silent, and learns from the
-// others what is usual. Where half of the endpoints or more would be, or nothing was heard of
+// others what is usual. Where more than half of the endpoints would be, or nothing was heard of
 // the rest, it may be this router that is cut off.
 func (g *peerGroupState) silentDomains(now time.Time, steady bool) []string {
 	var silent []string
@@ -229,7 +253,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.domainQuiet.limit()
+	return e.domainQuiet.unusual()
 }
 
 // sawDomainQuiet takes for how long nothing was heard of a failure domain with open requests.
@@ -242,8 +266,8 @@
 	e.domainQuiet.add(quiet.Seconds(), quietQuantile)
 }
 
-// limit is the silence that isn't usual any more; false while too little is known.
-func (m *quantile) limit() (time.Duration, bool) {
+// unusual is the silence that isn't usual any more; false while too little is known.
+func (m *quantile) unusual() (time.Duration, bool) {
 	if m.samples < leastSamples {
 		return 0, false
 	}
