Say where to get a daemon where the soak finds none

Cause: the path was only used when the first router was started. Change: it is looked at first, and the error names both ways out.

--- a/internal/cli/soakcmd/soakcmd.go
+++ b/internal/cli/soakcmd/soakcmd.go
@@ -48,13 +48,21 @@
 	if c.For <= soak.CalmEnd {
 		return cli.BadInput(errors.Newf("--for is %s; write more than %s", c.For, soak.CalmEnd))
 	}
+	tool, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find this program")
+	}
+	daemon, err := c.daemon(tool)
+	if err != nil {
+		return err
+	}
 	dir, err := c.folder()
 	if err != nil {
 		return err
 	}
 	broken := 0
 	for _, seed := range c.seeds() {
-		found, err := c.runSeed(env, seed, dir)
+		found, err := c.runSeed(env, seed, soak.Options{Tool: tool, Daemon: daemon, Dir: dir})
 		if err != nil {
 			return err
 		}
@@ -100,24 +108,27 @@
 	return c.Dir, errors.Wrap(os.MkdirAll(c.Dir, 0o755), "make the folder for logs")
 }
 
-func (c *Cmd) runSeed(env *cli.Env, seed uint64, dir string) (broken int, err error) {
-	tool, err := os.Executable()
-	if err != nil {
-		return 0, errors.Wrap(err, "find this program")
-	}
+// daemon is the program that is run as routers. By `go run` this one is alone in its folder.
+func (c *Cmd) daemon(tool string) (string, error) {
 	daemon := c.Daemon
 	if daemon == "" {
 		daemon = filepath.Join(filepath.Dir(tool), "coveferryd")
 	}
-	progress := env.Stderr
+	if _, err := os.Stat(daemon); err != nil {
+		return "", cli.BadInput(errors.Newf("there is no daemon at %s; build both programs with "+
+			"`go build -o target/ ./cmd/...` and run `target/coveferryctl soak`, or name one with --daemon", daemon))
+	}
+	return daemon, nil
+}
+
+// runSeed runs one seed with the programs and the folder of o.
+func (c *Cmd) runSeed(env *cli.Env, seed uint64, o soak.Options) (broken int, err error) {
+	o.Seed, o.For, o.Routers, o.Endpoints, o.Callers = seed, c.For, c.Routers, c.Endpoints, c.Callers
+	o.Wire, o.Progress = platformtest.NewSoak(), env.Stderr
 	if c.Quiet {
-		progress = io.Discard
+		o.Progress = io.Discard
 	}
-	result, err := soak.Run(env.Ctx, soak.Options{
-		Seed: seed, For: c.For, Daemon: daemon, Tool: tool, Dir: dir,
-		Routers: c.Routers, Endpoints: c.Endpoints, Callers: c.Callers,
-		Wire: platformtest.NewSoak(), Progress: progress,
-	})
+	result, err := soak.Run(env.Ctx, o)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/cli/soakcmd/soakcmd_test.go
@@ -0,0 +1,23 @@
+package soakcmd
+
+import (
+	"context"
+	"io"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/cli"
+)
+
+// `go run ./cmd/coveferryctl soak` ended with a bare fork/exec error, as nothing else is beside
+// the program that `go run` builds.
+func TestASoakWithoutADaemonSaysWhereToGetOne(t *testing.T) {
+	g := NewWithT(t)
+	missing := filepath.Join(t.TempDir(), "coveferryd")
+	c := &Cmd{Seeds: 1, For: 20 * time.Second, Daemon: missing}
+	err := c.Run(&cli.Env{Ctx: context.Background(), Stdout: io.Discard, Stderr: io.Discard})
+	g.Expect(err).To(MatchError(And(ContainSubstring(missing), ContainSubstring("go build -o target/ ./cmd/..."))))
+}
