--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -146,9 +146,13 @@
 			told[p.groupOf(w.Endpoint)]++
 		}
 	}
+	tooMany := make(map[string]bool, len(told))
+	for group, silent := range told {
+		all, _ := p.countInGroup(group)
+		tooMany[group] = float64(silent) > mostSilent*float64(all)
+	}
 	for _, w := range words {
-		group := p.groupOf(w.Endpoint)
-		if w.Silent == 0 || float64(told[group]) > mostSilent*float64(p.inGroup(group)) {
+		if w.Silent == 0 || tooMany[p.groupOf(w.Endpoint)] {
 			continue
 		}
 		sh := p.shard(w.Endpoint)
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -15,22 +15,7 @@
 // MostUnsure says whether this router's connections to more than half of the endpoints fail that
 // an endpoint is compared with: it was cut off itself.
 func (p *Pool) MostUnsure(endpoint string) bool {
-	group := p.groupOf(endpoint)
-	unsure, all := 0, 0
-	for i := range p.shards {
-		sh := &p.shards[i]
-		sh.mu.Lock()
-		for _, st := range sh.states {
-			if st.group != group || st.leaving {
-				continue
-			}
-			all++
-			if st.bound.unsure {
-				unsure++
-			}
-		}
-		sh.mu.Unlock()
-	}
+	all, unsure := p.countInGroup(p.groupOf(endpoint))
 	return 2*unsure > all
 }
 
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -102,20 +102,24 @@
 	return list
 }
 
-// inGroup is how many endpoints of a group there are that may get work.
-func (p *Pool) inGroup(group string) int {
-	n := 0
+// countInGroup is how many endpoints of a group there are that may get work, and how many of them
+// connections fail to or are silent.
+func (p *Pool) countInGroup(group string) (all, unsure int) {
 	for i := range p.shards {
 		sh := &p.shards[i]
 		sh.mu.Lock()
 		for _, st := range sh.states {
-			if st.group == group && !st.leaving {
-				n++
+			if st.group != group || st.leaving {
+				continue
+			}
+			all++
+			if st.bound.unsure {
+				unsure++
 			}
 		}
 		sh.mu.Unlock()
 	}
-	return n
+	return all, unsure
 }
 
 // noteSilent notes which endpoints this router finds silent, to tell others.
