Look for silent failure domains without a list of names at each look

Change: endpoints are counted, and walked again only while a failure domain is silent; a group's few failure domains are a slice.

--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -44,7 +44,7 @@
 	early     int       // at which requests are open and it is more quiet than usual
 	heardAt   time.Time // of any of them
 	engines   *engineSpeeds
-	domains   map[string]*quietDomain
+	domains   []*quietDomain
 }
 
 // Silent lists the endpoints that have open requests of this router and from which nothing
@@ -79,7 +79,7 @@
 	for name, st := range sh.states {
 		g := groups[st.group]
 		if g == nil {
-			g = &peerGroupState{engines: st.engines, domains: make(map[string]*quietDomain)}
+			g = &peerGroupState{engines: st.engines}
 			groups[st.group] = g
 		}
 		if !st.leaving {
--- a/internal/balance/silentdomain.go
+++ b/internal/balance/silentdomain.go
@@ -28,7 +28,8 @@
 // out sooner than at each endpoint alone that all have fallen silent, and before a request is
 // sent to each of them.
 type quietDomain struct {
-	members   []string // that may get work
+	name      string
+	members   int // that may get work
 	open      []quietEndpoint
 	found     int       // that somebody found silent
 	heardAt   time.Time // of any of them, by this router or by others
@@ -116,13 +117,15 @@
 	return len(p.domains.silent)
 }
 
-// domain returns the state of a failure domain.
+// domain returns the state of a failure domain, of which there are few.
 func (g *peerGroupState) domain(name string) *quietDomain {
-	d := g.domains[name]
-	if d == nil {
-		d = &quietDomain{}
-		g.domains[name] = d
+	for _, d := range g.domains {
+		if d.name == name {
+			return d
+		}
 	}
+	d := &quietDomain{name: name}
+	g.domains = append(g.domains, d)
 	return d
 }
 
@@ -132,7 +135,7 @@
 	if st.leaving {
 		return
 	}
-	d.members = append(d.members, name)
+	d.members++
 	d.tellsLoad = d.tellsLoad || !st.reportedAt.IsZero()
 	found := st.isSilent(now) || now.Sub(st.toldAt) <= silentFor
 	if found {
@@ -192,10 +195,9 @@
 	silent := make(map[groupDomain]int)
 	var open, lost []string
 	for group, g := range groups {
-		for _, domain := range g.silentDomains(now, steady) {
-			d := g.domains[domain]
-			silent[groupDomain{group, domain}] = len(d.members)
-			p.avoidAll(now.Add(domainHold), d.members)
+		for _, d := range g.silentDomains(now, steady) {
+			silent[groupDomain{group, d.name}] = d.members
+			p.avoidAll(now.Add(domainHold), group, d.name)
 			lost = append(lost, d.lost(now)...)
 			for _, e := range d.open {
 				open = append(open, e.name)
@@ -213,14 +215,14 @@
 // silentDomains lists the failure domains of the group that are silent, and learns from the
 // others what is usual. Where more than half of the endpoints would be, or nothing was heard of
 // the rest, it may be this router that is cut off.
-func (g *peerGroupState) silentDomains(now time.Time, steady bool) []string {
-	var silent []string
+func (g *peerGroupState) silentDomains(now time.Time, steady bool) []*quietDomain {
+	var silent []*quietDomain
 	endpoints := 0
 	var restHeard time.Time
-	for name, d := range g.domains {
-		if name != "" && d.isSilent(now, g.engines) {
-			silent = append(silent, name)
-			endpoints += len(d.members)
+	for _, d := range g.domains {
+		if d.name != "" && d.isSilent(now, g.engines) {
+			silent = append(silent, d)
+			endpoints += d.members
 			continue
 		}
 		restHeard = maxTime(restHeard, d.heardAt)
@@ -233,13 +235,15 @@
 	return silent
 }
 
-// avoidAll has endpoints avoided until a moment.
-func (p *Pool) avoidAll(until time.Time, endpoints []string) {
-	for _, name := range endpoints {
-		sh := p.shard(name)
+// avoidAll has the endpoints of a group in a failure domain avoided until a moment.
+func (p *Pool) avoidAll(until time.Time, group, domain string) {
+	for i := range p.shards {
+		sh := &p.shards[i]
 		sh.mu.Lock()
-		if st, known := sh.states[name]; known {
-			st.avoidUntil = maxTime(st.avoidUntil, until)
+		for _, st := range sh.states {
+			if st.group == group && st.domain == domain && !st.leaving {
+				st.avoidUntil = maxTime(st.avoidUntil, until)
+			}
 		}
 		sh.mu.Unlock()
 	}
