--- a/internal/balance/bound.go
+++ b/internal/balance/bound.go
@@ -19,11 +19,11 @@
 // bound is what is known of how many requests a second an endpoint takes from all routers.
 type bound struct {
 	coldUntil time.Time
-	// unsure says that connections to the endpoint fail or it is silent: it may be a process
+	// suspect says that connections to the endpoint fail or it is silent: it may be a process
 	// that has just started, or be one at any moment.
-	unsure bool
-	limit  limit
-	pace   endpointrate.Pace
+	suspect bool
+	limit   limit
+	pace    endpointrate.Pace
 	// part is this router's requests a second of rate, as worked out at partAt.
 	part, rate float64
 	partAt     time.Time
@@ -34,9 +34,9 @@
 func (b *bound) cold(now time.Time, rate float64) bool { return rate > 0 && now.Before(b.coldUntil) }
 
 // takenForCold says whether the endpoint gets what a cold one does. Where nothing else may take a
-// request it goes to one that is unsure, which must not get all there is then.
+// request it goes to one that is suspect, which must not get all there is then.
 func (b *bound) takenForCold(now time.Time, req Request) bool {
-	return b.cold(now, req.ColdRate) || b.unsure && req.ColdRate > 0 && !req.mostUnsure
+	return b.cold(now, req.ColdRate) || b.suspect && req.ColdRate > 0 && !req.mostUnsure
 }
 
 // now is what the endpoint takes at present; false if anything.
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -8,8 +8,7 @@
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	st := sh.state(endpoint)
-	st.suspect, st.bound.unsure = suspect, suspect
+	sh.state(endpoint).bound.suspect = suspect
 }
 
 // MostUnsure says whether this router's connections to more than half of the endpoints fail that
@@ -27,7 +26,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(endpoint)
-	st.leaving, st.suspect, st.bound.unsure = false, false, false
+	st.leaving, st.bound.suspect = false, false
 	if st.health.until.Before(now) {
 		// What failed before still counts: a health check may be good where
 		// requests fail.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -263,12 +263,12 @@
 	v.Cached = st.recent.cached(now, req.Prompt)
 	v.Full = st.full(now)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
-	if st.suspect || now.Before(st.avoidUntil) {
+	if st.bound.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
 	}
 	_, v.Bounded = st.bound.now(now, c, req)
 	v.Aside = st.bound.aside(now, req.ColdRate)
-	v.Unsure = st.bound.unsure
+	v.Unsure = st.bound.suspect
 	switch {
 	case st.leaving:
 		return leavesWork
@@ -340,7 +340,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && !st.leaving && !st.suspect && !now.Before(st.avoidUntil)
+	return known && !st.leaving && !st.bound.suspect && !now.Before(st.avoidUntil)
 }
 
 // Open is how many requests of this router an endpoint has.
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -113,7 +113,7 @@
 				continue
 			}
 			all++
-			if st.bound.unsure {
+			if st.bound.suspect {
 				unsure++
 			}
 		}
@@ -137,7 +137,7 @@
 // isSilent says whether this router finds the endpoint silent: it did just now, or hasn't
 // heard of it since.
 func (st *state) isSilent(now time.Time) bool {
-	return !st.silentAt.IsZero() && (st.suspect || now.Sub(st.silentAt) <= 2*SilenceTick) && st.silentAt.After(st.heardAt)
+	return !st.silentAt.IsZero() && (st.bound.suspect || now.Sub(st.silentAt) <= 2*SilenceTick) && st.silentAt.After(st.heardAt)
 }
 
 // contradicts says whether somebody has heard of the endpoint since others have found it
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -59,7 +59,6 @@
 	running    float64 // smoothed over the reports
 	drain      float64 // smoothed, requests a second
 	leaving    bool
-	suspect    bool
 	group      string // of the endpoints that it is compared with
 	domain     string // the failure domain
 	health     health
