--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,6 +20,9 @@
 	Running [MaxTiers]int `json:"r"`
 	// DrainPerSecond is the measured rate at which requests finish.
 	DrainPerSecond float64 `json:"d"`
+	// WorkPercent is how long work takes on the endpoint's VM at the moment of the report,
+	// 100 as usual; 0 if that isn't told. It changes within fractions of a second.
+	WorkPercent float64 `json:"w,omitempty"`
 	// Leaving says that the agent accepts no new work.
 	Leaving bool `json:"l,omitempty"`
 }
