Serve requests only in the regions that their route and their team allow

Cause: where routes and teams allow their requests to be served wasn't read at all, so that first tries, retries, resumed streams and copies went to all regions. Change: a route and a team may have a residency. A filter behind admit leaves a request the endpoints in allowed regions, and each choice after a failed attempt goes by the same; the source of a fetch and the place of a copy are chosen among them. What can't be read, or names no region, allows none: such requests are refused at once as not run, and a line says which routes and teams they are. Settings tell the region of each failure domain; a bundle's routes may have regions, too, which its check compares with the endpoints.

--- a/internal/bundle/route.go
+++ b/internal/bundle/route.go
@@ -39,6 +39,9 @@
 	MaxRuns int `json:"max_runs,omitempty"`
 	// Public routes need no key.
 	Public bool `json:"public,omitempty"`
+	// Regions are those in which requests may be served and what is kept of them may lie;
+	// none binds nothing.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // table is the route table of a bundle that has passed its check.
@@ -70,6 +73,9 @@
 		Timeout:   r.Timeout.Std(), Objective: r.FirstAnswer.Std(), MaxGap: r.BetweenEvents.Std(),
 		MaxRuns: r.MaxRuns, Public: r.Public,
 	}
+	if len(r.Regions) > 0 {
+		out.Residency = &route.Residency{Regions: r.Regions}
+	}
 	if r.Kind == RouteIdempotent {
 		out.Repeat = route.Idempotent
 	}
@@ -108,6 +114,7 @@
 func checkRouteTable(b *Bundle, f *Findings) {
 	tiers := setOf(namesOf(b.Tiers, func(t *Tier) string { return t.Name }))
 	services := setOf(namesOf(b.Services, func(s *Service) string { return s.Name }))
+	regions := setOf(namesOf(b.Endpoints, func(e *Endpoint) string { return e.Region }))
 	known := true
 	for i := range b.Routes {
 		r := &b.Routes[i]
@@ -119,8 +126,19 @@
 			known = false
 			f.errorf(jsonc.Key(path, "service"), "%q is not in services", r.Service)
 		}
+		checkRegions(path, r, regions, f)
 	}
 	if _, err := b.table(); err != nil && known {
 		f.errorf("routes", "%v", err)
 	}
 }
+
+// checkRegions compares a route's regions with those of the endpoints: a name that is wrong
+// would have requests refused that its right region could serve.
+func checkRegions(path string, r *Route, regions nameSet, f *Findings) {
+	for _, region := range r.Regions {
+		if !regions.has(region) {
+			f.errorf(jsonc.Key(path, "regions"), "no endpoint is in region %q", region)
+		}
+	}
+}
--- a/internal/bundle/route_test.go
+++ b/internal/bundle/route_test.go
@@ -33,6 +33,16 @@
 	g.Expect(s.EndpointsForService("filings")).To(BeEmpty(), "no agent serves it")
 }
 
+func TestARouteOfABundleMayBeBoundToRegions(t *testing.T) {
+	g := NewWithT(t)
+	b := routesExample(g)
+	region := b.Endpoints[0].Region
+	b.Routes[0].Regions = []string{region}
+	bound := NewSnapshot(b).Routes().Match(b.Routes[0].Host, b.Routes[0].Prefix)
+	g.Expect(bound.Residency).To(Equal(&route.Residency{Regions: []string{region}}))
+	g.Expect(NewSnapshot(routesExample(g)).Routes().Match(b.Routes[0].Host, b.Routes[0].Prefix).Residency).To(BeNil())
+}
+
 func TestFaultyRoutesAreFoundWithTheirPlace(t *testing.T) {
 	for _, c := range []struct {
 		path   string
@@ -43,6 +53,7 @@
 		{"routes[0].max_runs", func(r *Route) { r.MaxRuns = -1 }},
 		{"routes[0].tier", func(r *Route) { r.Tier = "silver" }},
 		{"routes[0].service", func(r *Route) { r.Service = "none" }},
+		{"routes[0].regions", func(r *Route) { r.Regions = []string{"moon"} }},
 		{"routes", func(r *Route) { r.Prefix = "receipts" }},
 		{"routes", func(r *Route) { r.Prefix = "/names/" }}, // that of the other route
 	} {
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,7 @@
 	"coveferry/internal/peers"
 	"coveferry/internal/poison"
 	"coveferry/internal/retry"
+	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
 	"coveferry/internal/telemetry"
@@ -35,8 +38,9 @@
 type Direct struct {
 	VM            string
 	FailureDomain string
-	// FailureDomains are all that routers may be in, this one's among them or not.
-	FailureDomains []string
+	// Regions has the region of each failure domain that routers and endpoints may be in,
+	// this router's among them or not.
+	Regions map[string]string
 	// Control is where other routers reach this one; without it each reads the
 	// source for itself. Seeds are the control addresses of some of them.
 	Control string
@@ -92,6 +96,8 @@
 	directBodyTimeout    = 30 * time.Second
 	directMaxOpen        = 2000
 	directMaxBodyBytes   = 32 << 20
+	// maxNowhere bounds the names in a line on what may be served nowhere.
+	maxNowhere = 16
 )
 
 // RunDirect runs a router that reaches its endpoints without agents until the
@@ -149,6 +155,7 @@
 	d.follower = follow.New(follow.Config{
 		Source: source, Timing: timing(cfg.Bounds), Log: log, Metrics: d.reg,
 		OnDirectory: func(dir *directory.Directory) { d.list.take(dir) },
+		OnConfig:    d.logNowhere,
 	})
 	if d.peers != nil {
 		d.peers.Tell(d.follower)
@@ -192,6 +199,7 @@
 		Routing: &router.Routing{
 			Table:     d.follower.Table,
 			Endpoints: d.endpoints,
+			Region:    d.regionOf,
 			Protocol:  d.cfg.Protocol,
 			Client:    d.client,
 			KeyAge:    d.follower.Age,
@@ -218,6 +226,21 @@
 	return d.follower.Directory().For(service)
 }
 
+// regionOf is the region of an endpoint's failure domain, empty if the settings don't name it.
+func (d *directRouter) regionOf(e *bundle.Endpoint) string { return d.cfg.Regions[e.FailureDomain] }
+
+// logNowhere warns of routes and teams that allow no region that there is: their requests are
+// refused.
+func (d *directRouter) logNowhere(c *route.Config) {
+	routes, teams := c.Nowhere(slices.Collect(maps.Values(d.cfg.Regions)))
+	if len(routes) == 0 && len(teams) == 0 {
+		return
+	}
+	d.log.Warn().Uint64("version", c.Version).Strs("routes", routes[:min(len(routes), maxNowhere)]).
+		Strs("teams", teams[:min(len(teams), maxNowhere)]).Int("routes_all", len(routes)).Int("teams_all", len(teams)).
+		Msg("routes and teams allow no region that there is, or none that can be read: their requests are refused")
+}
+
 // serveReady tells the balancer whether to send new connections here.
 func (d *directRouter) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !d.isReady() {
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +50,7 @@
 			VM: d.cfg.VM, FailureDomain: d.cfg.FailureDomain, Address: d.cfg.Control,
 			Cores: d.cfg.Cores, LinkMbps: d.cfg.LinkMbps,
 		},
-		FailureDomains: d.cfg.FailureDomains,
+		FailureDomains: slices.Sorted(maps.Keys(d.cfg.Regions)),
 		Seeds:          d.cfg.Seeds,
 		Source:         reader,
 		Pool:           control.NewPool(control.ClientConfig{Log: d.log}, 0),
--- a/internal/daemon/onplatform/onplatform.go
+++ b/internal/daemon/onplatform/onplatform.go
@@ -18,20 +18,20 @@
 		return daemon.Direct{}, err
 	}
 	cfg := daemon.Direct{
-		VM:             s.VM,
-		FailureDomain:  s.FailureDomain,
-		FailureDomains: s.FailureDomains,
-		Seeds:          s.Seeds,
-		Cores:          s.Cores,
-		LinkMbps:       s.LinkMbps,
-		Callers:        s.Callers.String(),
-		Ready:          s.Ready.String(),
-		ReadyPattern:   platform.ReadyPattern,
-		Store:          platform.NewStore(s.Store.String(), s.MaxValue),
-		Protocol:       platform.Protocol{},
-		Health:         platform.Health,
-		Bounds:         boundsOf(s),
-		Reload:         func() (daemon.DirectBounds, error) { return reload(path) },
+		VM:            s.VM,
+		FailureDomain: s.FailureDomain,
+		Regions:       s.Regions,
+		Seeds:         s.Seeds,
+		Cores:         s.Cores,
+		LinkMbps:      s.LinkMbps,
+		Callers:       s.Callers.String(),
+		Ready:         s.Ready.String(),
+		ReadyPattern:  platform.ReadyPattern,
+		Store:         platform.NewStore(s.Store.String(), s.MaxValue),
+		Protocol:      platform.Protocol{},
+		Health:        platform.Health,
+		Bounds:        boundsOf(s),
+		Reload:        func() (daemon.DirectBounds, error) { return reload(path) },
 	}
 	if s.Control.IsValid() {
 		cfg.Control = s.Control.String()
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -110,7 +110,7 @@
 }
 
 func assign(r *request.Request, team *route.Team) {
-	r.TeamName = team.Name
+	r.TeamName, r.TeamResidency = team.Name, team.Residency
 	if team.Tier != nil {
 		r.Tier = max(0, *team.Tier) // no rank is above the highest
 	}
--- /dev/null
+++ b/internal/filters/reside/reside.go
@@ -0,0 +1,70 @@
+// Package reside keeps requests in the regions in which their route and their team allow them
+// to be served. It stands behind admit, which finds the team.
+package reside
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"coveferry/internal/api"
+	"coveferry/internal/bundle"
+	"coveferry/internal/pipeline"
+	"coveferry/internal/request"
+	"coveferry/internal/wire"
+)
+
+// Error is a request that no endpoint in an allowed region may serve.
+type Error struct {
+	Route, Team string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return "reside: no endpoint is in a region in which route " + e.Route + " and team " + e.Team + " may be served"
+}
+
+// API implements api.Convertible. No time to come back is known: it is the operator's list of
+// regions that would have to change, or the endpoints that are in them.
+func (e *Error) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "no_region",
+		Message: "no endpoint is in a region in which this request may be served", Run: wire.RunNot,
+	}
+}
+
+// Filter implements pipeline.Filter.
+type Filter struct {
+	region func(*bundle.Endpoint) string
+}
+
+// New returns a filter that goes by the region of each endpoint, empty if that isn't known.
+func New(region func(*bundle.Endpoint) string) *Filter { return &Filter{region: region} }
+
+// Name implements pipeline.Filter.
+func (*Filter) Name() string { return "reside" }
+
+// Do leaves the request those of its candidates that may serve it. Its error is an *Error.
+func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
+	if !bound(r) {
+		return next(ctx, r)
+	}
+	r.Candidates = f.Within(r, r.Candidates)
+	if len(r.Candidates) == 0 {
+		return &Error{Route: r.Route.Name, Team: r.TeamName}
+	}
+	return next(ctx, r)
+}
+
+// Within are those of the endpoints that may serve the request.
+func (f *Filter) Within(r *request.Request, endpoints []*bundle.Endpoint) []*bundle.Endpoint {
+	if !bound(r) {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *bundle.Endpoint) bool {
+		region := f.region(e)
+		return !r.Route.Residency.Allows(region) || !r.TeamResidency.Allows(region)
+	})
+}
+
+func bound(r *request.Request) bool { return r.Route.Residency != nil || r.TeamResidency != nil }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,8 @@
 	Timing Timing
 	// OnDirectory takes a list that has changed. It must not wait.
 	OnDirectory func(*directory.Directory)
+	// OnConfig takes a configuration that is in force; nil for nobody. It must not wait.
+	OnConfig func(*route.Config)
 	// Clock tells ages; nil is clock.Boot, which also counts the time for which
 	// the VM was suspended.
 	Clock clock.Clock
@@ -239,6 +241,9 @@
 	f.table.Store(table)
 	f.config.Store(c)
 	f.cfg.Log.Info().Uint64("version", c.Version).Int("routes", table.Size()).Msg("configuration in force")
+	if f.cfg.OnConfig != nil {
+		f.cfg.OnConfig(c)
+	}
 	return nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -69,9 +69,11 @@
 	// retry policy's own bound.
 	MaxRuns int
 
-	// Set by authenticate. TeamName is that of a routed request.
-	Team     *bundle.Team
-	TeamName string
+	// Set by authenticate. TeamName is that of a routed request, and TeamResidency where
+	// its team allows it to be served.
+	Team          *bundle.Team
+	TeamName      string
+	TeamResidency *route.Residency
 
 	// Set by classify.
 	Class          *bundle.Class
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -47,6 +47,8 @@
 	MaxRuns int
 	// Public routes need no key.
 	Public bool
+	// Residency binds the route's requests to regions. What a team's binds besides holds too.
+	Residency *Residency `json:",omitempty"`
 }
 
 // Target is a service that answers a share of a route's requests.
@@ -77,6 +79,8 @@
 	// Tier orders the team's requests among those of the same kind; nil leaves the
 	// route's.
 	Tier *int
+	// Residency binds the team's requests to regions.
+	Residency *Residency `json:",omitempty"`
 }
 
 // Service is what a table says of a group of endpoints.
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -15,6 +15,7 @@
 	"coveferry/internal/filters/match"
 	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
+	"coveferry/internal/filters/reside"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -29,7 +30,9 @@
 	// Table is the table in force, nil while there is none.
 	Table     func() *route.Table
 	Endpoints match.Endpoints
-	Protocol  upstream.Protocol
+	// Region is that of an endpoint, empty if it isn't known; nil takes the endpoint's own.
+	Region   func(*bundle.Endpoint) string
+	Protocol upstream.Protocol
 	// Client reaches endpoints.
 	Client *http.Client
 	// KeyAge is how old the knowledge of keys is, and MaxKeyAge the age up to
@@ -58,18 +61,28 @@
 	endedLines     = 100
 )
 
+// regionOf tells the regions of endpoints.
+func (c *Routing) regionOf() func(*bundle.Endpoint) string {
+	if c.Region != nil {
+		return c.Region
+	}
+	return func(e *bundle.Endpoint) string { return e.Region }
+}
+
 // routedPipe is the path of every routed request.
 func (rt *Router) routedPipe() pipeline.Next {
 	c := rt.cfg.Routing
 	rt.direct = rt.dispatch(rt.cfg.Client)
+	regions := reside.New(c.regionOf())
 	return pipeline.Compose(
-		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),                         // which route does it take?
-		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}),             // may its key use the route?
+		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // which route does it take?
+		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // may its key use the route?
+		regions, // where may it be served?
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).CopiesAt(rt.cfg.Pool.TakesWork), // repeat the rest where that is safe
 		rt.quarantine(), // did endpoints end under it?
 		choose.New(choose.Config{ // which endpoint?
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLate: refuseLate,
-			Latest: func(r *request.Request) []*bundle.Endpoint { return c.Endpoints(r.Service) },
+			Latest: func(r *request.Request) []*bundle.Endpoint { return regions.Within(r, c.Endpoints(r.Service)) },
 		}),
 		rt.direct,      // send it there
 		relay.Filter{}, // pass the answer on
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -93,7 +93,8 @@
 	age      time.Duration
 	turnAway bool
 	table    *route.Table
-	log      bytes.Buffer // the router's lines
+	regions  map[string]string // of endpoints
+	log      bytes.Buffer      // the router's lines
 	// answer is what an endpoint does with a request; it gets the connection.
 	answer func(endpoint string, req *http.Request, conn net.Conn)
 }
@@ -105,9 +106,9 @@
 
 func rankOf(rank int) *int { return &rank }
 
-func testTable() *route.Table {
+func testConfig() route.Config {
 	s := []route.Target{{Service: "s", Weight: 1}}
-	tab, err := route.NewTable(route.Config{
+	return route.Config{
 		Version:  3,
 		Limits:   route.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 		Services: []route.Service{{Name: "s", Engine: &route.Engine{Stride: 6, Backups: true}}},
@@ -120,7 +121,11 @@
 			{Name: "open", Host: routeHost, Prefix: "/open/", Targets: s, Timeout: time.Second, Public: true},
 		},
 		Teams: map[string]*route.Team{"k": {Name: "acme"}, "vip": {Name: "vip", Tier: new(int)}, "low": {Name: "low", Tier: rankOf(12)}, "below": {Name: "below", Tier: rankOf(-1)}},
-	})
+	}
+}
+
+func mustTable(c route.Config) *route.Table {
+	tab, err := route.NewTable(c)
 	if err != nil {
 		panic(err)
 	}
@@ -132,7 +137,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		w := &world{net: memnet.New(), table: testTable()}
+		w := &world{net: memnet.New(), table: mustTable(testConfig())}
 		w.answer = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
 		var endpoints []*bundle.Endpoint
 		var stops []func()
@@ -151,6 +156,7 @@
 			Routing: &router.Routing{
 				Table:     func() *route.Table { return w.table },
 				Endpoints: func(string) []*bundle.Endpoint { return endpoints },
+				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  plainProtocol{}, Client: client,
 				KeyAge: func() time.Duration { return w.age }, MaxKeyAge: func() time.Duration { return maxKeyAge },
 				TurnAway: func() bool { return w.turnAway },
