Have routers that start wait for others only while no caller waits for them

Before the operator's first configuration routers greeted seeds that had answered a second later only, so that 25 of 28 gave up waiting and read for themselves. Change: the first caller that finds a router without routes has it read the source at once. Without callers it waits for two seconds, greeting five times a second until all seeds have answered, and one that reads for its failure domain asks the source after .4 s.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -197,7 +197,7 @@
 		Log:          d.log,
 		Metrics:      d.reg,
 		Routing: &router.Routing{
-			Table:     d.follower.Table,
+			Table:     d.table,
 			Endpoints: d.endpoints,
 			Region:    d.regionOf,
 			Protocol:  d.cfg.Protocol,
@@ -222,6 +222,15 @@
 	return time.Duration(trustShare * float64(d.bounds.Load().RevokeWithin))
 }
 
+// table is the route table in force, nil before the first.
+func (d *directRouter) table() *route.Table {
+	t := d.follower.Table()
+	if t == nil && d.peers != nil {
+		d.peers.Hurry()
+	}
+	return t
+}
+
 func (d *directRouter) endpoints(service string) []*bundle.Endpoint {
 	return d.follower.Directory().For(service)
 }
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -32,7 +32,7 @@
 
 // helloPause is the time until the next word to other routers.
 func (s *Source) helloPause(now time.Time) time.Duration {
-	if s.hasSeeds() && s.members.count(now) == 0 && s.greetingFor(now) < startFor {
+	if s.greetsOften(now) {
 		return helloAtStart
 	}
 	return helloEvery
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,6 +90,9 @@
 	began time.Time
 	// hasRead says that this router has asked for everything before.
 	hasRead bool
+	// hurried is closed once a caller waits for a router that knows nothing.
+	hurried chan struct{}
+	hurry   sync.Once
 }
 
 // State is what a router tells others. See follow.Follower.
@@ -106,7 +109,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
-	s := &Source{cfg: cfg, members: newMembers(cfg.Self), steady: steady{outage: cfg.Outage}}
+	s := &Source{cfg: cfg, members: newMembers(cfg.Self), steady: steady{outage: cfg.Outage}, hurried: make(chan struct{})}
 	s.direct = &watched{Origin: cfg.Source, answered: func() { s.steady.answered(cfg.Clock()) }}
 	return s
 }
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -5,18 +5,21 @@
 	"slices"
 	"time"
 
-	"coveferry/internal/clock"
 	"coveferry/internal/follow"
 )
 
 const (
-	// startFor is for how long a router that has just started asks other routers for
-	// everything before it asks the source: some seeds start later than those that greet
-	// them.
-	startFor = time.Second
+	// startFor is for how long a router that has just started, and that no caller waits for,
+	// asks other routers for everything before it asks the source: some seeds start later
+	// than those that greet them, and a fleet before the operator's first configuration.
+	startFor = 2 * time.Second
+	// readersStartFor is the same for one that reads for its failure domain, as far as it
+	// knows: where no seed has been told anything by then there may be nothing yet.
+	readersStartFor = 400 * time.Millisecond
 	// startEvery is the time between two of its questions.
 	startEvery = 50 * time.Millisecond
-	// helloAtStart is the time between two words to other routers while none has answered.
+	// helloAtStart is the time between two words to other routers in that time, until all
+	// seeds have answered.
 	helloAtStart = 200 * time.Millisecond
 )
 
@@ -25,25 +28,58 @@
 // starts asks it for 357 configurations and as many lists. Who reads for a failure domain has
 // it from a seed, all others have it from who reads for theirs, so that no router has to tell
 // everything to more than those of its own domain, and a seed to a few of each other. Seeds
-// themselves don't wait.
+// themselves don't wait, nor does a router to which callers have come.
 func (s *Source) readFromPeers(ctx context.Context) (r follow.Reading, ok bool) {
 	if !s.hasSeeds() || slices.Contains(s.cfg.Seeds, s.cfg.Self.Address) {
 		return follow.Reading{}, false
 	}
-	for begun := time.Now(); time.Since(begun) < startFor; {
+	for begun := time.Now(); time.Since(begun) < s.startingFor(time.Now()); {
 		for _, peer := range s.startFrom(time.Now()) {
 			word, err := s.readPages(ctx, peer)
 			if err == nil {
 				return word.Reading, true
 			}
 		}
-		if !clock.Sleep(ctx, startEvery) {
-			return follow.Reading{}, false
+		if !s.rest(ctx, startEvery) {
+			break
 		}
 	}
 	return follow.Reading{}, false
 }
 
+// rest waits for so long; it returns false at once where that isn't to be waited for.
+func (s *Source) rest(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+	case <-s.hurried:
+	}
+	return false
+}
+
+// Hurry has a router that knows nothing yet read the source for itself: a caller waits for it.
+func (s *Source) Hurry() { s.hurry.Do(func() { close(s.hurried) }) }
+
+// greetsOften says whether a router has just started and not all seeds have answered it.
+func (s *Source) greetsOften(now time.Time) bool {
+	if s.greetingFor(now) >= startFor {
+		return false
+	}
+	seeds := slices.DeleteFunc(slices.Clone(s.cfg.Seeds), func(seed string) bool { return seed == s.cfg.Self.Address })
+	return len(s.members.at(now, seeds)) < len(seeds)
+}
+
+// startingFor is for how long this router asks others.
+func (s *Source) startingFor(now time.Time) time.Duration {
+	if s.members.byName(now) > 0 && s.members.isReader(now) {
+		return readersStartFor
+	}
+	return startFor
+}
+
 // startFrom are the routers of which one that knows nothing asks everything.
 func (s *Source) startFrom(now time.Time) []Member {
 	if !s.members.isReader(now) {
