Weigh a wait by the objective of the request that waits

Cause: a wait counted in milliseconds against the reading of shared parts again, whatever it was to its caller. Long prompts whose answers may begin after 1.2 to 2.5 s left their homes for some tenths of a second, and what is read again takes the engines' time from all, most in overloads. Change: of a wait that part counts which it is of the objective, measured by an objective of half a second; one of a request with a shorter objective, or none, counts whole as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,8 @@
 	// if any will do. Stride is how many tokens an event holds.
 	MaxGap time.Duration
 	Stride int
+	// Objective is the time to the first event of an answer that is on time; 0 if any will do.
+	Objective time.Duration
 	// Again says that an endpoint has had the request before: it isn't sent to one that is
 	// known to be full, and to none if all are.
 	Again bool
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -137,6 +137,7 @@
 func promptCost(req Request, v *View, home, tight bool) float64 {
 	perToken := 1000 * v.PerToken
 	waiting := perToken*float64(v.aheadOf(maxRanks)) + queuedCost*float64(v.Load.TotalQueued())
+	waiting *= waitWeight(req.Objective)
 	again := perToken * rereadFactor * float64(reread(req, v, home))
 	cost := waiting + again + streamCost*v.requests()
 	if !tight {
@@ -148,6 +149,18 @@
 	return cost
 }
 
+// shortObjective is the longest objective of which all of a wait counts.
+const shortObjective = 500 * time.Millisecond
+
+// waitWeight is how much of a wait counts against what prompts cost that are read again: one
+// that is well within the objective harms nobody, and what is read again delays others.
+func waitWeight(objective time.Duration) float64 {
+	if objective <= shortObjective {
+		return 1
+	}
+	return shortObjective.Seconds() / objective.Seconds()
+}
+
 // requests are those that run or wait at the endpoint.
 func (v *View) requests() float64 {
 	n := float64(v.Load.TotalQueued()+v.Load.TotalRunning()) + max(v.Since, float64(v.SinceReport))
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -123,7 +123,7 @@
 	ask := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, Once: r.NonIdempotent, Again: len(r.Tried) > 0}
 	if r.Route != nil {
 		r.Stride = stride(r)
-		ask.MaxGap, ask.Stride = r.Route.MaxGap, r.Stride
+		ask.MaxGap, ask.Stride, ask.Objective = r.Route.MaxGap, r.Stride, r.Route.Objective
 		ask.Tier = r.Table.Rank(r.Tier, r.Route.Tier)
 		ask.ColdRate = r.Table.Cold(r.Service).Rate
 	}
