Size what a router holds for callers by its VM's memory

Cause: any router took 2,000 open requests and 32 MB of bodies, whatever its VM. A request of a caller that doesn't read takes up to 80 KB by the test here, endpoint's side included, so that 2,000 don't fit in the 112 to 144 MB of most VMs, and a process that exceeds them is killed. Change: the settings' memory bounds open requests (.6 of it, 96 KB each) and bodies (.15), and the collector keeps the heap within .7 of it. Without a stated memory all is as before. Open requests by this on 112, 144 and 536 MB: 716, 921 and 2,000.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -49,6 +49,9 @@
 	// which routers choose who reads for others; 0 if that isn't known.
 	Cores    float64
 	LinkMbps float64
+	// Memory is how many bytes this process may take, beyond which it is ended; 0 if that
+	// isn't known.
+	Memory int64
 	// Callers, Ready and Metrics are the addresses to listen on; without a
 	// metrics address none are served.
 	Callers, Ready, Metrics string
@@ -104,6 +107,7 @@
 // environment's context ends.
 func RunDirect(env *cli.Env, cfg Direct) error {
 	paceCollector(directCollectorPercent)
+	limitHeap(cfg.Memory)
 	log := logging.NewBounded(env.Stdout).With().Str(logging.FieldRole, "direct").Str(logging.FieldVM, cfg.VM).Logger()
 	d, err := newDirect(cfg, log)
 	if err != nil {
@@ -181,6 +185,7 @@
 }
 
 func (d *directRouter) newRouter() *router.Router {
+	open, bodies := directRoom(d.cfg.Memory)
 	retries := directRetries(d.cfg.Bounds, d.routers, membership.SeedOf(d.cfg.VM))
 	d.retries = retries.Budget
 	d.reg.MustRegister(newRetryUsage(d.retries))
@@ -190,8 +195,8 @@
 		Client:       d.client,
 		Retry:        retries,
 		BodyTimeout:  directBodyTimeout,
-		MaxOpen:      directMaxOpen,
-		MaxBodyBytes: directMaxBodyBytes,
+		MaxOpen:      open,
+		MaxBodyBytes: bodies,
 		Observer:     d.members,
 		Poison:       d.poison,
 		Log:          d.log,
--- /dev/null
+++ b/internal/daemon/directroom_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
+	"coveferry/internal/retry"
+	"coveferry/internal/route"
+	"coveferry/internal/router"
+	"coveferry/internal/server"
+	"coveferry/internal/upstream"
+)
+
+func TestWhatARouterHoldsForCallersFitsItsVM(t *testing.T) {
+	for _, mb := range []int64{32, 88, 112, 144, 536} {
+		g := NewWithT(t)
+		memory := mb << 20
+		open, bodies := directRoom(memory)
+		const idle = 24 << 20 // of a router that knows some thousand endpoints
+		g.Expect(open*openBytes+bodies).To(BeNumerically("<", memory*8/10), "%d MB", mb)
+		if mb >= 100 {
+			g.Expect(open*openBytes+bodies+idle).To(BeNumerically("<", memory), "%d MB", mb)
+		}
+	}
+	open, bodies := directRoom(0)
+	NewWithT(t).Expect(open).To(Equal(int64(directMaxOpen)))
+	NewWithT(t).Expect(bodies).To(Equal(int64(directMaxBodyBytes)))
+}
+
+// streamForever is an endpoint whose answers go on for as long as they are read. It keeps no
+// more of a connection than a few bytes.
+func streamForever(conn net.Conn) {
+	req, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCoveferry-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Coveferry-Request-Id"))
+	event := "id: 1\ndata: " + strings.Repeat("x", 200) + "\n\n"
+	for {
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return
+		}
+	}
+}
+
+// Each open request of a caller that doesn't read takes no more than what is counted for it,
+// the caller's and the endpoint's side in this process included.
+func TestARequestOfACallerThatDoesNotReadTakesLittleMemory(t *testing.T) {
+	g := NewWithT(t)
+	const requests = 200
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer endpoint.Close()
+	go func() {
+		for {
+			conn, err := endpoint.Accept()
+			if err != nil {
+				return
+			}
+			go streamForever(conn)
+		}
+	}()
+	table, err := route.NewTable(route.Config{
+		Services: []route.Service{{Name: "s"}},
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Stream: true, Targets: []route.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	client := server.NewDirectClient()
+	rt := router.New(router.Config{
+		Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client, Retry: &retry.Policy{},
+		BodyTimeout: time.Minute, MaxOpen: requests, MaxBodyBytes: 1 << 20, Rand: func() float64 { return 0 }, Log: zerolog.Nop(),
+		Routing: &router.Routing{
+			Table: func() *route.Table { return table },
+			Endpoints: func(string) []*bundle.Endpoint {
+				return []*bundle.Endpoint{{Name: "e", Address: endpoint.Addr().String(), Slots: requests}}
+			},
+			Protocol: upstream.Plain{}, Client: client,
+			KeyAge: func() time.Duration { return 0 }, MaxKeyAge: func() time.Duration { return 0 },
+		},
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(rt.ServeRouted), Grace: time.Second, HeaderTimeout: time.Second})
+	go func() { _ = srv.Run() }()
+	before := inUse()
+	var callers []net.Conn
+	for i := range requests {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nCoveferry-Request-Id: %d\r\nContent-Length: 0\r\n\r\n", i)
+		_, err = io.ReadFull(conn, make([]byte, 64))
+		g.Expect(err).NotTo(HaveOccurred())
+		callers = append(callers, conn)
+	}
+	time.Sleep(300 * time.Millisecond)
+	each := (inUse() - before) / requests
+	t.Logf("%d bytes each", each)
+	g.Expect(each).To(BeNumerically("<", openBytes))
+	for _, conn := range callers {
+		conn.Close()
+	}
+	g.Expect(srv.Stop()).To(Succeed())
+}
+
+// inUse is the memory of the heap and of the stacks.
+func inUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/internal/daemon/onplatform/onplatform.go
+++ b/internal/daemon/onplatform/onplatform.go
@@ -24,6 +24,7 @@
 		Seeds:         s.Seeds,
 		Cores:         s.Cores,
 		LinkMbps:      s.LinkMbps,
+		Memory:        s.Memory,
 		Callers:       s.Callers.String(),
 		Ready:         s.Ready.String(),
 		ReadyPattern:  platform.ReadyPattern,
