Show where a router that starts learned everything, and what it asks the store

Cause: calls to the store could be counted at the store only, and a start told nothing of whether others helped. Measured: nothing; tests of the package and the daemon.

--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -58,6 +58,7 @@
 		MaxAge:         peerAge(d.cfg.Bounds),
 		Outage:         timing(d.cfg.Bounds).Outage,
 		Log:            d.log,
+		Metrics:        d.reg,
 	})
 	d.peers.Register(d.control)
 	d.share = endpointrate.Share{Self: d.cfg.VM, Domain: d.cfg.FailureDomain, Fleet: d.peers.Fleet}
--- a/internal/peers/direct.go
+++ b/internal/peers/direct.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/follow"
 	"coveferry/internal/idle"
@@ -19,12 +20,33 @@
 // longAnswer is an answer, in bytes, that brings a configuration rather than news of endpoints.
 const longAnswer = 64 << 10
 
+// What calls to the source ask for. One for everything takes several calls at the source.
+const (
+	callForAll    = "everything"
+	callForNews   = "news"
+	callForNewest = "newest"
+)
+
+// newCalls counts calls to the source.
+func newCalls(metrics prometheus.Registerer) *prometheus.CounterVec {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "coveferry_source_calls_total",
+		Help: "Calls of this router to the source of the configuration and the list of endpoints, by what they ask for.",
+	}, []string{"for"})
+	if metrics != nil {
+		metrics.MustRegister(calls)
+	}
+	return calls
+}
+
 // watched is a source that knows for how long its calls have failed.
 type watched struct {
 	Origin
 	// answered is called for each answer.
 	answered func()
-	mu       sync.Mutex
+	// calls counts the calls by what they ask for.
+	calls *prometheus.CounterVec
+	mu    sync.Mutex
 	// failing is when the first call failed that no success has followed; zero
 	// while calls succeed or none was made. failed is when the last one did.
 	failing, failed time.Time
@@ -87,6 +109,7 @@
 
 // Read implements follow.Source.
 func (w *watched) Read(ctx context.Context, fresh bool) (follow.Reading, error) {
+	w.calls.WithLabelValues(callForAll).Inc()
 	sent := time.Now()
 	r, err := w.Origin.Read(w.begin(ctx), fresh)
 	w.note(sent, err)
@@ -95,6 +118,7 @@
 
 // Await implements follow.Source. A source that lost its history answers.
 func (w *watched) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+	w.calls.WithLabelValues(callForNews).Inc()
 	sent := time.Now()
 	r, err := w.Origin.Await(w.begin(ctx), after, wait)
 	w.note(sent, err)
@@ -103,6 +127,7 @@
 
 // CatchUp implements Origin.
 func (w *watched) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+	w.calls.WithLabelValues(callForNewest).Inc()
 	sent := time.Now()
 	r, err := w.Origin.CatchUp(w.begin(ctx), after)
 	w.note(sent, err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/balance"
@@ -46,6 +47,8 @@
 	// Clock tells when others said what; nil is clock.Boot.
 	Clock clock.Clock
 	Log   zerolog.Logger
+	// Metrics takes the counter of calls to the source; nil for none.
+	Metrics prometheus.Registerer
 }
 
 // Origin is the source that peers read for each other.
@@ -110,7 +113,7 @@
 		cfg.Clock = clock.Boot
 	}
 	s := &Source{cfg: cfg, members: newMembers(cfg.Self), steady: steady{outage: cfg.Outage}, hurried: make(chan struct{})}
-	s.direct = &watched{Origin: cfg.Source, answered: func() { s.steady.answered(cfg.Clock()) }}
+	s.direct = &watched{Origin: cfg.Source, calls: newCalls(cfg.Metrics), answered: func() { s.steady.answered(cfg.Clock()) }}
 	return s
 }
 
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -33,10 +33,12 @@
 	if !s.hasSeeds() || slices.Contains(s.cfg.Seeds, s.cfg.Self.Address) {
 		return follow.Reading{}, false
 	}
-	for begun := time.Now(); time.Since(begun) < s.startingFor(time.Now()); {
+	begun := time.Now()
+	for time.Since(begun) < s.startingFor(time.Now()) {
 		for _, peer := range s.startFrom(time.Now()) {
 			word, err := s.readPages(ctx, peer)
 			if err == nil {
+				s.cfg.Log.Info().Str("router", peer.VM).Dur("after", time.Since(begun)).Msg("another router told everything")
 				return word.Reading, true
 			}
 		}
@@ -44,6 +46,8 @@
 			break
 		}
 	}
+	s.cfg.Log.Info().Dur("after", time.Since(begun)).Int("routers", s.members.byName(time.Now())).
+		Msg("no other router told everything: the source is read")
 	return follow.Reading{}, false
 }
 
