--- a/internal/balance/unequal_play_test.go
+++ b/internal/balance/unequal_play_test.go
@@ -61,7 +61,6 @@
 	waiting []*unequalStream // for a slot
 	reading []*unequalStream
 	running []*unequalStream
-	memory  int // tokens of those that have slots
 	kept    map[uint64]bool
 }
 
