--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -330,8 +330,8 @@
 }
 
 // askersAtOnce is how many routers of a failure domain may ask the source within the pause
-// between two calls of one of them. All of a fleet of 357 asked it as soon as its readers had
-// lost it: hundreds of calls a second to a source in trouble.
+// between two calls of one of them. Without a bound all of a fleet ask it as soon as their
+// readers have lost it: hundreds of calls a second to a source in trouble.
 const askersAtOnce = 16
 
 // wantedFor is for how long a router goes on wanting to ask the source that doesn't ask.
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -24,9 +24,9 @@
 )
 
 // readFromPeers has a router that knows nothing read everything from another one; ok is false
-// if none told it. With each that starts reading the source for itself, a fleet of 357 that
-// starts asks it for 357 configurations and as many lists. Who reads for a failure domain has
-// it from a seed, all others have it from who reads for theirs, so that no router has to tell
+// if none told it. If each that starts read the source for itself, a fleet that starts would ask
+// for as many configurations and lists as it has routers. Who reads for a failure domain has it
+// from a seed, all others have it from who reads for theirs, so that no router has to tell
 // everything to more than those of its own domain, and a seed to a few of each other. Seeds
 // themselves don't wait, nor does a router to which callers have come.
 func (s *Source) readFromPeers(ctx context.Context) (r follow.Reading, ok bool) {
