Revert "Tell endpoints that are much slower than their peers apart"

There no endpoint is much slower than others, but one with more streams takes up to twice as long for a token, and four samples of it make it slow for a while: it loses its homes, and what they had is read again. Change: the revert. Conclusion: paces need a measure that load doesn't move; until then they aren't told apart.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -91,8 +91,6 @@
 	// Aside says that it is no part of what decides who is kept apart, where homes are and
 	// how long requests wait: it takes too little, and only what costs more elsewhere.
 	Aside bool
-	// Slow says that its streams go on much more slowly than those of its peers.
-	Slow bool
 	// Full says that it had no room just now.
 	Full bool
 	// Weight is 1 for a healthy endpoint; less for one that comes back
--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -50,5 +50,5 @@
 	if hasA, hasB := a.Cached >= shared, b.Cached >= shared; hasA != hasB {
 		return hasA
 	}
-	return a.homeRank(key) > b.homeRank(key)
+	return rendezvous(key, a.Endpoint) > rendezvous(key, b.Endpoint)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -261,7 +261,7 @@
 	speed := st.engines.of(st.token)
 	v.Token, v.PerToken, v.First = speed.Token, speed.PerToken, speed.First
 	v.Cached = st.recent.cached(now, req.Prompt)
-	v.Full, v.Slow = st.full(now), st.pace == PaceSlow
+	v.Full = st.full(now)
 	v.Weight = st.health.weight(now, p.cfg.Outlier)
 	if st.bound.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
--- a/internal/balance/rank.go
+++ b/internal/balance/rank.go
@@ -17,15 +17,11 @@
 const tightKey = 0x7469676874
 
 // rankForTight orders endpoints for tight streams: the same at all routers, and
-// spread over failure domains, so that the loss of one leaves the others. Slow ones come
-// last: a prompt that is read there, too, makes streams pause for longer.
+// spread over failure domains, so that the loss of one leaves the others.
 func rankForTight(views []View, usable []int) []int {
 	order := make([]place, len(usable))
 	for n, i := range usable {
 		order[n] = place{view: i, rank: rendezvous(tightKey, views[i].Endpoint)}
-		if views[i].Slow {
-			order[n].slow = 1
-		}
 	}
 	slices.SortFunc(order, func(a, b place) int { return cmp.Compare(b.rank, a.rank) })
 	seen := make(map[string]int)
@@ -35,7 +31,6 @@
 		seen[domain]++
 	}
 	slices.SortStableFunc(order, func(a, b place) int { return cmp.Compare(a.turn, b.turn) })
-	slices.SortStableFunc(order, func(a, b place) int { return cmp.Compare(a.slow, b.slow) })
 	ranked := make([]int, len(order))
 	for n := range order {
 		ranked[n] = order[n].view
@@ -43,11 +38,10 @@
 	return ranked
 }
 
-// place is a view's in the order for tight streams: first those that aren't slow, by its turn
-// among those of its failure domain, and then by its rank.
+// place is a view's in the order for tight streams: by its turn among those of its
+// failure domain, and then by its rank.
 type place struct {
 	view int
-	slow int // 1 if it is
 	rank uint64
 	turn int
 }
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -65,7 +65,6 @@
 type engineSpeeds struct {
 	mu    sync.Mutex
 	token quantile // seconds for a token of output
-	best  quantile // the same where nothing else is done
 	read  quantile // seconds for a token of a prompt
 	first quantile // seconds to the first token of prompts with little to read
 	quiet quantile // seconds for which nothing is heard though requests are open
@@ -86,7 +85,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.token.add(perToken, tokenQuantile)
-	e.best.add(perToken, bestQuantile)
 }
 
 // sawFirst takes how long the first token of a prompt took of which so many tokens
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -65,12 +65,9 @@
 	// attempts are this router's of late, nil before the first; avoidUntil is
 	// until when the endpoint is avoided because it fails for several routers.
 	attempts *window.Ring
-	// token is the time between two tokens of streams there, best the same where nothing else
-	// is done, pace what that makes of the endpoint, and engines what is known of all
-	// endpoints that this one is compared with.
+	// token is the time between two tokens of streams there, and engines what is
+	// known of all endpoints that this one is compared with.
 	token      quantile
-	best       quantile
-	pace       Pace
 	engines    *engineSpeeds
 	avoidUntil time.Time
 	// refusedAt is when the endpoint last refused a request of this router for want of
--- a/internal/balance/words.go
+++ b/internal/balance/words.go
@@ -11,8 +11,6 @@
 	Endpoint string `json:"e"`
 	Running  int    `json:"r"`
 	Queued   int    `json:"q"`
-	// Pace is that of its streams, as far as the teller knows.
-	Pace Pace `json:"p,omitempty"`
 	// AgeMillis is how long ago the endpoint reported it, at the least.
 	AgeMillis int64 `json:"a"`
 }
@@ -40,7 +38,7 @@
 		}
 		words = append(words, LoadWord{
 			Endpoint: name, Running: st.load.TotalRunning(), Queued: st.load.TotalQueued(),
-			Pace: st.pace, AgeMillis: age.Milliseconds(),
+			AgeMillis: age.Milliseconds(),
 		})
 	}
 	return words
@@ -61,7 +59,6 @@
 
 // hear takes in a report that another router received at a moment.
 func (st *state) hear(at time.Time, w LoadWord) {
-	st.hearPace(w.Pace)
 	if !at.After(st.reportedAt) || at.Before(st.restartedAt) {
 		return
 	}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -127,12 +127,8 @@
 	if perToken == 0 || a.engines == nil {
 		return // nothing is learned there
 	}
+	a.change(func(st *state) { st.token.add(perToken, tokenQuantile) })
 	a.engines.sawTokens(perToken)
-	a.change(func(st *state) {
-		st.token.add(perToken, tokenQuantile)
-		st.best.add(perToken, bestQuantile)
-		st.pace = a.engines.paceOf(st.best, st.pace)
-	})
 }
 
 // Read notes that the prompt has been read, or needs to be read no more.
