End all routers of a test that fails

Cause: a failed expectation left the routers of a play running, so that synctest panicked and the package's other tests didn't run. Change: plays of starts end their routers in a deferred call. No check, bound or seed is touched.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -183,11 +183,9 @@
 		for i := range routers {
 			f.start(g, i)
 		}
+		defer f.end()
 		time.Sleep(6 * time.Second)
 		do(g, f)
-		for _, n := range f.nodes {
-			n.end()
-		}
 	})
 }
 
--- a/internal/peers/start_test.go
+++ b/internal/peers/start_test.go
@@ -21,6 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}}
+		defer f.end()
 		for i := range 3 {
 			f.seeds = append(f.seeds, address(i))
 		}
@@ -37,9 +38,6 @@
 		f.store.mu.Unlock()
 		time.Sleep(1200 * time.Millisecond)
 		g.Expect(f.inForce(1)).To(Equal(routers))
-		for _, n := range f.nodes {
-			n.end()
-		}
 	})
 }
 
@@ -91,12 +89,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 5}
+				defer f.end()
 				f.startAll(g, routers, 300*time.Millisecond)
 				g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", time.Second))
 				t.Logf("%d routers: everything read %d times", routers, f.store.reads)
 				g.Expect(f.store.reads).To(BeNumerically("<=", 3+2*5), "by seeds, and by few of each failure domain, whose seeds start late")
 				g.Expect(f.store.count()).To(BeNumerically("<=", 40), "those that took themselves for readers until they were greeted")
-				f.end()
 			})
 		})
 	}
@@ -109,6 +107,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 5}
+		defer f.end()
 		f.startAll(g, routers, 300*time.Millisecond)
 		time.Sleep(6 * time.Second)
 		killed := 0
@@ -127,7 +126,6 @@
 		}
 		g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", 300*time.Millisecond))
 		g.Expect(f.store.count()-before).To(BeNumerically("<", killed/2), "each of them read it before")
-		f.end()
 	})
 }
 
@@ -136,9 +134,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, seeds: []string{address(90), address(91)}}
+		defer f.end()
 		f.start(g, 5)
 		g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", startFor+500*time.Millisecond))
-		f.end()
 	})
 }
 
@@ -148,6 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 5, seeds: []string{address(0)}}
+		defer f.end()
 		for i := 1; i <= 12; i++ {
 			f.start(g, i)
 		}
@@ -157,7 +156,6 @@
 			n.source.Hurry() // by another caller
 		}
 		g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", 100*time.Millisecond))
-		f.end()
 	})
 }
 
@@ -169,6 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 5}
+		defer f.end()
 		for i := range routers {
 			f.turnAway(fmt.Sprint("vm", i))
 		}
@@ -180,6 +179,5 @@
 		g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", time.Second))
 		t.Logf("everything read %d times", f.store.reads)
 		g.Expect(f.store.reads).To(BeNumerically("<", routers/2), "by some, again and again until there is something")
-		f.end()
 	})
 }
