Have routers that have just started leave the asking to seeds

Cause: a router that greets seeds which have just started hears of few of its failure domain, has the highest rank of these by chance, takes itself for the reader and asks the store for news. Evidence: the calls kept by router and time: 34 of 42 come once each from such routers, 250 ms after their start, none of them a reader a second later.

Change: a router that has run for less than two greetings, and to which only routers as new have told whom they know, asks seeds; new seeds ask the store.

Why it works: who reads isn't decided before it can be known.

--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +29,7 @@
 func (s *Source) ask(ctx context.Context, one func(context.Context, Member) (peerWord, error)) (peerWord, error) {
 	err := errAlone
 	var second *peerWord
-	for _, peer := range s.members.sources(time.Now()) {
+	for _, peer := range s.sources(time.Now()) {
 		var r peerWord
 		r, err = one(ctx, peer)
 		switch {
@@ -44,6 +45,16 @@
 	return peerWord{}, err
 }
 
+// sources are the routers to ask, the nearest first. One that knows few of its failure domain
+// asks seeds first, which ask the source meanwhile.
+func (s *Source) sources(now time.Time) []Member {
+	sources := s.members.sources(now)
+	if !s.members.isReader(now) || !s.knowsFew(now) {
+		return sources
+	}
+	return slices.Concat(s.members.inTurn(s.members.at(now, s.cfg.Seeds)), sources)
+}
+
 // newsFor is how long news are told with questions and answers: two of them and some slack,
 // so that one may be late.
 func (s *Source) newsFor() time.Duration { return 2*s.cfg.Every + callTimeout }
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -85,6 +85,9 @@
 	s.steady.hear(sentClock, reply.Steady)
 	s.hearDomain(reply.From, reply.Domain, sent)
 	s.members.toldOf(reply.From.VM, reply.Known, sent)
+	if !reply.New {
+		s.members.greetedByOld()
+	}
 	for _, m := range reply.Members {
 		s.members.hear(m.Member, sent.Add(-time.Duration(m.AgoMillis)*time.Millisecond))
 	}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -44,6 +44,8 @@
 	// near is when each router of this one's failure domain was last heard of, and domains
 	// when any of each other one.
 	near, domainsAt map[string]time.Time
+	// byOld says that a router has greeted this one that isn't new itself.
+	byOld bool
 	// most is the most others that there ever were at once.
 	most int
 	// shared is how many others are taken to share limits, and sharedAt when there last were
@@ -186,6 +188,20 @@
 	m.noteSharing(known, at)
 }
 
+// greetedByOld notes that a router has greeted this one that isn't new itself.
+func (m *members) greetedByOld() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.byOld = true
+}
+
+// toldByOld says whether a router has told this one whom it knows that isn't new itself.
+func (m *members) toldByOld() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byOld
+}
+
 // byName is how many other routers were heard of lately by name.
 func (m *members) byName(now time.Time) int {
 	m.mu.Lock()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -69,6 +69,8 @@
 	// are in all besides the asker.
 	Members []heardMember `json:"members"`
 	Known   int           `json:"known"`
+	// New says that this router may not have heard yet of all that started with it.
+	New bool `json:"new,omitempty"`
 	// Demand is what this router's own requests ask for, and Domain as in the request.
 	Demand balance.Demand `json:"demand"`
 	Domain domainDemand   `json:"domain,omitzero"`
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -232,7 +232,7 @@
 }
 
 func (s *Source) await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
-	if s.members.isReader(time.Now()) {
+	if s.isReader(time.Now()) {
 		return s.awaitAsReader(ctx, after, wait)
 	}
 	if !clock.Sleep(ctx, min(s.cfg.Every, wait)) {
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -25,7 +25,7 @@
 	at := s.cfg.Clock()
 	s.steady.hear(at, req.Steady)
 	return helloReply{
-		From: s.cfg.Self, Members: s.members.neededBy(req.From, now), Known: s.members.byName(now),
+		From: s.cfg.Self, Members: s.members.neededBy(req.From, now), Known: s.members.byName(now), New: s.isNew(now),
 		Demand: s.demands.ask(), Domain: s.domainDemand(now),
 		Poison: s.poison.heard(at, req.Poison, greetedFor), Steady: s.steady.word(at),
 		Limits: s.limits.heard(at, req.Limits, greetedFor),
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -18,6 +18,9 @@
 	readersStartFor = 400 * time.Millisecond
 	// startEvery is the time between two of its questions.
 	startEvery = 50 * time.Millisecond
+	// knownAfter is how long after its start a router has heard of all that started with it:
+	// each has greeted a seed twice by then.
+	knownAfter = 2 * helloEvery
 	// helloAtStart is the time between two words to other routers in that time, until all
 	// seeds have answered.
 	helloAtStart = 200 * time.Millisecond
@@ -100,3 +103,25 @@
 	s.hasRead = true
 	return first
 }
+
+// isReader says whether this router asks the source for others. One that has just started and
+// was greeted only by others that have too knows few of those that start with it, and would
+// take itself for a reader until it greets them again.
+func (s *Source) isReader(now time.Time) bool {
+	return s.members.isReader(now) && !s.knowsFew(now) || s.isNewSeed(now)
+}
+
+// knowsFew says whether this router may not have heard of all of its failure domain, though it
+// has seeds to ask meanwhile.
+func (s *Source) knowsFew(now time.Time) bool {
+	return s.isNew(now) && !s.members.toldByOld() && len(s.members.at(now, s.cfg.Seeds)) > 0
+}
+
+// isNewSeed says whether this router is a seed that has just started: those that start with it
+// ask it, and which of them read isn't known yet.
+func (s *Source) isNewSeed(now time.Time) bool {
+	return s.isNew(now) && slices.Contains(s.cfg.Seeds, s.cfg.Self.Address)
+}
+
+// isNew says whether this router may not have heard of all that started with it.
+func (s *Source) isNew(now time.Time) bool { return s.greetingFor(now) < knownAfter }
--- a/internal/peers/start_test.go
+++ b/internal/peers/start_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,7 +93,7 @@
 				defer f.end()
 				f.startAll(g, routers, 300*time.Millisecond)
 				g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", time.Second))
-				t.Logf("%d routers: everything read %d times", routers, f.store.reads)
+				t.Logf("%d routers: everything read %d times, %d calls", routers, f.store.reads, f.store.count())
 				g.Expect(f.store.reads).To(BeNumerically("<=", 3+2*5), "by seeds, and by few of each failure domain, whose seeds start late")
 				g.Expect(f.store.count()).To(BeNumerically("<=", 40), "those that took themselves for readers until they were greeted")
 			})
@@ -181,3 +182,74 @@
 		g.Expect(f.store.reads).To(BeNumerically("<", routers/2), "by some, again and again until there is something")
 	})
 }
+
+// Routers that have just started leave the asking to seeds for a while. What changes meanwhile
+// is in force everywhere as soon as at other times: a question and an answer each from the
+// source to a seed, to a reader and to the others.
+func TestAConfigurationThatComesWhileAFleetStartsIsInForceInTime(t *testing.T) {
+	const routers, limit = 103, time.Second
+	for _, after := range []time.Duration{0, 400, 800, 1200, 1600, 1900, 2100, 2400} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 5}
+				defer f.end()
+				f.startAll(g, routers, 300*time.Millisecond)
+				time.Sleep(after * time.Millisecond)
+				f.set(2)
+				took := f.settled(2, 5*time.Second)
+				t.Logf("%d ms after the start of the last: in force after %s", after, took)
+				g.Expect(took).To(BeNumerically("<=", limit))
+			})
+		})
+	}
+}
+
+// The story: at 357 routers that start together 34 more than read everything asked the store
+// for news, in one of eight runs over the bound of the test above.
+// The cause: a router that greets seeds which have just started hears of few of its failure
+// domain, takes itself for their reader, and asks the store until it greets again, a second later.
+// The evidence: the calls counted here by router, 42 of 357, 34 of them once each by routers that
+// had everything from a seed, and 150 of 880.
+func TestRoutersThatStartTogetherLeaveTheAskingToSeeds(t *testing.T) {
+	for _, c := range []struct{ routers, domains int }{{357, 5}, {880, 27}} {
+		t.Run(fmt.Sprint(c.routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: c.domains}
+				defer f.end()
+				f.startAll(g, c.routers, 300*time.Millisecond)
+				g.Expect(f.settled(1, 5*time.Second)).To(BeNumerically("<", time.Second))
+				t.Logf("%d routers: everything read %d times, %d calls", c.routers, f.store.reads, f.store.count())
+				g.Expect(f.store.count()).To(BeNumerically("<=", 2*f.store.reads), "one for news by each that has read everything")
+			})
+		})
+	}
+}
+
+// The reader of a failure domain starts again in a calm fleet: it reads at once, since the seeds,
+// which know all of it, ask it in turn. Evidence: where it asks them a change takes 1.6 s and more.
+func TestAReaderThatStartsAgainReadsAtOnce(t *testing.T) {
+	const routers = 12
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fleet{net: memnet.New(), store: &store{version: 1, away: make(map[string]bool)}, domains: 1}
+		defer f.end()
+		for i := routers - 3; i < routers; i++ {
+			f.seeds = append(f.seeds, address(i))
+		}
+		for i := range routers {
+			f.start(g, i)
+		}
+		time.Sleep(6 * time.Second)
+		reader := slices.IndexFunc(f.nodes, func(n *node) bool { return n.source.members.isReader(time.Now()) })
+		g.Expect(reader).To(BeNumerically("<", routers-3), "not a seed")
+		f.nodes[reader].end()
+		f.start(g, reader)
+		time.Sleep(600 * time.Millisecond)
+		f.set(2)
+		took := f.settled(2, 5*time.Second)
+		t.Logf("in force after %s", took)
+		g.Expect(took).To(BeNumerically("<=", time.Second))
+	})
+}
