--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -200,7 +200,10 @@
 	logLost(log, r)
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.Home()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.Tight).Int("kept", r.Kept).
-			Dur("expected", r.Wait).Dur("max_gap", r.Delivered.MaxGap)
+			Dur("expected", r.Wait).Dur("max_gap", r.Delivered.MaxGap).Int("output", r.Prompt.Output)
+	}
+	if r.Copy != nil {
+		log.Str("copy", r.Copy.Name)
 	}
 }
 
