Ask each seed once, and name who has told whom plainly

Cause: a router that knows few asked seeds that read for another failure domain twice in a row, .3 s each where they don't answer; two names for one thing in members. Change: seeds are left out of the others; hearFromOld, hasHeardFromOld.

--- a/internal/peers/ask.go
+++ b/internal/peers/ask.go
@@ -52,7 +52,9 @@
 	if !s.members.isReader(now) || !s.knowsFew(now) {
 		return sources
 	}
-	return slices.Concat(s.members.inTurn(s.members.at(now, s.cfg.Seeds)), sources)
+	seeds := s.members.inTurn(s.members.at(now, s.cfg.Seeds))
+	others := slices.DeleteFunc(sources, func(m Member) bool { return slices.Contains(seeds, m) })
+	return slices.Concat(seeds, others)
 }
 
 // newsFor is how long news are told with questions and answers: two of them and some slack,
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -86,7 +86,7 @@
 	s.hearDomain(reply.From, reply.Domain, sent)
 	s.members.toldOf(reply.From.VM, reply.Known, sent)
 	if !reply.New {
-		s.members.greetedByOld()
+		s.members.hearFromOld()
 	}
 	for _, m := range reply.Members {
 		s.members.hear(m.Member, sent.Add(-time.Duration(m.AgoMillis)*time.Millisecond))
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -44,8 +44,8 @@
 	// near is when each router of this one's failure domain was last heard of, and domains
 	// when any of each other one.
 	near, domainsAt map[string]time.Time
-	// byOld says that a router has greeted this one that isn't new itself.
-	byOld bool
+	// heardFromOld says that a router has told this one whom it knows that isn't new itself.
+	heardFromOld bool
 	// most is the most others that there ever were at once.
 	most int
 	// shared is how many others are taken to share limits, and sharedAt when there last were
@@ -188,18 +188,18 @@
 	m.noteSharing(known, at)
 }
 
-// greetedByOld notes that a router has greeted this one that isn't new itself.
-func (m *members) greetedByOld() {
+// hearFromOld notes that a router has told this one whom it knows that isn't new itself.
+func (m *members) hearFromOld() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.byOld = true
+	m.heardFromOld = true
 }
 
-// toldByOld says whether a router has told this one whom it knows that isn't new itself.
-func (m *members) toldByOld() bool {
+// hasHeardFromOld says whether one has.
+func (m *members) hasHeardFromOld() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.byOld
+	return m.heardFromOld
 }
 
 // byName is how many other routers were heard of lately by name.
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -104,9 +104,9 @@
 	return first
 }
 
-// isReader says whether this router asks the source for others. One that has just started and
-// was greeted only by others that have too knows few of those that start with it, and would
-// take itself for a reader until it greets them again.
+// isReader says whether this router asks the source for others. One that has just started, and
+// has heard whom others know only from such as have too, knows few of those that start with it:
+// it would take itself for a reader until it greets them again.
 func (s *Source) isReader(now time.Time) bool {
 	return s.members.isReader(now) && !s.knowsFew(now) || s.isNewSeed(now)
 }
@@ -114,7 +114,7 @@
 // knowsFew says whether this router may not have heard of all of its failure domain, though it
 // has seeds to ask meanwhile.
 func (s *Source) knowsFew(now time.Time) bool {
-	return s.isNew(now) && !s.members.toldByOld() && len(s.members.at(now, s.cfg.Seeds)) > 0
+	return s.isNew(now) && !s.members.hasHeardFromOld() && len(s.members.at(now, s.cfg.Seeds)) > 0
 }
 
 // isNewSeed says whether this router is a seed that has just started: those that start with it
