Show in a request's line what its endpoint said of itself

Answers are decoded into one type, upstream.Signals, for requests and health checks alike: leaving, backoff, cold, rate limit, load. Each attempt in a request's line names what its answer said. Nothing is decided by leaving and backoff yet.

--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -66,7 +66,7 @@
 		VM: "vm", FailureDomain: "y", Callers: "127.0.0.1:0", Store: &activeStore{},
 		Health: func(context.Context, *http.Client, string, string, string) (upstream.Health, error) {
 			calls++
-			return upstream.Health{Connected: true, RateLimit: upstream.RateLimit{Kind: upstream.LimitSet, PerSecond: 1}}, nil
+			return upstream.Health{Connected: true, Signals: upstream.Signals{RateLimit: upstream.RateLimit{Kind: upstream.LimitSet, PerSecond: 1}}}, nil
 		},
 	}, zerolog.Nop())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -111,7 +111,7 @@
 	f.policy.RecordFirst(time.Now(), r.Service, r.Tier)
 	h := newHistory()
 	for r.Epoch = 1; ; r.Epoch++ {
-		r.RateLimit, r.LimitPart, r.Connections = upstream.RateLimit{}, "", 0
+		r.Signals, r.LimitPart, r.Connections = upstream.Signals{}, "", 0
 		h.add(next(ctx, r))
 		if ended, err := h.completeAtTokenLimit(ctx, r); ended {
 			return err
@@ -196,7 +196,7 @@
 // appendTrail adds the attempt that just ended to the request's trail.
 func appendTrail(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
-	step.Limit, step.LimitPart, step.Connections = r.RateLimit.String(), r.LimitPart, r.Connections
+	step.Signals, step.LimitPart, step.Connections = r.Signals, r.LimitPart, r.Connections
 	if d.Budget != nil {
 		step.Budget = d.Budget.String()
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -72,7 +72,7 @@
 	defer resp.Body.Close()
 	r.OnData(time.Now())
 	reply := f.direct.protocol.Decode(resp)
-	r.RateLimit = reply.RateLimit
+	r.Signals = reply.Signals
 	if reply.ID != r.CallerID {
 		// The response answers an earlier request on this connection. Its body stays
 		// unread, so the connection is closed.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -115,9 +115,9 @@
 	EndpointsLost int
 	// Answer is the response to the current attempt.
 	Answer *http.Response
-	// RateLimit is the rate limit stated by the endpoint of the latest attempt. Set by
+	// Signals is what the endpoint's answer to the latest attempt says of the endpoint. Set by
 	// dispatch.
-	RateLimit upstream.RateLimit
+	Signals upstream.Signals
 	// Connections counts the connections used for the latest attempt. Set by dispatch.
 	Connections int
 	// LimitPart describes which share of the endpoint's rate limit the latest attempt was
@@ -154,9 +154,11 @@
 	Tokens int
 	// Next is "repeat" or why the request was given up; empty after a complete answer.
 	Next string
-	// Limit is the rate limit stated in the endpoint's answer, and LimitPart the limit and the
-	// share of it that the attempt was charged to; empty if there is none.
-	Limit, LimitPart string
+	// Signals is what the endpoint's answer says of the endpoint.
+	Signals upstream.Signals
+	// LimitPart is the rate limit and the share of it that the attempt was charged to; empty if
+	// there is none.
+	LimitPart string
 	// Connections counts the connections used for the attempt.
 	Connections int
 	// Budget describes the use of the retry budget if a retry was charged to it or refused by
@@ -176,8 +178,8 @@
 	if s.LimitPart != "" {
 		text += ", by " + s.LimitPart
 	}
-	if s.Limit != "" {
-		text += ", limit " + s.Limit
+	if signals := s.Signals.String(); signals != "" {
+		text += ", " + signals
 	}
 	return text
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/logging"
 	"coveferry/internal/request"
 	"coveferry/internal/slo"
+	"coveferry/internal/upstream"
 	"coveferry/internal/wire"
 )
 
@@ -103,7 +104,7 @@
 func countLimitAnswers(trail []request.Step) int {
 	n := 0
 	for _, step := range trail {
-		if step.Limit != "" {
+		if step.Signals.RateLimit.Kind != upstream.LimitNone {
 			n++
 		}
 	}
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -62,10 +62,15 @@
 	return upstream.Reply{
 		ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
 		WrongInstance: resp.StatusCode == http.StatusMisdirectedRequest, Signed: resp.Header.Get("Signed") != "",
-		RateLimit: parseRateLimit(resp.Header.Get("Limit")),
+		Signals: testSignals(resp.Header),
 	}
 }
 
+func testSignals(h http.Header) upstream.Signals {
+	backoff, _ := time.ParseDuration(h.Get("Backoff"))
+	return upstream.Signals{Leaving: h.Get("Leaving") != "", Backoff: backoff, RateLimit: parseRateLimit(h.Get("Limit"))}
+}
+
 func parseRateLimit(text string) upstream.RateLimit {
 	n, err := strconv.ParseFloat(text, 64)
 	if err != nil {
--- a/internal/upstream/plain.go
+++ b/internal/upstream/plain.go
@@ -58,5 +58,8 @@
 	if id == "" && resp.Request != nil {
 		id = resp.Request.Header.Get(headerRequestID)
 	}
-	return Reply{ID: id, NotRun: resp.Header.Get(headerNotRun) != "", Signed: true}
+	return Reply{
+		ID: id, NotRun: resp.Header.Get(headerNotRun) != "", Signed: true,
+		Signals: Signals{Backoff: RetryAfter(resp)},
+	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"coveferry/internal/load"
@@ -63,10 +64,40 @@
 	WrongInstance bool
 	// Signed says that the answer comes from the endpoint itself, not from an intermediary.
 	Signed bool
-	// Load is the endpoint's load report; nil if the answer has none.
-	Load *load.Report
+	Signals
+}
+
+// Signals is what an endpoint's answer says of the endpoint itself.
+type Signals struct {
+	// Leaving says that the endpoint is leaving and takes no new requests.
+	Leaving bool
+	// Backoff is how long the endpoint wants no requests from this router; 0 if the answer
+	// doesn't say.
+	Backoff time.Duration
+	// Cold is how much longer the endpoint stays cold; 0 if the answer doesn't say.
+	Cold time.Duration
 	// RateLimit is the endpoint's statement of its own limit.
 	RateLimit RateLimit
+	// Load is the endpoint's load report; nil if the answer has none.
+	Load *load.Report
+}
+
+// String lists the signals, except the load, for a log line; empty if there are none.
+func (s Signals) String() string {
+	var parts []string
+	if s.Leaving {
+		parts = append(parts, "leaving")
+	}
+	if s.Backoff > 0 {
+		parts = append(parts, "backoff "+s.Backoff.String())
+	}
+	if s.Cold > 0 {
+		parts = append(parts, "cold "+s.Cold.String())
+	}
+	if limit := s.RateLimit.String(); limit != "" {
+		parts = append(parts, "limit "+limit)
+	}
+	return strings.Join(parts, ", ")
 }
 
 // RateLimit is an endpoint's limit on the requests per second from all routers together.
@@ -103,10 +134,7 @@
 type Health struct {
 	// Connected says that a connection was established.
 	Connected bool
-	// Cold is how much longer the endpoint stays cold.
-	Cold time.Duration
-	// RateLimit is the endpoint's statement of its own limit.
-	RateLimit RateLimit
+	Signals
 }
 
 // Protocol translates between header names on the wire and the types of this package.
