Apply what an endpoint says of itself through one function of the pool

Health checks and answers to requests each took the fields of an answer apart by themselves; what endpoints say more would have had to be added at both. Pool.ApplySignals takes all of it. An answer to a request that says that the endpoint is cold counts now too, as one to a health check did.

--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -12,7 +12,6 @@
 	"coveferry/internal/directory"
 	"coveferry/internal/membership"
 	"coveferry/internal/route"
-	"coveferry/internal/upstream"
 )
 
 // directoryUpdater applies changes of the endpoint directory to membership and the pool, and
@@ -171,14 +170,7 @@
 		return false, membership.ErrProbeSkipped
 	}
 	health, err := l.d.cfg.Health(ctx, l.d.client, entry.Endpoint.Address, l.healthPath(entry.Endpoint.Services), name)
-	if health.Cold > 0 {
-		l.d.pool.SetCold(time.Now(), name, health.Cold)
-	}
-	if health.RateLimit.Kind == upstream.LimitSet {
-		// A health response without a limit doesn't mean that there is none; responses to
-		// requests decide that.
-		l.d.pool.ApplyLimit(time.Now(), sentAt, name, health.RateLimit)
-	}
+	l.d.pool.ApplySignals(time.Now(), sentAt, name, health.Signals)
 	return health.Connected, err
 }
 
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -98,7 +98,7 @@
 	return err
 }
 
-// recordDirectResponse updates the load, rate limit and membership of an endpoint from the
+// recordDirectResponse updates the load, signals and membership of an endpoint from the
 // response header. sent is when the request was sent.
 func (f *Filter) recordDirectResponse(e *bundle.Endpoint, sent time.Time, reply upstream.Reply) {
 	now := time.Now()
@@ -112,7 +112,11 @@
 	if current && reply.Load != nil {
 		f.pool.Report(now, e.Name, report)
 	}
-	if current && (reply.Signed || reply.RateLimit.Kind == upstream.LimitSet) {
+	if !current {
+		return
+	}
+	f.pool.ApplySignals(now, sent, e.Name, reply.Signals)
+	if reply.Signed && reply.RateLimit.Kind == upstream.LimitNone {
 		// A queue-full refusal that states no rate limit doesn't clear a known one.
 		f.pool.ApplyLimit(now, sent, e.Name, reply.RateLimit)
 	}
