--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -20,6 +20,7 @@
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/membership"
 	"coveferry/internal/memnet"
 	"coveferry/internal/prompt"
 	"coveferry/internal/retry"
@@ -92,6 +93,7 @@
 type routerFixture struct {
 	net              *memnet.Net
 	pool             *balance.Pool
+	members          *membership.Tracker
 	router           *router.Router
 	mu               sync.Mutex
 	arrivals         []arrival
@@ -154,8 +156,10 @@
 		}
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
+		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
+		w.list(endpoints...)
 		w.router = router.New(router.Config{
-			Pool: w.pool, Client: client,
+			Pool: w.pool, Client: client, Observer: w.members,
 			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
 			Rand: func() float64 { return 0 }, Log: zerolog.New(zerolog.SyncWriter(&w.log)),
 			Routing: &router.Routing{
@@ -172,16 +176,27 @@
 		srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(w.router.ServeRouted), Grace: time.Minute, HeaderTimeout: time.Second})
 		go func() { _ = srv.Run() }()
 		caller := server.NewClient(nil, w.net.Dialer("caller"))
+		defer func() { // also after a failed expectation, which ends this goroutine
+			caller.CloseIdleConnections()
+			g.Expect(srv.Stop()).To(Succeed())
+			client.CloseIdleConnections()
+			for _, stop := range stops {
+				stop()
+			}
+		}()
 		test(g, w, caller)
-		caller.CloseIdleConnections()
-		g.Expect(srv.Stop()).To(Succeed())
-		client.CloseIdleConnections()
-		for _, stop := range stops {
-			stop()
-		}
 	})
 }
 
+// list has membership know just these endpoints.
+func (w *routerFixture) list(endpoints ...*bundle.Endpoint) {
+	var specs []membership.EndpointSpec
+	for _, e := range endpoints {
+		specs = append(specs, membership.EndpointSpec{Endpoint: e.Name, VM: e.Name, Address: e.Address, Incarnation: e.ProcessID()})
+	}
+	w.members.HandleEvent(membership.BundleApplied{Endpoints: specs})
+}
+
 // serveEndpoint parses requests itself, so that handle can write invalid answers.
 func (w *routerFixture) serveEndpoint(name string, l net.Listener) (stop func()) {
 	go func() {
