Send nothing new to an endpoint whose answer says that it leaves

Cause: a router without agents learned of leaving from the list alone. With the store away the list says ready for as long as the outage lasts. The header was read nowhere. Evidence: with answers in the request's line, TestEachKindOfAnswerThatSaysLeavingEndsNewRequests and TestStreamThatBeginsWithLeavingEndsNewRequests failed on the parent (4 to 20 requests after the answer, by success, failure, refusal, broken body, head of a stream). Why it holds: the answer's header goes the way that agents' load reports go, into membership, where what a process says of itself comes before the list, for its whole life; all ways to an endpoint ask it (choice, resumed streams, copies, health checks).

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -106,6 +106,7 @@
 	if reply.Load != nil {
 		report = *reply.Load
 	}
+	report.Leaving = reply.Leaving
 	// Responses carry no sequence number; they are numbered in the order of arrival.
 	report.Seq = uint64(f.responseSeq.Add(1))
 	current := f.observer.Answered(e.Name, wire.Clock{Incarnation: e.ProcessID()}, sent, report)
