--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -12,12 +12,13 @@
 type Core struct {
 	tuning    Tuning
 	endpoints map[string]*endpointState
+	departing departing
 	list      listState
 }
 
 // NewCore returns a core without endpoints.
 func NewCore(t Tuning) *Core {
-	return &Core{tuning: t.withDefaults(), endpoints: make(map[string]*endpointState)}
+	return &Core{tuning: t.withDefaults(), endpoints: make(map[string]*endpointState), departing: make(departing)}
 }
 
 // Apply processes an event and returns the resulting state changes, sorted by
@@ -81,7 +82,8 @@
 
 // setBundle replaces the set of endpoints. An endpoint whose VM, address and
 // incarnation are unchanged keeps everything. Of a changed one only the last state
-// and the incarnations are kept; delayed messages from these may still arrive.
+// and the incarnations are kept; delayed messages from these may still arrive. A
+// process that reported leaving stays so while the bundle lacks it or changes it.
 func (c *Core) setBundle(now time.Time, b BundleApplied) []Change {
 	var changes []Change
 	next := make(map[string]*endpointState, len(b.Endpoints))
@@ -89,8 +91,12 @@
 		before := c.endpoints[spec.Endpoint]
 		e := before
 		if e == nil || e.spec != spec {
+			if before != nil {
+				c.departing.add(now, before)
+			}
 			e = newEndpointState(spec, now, before)
 			e.listStatus, e.listChangedAt = c.list.status(spec.VM), now
+			c.departing.restore(now, e)
 		}
 		if before != nil && !before.spec.mayRun(spec.Incarnation) {
 			e.resetForNewProcess()
@@ -100,6 +106,7 @@
 	}
 	for name, e := range c.endpoints {
 		if next[name] == nil {
+			c.departing.add(now, e)
 			changes = append(changes, Change{Endpoint: name, From: e.state, To: Gone, Reason: ReasonBundle})
 		}
 	}
--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,6 +38,23 @@
 	s.now = s.now.Add(10 * time.Second)
 	s.apply(oneProcess("p1"))
 	g.Expect(stateOf()).To(Equal(Leaving), "the same process")
+	s.apply(AgentStatus{Endpoint: "e0", Incarnation: "p1", Seq: 2, Via: ReasonReport, Sent: epoch})
+	g.Expect(stateOf()).To(Equal(Leaving), "an answer to a request sent before it said so")
 	s.apply(oneProcess("p2"))
 	g.Expect(stateOf()).To(Equal(Live), "another process of the same name")
 }
+
+func TestProcessesThatReportedLeavingAreRememberedForABoundedTime(t *testing.T) {
+	g := NewWithT(t)
+	s := &coreFixture{g: g, core: NewCore(Tuning{}), now: epoch}
+	for i := range 2 * maxDeparting {
+		process := fmt.Sprint("p", i)
+		s.apply(oneProcess(process))
+		s.apply(AgentStatus{Endpoint: "e0", Incarnation: process, Seq: 1, Leaving: true, Via: ReasonReport})
+		s.apply(without("e0", oneProcess(process)))
+	}
+	g.Expect(len(s.core.departing)).To(BeNumerically("<=", maxDeparting))
+	s.now = s.now.Add(departingTTL)
+	s.apply(oneProcess("p1"))
+	g.Expect(s.core.Members()[0].State).To(Equal(Live), "too long ago")
+}
