Take health checks that say leaving or backoff for that, and a passed one for its end

What callers saw: nothing; by reading. An endpoint that leaves answers its health checks with 503, which counted as a broken connection and made it suspect: such an endpoint is chosen where no other may be. And what an answer had said held for the life of the process, so that one wrong header would lose an endpoint for good. Cause: health checks were read for cold and limits only, and membership knew of no end but a new process. Only a check sent after the answer counts, and a list that says draining counts as before.

--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -153,25 +153,33 @@
 	return open
 }
 
-// checkHealth probes an endpoint's health and reports whether a request was sent. It skips
-// endpoints that are evacuated, and rate-limited endpoints for which this router has used up
-// its share, since a health check takes up capacity like any request.
-func (l *directoryUpdater) checkHealth(ctx context.Context, name string) (bool, error) {
+// checkHealth probes an endpoint's health. It skips endpoints that are evacuated or asked this
+// router to back off, and rate-limited endpoints for which this router has used up its share,
+// since a health check takes up capacity like any request. An endpoint that answers that it is
+// leaving, or asks for backoff, hasn't failed the check.
+func (l *directoryUpdater) checkHealth(ctx context.Context, name string) (membership.HealthResult, error) {
 	dir := l.d.follower.Directory()
 	entry, ok := dir.Entry(name)
 	if !ok {
-		return false, errors.Newf("endpoint %s is not listed", name)
+		return membership.HealthResult{}, errors.Newf("endpoint %s is not listed", name)
 	}
 	if dir.IsEvacuated(entry.Endpoint.FailureDomain) {
-		return false, membership.ErrProbeSkipped
+		return membership.HealthResult{}, membership.ErrProbeSkipped
 	}
 	sentAt := time.Now()
 	if !l.d.pool.MayCheck(sentAt, &entry.Endpoint) {
-		return false, membership.ErrProbeSkipped
+		return membership.HealthResult{}, membership.ErrProbeSkipped
 	}
 	health, err := l.d.cfg.Health(ctx, l.d.client, entry.Endpoint.Address, l.healthPath(entry.Endpoint.Services), name)
 	l.d.pool.ApplySignals(time.Now(), sentAt, name, health.Signals)
-	return health.Connected, err
+	result := membership.HealthResult{Connected: health.Connected, Leaving: health.Leaving}
+	switch {
+	case health.Leaving:
+		return result, nil
+	case health.Backoff > 0:
+		return result, membership.ErrProbeSkipped
+	}
+	return result, err
 }
 
 func (l *directoryUpdater) healthPath(services []string) string {
--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -93,3 +93,37 @@
 func (activeStore) OperatorState(context.Context) (follow.OperatorState, error) {
 	return follow.OperatorState{Config: &route.Config{Version: 1}, Revision: 1}, nil
 }
+
+// healthUpdater returns an updater whose endpoint "e" answers health checks as given.
+func healthUpdater(t *testing.T, health upstream.Health, err error) *directoryUpdater {
+	g := NewWithT(t)
+	d, newErr := newDirect(DirectConfig{
+		VM: "vm", FailureDomain: "y", Callers: "127.0.0.1:0", Store: &activeStore{},
+		Health: func(context.Context, *http.Client, string, string, string) (upstream.Health, error) {
+			return health, err
+		},
+	}, zerolog.Nop())
+	g.Expect(newErr).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go d.follower.Run(ctx)
+	g.Eventually(func() int { return d.follower.Directory().Len() }).Should(Equal(1))
+	return d.updater
+}
+
+// An endpoint that leaves or asks for backoff answers its health checks with 503.
+func TestHealthCheckThatSaysLeavingOrBackoffIsNoFailure(t *testing.T) {
+	g := NewWithT(t)
+	unhealthy := errors.New("status 503")
+	leaving := healthUpdater(t, upstream.Health{Connected: true, Signals: upstream.Signals{Leaving: true}}, unhealthy)
+	result, err := leaving.checkHealth(context.Background(), "e")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result).To(Equal(membership.HealthResult{Connected: true, Leaving: true}))
+	backoff := healthUpdater(t, upstream.Health{Connected: true, Signals: upstream.Signals{Backoff: time.Minute}}, unhealthy)
+	_, err = backoff.checkHealth(context.Background(), "e")
+	g.Expect(err).To(MatchError(membership.ErrProbeSkipped))
+	failing := healthUpdater(t, upstream.Health{Connected: true}, unhealthy)
+	result, err = failing.checkHealth(context.Background(), "e")
+	g.Expect(err).To(MatchError(unhealthy))
+	g.Expect(result).To(Equal(membership.HealthResult{Connected: true}))
+}
--- a/internal/membership/departing.go
+++ b/internal/membership/departing.go
@@ -42,7 +42,7 @@
 	left, known := d[key]
 	delete(d, key)
 	if known && now.Sub(left.since) < departingTTL {
-		e.incarnation, e.leaving, e.leavingReason = key.incarnation, true, left.reason
+		e.incarnation, e.leaving, e.leavingReason, e.leavingSince = key.incarnation, true, left.reason, now
 	}
 }
 
--- a/internal/membership/endpoint_state.go
+++ b/internal/membership/endpoint_state.go
@@ -36,6 +36,7 @@
 	lastStatusAt         time.Time
 	leaving              bool
 	leavingReason        Reason // why leaving is set
+	leavingSince         time.Time
 
 	failureCount   int       // consecutive failed connections
 	firstFailureAt time.Time // when the first of these failed
@@ -109,8 +110,11 @@
 		e.startIncarnation(now, status.Incarnation)
 	}
 	e.seq = max(e.seq, status.Seq)
-	if status.Leaving && !e.leaving {
-		e.leaving, e.leavingReason = true, status.Via
+	switch {
+	case status.Leaving && !e.leaving:
+		e.leaving, e.leavingReason, e.leavingSince = true, status.Via, now
+	case status.Accepting && status.Sent.After(e.leavingSince):
+		e.leaving = false
 	}
 	e.lastStatusAt = now
 	e.possiblyRestarted = e.possiblyRestarted || e.state == Suspect && e.respondsAfterFailure(status)
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -79,6 +79,9 @@
 	Incarnation string
 	Seq         uint64
 	Leaving     bool
+	// Accepting says that the process itself accepts new requests, which ends an earlier Leaving
+	// if the request was sent after it. A status without it says nothing about that.
+	Accepting bool
 	// Via is ReasonReport, ReasonNotice or ReasonCheck.
 	Via Reason
 	// Sent is when the request was sent to which this is the response; zero if
--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -58,3 +58,27 @@
 	s.apply(oneProcess("p1"))
 	g.Expect(s.core.Members()[0].State).To(Equal(Live), "too long ago")
 }
+
+// No value may lose an endpoint for good: a leaving one fails its health checks.
+func TestPassedHealthCheckEndsWhatAnAnswerSaid(t *testing.T) {
+	g := NewWithT(t)
+	s := &coreFixture{g: g, core: NewCore(Tuning{}), now: epoch}
+	stateOf := func() State { return s.core.Members()[0].State }
+	passed := func(sent time.Time) {
+		s.apply(AgentStatus{Endpoint: "e0", Incarnation: "p1", Accepting: true, Via: ReasonCheck, Sent: sent})
+	}
+	s.apply(oneProcess("p1"))
+	s.apply(AgentStatus{Endpoint: "e0", Incarnation: "p1", Seq: 1, Leaving: true, Via: ReasonReport})
+	s.now = s.now.Add(5 * time.Second)
+	passed(epoch.Add(-time.Millisecond))
+	g.Expect(stateOf()).To(Equal(Leaving), "a check sent before the answer")
+	passed(s.now)
+	g.Expect(stateOf()).To(Equal(Live))
+	s.apply(AgentStatus{Endpoint: "e0", Incarnation: "p1", Seq: 2, Leaving: true, Via: ReasonReport})
+	g.Expect(stateOf()).To(Equal(Leaving), "it says so again")
+	s.now = s.now.Add(5 * time.Second)
+	passed(s.now)
+	s.readList("0s", []string{"!0", "1"})
+	passed(s.now)
+	g.Expect(stateOf()).To(Equal(Leaving), "the list says so")
+}
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -36,9 +36,17 @@
 // be contacted at this time. It doesn't count as a failure of the endpoint.
 var ErrProbeSkipped = errors.New("membership: probe skipped: the endpoint must not be contacted now")
 
-// HealthCheck checks the health of an endpoint that has no agent. connected reports
-// whether a connection was established.
-type HealthCheck func(ctx context.Context, endpoint string) (connected bool, err error)
+// HealthCheck checks the health of an endpoint that has no agent. Its error means that the
+// endpoint failed the check, unless it is ErrProbeSkipped.
+type HealthCheck func(ctx context.Context, endpoint string) (HealthResult, error)
+
+// HealthResult is the result of a health check.
+type HealthResult struct {
+	// Connected reports whether a connection was established.
+	Connected bool
+	// Leaving says that the endpoint answered that it is leaving, which is no failure.
+	Leaving bool
+}
 
 // NewHealthProber returns a prober for endpoints without agents.
 func NewHealthProber(t *Tracker, h HealthCheck) *Prober { return &Prober{tracker: t, healthCheck: h} }
@@ -71,6 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	spec := p.tracker.endpointSpec(name)
+	sent := time.Now()
 	status, err := p.fetchStatus(ctx, spec)
 	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, ErrProbeSkipped) {
 		return // the router is stopping, or the probe was skipped
@@ -81,11 +90,12 @@
 		p.tracker.Failed(name, spec.Incarnation, failed.Connected)
 		return
 	}
-	p.tracker.handleHealthCheck(name, status.Clock, status.Load)
+	status.Sent = sent
+	p.tracker.handleStatus(status)
 }
 
 // fetchStatus sends one probe. Its error is a *ProbeError.
-func (p *Prober) fetchStatus(ctx context.Context, spec EndpointSpec) (wire.Status, error) {
+func (p *Prober) fetchStatus(ctx context.Context, spec EndpointSpec) (AgentStatus, error) {
 	if p.healthCheck != nil {
 		return p.checkHealth(ctx, spec)
 	}
@@ -101,19 +111,25 @@
 		err = errors.Newf("the address belongs to %q", status.Endpoint)
 	}
 	if err != nil {
-		return wire.Status{}, &ProbeError{Endpoint: name, Connected: connected, Cause: err}
+		return AgentStatus{}, &ProbeError{Endpoint: name, Connected: connected, Cause: err}
 	}
-	return status, nil
+	return AgentStatus{
+		Endpoint: name, Incarnation: status.Clock.Incarnation, Seq: status.Load.Seq,
+		Leaving: status.Load.Leaving, Via: ReasonCheck,
+	}, nil
 }
 
 // checkHealth returns the result of a health check as a status. The status is attributed to
 // the incarnation that was known when the check was sent.
-func (p *Prober) checkHealth(ctx context.Context, spec EndpointSpec) (wire.Status, error) {
-	connected, err := p.healthCheck(ctx, spec.Endpoint)
+func (p *Prober) checkHealth(ctx context.Context, spec EndpointSpec) (AgentStatus, error) {
+	result, err := p.healthCheck(ctx, spec.Endpoint)
 	if err != nil {
-		return wire.Status{}, &ProbeError{Endpoint: spec.Endpoint, Connected: connected, Cause: err}
+		return AgentStatus{}, &ProbeError{Endpoint: spec.Endpoint, Connected: result.Connected, Cause: err}
 	}
-	return wire.Status{Endpoint: spec.Endpoint, Clock: wire.Clock{Incarnation: cmp.Or(spec.Incarnation, spec.Endpoint)}}, nil
+	return AgentStatus{
+		Endpoint: spec.Endpoint, Incarnation: cmp.Or(spec.Incarnation, spec.Endpoint),
+		Leaving: result.Leaving, Accepting: !result.Leaving, Via: ReasonCheck,
+	}, nil
 }
 
 // endpointSpec returns an endpoint of the bundle in force; only the name is set if the bundle
--- a/internal/membership/returning_test.go
+++ b/internal/membership/returning_test.go
@@ -77,6 +77,6 @@
 	tracker, calls := newReturningTracker()
 	tracker.Failed("e0", "", true)
 	tracker.Failed("e0", "", true)
-	tracker.handleHealthCheck("e0", wire.Clock{}, load.Report{Seq: 1})
+	tracker.handleStatus(AgentStatus{Endpoint: "e0", Seq: 1, Via: ReasonCheck})
 	g.Expect(*calls).To(BeZero())
 }
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -85,14 +85,6 @@
 	})
 }
 
-// handleHealthCheck processes the response to a health check.
-func (t *Tracker) handleHealthCheck(endpoint string, clock wire.Clock, report load.Report) {
-	t.handleStatus(AgentStatus{
-		Endpoint: endpoint, Incarnation: clock.Incarnation, Seq: report.Seq,
-		Leaving: report.Leaving, Via: ReasonCheck,
-	})
-}
-
 func (t *Tracker) handleStatus(status AgentStatus) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
