Leave an endpoint alone that answers 503 with Retry-After, and return by a ramp

Cause: the header was read nowhere. A refused request made the endpoint full for 250 ms and for second tries; first tries went on, as an endpoint that turns all away looks the emptiest, and as it was the one dedicated to the urgent kind. Each cost a repeat, until these ran out. Why it holds: the pool keeps per process until when; choice, second tries, resumed streams, copies and health checks all ask it. A longer value isn't cut by a shorter, none holds above 5 minutes, another process begins anew. At the end one request tells whether the endpoint accepts any, each accepted one allows two more, for a second; routers return up to half a second apart. Where all endpoints back off, requests are refused as not run with the time of the first. Sight: a line at begin and end, coveferry_backing_off_endpoints, coveferry_endpoint_backoffs_total.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -84,9 +84,10 @@
 	SecondsPerOutputToken, SecondsPerPromptToken float64
 	// PrefillOverhead is the fixed part of a prompt's prefill time, in seconds.
 	PrefillOverhead float64
-	// HasRateLimit is set if the endpoint has a rate limit over all routers that still admits
-	// this request. Endpoints at their limit aren't among the views.
-	HasRateLimit bool
+	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
+	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
+	// among the views.
+	Metered bool
 	// Suspect is set if connections to the endpoint fail or it is unresponsive.
 	Suspect bool
 	// ReducedCapacity is set for a cold endpoint, or one with a stated rate limit that turns
--- a/internal/balance/bound.go
+++ b/internal/balance/bound.go
@@ -76,8 +76,8 @@
 	return b.share
 }
 
-// ready reports whether the endpoint may be sent the request now. The caller holds the lock of its
-// shard.
+// ready reports whether the endpoint's rate limit admits the request now. The caller holds the lock
+// of its shard.
 func (p *Pool) ready(now time.Time, st *state, e *bundle.Endpoint, req Request) bool {
 	limit, limited := st.rateState.currentLimit(now, e, req)
 	if !limited {
@@ -98,18 +98,25 @@
 	}
 }
 
-// Take reports whether an endpoint may be sent a request now and, if its rate is limited, counts the
-// request against this router's share. Only the tier and the cold rate of req matter.
+// Take reports whether an endpoint may be sent a request now, by its rate limit and its backoff, and
+// counts the request. Only the tier and the cold rate of req matter.
 func (p *Pool) Take(now time.Time, e *bundle.Endpoint, req Request) bool {
 	sh := p.shard(e.Name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(e.Name)
+	if !st.backoff.allows(now) {
+		return false
+	}
 	limit, limited := st.rateState.currentLimit(now, e, req)
 	if !limited {
+		st.backoff.take(now)
 		return true
 	}
 	taken := st.rateState.pace.Take(now, p.shareOf(now, &st.rateState, limit), st.rateState.tier(now, req))
+	if taken {
+		st.backoff.take(now)
+	}
 	if taken && st.rateState.limit.active {
 		p.limits.sent.Add(1)
 	}
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -38,6 +38,9 @@
 	// OnLimit is called for each change of the rate limit that an endpoint states. It must not
 	// block. It may be nil.
 	OnLimit func(LimitEvent)
+	// OnBackoff is called when an endpoint asks this router to back off and when it accepts
+	// requests again. It must not block. It may be nil.
+	OnBackoff func(BackoffEvent)
 	// OnDomainEvent is called when a failure domain becomes unresponsive or responsive again. It
 	// must not block. It may be nil.
 	OnDomainEvent func(DomainEvent)
--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -28,7 +28,7 @@
 func bestCopyTarget(p prompt.Prompt, views []View, group []int, chosen int) int {
 	best := -1
 	for _, i := range group {
-		if i == chosen || views[i].HasRateLimit || views[i].estimatedRequests() >= views[i].slots() {
+		if i == chosen || views[i].Metered || views[i].estimatedRequests() >= views[i].slots() {
 			continue
 		}
 		if best < 0 || betterCopyTarget(p, views, chosen, i, best) {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -24,6 +24,7 @@
 	nextDetectAt atomic.Int64
 	detectMu     sync.Mutex
 	limits       limitStats
+	backoffs     backoffStats
 	domains      domainMonitor
 }
 
@@ -152,40 +153,23 @@
 			if excluded.rateLimited > 0 {
 				p.recordUnserved(now, candidates, req)
 			}
-			return 0, &NoEndpointError{
-				Candidates: len(candidates), Skipped: excluded.skipped, Leaving: excluded.leaving,
-				RateLimited: excluded.rateLimited, AvailableIn: excluded.availableIn,
-			}
+			return 0, excluded.error(len(candidates))
 		}
-		if !s.views[i].HasRateLimit || p.Take(now, candidates[s.candidateIndexes[i]], req) {
+		chosen := candidates[s.candidateIndexes[i]]
+		if !s.views[i].Metered || p.Take(now, chosen, req) {
 			return i, nil
 		}
-		// A concurrent request used up the rate limit.
-		excluded.addRateLimited(p.recordRejected(now, candidates[s.candidateIndexes[i]], req))
+		// A concurrent request used up the rate limit or the ramp.
+		if delay := p.backoffLeft(now, chosen.Name); delay > 0 {
+			excluded.addBackingOff(delay)
+		} else {
+			excluded.addRateLimited(p.recordRejected(now, chosen, req))
+		}
 		s.views = slices.Delete(s.views, i, i+1)
 		s.candidateIndexes = slices.Delete(s.candidateIndexes, i, i+1)
 	}
 }
 
-// exclusions counts the candidates that aren't among the views.
-type exclusions struct {
-	skipped, leaving int
-	// rateLimited counts the endpoints at their rate limit; one of them admits a request after
-	// availableIn.
-	rateLimited int
-	availableIn time.Duration
-	// suspect counts all suspect candidates, at their rate limit or not.
-	suspect int
-}
-
-// addRateLimited counts an endpoint that admits its next request after availableIn.
-func (e *exclusions) addRateLimited(availableIn time.Duration) {
-	if e.rateLimited == 0 || availableIn < e.availableIn {
-		e.availableIn = availableIn
-	}
-	e.rateLimited++
-}
-
 // collect fills the scratch with the views of the usable candidates.
 func (p *Pool) collect(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (excluded exclusions) {
 	s.views = s.views[:0]
@@ -194,7 +178,7 @@
 	s.leavingIndexes = s.leavingIndexes[:0]
 	for i, c := range candidates {
 		if skip != nil && skip(c.Name) {
-			excluded.skipped++
+			excluded.addSkipped(p.backoffLeft(now, c.Name))
 			continue
 		}
 		s.views = append(s.views, View{})
@@ -209,6 +193,8 @@
 			continue
 		case atRateLimit:
 			excluded.addRateLimited(p.recordRejected(now, c, req))
+		case backingOff:
+			excluded.addBackingOff(p.backoffLeft(now, c.Name))
 		case draining:
 			s.leaving = append(s.leaving, *v)
 			s.leavingIndexes = append(s.leavingIndexes, i)
@@ -228,6 +214,9 @@
 	draining
 	// atRateLimit: the endpoint has a rate limit, and this router has used up its share.
 	atRateLimit
+	// backingOff: the endpoint asked this router to back off, or takes no more requests yet in
+	// the ramp after that.
+	backingOff
 )
 
 // restoreIfAllEjected restores the weight of ejected endpoints if there are no others: a slow
@@ -264,12 +253,15 @@
 	if st.rateState.suspect || now.Before(st.avoidUntil) {
 		v.Weight = 0
 	}
-	_, v.HasRateLimit = st.rateState.currentLimit(now, c, req)
+	_, limited := st.rateState.currentLimit(now, c, req)
+	v.Metered = limited || st.backoff.ramping(now)
 	v.ReducedCapacity = st.rateState.reducedCapacity(now, req.ColdRate)
 	v.Suspect = st.rateState.suspect
 	switch {
 	case st.leaving:
 		return draining
+	case !st.backoff.allows(now):
+		return backingOff
 	case !p.ready(now, st, c, req):
 		return atRateLimit
 	}
@@ -331,13 +323,14 @@
 	sh.state(endpoint).leaving = leaving
 }
 
-// Usable reports whether an endpoint may be sent new requests and is neither suspect nor avoided.
+// Usable reports whether an endpoint may be sent new requests and is neither suspect, avoided nor
+// backing off.
 func (p *Pool) Usable(now time.Time, endpoint string) bool {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && !st.leaving && !st.rateState.suspect && !now.Before(st.avoidUntil)
+	return known && !st.leaving && !st.rateState.suspect && !now.Before(st.avoidUntil) && st.backoff.allows(now)
 }
 
 // Inflight returns the number of this router's requests at an endpoint.
@@ -351,13 +344,13 @@
 	return 0
 }
 
-// AcceptsWork reports whether an endpoint is known and not leaving.
-func (p *Pool) AcceptsWork(endpoint string) bool {
+// AcceptsWork reports whether an endpoint is known and neither leaving nor backing off.
+func (p *Pool) AcceptsWork(now time.Time, endpoint string) bool {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && !st.leaving
+	return known && !st.leaving && st.backoff.allows(now)
 }
 
 // Restart records that the process of an endpoint was replaced by another one. The new process
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -74,6 +74,7 @@
 	refusedAt         time.Time
 	requestsAtRefusal int
 	rateState         rateState
+	backoff           backoff
 	// restartedAt is when this router learned that the endpoint's process was replaced; zero if
 	// it hasn't been.
 	restartedAt time.Time
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -146,9 +146,10 @@
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{
 		Policy: policy, Seed: membership.SeedOf(cfg.VM), RateShare: d.endpointRateShare, OnLimit: d.logLimit,
-		OnDomainEvent: d.logDomainEvent,
+		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff,
 	})
 	d.registerLimits()
+	d.registerBackoffs()
 	d.registerUnresponsiveDomains()
 	d.members = newMembershipTracker(cfg.VM, d.pool, d.reg, log)
 	d.poison = newPoisonTable(cfg.VM, d.reg, log, d.checkCrashed)
--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -55,7 +55,7 @@
 	_, err = d.updater.checkHealth(ctx, "e")
 	g.Expect(err).To(MatchError(membership.ErrProbeSkipped))
 	g.Expect(calls).To(BeZero())
-	g.Expect(d.pool.AcceptsWork("e")).To(BeFalse())
+	g.Expect(d.pool.AcceptsWork(time.Now(), "e")).To(BeFalse())
 }
 
 // A health check counts against an endpoint's rate limit like a request.
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -42,17 +42,22 @@
 	}
 	if delay, limited := e.AvailableIn(); limited {
 		out.Type, out.Code = api.TypeOverloaded, "limited"
-		out.Message = "overloaded: all endpoints have had the requests that they take a second"
+		out.Message = "overloaded: all endpoints have had the requests that they take now"
 		out.RetryAfter = max(minRetryAfter, delay)
 	}
 	return out
 }
 
 // AvailableIn returns the time until an endpoint accepts the next request, if rate limits
-// of the endpoints are the only reason for the error. Otherwise it returns false.
+// and backoffs of the endpoints are the only reason for the error. Otherwise it returns
+// false.
 func (e *Error) AvailableIn() (time.Duration, bool) {
 	var noEndpoint *balance.NoEndpointError
-	if !errors.As(e.Cause, &noEndpoint) || noEndpoint.RateLimited == 0 || noEndpoint.RateLimited < noEndpoint.Candidates-noEndpoint.Leaving {
+	if !errors.As(e.Cause, &noEndpoint) {
+		return 0, false
+	}
+	temporary := noEndpoint.RateLimited + noEndpoint.BackingOff
+	if temporary == 0 || temporary < noEndpoint.Candidates-noEndpoint.Leaving {
 		return 0, false
 	}
 	return noEndpoint.AvailableIn, true
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -78,7 +78,7 @@
 		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // selects the route
 		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // checks the API key
 		regions, // applies residency
-		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.cfg.Pool.AcceptsWork), // retries where that is safe
+		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
 		rt.quarantine(), // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor,
@@ -89,6 +89,10 @@
 	)
 }
 
+func (rt *Router) acceptsWork(endpoint string) bool {
+	return rt.cfg.Pool.AcceptsWork(time.Now(), endpoint)
+}
+
 // ResumeFromCopies cancels those streams at endpoints presumed down whose run has a copy at a
 // usable endpoint, so that they resume from it. Without Routing it does nothing.
 func (rt *Router) ResumeFromCopies(endpoints []string) {
