Tell callers when the first endpoint is free where the last one turned them away

What callers saw: 429 with Retry-After .1 while all endpoints had asked for seconds of backoff; by the rule that a refusal says when to come back, by a test. Cause: the last endpoint's refusal ends the request before a choice could find that none is left, and a refusal says to come back at once, which is right where others have room. Evidence: TestRequestTurnedAwayByTheLastEndpointLearnsWhenTheFirstIsFree, failing on the parent (.1 s in place of 4 to 4.5 s). Why it holds: the answer's writer asks the pool when the first candidate may be sent a request, 0 as soon as one asked for nothing.

--- a/internal/balance/exclusions.go
+++ b/internal/balance/exclusions.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"coveferry/internal/bundle"
+)
 
 // exclusions counts the candidates that aren't among the views.
 type exclusions struct {
@@ -48,6 +52,22 @@
 	}
 }
 
+// AvailableIn returns the time until the first of the candidates may be sent a request, as far as
+// that is known: 0 if any of them asked for no backoff.
+func (p *Pool) AvailableIn(now time.Time, candidates []*bundle.Endpoint) time.Duration {
+	var backingOff exclusions
+	for _, c := range candidates {
+		left := p.backoffLeft(now, c.Name)
+		if left == 0 && p.AcceptsWork(now, c.Name) {
+			return 0
+		}
+		if left > 0 {
+			backingOff.addBackingOff(left)
+		}
+	}
+	return backingOff.availableIn
+}
+
 // backoffLeft returns the time until an endpoint that asked for backoff may be sent a request; 0 if
 // it may be now.
 func (p *Pool) backoffLeft(now time.Time, endpoint string) time.Duration {
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -134,7 +134,7 @@
 }
 
 // answerRouted writes a routed request's error to the caller.
-func answerRouted(r *request.Request, err error) {
+func (rt *Router) answerRouted(r *request.Request, err error) {
 	if r.Delivered.Started {
 		panic(http.ErrAbortHandler) // the only way to show that the answer is incomplete
 	}
@@ -148,7 +148,8 @@
 	out.FractionalRetryAfter = true
 	out.Status = safeStatus(out.Status, out.Run)
 	if out.Run == wire.RunNot && out.RetryAfter > 0 && !hasOwnRetryAfter(err) {
-		out.RetryAfter = min(out.RetryAfter, routedRetryAfter)
+		// The endpoints that the request was sent to may be the last that asked for backoff.
+		out.RetryAfter = max(min(out.RetryAfter, routedRetryAfter), rt.cfg.Pool.AvailableIn(time.Now(), r.Candidates))
 	}
 	out.Write(r.Writer)
 }
--- a/internal/router/routed_signals_test.go
+++ b/internal/router/routed_signals_test.go
@@ -162,3 +162,19 @@
 		g.Expect(w.countTo("e1")).To(BeNumerically(">", 5), "it is tried again as before")
 	})
 }
+
+// The last endpoint's refusal alone would have the caller come back at once.
+func TestRequestTurnedAwayByTheLastEndpointLearnsWhenTheFirstIsFree(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		for range 20 { // so that retries are allowed
+			call(g, client, "POST", "/once/", "x")
+		}
+		w.handle = answerSaying(503, "Not-Run: 1\r\nBackoff: 4s\r\n")
+		refused := call(g, client, "POST", "/once/", "x")
+		g.Expect(w.receivedCount()).To(Equal(23), "tried at each endpoint")
+		g.Expect(refused.status).To(Equal(429))
+		after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(after).To(BeNumerically("~", 4.25, 0.3), "seconds")
+	})
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -52,7 +52,7 @@
 	err := rt.receiveAndRun(req, r)
 	rt.record(r, err)
 	if err != nil {
-		answerError(r, err)
+		rt.answerError(r, err)
 	}
 }
 
@@ -97,13 +97,13 @@
 // answerError reports an error to the caller: as a complete answer before the answer has
 // started, otherwise as an event in the stream. A plain service's answer that has started has
 // no place for an error, so its connection is aborted.
-func answerError(r *request.Request, err error) {
+func (rt *Router) answerError(r *request.Request, err error) {
 	var gone *relay.CallerError
 	if errors.As(err, &gone) {
 		return
 	}
 	if r.Kind == wire.KindRouted {
-		answerRouted(r, err)
+		rt.answerRouted(r, err)
 		return
 	}
 	out := api.From(err)
@@ -125,7 +125,7 @@
 	r := &request.Request{Header: req.Header, Snapshot: rt.snapshot.Load(), Writer: w, ID: rt.cfg.NewID()}
 	err := authenticate.Filter{}.Do(req.Context(), r, writeModels)
 	if err != nil {
-		answerError(r, err)
+		rt.answerError(r, err)
 	}
 }
 
