Name in a request's line the endpoints that backed off when it was chosen

From a request's id it couldn't be told why an endpoint wasn't chosen. backing_off names up to three with how long ago they asked and what is left, leaving counts the others; both only where there are any. TestEndpointThatAsksForBackoffIsLeftAloneAndThenUsedAgain checks the line.

--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -233,6 +234,29 @@
 	return longest * time.Duration(part) / parts
 }
 
+// BackoffUse is the backoff of an endpoint that gets nothing from this router now.
+type BackoffUse struct {
+	// Age is the time since the endpoint last asked for it, and Left that until it ends.
+	Age, Left time.Duration
+}
+
+// String formats the backoff for a log line.
+func (u BackoffUse) String() string {
+	return fmt.Sprintf("asked %s ago, %s left", u.Age.Round(time.Millisecond), u.Left.Round(time.Millisecond))
+}
+
+// BackoffOf returns an endpoint's backoff; false if it may be sent requests or is in the ramp.
+func (p *Pool) BackoffOf(now time.Time, endpoint string) (BackoffUse, bool) {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, known := sh.states[endpoint]
+	if !known || !st.backoff.waiting(now) {
+		return BackoffUse{}, false
+	}
+	return BackoffUse{Age: now.Sub(st.backoff.askedAt), Left: st.backoff.until.Sub(now)}, true
+}
+
 // BackoffTotals sums up the backoffs of all endpoints.
 type BackoffTotals struct {
 	// Endpoints is how many endpoints get nothing now.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -36,6 +36,7 @@
 	// and their caches, and leavingIndexes their indexes in the candidates.
 	leaving        []View
 	leavingIndexes []int
+	excluded       exclusions
 	pcg            rand.PCG
 	rnd            *rand.Rand
 }
@@ -81,6 +82,9 @@
 	TightGap bool
 	// DedicatedEndpoints is the number of endpoints dedicated to such streams.
 	DedicatedEndpoints int
+	// BackingOff and Leaving count the candidates that got no request since they asked this router
+	// to back off or are leaving.
+	BackingOff, Leaving int
 	// CopyTo is the endpoint to which the stream's KV cache is copied as it grows, so that the
 	// stream can resume there after a crash; nil if that isn't worth its cost.
 	CopyTo *bundle.Endpoint
@@ -120,7 +124,7 @@
 	if err != nil {
 		return Choice{}, err
 	}
-	choice := Choice{Endpoint: candidates[s.candidateIndexes[i]]}
+	choice := Choice{Endpoint: candidates[s.candidateIndexes[i]], BackingOff: s.excluded.backingOff, Leaving: s.excluded.leaving}
 	e, ok := p.cfg.Policy.(ChoiceEstimator)
 	if !ok {
 		return choice, nil
@@ -139,21 +143,21 @@
 // choose returns the index of the chosen view in the scratch.
 func (p *Pool) choose(s *scratch, now time.Time, req Request, candidates []*bundle.Endpoint, skip func(string) bool) (int, error) {
 	s.pcg.Seed(p.cfg.Seed, p.choiceCount.Add(1))
-	excluded := p.collect(s, now, req, candidates, skip)
-	if excluded.rateLimited > 0 && 2*excluded.suspect > len(candidates) {
+	s.excluded = p.collect(s, now, req, candidates, skip)
+	if s.excluded.rateLimited > 0 && 2*s.excluded.suspect > len(candidates) {
 		// This router itself is or was disconnected. Suspect endpoints aren't limited to the rate
 		// of cold ones then, so that it notices at once when its network is back.
 		req.majoritySuspect = true
-		excluded = p.collect(s, now, req, candidates, skip)
+		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
 	restoreIfAllEjected(s.views)
 	for {
 		i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
 		if !ok {
-			if excluded.rateLimited > 0 {
+			if s.excluded.rateLimited > 0 {
 				p.recordUnserved(now, candidates, req)
 			}
-			return 0, excluded.error(len(candidates))
+			return 0, s.excluded.error(len(candidates))
 		}
 		chosen := candidates[s.candidateIndexes[i]]
 		if !s.views[i].Metered || p.Take(now, chosen, req) {
@@ -161,9 +165,9 @@
 		}
 		// A concurrent request used up the rate limit or the ramp.
 		if delay := p.backoffLeft(now, chosen.Name); delay > 0 {
-			excluded.addBackingOff(delay)
+			s.excluded.addBackingOff(delay)
 		} else {
-			excluded.addRateLimited(p.recordRejected(now, chosen, req))
+			s.excluded.addRateLimited(p.recordRejected(now, chosen, req))
 		}
 		s.views = slices.Delete(s.views, i, i+1)
 		s.candidateIndexes = slices.Delete(s.candidateIndexes, i, i+1)
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -202,12 +202,36 @@
 	c, err := f.pool.ChooseWithEstimates(time.Now(), query, r.Candidates, r.TriedEndpoint)
 	r.PrefillTime, r.ExpectedWait, r.FetchFrom, r.CopyTo, r.TightGap = c.PrefillTime, c.Wait, c.FetchFrom, nil, c.TightGap
 	r.TightGapEndpoints = c.DedicatedEndpoints
+	r.BackingOff, r.Leaving = f.describeBackoffs(r, c.BackingOff), c.Leaving
 	if copiesKVCache(r) {
 		r.CopyTo = c.CopyTo
 	}
 	return balance.Pair{First: c.Endpoint}, err
 }
 
+// maxLoggedBackoffs bounds the endpoints that one log line describes.
+const maxLoggedBackoffs = 3
+
+// describeBackoffs describes, for the log, up to maxLoggedBackoffs of the given number of
+// candidates that asked this router to back off.
+func (f *Filter) describeBackoffs(r *request.Request, backingOff int) []string {
+	if backingOff == 0 {
+		return nil
+	}
+	var texts []string
+	for _, e := range r.Candidates {
+		use, found := f.pool.BackoffOf(time.Now(), e.Name)
+		if !found {
+			continue
+		}
+		if len(texts) == maxLoggedBackoffs {
+			return append(texts, "and others")
+		}
+		texts = append(texts, e.Name+": "+use.String())
+	}
+	return texts
+}
+
 // refresh replaces the candidates by the endpoints of the current bundle, since the
 // initial ones may have been replaced. All other settings stay those of the bundle that
 // the request began with. If the current bundle has no endpoint for the request, the
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -115,6 +115,10 @@
 	EndpointsLost int
 	// Answer is the response to the current attempt.
 	Answer *http.Response
+	// BackingOff describes some of the candidates that got nothing in the latest choice since they
+	// asked this router to back off, and Leaving counts those that are leaving. Set by choose.
+	BackingOff []string
+	Leaving    int
 	// Signals is what the endpoint's answer to the latest attempt says of the endpoint. Set by
 	// dispatch.
 	Signals upstream.Signals
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -203,6 +203,7 @@
 		Int("candidates", len(r.Candidates)).Array("attempts", trailArray(r.Trail)).
 		Dur("left", time.Until(r.Deadline)).Dur("first", timeToFirstPart(r))
 	addLostEndpoints(log, r)
+	addWithheld(log, r)
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.SharedPrefixID()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.TightGap).Int("kept", r.TightGapEndpoints).
 			Dur("expected", r.ExpectedWait).Dur("max_gap", r.Delivered.MaxGap).Int("output", r.Prompt.ExpectedOutput)
@@ -212,6 +213,16 @@
 	}
 }
 
+// addWithheld logs which candidates got nothing because of what they said of themselves.
+func addWithheld(log *zerolog.Event, r *request.Request) {
+	if len(r.BackingOff) > 0 {
+		log.Strs("backing_off", r.BackingOff)
+	}
+	if r.Leaving > 0 {
+		log.Int("leaving", r.Leaving)
+	}
+}
+
 // routeKind returns the kind of a route. Requests are counted by kind because there may be
 // hundreds of routes, and they change.
 func routeKind(r *route.Route) string {
--- a/internal/router/routed_signals_test.go
+++ b/internal/router/routed_signals_test.go
@@ -120,6 +120,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		g.Expect(w.countTo("e1")).To(Equal(1), "none within 3 s")
+		g.Expect(lastLine(w)).To(MatchRegexp(`"backing_off":\["e1: asked 2\.\d+s ago, \d+ms left"\]`), "the line tells which signal decided")
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
 		for range 22 {
 			g.Expect(call(g, client, "POST", "/once/", "x").status).To(Equal(200))
