Soak endpoints that ask for backoff and that leave by their answers alone

Checked from the endpoints' records and the callers: requests from each router during each backoff (two after half a second are borne), and after an answer that says leaving, also at routers cut off from the store; only a restart or a pause of the router excuses.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,7 @@
 	PromiseNoExit       Promise = "no program ends by itself"
 	PromiseEvacuate     Promise = "an evacuated failure domain gets no new work after the bound"
 	PromiseLimit        Promise = "an endpoint that names a limit gets no more than that from all routers"
+	PromiseBackoff      Promise = "an endpoint that asks a router to back off gets nothing from it meanwhile"
 	PromiseCold         Promise = "a cold endpoint gets no more than it takes from all routers"
 )
 
@@ -62,6 +63,10 @@
 	LimitExcess              float64
 	LimitSlack               int
 	LimitWithin, LimitWindow time.Duration
+	// A router may send BackoffExcess requests to an endpoint that asked it to back off, from
+	// BackoffWithin after that.
+	BackoffWithin time.Duration
+	BackoffExcess int
 }
 
 // Call is a request as observed by its caller.
@@ -120,6 +125,10 @@
 	Cold      map[string][]Span
 	// RateLimited has the times at which each endpoint stated a rate limit.
 	RateLimited map[string][]LimitSpan
+	// TurnedAway has the requests that endpoints answered with a request to back off, and
+	// LeavingAnswers the answers that said that the endpoint leaves.
+	TurnedAway     []TurnedAway
+	LeavingAnswers []LeavingAnswer
 	// LoggedAttempts has the number of attempts at endpoints that the router logged for each request.
 	LoggedAttempts map[string]int
 	// Exits describes programs that ended unexpectedly.
@@ -144,10 +153,13 @@
 
 // Check returns the broken promises, ordered by request.
 func Check(observed Observations, b Bounds) []Violation {
-	c := checker{observed: observed, bounds: b, runs: make(map[string][]Execution)}
+	c := checker{observed: observed, bounds: b, runs: make(map[string][]Execution), turnedAway: make(map[string][]TurnedAway)}
 	for _, r := range observed.Executions {
 		c.runs[r.ID] = append(c.runs[r.ID], r)
 	}
+	for _, t := range observed.TurnedAway {
+		c.turnedAway[t.ID] = append(c.turnedAway[t.ID], t)
+	}
 	calls := make(map[string]bool, len(observed.Calls))
 	for _, call := range observed.Calls {
 		calls[call.ID] = true
@@ -165,6 +177,8 @@
 	c.crashRequests()
 	c.cold()
 	c.limits()
+	c.backoffs()
+	c.leavingAnswers()
 	c.recovery()
 	for _, exit := range observed.Exits {
 		c.add(PromiseNoExit, "", "%s", exit)
@@ -177,6 +191,7 @@
 	observed   Observations
 	bounds     Bounds
 	runs       map[string][]Execution
+	turnedAway map[string][]TurnedAway // by request
 	violations []Violation
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -26,7 +26,7 @@
 			{ID: "b", Endpoint: "e2", Service: "s", Team: "t", Begin: at(10.1), End: at(10.9)},
 		},
 		Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
-		Stops: map[int][]Span{}, EndpointFaults: map[string][]Span{},
+		Stops: map[int][]Span{}, Down: map[int][]Span{}, EndpointFaults: map[string][]Span{},
 		Domains: map[string]string{}, Evacuated: map[string][]Span{}, Cold: map[string][]Span{}, RateLimited: map[string][]LimitSpan{},
 		LastFault: at(0),
 	}
@@ -93,6 +93,18 @@
 				s.Executions = append(s.Executions, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(9 + float64(i)/4)})
 			}
 		}},
+		{PromiseBackoff, func(s *Observations) {
+			s.TurnedAway = []TurnedAway{{ID: "b", Endpoint: "e1", At: at(10.05), For: 3 * time.Second}}
+			for i := range 3 {
+				s.TurnedAway = append(s.TurnedAway, TurnedAway{ID: "a", Endpoint: "e1", At: at(11 + float64(i)/2)})
+			}
+		}},
+		{PromiseDrain, func(s *Observations) { // at a router cut off from the store
+			s.LeavingAnswers = []LeavingAnswer{{ID: "a", Endpoint: "e1", At: at(10.9)}}
+			s.RouterFaults[0] = []Span{{From: at(10), To: at(20)}}
+			s.Calls = append(s.Calls, Call{ID: "c", Key: "k", Team: "t", Service: "s", Sent: at(14), End: at(15), Status: 200, Complete: true})
+			s.Executions = append(s.Executions, Execution{ID: "c", Endpoint: "e1", Service: "s", Team: "t", Begin: at(14.1), End: at(14.9)})
+		}},
 		{PromiseNoExit, func(s *Observations) { s.Exits = []string{"router-0 ended by itself"} }},
 		{PromiseRetries, func(s *Observations) {
 			for range 60 {
@@ -164,6 +176,27 @@
 				s.Executions = append(s.Executions, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(9 + float64(i)/4)})
 			}
 		},
+		"two requests during a backoff, or more at a paused router": func(s *Observations) {
+			s.TurnedAway = []TurnedAway{
+				{ID: "b", Endpoint: "e1", At: at(10.05), For: 3 * time.Second}, {ID: "b", Endpoint: "e1", At: at(10.4)},
+				{ID: "b", Endpoint: "e1", At: at(11)}, {ID: "b", Endpoint: "e1", At: at(12)}, {ID: "b", Endpoint: "e1", At: at(13.1)},
+			}
+			s.RouterFaults[1] = []Span{{From: at(9), To: at(12)}}
+			s.Calls = append(s.Calls, Call{ID: "c", Key: "k", Team: "t", Service: "s", Router: 1, Sent: at(10), End: at(15), Status: 200, Complete: true})
+			s.Executions = append(s.Executions, Execution{ID: "c", Endpoint: "e2", Service: "s", Team: "t", Begin: at(14), End: at(14.9)})
+			for i := range 5 {
+				s.TurnedAway = append(s.TurnedAway, TurnedAway{ID: "c", Endpoint: "e2", At: at(11 + float64(i)/2), For: 3 * time.Second})
+			}
+		},
+		"a request to an endpoint that told another router that it leaves, or a process before": func(s *Observations) {
+			s.LeavingAnswers = []LeavingAnswer{{ID: "a", Endpoint: "e1", At: at(10.9)}, {ID: "b", Endpoint: "e2", At: at(10.9)}}
+			s.Down[1] = []Span{{From: at(20), To: at(21)}}
+			s.Calls = append(s.Calls, Call{ID: "c", Key: "k", Team: "t", Service: "s", Router: 1, Sent: at(14), End: at(15), Status: 200, Complete: true})
+			s.Executions = append(s.Executions, Execution{ID: "c", Endpoint: "e1", Service: "s", Team: "t", Begin: at(14.1), End: at(14.9)})
+			s.Down[0] = []Span{{From: at(12), To: at(13)}}
+			s.Calls = append(s.Calls, Call{ID: "d", Key: "k", Team: "t", Service: "s", Sent: at(14), End: at(15), Status: 200, Complete: true})
+			s.Executions = append(s.Executions, Execution{ID: "d", Endpoint: "e2", Service: "s", Team: "t", Begin: at(14.1), End: at(14.9)})
+		},
 		"resumed runs within the retry budget": func(s *Observations) {
 			for range 50 {
 				s.Executions = append(s.Executions, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Resumed: true, Begin: at(10.5)})
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -84,10 +84,7 @@
 // limits checks the number of requests that endpoints got in each window in which they stated
 // a rate limit. It ignores requests whose router or endpoint had a fault, see undisturbed.
 func (c *checker) limits() {
-	calls := make(map[string]Call, len(c.observed.Calls))
-	for _, call := range c.observed.Calls {
-		calls[call.ID] = call
-	}
+	calls := c.callsByID()
 	runs := make(map[string][]Execution)
 	for _, r := range c.observed.Executions {
 		if call, known := calls[r.ID]; known && c.undisturbed(call, r) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,10 @@
 	// EndpointFailing has an endpoint fail a share of the requests that it has read. Only
 	// seeds with failing endpoints have it.
 	EndpointFailing Kind = "endpoint_failing"
+	// EndpointBackoff has an endpoint turn requests away and ask routers to back off, and
+	// EndpointLeaves has one leave by its answers alone. Only seeds with signals have them.
+	EndpointBackoff Kind = "endpoint_backoff"
+	EndpointLeaves  Kind = "endpoint_leaves"
 	// Evacuate is an evacuation order of a failure domain and its removal. Only seeds with
 	// evacuations have it; endpoints that start during those runs are cold.
 	Evacuate Kind = "evacuate"
@@ -192,6 +196,9 @@
 	if HasFailingEndpoints(seed) {
 		plan = append(plan, failing(seed, end)...)
 	}
+	if HasSignals(seed) {
+		plan = append(plan, signals(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -34,7 +34,7 @@
 // killed router logs nothing for its open requests, and a busy one drops log lines.
 func (c *checker) loggedAttempts() {
 	for id, attempts := range c.observed.LoggedAttempts {
-		if n := len(c.runs[id]); n > attempts {
+		if n := len(c.runs[id]) + len(c.turnedAway[id]); n > attempts {
 			c.add(PromiseLogged, id, "it arrived at endpoints %d times, its router logged %d attempts", n, attempts)
 		}
 	}
@@ -51,6 +51,9 @@
 		for _, r := range c.runs[call.ID] {
 			begins = append(begins, r.Begin)
 		}
+		for _, t := range c.turnedAway[call.ID] {
+			begins = append(begins, t.At)
+		}
 		slices.SortFunc(begins, time.Time.Compare)
 		if len(begins) > 1 {
 			retries[call.Service] = append(retries[call.Service], begins[1:]...)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -74,6 +74,7 @@
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		Evacuate: 5 * time.Second, ColdExcess: 1.5, ColdSlack: 5,
 		LimitExcess: 1.5, LimitSlack: 5, LimitWithin: 3 * time.Second, LimitWindow: 4 * time.Second,
+		BackoffWithin: 500 * time.Millisecond, BackoffExcess: 2,
 	}
 }
 
@@ -197,6 +198,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if rec.Backoff > 0 {
+		r.observed.TurnedAway = append(r.observed.TurnedAway, TurnedAway{ID: rec.ID, Endpoint: e.Name, At: rec.At, For: rec.Backoff})
+		return
+	}
+	if rec.Leaving {
+		r.observed.LeavingAnswers = append(r.observed.LeavingAnswers, LeavingAnswer{ID: rec.ID, Endpoint: e.Name, At: rec.At})
+	}
 	key := e.Name + " " + rec.ID
 	if rec.Ended {
 		if i, ok := r.runIndex[key]; ok {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -50,6 +50,10 @@
 		r.limitEndpoint(ctx, f)
 	case EndpointFailing:
 		r.failEndpoints(ctx, f)
+	case EndpointBackoff:
+		r.backOff(ctx, f)
+	case EndpointLeaves:
+		r.leaveByAnswers(ctx, f)
 	}
 }
 
@@ -262,6 +266,11 @@
 	r.mu.Unlock()
 	sleepUntil(ctx, time.Now().Add(drainDuration))
 	r.wire.Unlist(leaving.Name)
+	r.endAsPlanned(e)
+}
+
+// endAsPlanned stops an endpoint's process after its last request.
+func (r *run) endAsPlanned(e *endpointProc) {
 	e.process.Signal(syscall.SIGTERM)
 	if !e.process.WaitFor(callerTimeout) {
 		e.process.End()
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -64,6 +64,10 @@
 	Resumed bool      `json:"resumed,omitempty"`
 	Ended   bool      `json:"ended,omitempty"`
 	At      time.Time `json:"at"`
+	// Backoff is set if the request was turned away with a request to back off.
+	Backoff time.Duration `json:"backoff,omitempty"`
+	// Leaving says that the answer of an ended request said that the endpoint leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Wire adapts the soak to a platform's names and formats, and provides stub servers
@@ -77,6 +81,8 @@
 	// SetLimit has the stub endpoint at address state a rate limit in its answers, in
 	// requests per second; a negative value means none.
 	SetLimit(ctx context.Context, address string, perSecond float64) error
+	// Say sets what the stub endpoint at address says of itself in its answers.
+	Say(ctx context.Context, address string, s Signals) error
 	// Fail has the stub endpoint at address fail requests from now on.
 	Fail(ctx context.Context, address string, f Failing) error
 	// Evacuate writes or removes the evacuation order of a failure domain.
