Evict by the same order by which records are sent to others

What callers could see: a request that ends endpoints is forgotten by a full table, and sent on. Cause: of records with as many losses, made at the same moment, evictLeast took one by the order of a map; that a loss came before any part of an answer, which tells the cause from requests that only ran there, counted for sending only. Why it holds: one comparison serves both, and ends in the identity.

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -207,19 +207,29 @@
 	t.size.Store(int64(len(t.records)))
 }
 
-// evictLeast removes the record with the fewest losses, and the oldest of these. t.mu is
-// held.
+// evictLeast removes the least important record. t.mu is held.
 func (t *Table) evictLeast() {
 	var least Identity
-	var leastRecord *record
-	for id, r := range t.records {
-		if leastRecord == nil || cmp.Or(cmp.Compare(len(r.losses), len(leastRecord.losses)), r.latestActivity().Compare(leastRecord.latestActivity())) < 0 {
-			least, leastRecord = id, r
+	found := false
+	for id := range t.records {
+		if !found || t.compareImportance(id, least) > 0 {
+			least, found = id, true
 		}
 	}
 	delete(t.records, least)
 }
 
+// compareImportance orders identities by importance, the most important first: by number of
+// losses, then by early losses, which a request that crashes engines mostly causes, then by the
+// latest change. t.mu is held.
+func (t *Table) compareImportance(a, b Identity) int {
+	x, y := t.records[a], t.records[b]
+	return cmp.Or(
+		cmp.Compare(len(y.losses), len(x.losses)), cmp.Compare(y.earlyLosses(), x.earlyLosses()),
+		y.changedAt.Compare(x.changedAt), cmp.Compare(a, b),
+	)
+}
+
 // QuarantinedCount returns the number of quarantined requests.
 func (t *Table) QuarantinedCount() int {
 	t.mu.Lock()
@@ -234,8 +244,7 @@
 }
 
 // sortedByPriority returns the identities whose records are included, the most important
-// first: by number of losses, then by early losses, which a request that crashes engines
-// mostly causes, then by the latest change. t.mu is held.
+// first. t.mu is held.
 func (t *Table) sortedByPriority(include func(*record) bool) []Identity {
 	var ids []Identity
 	for id, r := range t.records {
@@ -243,12 +252,6 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b Identity) int {
-		x, y := t.records[a], t.records[b]
-		return cmp.Or(
-			cmp.Compare(len(y.losses), len(x.losses)), cmp.Compare(y.earlyLosses(), x.earlyLosses()),
-			y.changedAt.Compare(x.changedAt), cmp.Compare(a, b),
-		)
-	})
+	slices.SortFunc(ids, t.compareImportance)
 	return ids
 }
