--- a/internal/balance/backoff_test.go
+++ b/internal/balance/backoff_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/prompt"
 	"coveferry/internal/upstream"
 )
 
@@ -194,3 +195,61 @@
 	accept(p, 4000, "e0")
 	g.Expect(p.shard("e0").states["e0"].backoff).To(BeNil())
 }
+
+// Two kinds ask at the same rate while the only endpoint backs off; the less urgent one comes first.
+func TestUrgentRequestsComeFirstAfterABackoff(t *testing.T) {
+	g := NewWithT(t)
+	p, all := backoffPool(1), newEndpoints(1)
+	urgent, other := testRequest, testRequest
+	other.Tier = 2
+	askBackoff(p, 0, "e0", time.Second)
+	begin := 1000 + int(maxBackoffJitter/time.Millisecond)
+	var first []int
+	for ms := 0; ms < begin+2*int(rampDuration/time.Millisecond) && len(first) < 3; ms += 20 {
+		for _, req := range []Request{other, urgent} {
+			if _, err := p.Choose(at(ms), req, all, nil); err == nil {
+				first = append(first, req.Tier)
+				accept(p, ms, "e0")
+			}
+		}
+	}
+	g.Expect(len(first)).To(BeNumerically(">=", 3))
+	g.Expect(first[:3]).To(Equal([]int{0, 0, 0}))
+}
+
+func TestLessUrgentRequestsAreServedAfterABackoffIfNoOthersCome(t *testing.T) {
+	g := NewWithT(t)
+	p, all := backoffPool(1), newEndpoints(1)
+	other := testRequest
+	other.Tier = 2
+	askBackoff(p, 0, "e0", time.Second)
+	_, err := p.Choose(at(500), testRequest, all, nil)
+	g.Expect(err).To(MatchError(ErrNoEndpoint), "an urgent request that doesn't come again")
+	begin := 1000 + int(maxBackoffJitter/time.Millisecond)
+	g.Expect(countSent(p, other, all, begin, begin+1500)["e0"]).To(BeNumerically(">", 0))
+}
+
+// A backoff of some seconds must not cost the cached prefixes of an endpoint.
+func TestPromptsReturnToTheirEndpointAfterABackoff(t *testing.T) {
+	g := NewWithT(t)
+	p, all := NewPool(Config{Policy: NewPromptAware(), Seed: 1}), newEndpoints(6)
+	homeAt := func(ms int) string {
+		req := Request{Service: "llm", Prompt: prompt.Prompt{Tokens: 9000, ExpectedOutput: 50, Parts: []prompt.Part{{ID: 5, Tokens: 6000}, {ID: uint64(ms), Tokens: 3000}}}}
+		e, err := p.Choose(at(ms), req, all, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		account := p.Track(at(ms), e.Name, Work{Service: "llm", Prompt: req.Prompt})
+		account.EventReceived(at(ms + 50))
+		accept(p, ms, e.Name)
+		account.Release()
+		account.Done(at(ms+50), ResultOK)
+		return e.Name
+	}
+	home := homeAt(0)
+	g.Expect(homeAt(500)).To(Equal(home))
+	askBackoff(p, 1000, home, time.Second)
+	g.Expect(homeAt(1500)).NotTo(Equal(home))
+	for ms := 3000; ms < 3000+int(rampDuration/time.Millisecond); ms += 100 {
+		homeAt(ms)
+	}
+	g.Expect(homeAt(5000)).To(Equal(home))
+}
