Leave the ramp after a backoff to the most urgent requests

What callers saw: by a test. Where all endpoints back off, the first requests that get through are those that happen to come, of any rank. Cause: a ramp counts requests, not ranks; limits that endpoints state have an order by rank. Why it holds: a request that finds no endpoint is noted at its candidates; for a second the ramp is left to it and to more urgent ones. TestLessUrgentRequestsAreServedAfterABackoffIfNoOthersCome: that costs no more than this second.

--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -29,6 +29,8 @@
 	// rampTimeout is how long a request of the ramp may go without an answer before another one
 	// is sent.
 	rampTimeout = time.Second
+	// yieldPeriod is how long the ramp is left to more urgent requests that found no endpoint.
+	yieldPeriod = time.Second
 	// rampRetryDelay is when a request may come back that finds the requests of the ramp in use.
 	rampRetryDelay = 100 * time.Millisecond
 )
@@ -49,6 +51,10 @@
 	lastSentAt time.Time
 	// acceptedAt is when the first request after the backoff was accepted; zero if none was.
 	acceptedAt time.Time
+	// unservedTier is the most urgent tier of requests that no endpoint could take lately, and
+	// unservedAt when the last one of it came. Less urgent ones leave the ramp to it.
+	unservedTier int
+	unservedAt   time.Time
 }
 
 // ask begins or extends a backoff. A shorter one doesn't end a longer one.
@@ -87,17 +93,32 @@
 	return !b.waiting(now) && !b.avoided(now) && !b.ramping(now)
 }
 
-// allows reports whether the endpoint may be sent a request now.
-func (b *backoff) allows(now time.Time) bool {
+// allows reports whether the endpoint may be sent a request of a tier now, 0 for the most urgent.
+func (b *backoff) allows(now time.Time, tier int) bool {
 	switch {
 	case b.waiting(now):
 		return false
 	case b.ramping(now):
-		return b.credit > 0 || now.Sub(b.lastSentAt) > rampTimeout
+		return !b.yields(now, tier) && (b.credit > 0 || now.Sub(b.lastSentAt) > rampTimeout)
 	}
 	return true
 }
 
+// yields reports whether a request of a tier leaves the ramp to more urgent ones.
+func (b *backoff) yields(now time.Time, tier int) bool {
+	return tier > b.unservedTier && now.Sub(b.unservedAt) < yieldPeriod
+}
+
+// recordUnserved records that no endpoint could take a request of a tier.
+func (b *backoff) recordUnserved(now time.Time, tier int) {
+	if b == nil {
+		return
+	}
+	if tier <= b.unservedTier || now.Sub(b.unservedAt) >= yieldPeriod {
+		b.unservedTier, b.unservedAt = tier, now
+	}
+}
+
 // take counts a request that is sent now.
 func (b *backoff) take(now time.Time) {
 	if b.ramping(now) {
@@ -121,12 +142,12 @@
 	return first && !b.until.IsZero()
 }
 
-// availableIn returns the time until the endpoint may be sent a request.
-func (b *backoff) availableIn(now time.Time) time.Duration {
+// availableIn returns the time until the endpoint may be sent a request of a tier.
+func (b *backoff) availableIn(now time.Time, tier int) time.Duration {
 	switch {
 	case b.waiting(now):
 		return b.until.Sub(now)
-	case !b.allows(now):
+	case !b.allows(now, tier):
 		return rampRetryDelay
 	}
 	return 0
--- a/internal/balance/bound.go
+++ b/internal/balance/bound.go
@@ -105,7 +105,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st := sh.state(e.Name)
-	if !st.backoff.allows(now) {
+	if !st.backoff.allows(now, req.Tier) {
 		return false
 	}
 	limit, limited := st.rateState.currentLimit(now, e, req)
@@ -129,13 +129,14 @@
 func (p *Pool) MayCheck(now time.Time, e *bundle.Endpoint) bool { return p.Take(now, e, Request{}) }
 
 // recordUnserved records that no endpoint could take a request, so that the next turn at the
-// rate-limited candidates is not given to a less urgent request.
+// candidates that are at their rate limit or back off is not given to a less urgent request.
 func (p *Pool) recordUnserved(now time.Time, candidates []*bundle.Endpoint, req Request) {
 	for _, e := range candidates {
 		sh := p.shard(e.Name)
 		sh.mu.Lock()
 		if st, known := sh.states[e.Name]; known {
 			st.rateState.pace.RecordUnserved(now, st.rateState.tier(now, req))
+			st.backoff.recordUnserved(now, req.Tier)
 		}
 		sh.mu.Unlock()
 	}
--- a/internal/balance/exclusions.go
+++ b/internal/balance/exclusions.go
@@ -57,7 +57,7 @@
 func (p *Pool) AvailableIn(now time.Time, candidates []*bundle.Endpoint) time.Duration {
 	var backingOff exclusions
 	for _, c := range candidates {
-		left := p.backoffLeft(now, c.Name)
+		left := p.backoffLeft(now, c.Name, 0)
 		if left == 0 && p.AcceptsWork(now, c.Name) {
 			return 0
 		}
@@ -68,9 +68,9 @@
 	return backingOff.availableIn
 }
 
-// backoffLeft returns the time until an endpoint that asked for backoff may be sent a request; 0 if
-// it may be now.
-func (p *Pool) backoffLeft(now time.Time, endpoint string) time.Duration {
+// backoffLeft returns the time until an endpoint that asked for backoff may be sent a request of a
+// tier; 0 if it may be now.
+func (p *Pool) backoffLeft(now time.Time, endpoint string, tier int) time.Duration {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -78,5 +78,5 @@
 	if !known {
 		return 0
 	}
-	return st.backoff.availableIn(now)
+	return st.backoff.availableIn(now, tier)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -154,7 +154,7 @@
 	for {
 		i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
 		if !ok {
-			if s.excluded.rateLimited > 0 {
+			if s.excluded.rateLimited+s.excluded.backingOff > 0 {
 				p.recordUnserved(now, candidates, req)
 			}
 			return 0, s.excluded.error(len(candidates))
@@ -164,7 +164,7 @@
 			return i, nil
 		}
 		// A concurrent request used up the rate limit or the ramp.
-		if delay := p.backoffLeft(now, chosen.Name); delay > 0 {
+		if delay := p.backoffLeft(now, chosen.Name, req.Tier); delay > 0 {
 			s.excluded.addBackingOff(delay)
 		} else {
 			s.excluded.addRateLimited(p.recordRejected(now, chosen, req))
@@ -182,7 +182,7 @@
 	s.leavingIndexes = s.leavingIndexes[:0]
 	for i, c := range candidates {
 		if skip != nil && skip(c.Name) {
-			excluded.addSkipped(p.backoffLeft(now, c.Name))
+			excluded.addSkipped(p.backoffLeft(now, c.Name, req.Tier))
 			continue
 		}
 		s.views = append(s.views, View{})
@@ -198,7 +198,7 @@
 		case atRateLimit:
 			excluded.addRateLimited(p.recordRejected(now, c, req))
 		case backingOff:
-			excluded.addBackingOff(p.backoffLeft(now, c.Name))
+			excluded.addBackingOff(p.backoffLeft(now, c.Name, req.Tier))
 		case draining:
 			s.leaving = append(s.leaving, *v)
 			s.leavingIndexes = append(s.leavingIndexes, i)
@@ -267,7 +267,7 @@
 	switch {
 	case st.leaving:
 		return draining
-	case !st.backoff.allows(now):
+	case !st.backoff.allows(now, req.Tier):
 		return backingOff
 	case !p.ready(now, st, c, req):
 		return atRateLimit
@@ -337,7 +337,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && !st.leaving && !st.rateState.suspect && !now.Before(st.avoidUntil) && st.backoff.allows(now)
+	return known && !st.leaving && !st.rateState.suspect && !now.Before(st.avoidUntil) && st.backoff.allows(now, 0)
 }
 
 // Inflight returns the number of this router's requests at an endpoint.
@@ -357,7 +357,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && !st.leaving && st.backoff.allows(now)
+	return known && !st.leaving && st.backoff.allows(now, 0)
 }
 
 // Restart records that the process of an endpoint was replaced by another one. The new process
