--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -65,11 +65,11 @@
 	from := time.Now()
 	saying := r.pickFailing(f.Target)
 	for _, e := range saying {
-		r.say(ctx, e, Signals{Backoff: asked})
+		r.say(ctx, e, func(s *Signals) { s.Backoff = asked })
 	}
 	sleepUntil(ctx, from.Add(f.Duration))
 	for _, e := range saying {
-		r.say(ctx, e, Signals{})
+		r.say(ctx, e, func(s *Signals) { s.Backoff = 0 })
 	}
 }
 
@@ -81,7 +81,7 @@
 		return
 	}
 	from := time.Now()
-	r.say(ctx, e, Signals{Leaving: true})
+	r.say(ctx, e, func(s *Signals) { s.Leaving = true })
 	end := from.Add(f.Duration)
 	for time.Now().Before(end) && sleepUntil(ctx, time.Now().Add(heartbeat)) {
 		switch f.Target % 3 {
@@ -98,8 +98,13 @@
 	r.replace(ctx, e)
 }
 
-// say sets what an endpoint says. It fails if the endpoint has ended or is paused.
-func (r *run) say(ctx context.Context, e *endpointProc, s Signals) {
+// say changes what an endpoint says; what overlapping faults have it say stays. It fails if the
+// endpoint has ended or is paused.
+func (r *run) say(ctx context.Context, e *endpointProc, change func(*Signals)) {
+	r.mu.Lock()
+	change(&e.signals)
+	s := e.signals
+	r.mu.Unlock()
 	if err := r.wire.Say(ctx, e.listenAddr, s); err != nil {
 		fmt.Fprintln(r.opts.Progress, "endpoint", e.endpoint.Name, "can't set its signals:", err)
 	}
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -30,6 +30,7 @@
 	listenAddr string
 	proxy      *Proxy
 	process    *Process
+	signals    Signals // guarded by the run's mutex
 }
 
 func (r *run) start(ctx context.Context) error {
@@ -191,6 +192,7 @@
 	e.process = process
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	e.signals = Signals{} // of the process before
 	r.processes = append(r.processes, process)
 	return nil
 }
