--- a/internal/balance/backoff_sim_test.go
+++ b/internal/balance/backoff_sim_test.go
@@ -45,6 +45,8 @@
 type sheddingEngine struct {
 	limitedEngine
 	sheds bool // from turnAwayStart to turnAwayEnd
+	// mostRunning is the largest number of requests at once.
+	mostRunning int
 	// asked has the times at which it asked each router to back off, and arrived all arrivals.
 	asked, arrived map[int][]time.Time
 }
@@ -66,8 +68,9 @@
 	// total, inTime, refused and unserved count requests by rank while endpoints turn requests
 	// away: all, those on time, those refused after an endpoint turned them away, and those
 	// without an endpoint.
-	total, inTime, refused, unserved [3]int
-	retries                          int
+	// late counts those that were refused since they would have waited too long.
+	total, inTime, refused, unserved, late [3]int
+	retries                                int
 }
 
 func newBackoffSim(f backoffFleet, shedding int) *backoffSim {
@@ -186,6 +189,10 @@
 		n.count(a, &n.unserved)
 		return
 	}
+	if len(a.tried) == 0 && c.Wait-c.PrefillTime > maxWait {
+		n.count(a, &n.late)
+		return
+	}
 	account := p.Track(now, c.Endpoint.Name, Work{Service: "llm", Tier: a.kind.rank, Prompt: a.request.Prompt, TightGap: c.TightGap, MaxGap: a.kind.gap, Stride: 5, Objective: a.kind.latencyObjective})
 	e := n.engineOf(c.Endpoint)
 	n.on(now.Add(networkDelay), func(at time.Time) { n.arrive(at, now, a, e, account) })
@@ -223,6 +230,7 @@
 	}
 	e.freeAt = e.freeAt.Add(time.Duration(tokens) * perToken)
 	e.running++
+	e.mostRunning = max(e.mostRunning, e.running)
 	first := e.freeAt.Add(13 * time.Millisecond)
 	n.on(first, func(now time.Time) {
 		account.EventReceived(now)
@@ -324,7 +332,7 @@
 				f.routers, f.endpoints, n.total, n.inTime, best.inTime, n.refused, n.unserved, n.retries, most, n.arrivals(turnAwayStart, turnAwayEnd), before, after)
 			g.Expect(most).To(BeNumerically("<=", maxDuringBackoff))
 			for rank := range n.total {
-				served := n.total[rank] - n.refused[rank] - n.unserved[rank]
+				served := n.total[rank] - n.refused[rank] - n.unserved[rank] - n.late[rank]
 				g.Expect(float64(served)).To(BeNumerically(">=", minServed*float64(n.total[rank])), "rank %d", rank)
 				g.Expect(float64(n.inTime[rank])).To(BeNumerically(">=", minServed*float64(best.inTime[rank])), "rank %d", rank)
 			}
@@ -332,3 +340,42 @@
 		})
 	}
 }
+
+// What others turn away must not make it worse for the few that are left than if the others had left.
+func TestFewEndpointsThatAreLeftAreNotOverrunDuringBackoffs(t *testing.T) {
+	for _, c := range []struct {
+		backoffFleet
+		left int
+	}{{backoffFleet{3, 12}, 1}, {backoffFleet{12, 12}, 1}, {backoffFleet{12, 12}, 3}, {backoffFleet{31, 57}, 6}} {
+		t.Run(fmt.Sprint(c.routers, " routers, ", c.left, " left"), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			n, leaving := newBackoffSim(c.backoffFleet, c.endpoints-c.left), newBackoffSim(c.backoffFleet, c.endpoints-c.left)
+			n.run()
+			leaving.leaveAll()
+			leaving.run()
+			most := 0
+			for _, e := range n.engines {
+				most = max(most, e.mostDuringBackoff())
+			}
+			t.Logf("%d routers, %d of %d endpoints left: requests %v, in time %v (%v if the others leave), refused %v, late %v (%v), without endpoint %v; most running %d (%d), most during a backoff %d",
+				c.routers, c.left, c.endpoints, n.total, n.inTime, leaving.inTime, n.refused, n.late, leaving.late, n.unserved, n.mostRunning(), leaving.mostRunning(), most)
+			g.Expect(most).To(BeNumerically("<=", maxDuringBackoff))
+			g.Expect(float64(n.mostRunning())).To(BeNumerically("<=", 1.1*float64(leaving.mostRunning())))
+			for rank, late := range n.late {
+				g.Expect(float64(n.total[rank]-late)).To(BeNumerically(">=", 0.9*float64(n.total[rank]-leaving.late[rank])), "rank %d is admitted", rank)
+			}
+		})
+	}
+}
+
+// mostRunning is the largest number of requests at once at an endpoint that turns none away.
+func (n *backoffSim) mostRunning() int {
+	most := 0
+	for _, e := range n.engines {
+		if !e.sheds {
+			most = max(most, e.mostRunning)
+		}
+	}
+	return most
+}
