Commit two failing tests of what ends a backoff

Found by reading the change: any answer without Retry-After counts as an acceptance, a refusal as well, and one to a request that was sent before the endpoint asked other routers.

--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -182,8 +182,9 @@
 	}
 }
 
-// acceptAfterBackoff applies an answer that doesn't ask for backoff.
-func (p *Pool) acceptAfterBackoff(now, sent time.Time, endpoint string) {
+// RecordAccepted records that an endpoint accepted a request or a health check that was sent at the
+// given time, whatever became of it.
+func (p *Pool) RecordAccepted(now, sent time.Time, endpoint string) {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	event := BackoffEvent{Endpoint: endpoint}
--- a/internal/balance/backoff_sim_test.go
+++ b/internal/balance/backoff_sim_test.go
@@ -235,7 +235,7 @@
 	first := e.freeAt.Add(13 * time.Millisecond)
 	n.on(first, func(now time.Time) {
 		account.EventReceived(now)
-		n.pools[a.router].ApplySignals(now, sent, e.Name, upstream.Signals{})
+		n.pools[a.router].RecordAccepted(now, sent, e.Name)
 		report := load.Report{Slots: 64, Seq: uint64(now.Sub(epoch))}
 		report.Running[0] = e.running
 		n.pools[a.router].Report(now, e.Name, report)
--- a/internal/balance/backoff_test.go
+++ b/internal/balance/backoff_test.go
@@ -17,9 +17,12 @@
 	p.ApplySignals(at(ms), at(ms), endpoint, upstream.Signals{Backoff: asked})
 }
 
-// accept applies an answer that says nothing, to a request sent at the same time.
-func accept(p *Pool, ms int, endpoint string) {
-	p.ApplySignals(at(ms), at(ms), endpoint, upstream.Signals{})
+// accept applies the acceptance of a request that was sent at the same time.
+func accept(p *Pool, ms int, endpoint string) { acceptSent(p, ms, ms, endpoint) }
+
+// acceptSent applies the acceptance of a request that was sent at some time.
+func acceptSent(p *Pool, ms, sent int, endpoint string) {
+	p.RecordAccepted(at(ms), at(sent), endpoint)
 }
 
 // backoffPool is a pool that has chosen each of its endpoints.
@@ -61,7 +64,7 @@
 	g.Expect(allowed(2999)).To(BeFalse(), "a shorter one")
 	askBackoff(p, 200, "e0", 3*time.Second)
 	g.Expect(allowed(3199)).To(BeFalse(), "an answer that was on its way")
-	p.ApplySignals(at(300), at(-100), "e0", upstream.Signals{})
+	acceptSent(p, 300, -100, "e0")
 	g.Expect(allowed(3199)).To(BeFalse(), "a success of a request sent before")
 	g.Expect(allowed(3200 + int(maxBackoffJitter/time.Millisecond))).To(BeTrue())
 }
@@ -166,7 +169,7 @@
 	told(1200)
 	g.Expect(countSent(p, testRequest, all, 1200, 4000)).To(Equal(map[string]int{"e1": 280}))
 	g.Expect(countSent(p, testRequest, all[:1], 3000, 3100)["e0"]).To(Equal(10), "used where no other is left")
-	p.ApplySignals(at(3200), at(3100), "e0", upstream.Signals{})
+	acceptSent(p, 3200, 3100, "e0")
 	told(3300)
 	g.Expect(p.Views(at(3300), all)[0].Weight).To(Equal(1.0), "it accepts this router's requests")
 	g.Expect(p.RecentFailures(at(3300), 9)).To(BeEmpty(), "what others tell isn't told again")
@@ -253,3 +256,23 @@
 	}
 	g.Expect(homeAt(5000)).To(Equal(home))
 }
+
+func TestRefusalWithoutBackoffDoesNotWidenTheRamp(t *testing.T) {
+	g := NewWithT(t)
+	p, all := backoffPool(1), newEndpoints(1)
+	askBackoff(p, 0, "e0", time.Second)
+	begin := 1000 + int(maxBackoffJitter/time.Millisecond)
+	g.Expect(p.Take(at(begin), all[0], testRequest)).To(BeTrue())
+	p.ApplySignals(at(begin+10), at(begin), "e0", upstream.Signals{})
+	g.Expect(p.Take(at(begin+20), all[0], testRequest)).To(BeFalse())
+}
+
+func TestAnswerToAnEarlierRequestDoesNotEndWhatOtherRoutersTold(t *testing.T) {
+	g := NewWithT(t)
+	p, all := backoffPool(2), newEndpoints(2)
+	p.ApplyPeerFailures(at(1000), []FailureSummary{{Endpoint: "e0", BackoffMillis: 3000, BackoffAgeMillis: 300}})
+	acceptSent(p, 1100, 600, "e0")
+	g.Expect(p.Views(at(1100), all)[0].Weight).To(BeZero(), "sent before the endpoint asked")
+	acceptSent(p, 1300, 800, "e0")
+	g.Expect(p.Views(at(1300), all)[0].Weight).To(Equal(1.0))
+}
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -19,6 +19,6 @@
 	if s.Backoff > 0 {
 		p.askForBackoff(now, endpoint, s.Backoff)
 	} else {
-		p.acceptAfterBackoff(now, sent, endpoint)
+		p.RecordAccepted(now, sent, endpoint)
 	}
 }
