Count only accepted requests for the ramp after a backoff

What callers could see: an endpoint that refuses for lack of room, without Retry-After, gets twice as many requests after each refusal in the second after a backoff. Cause: what isn't a backoff was taken for an acceptance. Evidence: TestRefusalWithoutBackoffDoesNotWidenTheRamp, failing on the parent. Why it holds: an acceptance is recorded by name, for signed answers that ran and health checks that passed.

--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -7,8 +7,9 @@
 )
 
 // ApplySignals applies what an endpoint says of itself in the answer to a request or a health check
-// that was sent at the given time. An answer that states no rate limit doesn't end one: see
-// ApplyLimit. Leaving endpoints are set by SetLeaving.
+// that was sent at the given time. An answer that says nothing changes nothing: see ApplyLimit for
+// the end of a rate limit and RecordAccepted for that of a backoff. Leaving endpoints are set by
+// SetLeaving.
 func (p *Pool) ApplySignals(now, sent time.Time, endpoint string, s upstream.Signals) {
 	if s.Cold > 0 {
 		p.SetCold(now, endpoint, s.Cold)
@@ -18,7 +19,5 @@
 	}
 	if s.Backoff > 0 {
 		p.askForBackoff(now, endpoint, s.Backoff)
-	} else {
-		p.RecordAccepted(now, sent, endpoint)
 	}
 }
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -75,7 +75,7 @@
 	requestsAtRefusal int
 	rateState         rateState
 	backoff           *backoff  // nil if neither this router nor a peer was asked to back off
-	acceptedSentAt    time.Time // when the latest request was sent whose answer didn't ask for backoff
+	acceptedSentAt    time.Time // when the latest accepted request was sent
 	// restartedAt is when this router learned that the endpoint's process was replaced; zero if
 	// it hasn't been.
 	restartedAt time.Time
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -172,6 +172,9 @@
 	}
 	health, err := l.d.cfg.Health(ctx, l.d.client, entry.Endpoint.Address, l.healthPath(entry.Endpoint.Services), name)
 	l.d.pool.ApplySignals(time.Now(), sentAt, name, health.Signals)
+	if err == nil {
+		l.d.pool.RecordAccepted(time.Now(), sentAt, name)
+	}
 	result := membership.HealthResult{Connected: health.Connected, Leaving: health.Leaving}
 	switch {
 	case health.Leaving:
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -117,6 +117,9 @@
 		return
 	}
 	f.pool.ApplySignals(now, sent, e.Name, reply.Signals)
+	if !reply.NotRun && reply.Signed && reply.Backoff == 0 {
+		f.pool.RecordAccepted(now, sent, e.Name)
+	}
 	if reply.Signed && reply.RateLimit.Kind == upstream.LimitNone {
 		// A queue-full refusal that states no rate limit doesn't clear a known one.
 		f.pool.ApplyLimit(now, sent, e.Name, reply.RateLimit)
