Heed what other routers tell of a backoff until a request sent since is accepted

What callers could see: an endpoint that other routers were asked to leave alone gets requests again for a quarter of a second each time an answer to an earlier request comes, a stream's head say. Cause: the report's age was compared when it was applied, but not when an answer came. Why it holds: the time at which the endpoint asked is kept with the report.

--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -43,9 +43,10 @@
 	// until is when this router may send again; zero if only other routers were asked.
 	until   time.Time
 	askedAt time.Time
-	// peersUntil is until when the endpoint is avoided since it asked other routers to back off.
-	// It may accept this router's requests, so it is still chosen where no other endpoint may be.
-	peersUntil time.Time
+	// peersUntil is until when the endpoint is avoided since it asked other routers to back off at
+	// peersAskedAt. It may accept this router's requests, so it is still chosen where no other
+	// endpoint may be.
+	peersUntil, peersAskedAt time.Time
 	// credit is how many requests the ramp still allows.
 	credit     int
 	lastSentAt time.Time
@@ -64,8 +65,10 @@
 	b.restartRamp()
 }
 
-// hear applies a report that the endpoint asked other routers for a backoff that ends after left.
-func (b *backoff) hear(now time.Time, left, jitter time.Duration) {
+// applyPeerReport applies a report that the endpoint asked other routers at the given time for a
+// backoff that ends after left.
+func (b *backoff) applyPeerReport(now, askedAt time.Time, left, jitter time.Duration) {
+	b.peersAskedAt = maxTime(b.peersAskedAt, askedAt)
 	if !now.Before(b.peersUntil) {
 		b.restartRamp()
 	}
@@ -127,10 +130,10 @@
 	}
 }
 
-// accept records an answer without backoff to a request sent at the given time. It reports whether
-// this is the first one since the endpoint asked this router to back off.
+// accept records that a request sent at the given time was accepted. It reports whether this is the
+// first one since the endpoint asked this router to back off.
 func (b *backoff) accept(now, sent time.Time) (first bool) {
-	if b == nil || sent.Before(b.until) {
+	if sent.Before(b.until) || sent.Before(b.peersAskedAt) {
 		return false
 	}
 	b.peersUntil = time.Time{}
@@ -188,14 +191,14 @@
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
 	event := BackoffEvent{Endpoint: endpoint}
-	first := sh.state(endpoint).acceptAfterBackoff(now, sent, &event)
+	first := sh.state(endpoint).recordAccepted(now, sent, &event)
 	sh.mu.Unlock()
 	if first {
 		p.notifyBackoff(event)
 	}
 }
 
-func (st *state) acceptAfterBackoff(now, sent time.Time, event *BackoffEvent) (first bool) {
+func (st *state) recordAccepted(now, sent time.Time, event *BackoffEvent) (first bool) {
 	st.acceptedSentAt = maxTime(st.acceptedSentAt, sent)
 	if st.backoff == nil {
 		return false
@@ -239,7 +242,7 @@
 	if st.backoff.waiting(now) && askedAt.Before(st.backoff.askedAt.Add(reportDelay)) {
 		return // the other routers were asked when this one was
 	}
-	st.startBackoff().hear(now, left, p.backoffJitter(now, w.Endpoint, left))
+	st.startBackoff().applyPeerReport(now, askedAt, left, p.backoffJitter(now, w.Endpoint, left))
 }
 
 func (p *Pool) notifyBackoff(e BackoffEvent) {
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -16,6 +16,7 @@
 		{Seed: 2, Cause: "net/http retried requests by itself on reused connections"},
 		{Seed: 3010, Cause: "an endpoint that restarted behind a proxy was taken for the previous process and got more than the rate limit of a cold endpoint"},
 		{Seed: 1005, Cause: "after a reader stalled in the middle of a version, every missed version was read in full"},
+		{Seed: 8003, Cause: "routers ignored that endpoints asked them to back off or said in their answers that they leave"},
 		{Seed: 4001, Cause: "the same cause as seed 1005, with endpoints that reset connections"},
 	}
 }
