--- a/internal/balance/backoff_test.go
+++ b/internal/balance/backoff_test.go
@@ -276,3 +276,22 @@
 	acceptSent(p, 1300, 800, "e0")
 	g.Expect(p.Views(at(1300), all)[0].Weight).To(Equal(1.0))
 }
+
+func TestRoutersReturnToAnEndpointAtDifferentTimes(t *testing.T) {
+	g := NewWithT(t)
+	const routers = 100
+	returned := make(map[int]int) // routers by hundred milliseconds after the end
+	for seed := range uint64(routers) {
+		p := NewPool(Config{Seed: seed + 1})
+		askBackoff(p, 0, "e0", 3*time.Second)
+		ms := 3000
+		for !p.Usable(at(ms), "e0") {
+			ms++
+		}
+		returned[(ms-3000)/100]++
+	}
+	g.Expect(returned).To(HaveLen(int(maxBackoffJitter / (100 * time.Millisecond))))
+	for _, n := range returned {
+		g.Expect(n).To(BeNumerically("<", routers/2))
+	}
+}
