Log the software version of each attempt's endpoint and what a request resumes

Cause: the routers' lines couldn't tell a stream that goes on at another version within an answer from one that its caller takes up, and named no versions. Change: an entry's version is decoded and kept, also between routers (a digest without it for routers that don't know versions); lines name it with each attempt, and the request and event that the caller resumes. No decision depends on it yet. Measured: tests of directory, peers, platform, router and the filters pass.

--- a/internal/bundle/types.go
+++ b/internal/bundle/types.go
@@ -120,6 +120,9 @@
 	// set only if the endpoint comes from a list that provides it, not from a bundle;
 	// agents report their own incarnation.
 	Incarnation string `json:"-"`
+	// Version is that of the endpoint's software, as the list states it; empty if it doesn't. It
+	// is not part of a bundle.
+	Version string `json:"-"`
 	// Placement is what the agent loads into the engine; without it the agent sends
 	// its engine no commands.
 	Placement Placement `json:"placement,omitzero"`
--- a/internal/directory/compare.go
+++ b/internal/directory/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 
@@ -15,24 +16,27 @@
 }
 
 func sameEntry(a, b Entry) bool {
-	return a.Draining == b.Draining && a.Cold == b.Cold && a.kept == b.kept && a.Incarnation == b.Incarnation &&
+	return a.Draining == b.Draining && a.Cold == b.Cold && a.kept == b.kept && a.Incarnation == b.Incarnation && a.Version == b.Version &&
 		a.Endpoint.Address == b.Endpoint.Address &&
 		a.Endpoint.FailureDomain == b.Endpoint.FailureDomain &&
 		a.Endpoint.Slots == b.Endpoint.Slots &&
 		slices.Equal(a.Endpoint.Services, b.Endpoint.Services)
 }
 
-func digestOf(entries map[string]Entry, evacuated map[string]bool) uint64 {
-	d := xxhash.New()
+// digestsOf returns the hash of everything, and that without the endpoints' versions.
+func digestsOf(entries map[string]Entry, evacuated map[string]bool) (digest, unversioned uint64) {
+	whole, d := xxhash.New(), xxhash.New()
+	both := io.MultiWriter(whole, d)
+	// Writing to a hash never returns an error.
 	for _, name := range sortedNames(entries) {
 		e := entries[name]
-		// Writing to a hash never returns an error.
-		_, _ = fmt.Fprintln(d, name, e.Draining, e.Incarnation, e.Endpoint.Address, e.Endpoint.FailureDomain, e.Endpoint.Slots, e.Endpoint.Services, e.Cold)
+		_, _ = fmt.Fprintln(both, name, e.Draining, e.Incarnation, e.Endpoint.Address, e.Endpoint.FailureDomain, e.Endpoint.Slots, e.Endpoint.Services, e.Cold)
+		_, _ = fmt.Fprintf(whole, "%q\n", e.Version)
 	}
 	for _, domain := range slices.Sorted(maps.Keys(evacuated)) {
-		_, _ = fmt.Fprintln(d, domain)
+		_, _ = fmt.Fprintln(both, domain)
 	}
-	return d.Sum64()
+	return whole.Sum64(), d.Sum64()
 }
 
 // ChangesTo returns what differs in a later directory: its new or changed entries, and the names
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,6 +20,9 @@
 	// the same name. Incarnations have no order, as clocks may be set back. Empty if the list
 	// doesn't have it.
 	Incarnation string `json:",omitempty"`
+	// Version is that of the endpoint's software. Versions have no order. Empty if the list
+	// doesn't have it.
+	Version string `json:",omitempty"`
 	// Cold is for how much longer, as of the writing of the entry, the endpoint can take little
 	// work: its caches are empty, and too much work crashes it.
 	Cold time.Duration `json:",omitempty"`
@@ -67,7 +70,9 @@
 	evacuated map[string]bool
 	revision  uint64
 	digest    uint64
-	kept      int // number of entries that the list lacks
+	// unversionedDigest is the digest without the endpoints' versions.
+	unversionedDigest uint64
+	kept              int // number of entries that the list lacks
 }
 
 // Empty returns a directory without endpoints.
@@ -76,8 +81,9 @@
 func build(entries map[string]Entry, evacuated map[string]bool, revision uint64) *Directory {
 	d := &Directory{
 		entries: entries, evacuated: evacuated, byService: make(map[string][]*bundle.Endpoint),
-		revision: revision, digest: digestOf(entries, evacuated),
+		revision: revision,
 	}
+	d.digest, d.unversionedDigest = digestsOf(entries, evacuated)
 	for _, name := range sortedNames(entries) {
 		e := entries[name]
 		if e.kept {
@@ -160,6 +166,10 @@
 // Digest returns a hash of everything but the revision.
 func (d *Directory) Digest() uint64 { return d.digest }
 
+// UnversionedDigest is Digest without the endpoints' versions, which routers of older software
+// don't know.
+func (d *Directory) UnversionedDigest() uint64 { return d.unversionedDigest }
+
 // Revision returns the revision of the newest reading.
 func (d *Directory) Revision() uint64 { return d.revision }
 
@@ -228,7 +238,7 @@
 		}
 	}
 	for _, e := range r.Entries {
-		e.Endpoint.Incarnation = e.Incarnation
+		e.Endpoint.Incarnation, e.Endpoint.Version = e.Incarnation, e.Version
 		next[e.Endpoint.Name] = e
 	}
 	for _, name := range r.Removed {
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -56,3 +56,17 @@
 	g.Expect(changed).To(BeTrue())
 	g.Expect(cold.Digest()).NotTo(Equal(d.Digest()))
 }
+
+// Routers must learn of a changed version from each other. Those of older software compare the digest
+// without versions.
+func TestDigestIncludesVersions(t *testing.T) {
+	g := NewWithT(t)
+	before, after := entry("a", "1"), entry("a", "1")
+	before.Version, after.Version = "v1", "v2"
+	d := merge(directory.Empty(), 1, time.Time{}, before)
+	later, changed := d.Merge(directory.Reading{Entries: []directory.Entry{after}, Revision: 2}, now, time.Time{})
+	g.Expect(changed).To(BeTrue())
+	g.Expect(later.Digest()).NotTo(Equal(d.Digest()))
+	g.Expect(later.UnversionedDigest()).To(Equal(d.UnversionedDigest()))
+	g.Expect(later.ByService("s")[0].Version).To(Equal("v2"))
+}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -207,7 +207,7 @@
 		step.Next = "repeat"
 	}
 	if r.Endpoint != nil && !errors.Is(err, choose.ErrNoEndpoint) && d.Reason != reasonQuarantined {
-		step.Endpoint = r.Endpoint.Name
+		step.Endpoint, step.Version = r.Endpoint.Name, r.Endpoint.Version
 	}
 	r.Trail = append(r.Trail, step)
 }
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -63,7 +63,8 @@
 	r.CallerID = cmp.Or(in.ID, r.ID)
 	r.APIKey = in.APIKey
 	r.Prompt = in.Prompt
-	r.Delivered.LastEvent = in.LastEvent
+	r.Resumes = in.Resumes
+	r.ResumedAfter, r.Delivered.LastEvent = in.LastEvent, in.LastEvent
 	r.Service = found.Pick(f.random())
 	r.Stream = found.Stream
 	r.Tier = max(0, found.Tier) // clamped: 0 is the highest rank
--- a/internal/peers/changelog.go
+++ b/internal/peers/changelog.go
@@ -23,15 +23,15 @@
 	changed, removed map[string]uint64
 }
 
-// since returns the changes that a peer lacks whose list has this revision and digest. ok is
-// false if the changes since then aren't recorded.
-func (c *changeLog) since(d *directory.Directory, revision, digest uint64) (changes directory.Reading, ok bool) {
+// since returns the changes that a peer lacks whose list has this revision; same says that it
+// equals d. ok is false if the changes since then aren't recorded.
+func (c *changeLog) since(d *directory.Directory, revision uint64, same bool) (changes directory.Reading, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.update(d)
 	changes.Revision = d.Revision()
 	switch {
-	case digest == d.Digest(), revision > d.Revision():
+	case same, revision > d.Revision():
 		return changes, true
 	case revision < c.floor, revision >= c.lastChange:
 		// The lists differ, but no recorded change explains it.
--- a/internal/peers/list_test.go
+++ b/internal/peers/list_test.go
@@ -130,3 +130,18 @@
 }
 
 func (s overriddenState) Directory() *directory.Directory { return s.directory }
+
+// Otherwise each poll between routers of two software versions would read the whole list.
+func TestRouterThatKnowsNoVersionsOfEndpointsNeedsNoFullRead(t *testing.T) {
+	runFleet(t, 2, func(g *WithT, f *fleet) {
+		n := f.nodes[0]
+		list := n.follower.Directory()
+		versioned := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}, Version: "v1"}
+		next, _ := list.Merge(directory.Reading{Entries: []directory.Entry{versioned}, Revision: 9}, time.Now(), time.Time{})
+		n.source.SetState(overriddenState{State: n.follower, directory: next})
+		reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Version: 1, Revision: 9, UnversionedDigest: list.UnversionedDigest()})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.HistoryLost).To(BeFalse())
+		g.Expect(reply.Entries).To(BeEmpty())
+	})
+}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -85,10 +85,12 @@
 	From Member `json:"from"`
 	// Version is that of the requester's configuration, 0 if it has none.
 	Version uint64 `json:"version"`
-	// Revision and Digest are those of the requester's list.
-	Revision uint64         `json:"revision"`
-	Digest   uint64         `json:"digest"`
-	Demand   balance.Demand `json:"demand"`
+	// Revision and Digest are those of the requester's list. UnversionedDigest is all that routers
+	// send and compare that don't know the versions of endpoints.
+	Revision          uint64         `json:"revision"`
+	UnversionedDigest uint64         `json:"digest"`
+	Digest            uint64         `json:"list_digest,omitempty"`
+	Demand            balance.Demand `json:"demand"`
 	// Loads are the load reports that the requester received recently.
 	Loads []balance.LoadSummary `json:"loads,omitempty"`
 	// Failures are the failed attempts that the requester observed itself.
@@ -101,6 +103,14 @@
 	OriginUptime uptimeReport `json:"steady,omitzero"`
 }
 
+// holds reports whether the requester has the list, as far as its software knows it.
+func (r *updateRequest) holds(list *directory.Directory) bool {
+	if r.Digest == 0 {
+		return r.UnversionedDigest == list.UnversionedDigest()
+	}
+	return r.Digest == list.Digest()
+}
+
 type updateReply struct {
 	// Config is the change since the requester's configuration; nil if that is the newest.
 	Config packedChange `json:"config,omitempty"`
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -69,7 +69,7 @@
 		return peerReading{}, errNoState
 	}
 	list := state.Directory().Listed()
-	req := updateRequest{From: s.cfg.Self, Revision: list.Revision(), Digest: list.Digest(), Demand: s.demand.local()}
+	req := updateRequest{From: s.cfg.Self, Revision: list.Revision(), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local()}
 	// A poll may be late, so the window covers two; applying a report twice is harmless.
 	req.Loads = s.loads.local(time.Now(), 2*s.cfg.PollInterval)
 	req.Failures = s.failures.local(time.Now())
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -69,7 +69,7 @@
 		return updateReply{}, err
 	}
 	list := state.Directory().Listed()
-	changes, known := s.changes.since(list, req.Revision, req.Digest)
+	changes, known := s.changes.since(list, req.Revision, req.holds(list))
 	reply.Evacuated = list.Evacuated()
 	reply.Entries, reply.Removed, reply.HistoryLost, reply.Revision = changes.Entries, changes.Removed, !known, changes.Revision
 	return reply, nil
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -44,6 +44,12 @@
 	Route *route.Route
 	// CallerID is the caller's ID of the request, which is also sent to endpoints.
 	CallerID string
+	// Resumes is the caller's ID of the request whose answer brought the first event of the stream
+	// that this one resumes; empty if the caller names none.
+	Resumes string
+	// ResumedAfter is the ID of the last event that the caller had when it sent the request; empty
+	// for none.
+	ResumedAfter string
 	// APIKey is empty if the caller sent none.
 	APIKey string
 	Prompt prompt.Prompt
@@ -152,6 +158,8 @@
 type Step struct {
 	Epoch    int
 	Endpoint string
+	// Version is that of the endpoint's software; empty if unknown.
+	Version string
 	// Outcome is "complete" or the text of the attempt's error.
 	Outcome string
 	// Tokens is the number of tokens that the caller had received after the attempt.
@@ -172,7 +180,11 @@
 
 // String formats the step for the log.
 func (s Step) String() string {
-	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s", s.Epoch, s.Endpoint, s.Outcome, s.Tokens, s.Next)
+	endpoint := s.Endpoint
+	if s.Version != "" {
+		endpoint += " (" + s.Version + ")"
+	}
+	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.Next)
 	if s.Connections > 1 {
 		text += fmt.Sprintf(", on %d connections", s.Connections)
 	}
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -204,6 +204,7 @@
 		Dur("left", time.Until(r.Deadline)).Dur("first", timeToFirstPart(r))
 	addLostEndpoints(log, r)
 	addWithheld(log, r)
+	addResumption(log, r)
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.SharedPrefixID()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.TightGap).Int("kept", r.TightGapEndpoints).
 			Dur("expected", r.ExpectedWait).Dur("max_gap", r.Delivered.MaxGap).Int("output", r.Prompt.ExpectedOutput)
@@ -213,6 +214,16 @@
 	}
 }
 
+// addResumption logs which stream a request resumes, and after which event.
+func addResumption(log *zerolog.Event, r *request.Request) {
+	if r.Resumes != "" {
+		log.Str("resumes", r.Resumes)
+	}
+	if r.ResumedAfter != "" {
+		log.Str("resumed_after", r.ResumedAfter)
+	}
+}
+
 // addWithheld logs which candidates got nothing because of what they said of themselves.
 func addWithheld(log *zerolog.Event, r *request.Request) {
 	if len(r.BackingOff) > 0 {
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -34,7 +34,7 @@
 type testProtocol struct{}
 
 func (testProtocol) Incoming(h http.Header) upstream.Incoming {
-	in := upstream.Incoming{ID: h.Get("Id"), APIKey: h.Get("Key"), LastEvent: h.Get("Last")}
+	in := upstream.Incoming{ID: h.Get("Id"), APIKey: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if h.Get("Patience") != "" {
 		in.CallerTimeout, _ = time.ParseDuration(h.Get("Patience"))
 	}
@@ -100,6 +100,7 @@
 	keyAge           time.Duration
 	closeConnections bool
 	table            *route.Table
+	endpoints        []*bundle.Endpoint
 	regions          map[string]string // by endpoint
 	log              bytes.Buffer      // the router's log
 	// handle is called for each request with the endpoint's connection.
@@ -146,25 +147,24 @@
 		g := NewWithT(t)
 		w := &routerFixture{net: memnet.New(), table: mustTable(testConfig())}
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
-		var endpoints []*bundle.Endpoint
 		var stops []func()
 		for _, name := range []string{"e1", "e2", "e3"} {
 			l, err := w.net.Listen("10.0.0." + name[1:] + ":80")
 			g.Expect(err).NotTo(HaveOccurred())
-			endpoints = append(endpoints, &bundle.Endpoint{Name: name, Address: l.Addr().String(), Services: []string{"s"}, Slots: 4})
+			w.endpoints = append(w.endpoints, &bundle.Endpoint{Name: name, Address: l.Addr().String(), Services: []string{"s"}, Slots: 4})
 			stops = append(stops, w.serveEndpoint(name, l))
 		}
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
 		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
-		w.list(endpoints...)
+		w.list(w.endpoints...)
 		w.router = router.New(router.Config{
 			Pool: w.pool, Client: client, Observer: w.members,
 			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
 			Rand: func() float64 { return 0 }, Log: zerolog.New(zerolog.SyncWriter(&w.log)),
 			Routing: &router.Routing{
 				Table:     func() *route.Table { return w.table },
-				Endpoints: func(string) []*bundle.Endpoint { return endpoints },
+				Endpoints: func(string) []*bundle.Endpoint { return w.endpoints },
 				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  testProtocol{}, Client: client,
 				KeyAge: func() time.Duration { return w.keyAge }, MaxKeyAge: func() time.Duration { return maxKeyAge },
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,7 +24,10 @@
 	// LastEvent is the ID of the last event of a stream that the caller has received; empty for
 	// none.
 	LastEvent string
-	Prompt    prompt.Prompt
+	// Resumes is the ID of the request whose answer brought the stream's first event, if the
+	// caller resumes a stream; empty if it doesn't say.
+	Resumes string
+	Prompt  prompt.Prompt
 }
 
 // Attempt is the information for an endpoint in addition to the caller's request.
