--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -1,9 +1,12 @@
 package router_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -30,3 +33,160 @@
 		g.Expect(lastLine(w)).To(MatchRegexp(`"attempt 1 at e\d \(v1\): complete, .*"resumes":"first","resumed_after":"4"`))
 	})
 }
+
+// breakingAfter returns a handler whose streams bring the given number of events after the last one
+// that the caller has, and then break off.
+func breakingAfter(events int) func(string, *http.Request, net.Conn) {
+	return func(_ string, req *http.Request, conn net.Conn) {
+		last, _ := strconv.Atoi(req.Header.Get("Last")) // 0 if missing
+		var texts []string
+		for i := range events {
+			texts = append(texts, fmt.Sprintf("id: %d\ndata: x\n\n", last+i+1))
+		}
+		writeEvents(conn, req, false, texts...)
+	}
+}
+
+// versionsOf returns the versions of the endpoints that requests from the given one on arrived at.
+func (w *routerFixture) versionsOf(from int) []string {
+	var versions []string
+	for _, a := range w.received()[from:] {
+		for _, e := range w.endpoints {
+			if e.Name == a.endpoint {
+				versions = append(versions, e.Version)
+			}
+		}
+	}
+	return versions
+}
+
+// callOnlyAt makes a call while all other endpoints are leaving.
+func (w *routerFixture) callOnlyAt(g *WithT, endpoint string, client *http.Client, path string, header ...string) reply {
+	handle := w.handle
+	defer func() { w.handle = handle }()
+	w.handle = func(name string, req *http.Request, conn net.Conn) {
+		for _, e := range w.endpoints {
+			w.pool.SetLeaving(e.Name, false)
+		}
+		handle(name, req, conn)
+	}
+	for _, e := range w.endpoints {
+		w.pool.SetLeaving(e.Name, e.Name != endpoint)
+	}
+	return call(g, client, "POST", path, "x", header...)
+}
+
+func TestBrokenStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	for _, begun := range []string{"e1", "e2", "e3"} {
+		for _, versions := range [][]string{{"v1", "v1", "v2"}, {"v2", "v1", "v1"}, {"v1", "v2", "v1"}, {"v1", "v2", ""}, {"", "", "v1"}} {
+			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+				w.setVersions(versions...)
+				w.handle = breakingAfter(1)
+				w.callOnlyAt(g, begun, client, "/resume/")
+				at := w.versionsOf(0)
+				for _, version := range at {
+					g.Expect(version).To(Equal(at[0]), "begun at %s of %v", begun, versions)
+				}
+				others := 0
+				for _, version := range versions {
+					if version == at[0] {
+						others++
+					}
+				}
+				g.Expect(len(at)).To(Equal(min(others, 2)), "it goes on where another endpoint of the version is: begun at %s of %v", begun, versions)
+			})
+		}
+	}
+}
+
+func TestStreamWhoseVersionHasNoOtherEndpointIsCutOffAtOnce(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.setVersions("v1", "v2", "v2")
+		w.handle = breakingAfter(1)
+		start := time.Now()
+		got := w.callOnlyAt(g, "e1", client, "/resume/")
+		g.Expect(got.err).To(HaveOccurred(), "it must not look complete")
+		g.Expect(w.receivedCount()).To(Equal(1))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 10*time.Millisecond))
+	})
+}
+
+func TestAttemptBeforeTheFirstEventUsesAnyVersion(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.setVersions("v1", "v2", "v2")
+		w.handle = func(name string, req *http.Request, conn net.Conn) {
+			writeEvents(conn, req, name != "e1", map[bool][]string{true: {"id: 1\ndata: x\n\n"}}[name != "e1"]...)
+		}
+		got := w.callOnlyAt(g, "e1", client, "/resume/")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(w.versionsOf(0)).To(Equal([]string{"v1", "v2"}))
+	})
+}
+
+func TestCopyOfARunIsKeptOnlyAtItsVersion(t *testing.T) {
+	for _, versions := range [][]string{{"v1", "v2", "v2"}, {"v1", "v2", "v1"}, {"v1", "v1", "v2"}} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.setVersions(versions...)
+			w.handle = breakingAfter(1)
+			copied := 0
+			for range 4 {
+				before := w.receivedCount()
+				call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+				for i, at := range w.received()[before:] {
+					if i > 0 {
+						g.Expect(w.versionsOf(before)[i]).To(Equal(w.versionsOf(before)[0]), "the run goes on at its version")
+					}
+					for _, e := range w.endpoints {
+						if e.Address == at.header.Get("Copy-To") {
+							copied++
+							g.Expect(e.Version).To(Equal(w.versionsOf(before)[i]), "%v", versions)
+						}
+					}
+				}
+			}
+			g.Expect(copied).To(BeNumerically(">", 0), "%v", versions)
+		})
+	}
+}
+
+func TestStreamThatItsCallerResumesGoesOnAtTheVersionThatBeganIt(t *testing.T) {
+	for _, begun := range []string{"e1", "e2"} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.setVersions("v1", "v2", "v1")
+			w.handle = breakingAfter(1)
+			w.callOnlyAt(g, begun, client, "/resume/", "Id", "first")
+			version := w.versionsOf(0)[0]
+			for i := range 6 { // each time after it broke off again
+				before := w.receivedCount()
+				call(g, client, "POST", "/resume/", "x", "Id", fmt.Sprint("again", i), "Resumes", "first", "Last", fmt.Sprint(2+i))
+				for _, at := range w.versionsOf(before) {
+					g.Expect(at).To(Equal(version), "begun at %s, resumed the %d. time", begun, i+1)
+				}
+				time.Sleep(time.Second)
+			}
+			g.Expect(w.receivedCount()).To(BeNumerically(">=", 6), "it is resumed")
+		})
+	}
+}
+
+func TestResumedStreamOfUnknownVersionIsRefusedAsNotRun(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.setVersions("v1", "v2", "v1")
+		w.handle = breakingAfter(1)
+		for _, resumes := range []string{"never-seen", ""} {
+			got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", resumes, "Last", "2")
+			g.Expect(got.status).To(Equal(503))
+			g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			g.Expect(w.receivedCount()).To(BeZero())
+		}
+	})
+}
+
+func TestCallerWithoutEventsBeginsAnewAtAnyVersion(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.setVersions("v1", "v2", "v1")
+		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeEvents(conn, req, true, "id: 1\ndata: x\n\n") }
+		got := call(g, client, "POST", "/resume/", "x", "Resumes", "never-seen")
+		g.Expect(got.status).To(Equal(200))
+	})
+}
