Go on with a broken stream only at the version that began it

Callers got streams with events of two software versions: where an endpoint broke a stream off, the next attempt of the same answer went to any endpoint of the service. Cause: the choice of an endpoint knew no versions. Change: the first event sent to the caller binds the request to the version of its endpoint at that time; later attempts have only endpoints of that version as candidates, and the stream is cut off at once if none is in service. Attempts before the first event use any version. Why it holds: every attempt passes the choice, which filters the candidates of each attempt anew. What is decided for all endpoints of a service (isolation) isn't decided from such a part of them. Tests: one expected a stream to be cut off where its own endpoint is the only one of its version; it may go on there, as a stream of a service with one endpoint does.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -39,6 +39,9 @@
 	// AtMostOnce marks a request that must not be retried after its endpoint failed while running
 	// it.
 	AtMostOnce bool
+	// Subset says that the candidates are only some of the service's endpoints, by which nothing is
+	// decided about all of them.
+	Subset bool
 	// majoritySuspect is set if connections to more than half of the candidates fail.
 	majoritySuspect bool
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -340,6 +340,16 @@
 	return known && !st.leaving && !st.rateState.suspect && !now.Before(st.avoidUntil) && st.backoff.allows(now, 0)
 }
 
+// InService reports whether an endpoint is neither leaving nor suspect. It may be at its rate limit
+// or backing off.
+func (p *Pool) InService(endpoint string) bool {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, known := sh.states[endpoint]
+	return !known || !st.leaving && !st.rateState.suspect
+}
+
 // Inflight returns the number of this router's requests at an endpoint.
 func (p *Pool) Inflight(endpoint string) int {
 	sh := p.shard(endpoint)
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -44,7 +44,7 @@
 		return leastLoadedOf(views, usable, rnd), true
 	}
 	regular, reduced := splitReducedCapacity(views, usable)
-	decision := p.demand.decideIsolation(now, req.Service, summarizeEndpoints(req, views, regular))
+	decision := p.isolationFor(now, req, views, regular)
 	tightGap := decision.isolates(req.MaxGap)
 	share := p.demand.share()
 	group := endpointsFor(now, tightGap, decision, share, views, regular)
@@ -58,6 +58,15 @@
 	return chosen, true
 }
 
+// isolationFor returns the isolation decision for a request, which is made anew unless the views
+// are only some of the service's endpoints.
+func (p PromptAware) isolationFor(now time.Time, req Request, views []View, regular []int) isolation {
+	if req.Subset {
+		return p.demand.lastIsolation(req.Service)
+	}
+	return p.demand.decideIsolation(now, req.Service, summarizeEndpoints(req, views, regular))
+}
+
 // StreamEnded implements StreamObserver.
 func (p PromptAware) StreamEnded(now time.Time, service string, gap, held time.Duration, late bool) {
 	p.demand.recordEnded(now, kindKey{service, gap.Milliseconds()}, held, late)
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -128,6 +128,10 @@
 
 // decide returns what to do after the latest attempt.
 func (f *Filter) decide(ctx context.Context, r *request.Request, h *history) retry.Decision {
+	var noVersion *choose.VersionError
+	if errors.As(h.latestErr, &noVersion) {
+		return retry.Decision{Reason: reasonVersion}
+	}
 	delivered := r.Delivered.Tokens > 0
 	result := classify(h.resultErr, delivered)
 	unresumable := r.Delivered.Unresumable && r.Delivered.Started && h.resultErr != nil
--- a/internal/filters/attempts/classify.go
+++ b/internal/filters/attempts/classify.go
@@ -18,6 +18,9 @@
 // reasonQuarantined is recorded if endpoints were lost while running the request.
 const reasonQuarantined retry.Reason = "quarantined"
 
+// reasonVersion is recorded if no endpoint has the version that began the stream.
+const reasonVersion retry.Reason = "version"
+
 // classification is what an attempt's error implies for a retry.
 type classification struct {
 	outcome retry.Outcome
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -33,6 +33,9 @@
 // Is makes errors.Is(err, ErrNoEndpoint) true.
 func (e *Error) Is(target error) bool { return target == ErrNoEndpoint }
 
+// Unwrap returns why.
+func (e *Error) Unwrap() error { return e.Cause }
+
 // API implements api.Convertible.
 func (e *Error) API() *api.Error {
 	out := &api.Error{
@@ -40,6 +43,10 @@
 		Code: "no_endpoint", Message: "no endpoint can take the request now",
 		Run: wire.RunNot, RetryAfter: retryAfterNoEndpoint,
 	}
+	var noVersion *VersionError
+	if errors.As(e.Cause, &noVersion) {
+		out.Code, out.Message = "no_version", "no endpoint has the software version that began the stream"
+	}
 	if delay, limited := e.AvailableIn(); limited {
 		out.Type, out.Code = api.TypeOverloaded, "limited"
 		out.Message = "overloaded: all endpoints have had the requests that they take now"
@@ -115,6 +122,9 @@
 	if f.homeResolver != nil && !r.KeyIssued.IsZero() {
 		return f.doPinned(ctx, r, next)
 	}
+	if err := f.keepToVersion(r); err != nil {
+		return &Error{Cause: err}
+	}
 	if err := f.choose(r); err != nil {
 		return err
 	}
@@ -126,7 +136,7 @@
 	if r.ResumeFrom != nil {
 		return f.resumeFromCopy(r)
 	}
-	query := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, AtMostOnce: r.NonIdempotent, Retry: len(r.Tried) > 0}
+	query := balance.Request{Service: r.Service, Tier: r.Tier, Prefix: r.Prefix, Prompt: r.Prompt, AtMostOnce: r.NonIdempotent, Retry: len(r.Tried) > 0, Subset: r.StreamVersion != nil}
 	if r.Route != nil {
 		r.TokensPerEvent = tokensPerEvent(r)
 		query.MaxGap, query.Stride, query.Objective = r.Route.MaxGap, r.TokensPerEvent, r.Route.Objective
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -47,6 +47,9 @@
 	// Resumes is the caller's ID of the request whose answer brought the first event of the stream
 	// that this one resumes; empty if the caller names none.
 	Resumes string
+	// StreamVersion is the software version of the endpoint that sent the first event of the
+	// stream; only endpoints of that version can go on with it. nil before the first event.
+	StreamVersion *string
 	// ResumedAfter is the ID of the last event that the caller had when it sent the request; empty
 	// for none.
 	ResumedAfter string
@@ -222,6 +225,18 @@
 	MaxGap     time.Duration
 }
 
+// BeginStream records that the endpoint of the latest attempt has sent an event to the caller.
+func (r *Request) BeginStream() {
+	if r.StreamVersion == nil {
+		r.StreamVersion = &r.Endpoint.Version
+	}
+}
+
+// MayContinue reports whether an endpoint's software can go on with the stream.
+func (r *Request) MayContinue(e *bundle.Endpoint) bool {
+	return r.StreamVersion == nil || *r.StreamVersion == e.Version
+}
+
 // KeyTarget returns the model or service as a target name of package once.
 func (r *Request) KeyTarget() string {
 	if r.Kind == wire.KindService {
