Copy the memory of a run only to endpoints of its version

Callers of streams that may not run twice got events of two software versions after their endpoint crashed. Cause: the endpoint for the copy of a run's memory was picked by failure domain and by hash, whatever its software. Change: only endpoints with the version of the chosen one take the copy, and a stream resumes from a copy only at its version. Why it holds: a run goes on from a copy only at the endpoint that was chosen for it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -53,6 +53,8 @@
 type View struct {
 	Endpoint      string
 	FailureDomain string
+	// Version is that of the endpoint's software; empty if unknown.
+	Version string
 	// Inflight is the number of this router's own requests at the endpoint.
 	Inflight int
 	// PendingPrefill is the number of prompt tokens, by tier, that this router sent and that the
--- a/internal/balance/copy.go
+++ b/internal/balance/copy.go
@@ -24,11 +24,12 @@
 	return bestCopyTarget(req.Prompt, views, all, chosen)
 }
 
-// bestCopyTarget is the index of the endpoint in a group that takes the copy, -1 if none may.
+// bestCopyTarget is the index of the endpoint in a group that takes the copy, -1 if none may. Only
+// endpoints with the software of the chosen one can go on with its run.
 func bestCopyTarget(p prompt.Prompt, views []View, group []int, chosen int) int {
 	best := -1
 	for _, i := range group {
-		if i == chosen || views[i].Metered || views[i].estimatedRequests() >= views[i].slots() {
+		if i == chosen || views[i].Version != views[chosen].Version || views[i].Metered || views[i].estimatedRequests() >= views[i].slots() {
 			continue
 		}
 		if best < 0 || betterCopyTarget(p, views, chosen, i, best) {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -85,6 +85,7 @@
 	*v = View{
 		Endpoint:         c.Name,
 		FailureDomain:    c.FailureDomain,
+		Version:          c.Version,
 		Inflight:         st.inflight,
 		PendingPrefill:   st.pendingPrefill,
 		InflightByTier:   st.inflightByTier,
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -175,7 +175,7 @@
 // canResumeFromCopy reports whether a broken stream can resume from the KV cache copy at
 // another endpoint, after the last event delivered to the caller.
 func (f *Filter) canResumeFromCopy(r *request.Request, outcome retry.Outcome) bool {
-	return r.CopyTo != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan && f.acceptsWork(r.CopyTo.Name)
+	return r.CopyTo != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan && r.MayContinue(r.CopyTo) && f.acceptsWork(r.CopyTo.Name)
 }
 
 // setResumeEndpoint sets the endpoint at which the next attempt resumes from a KV cache
