Go on with a stream that its caller resumes only at the version that began it

Callers that came back for the rest of a stream, at another router or the same one, got it from any version. Cause: Resumes was read nowhere, and the router that the caller returns to may never have seen the stream. Change: each router records where its streams began. While a service has, or lately had, more than one version, or its router can't know that it hadn't, it tells two others at the first event: one of its failure domain, one of the next, by rendezvous hashing of the stream. A resumed stream goes on at its service and version if this router knows them, was told, learns them from the routers that would have been told, or the service had one version only for as long as the stream can be old; otherwise it is refused as not run (503, 100 ms). Why it holds: without such knowledge nothing is sent. The first event waits for nothing. Lines name the stream, its version, how and how long that is known; metrics coveferry_streams_resumed_total by result and coveferry_stream_origins.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -29,6 +29,7 @@
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
+	"coveferry/internal/streamorigin"
 	"coveferry/internal/telemetry"
 	"coveferry/internal/upstream"
 )
@@ -137,6 +138,7 @@
 	control  *control.Server
 	share    endpointrate.Share // this router's share of endpoints' rate limits
 	retries  *retry.Budget
+	streams  *streamorigin.Registry
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
@@ -157,10 +159,11 @@
 	if err != nil {
 		return nil, err
 	}
+	d.streams = d.newStreams()
 	d.follower = follow.New(follow.Config{
 		Source: source, Timing: sourceTiming(cfg.Bounds), Log: log, Metrics: d.reg,
 		OnDirectory: func(dir *directory.Directory) { d.updater.update(dir) },
-		OnConfig:    d.logUnservable,
+		OnConfig:    d.applyConfig,
 	})
 	if d.peers != nil {
 		d.peers.SetState(d.follower)
@@ -170,6 +173,7 @@
 		d.peers.ShareFailures(d.pool)
 		d.peers.SharePoison(d.poison)
 		d.peers.ShareLimits(d.pool)
+		d.peers.ServeStreams(d.streams)
 	}
 	d.updater = newDirectoryUpdater(d)
 	d.router = d.newRouter()
@@ -210,6 +214,7 @@
 			Client:                 d.client,
 			KeyAge:                 d.follower.Age,
 			MaxKeyAge:              d.maxKeyAge,
+			Streams:                d.streams,
 			ShouldCloseConnections: func() bool { return !d.isReady() },
 		},
 	})
@@ -245,6 +250,12 @@
 // list it.
 func (d *directRouter) regionOf(e *bundle.Endpoint) string { return d.cfg.Regions[e.FailureDomain] }
 
+// applyConfig is called with each configuration put in force.
+func (d *directRouter) applyConfig(c *route.Config) {
+	d.logUnservable(c)
+	d.streams.KeepFor(streamorigin.ReturnWindow(c.LongestStreamTimeout()))
+}
+
 // logUnservable warns of routes and teams whose allowed regions include no existing region:
 // their requests are refused.
 func (d *directRouter) logUnservable(c *route.Config) {
@@ -293,6 +304,7 @@
 	}
 	d.addPeers(&g, &stopErr)
 	addLoop(&g, d.follower.Run)
+	addLoop(&g, d.streams.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.updater.checkHealth).Run)
 	addLoop(&g, d.watchUnresponsive)
 	addLoop(&g, d.followSettings)
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -61,6 +61,7 @@
 func (l *directoryUpdater) update(dir *directory.Directory) {
 	last := l.previous
 	l.previous = dir
+	l.d.streams.UpdateList(time.Now(), dir)
 	entries := dir.Entries()
 	l.d.log.Info().Int("endpoints", len(entries)).Int("kept", dir.KeptCount()).Strs("evacuated", dir.Evacuated()).
 		Uint64("revision", dir.Revision()).Msg("endpoint list changed")
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/endpointrate"
 	"coveferry/internal/follow"
 	"coveferry/internal/peers"
+	"coveferry/internal/streamorigin"
 )
 
 const (
@@ -64,6 +65,20 @@
 	return d.peers, nil
 }
 
+// newStreams returns the registry of where streams began, shared with the other routers if there are
+// any.
+func (d *directRouter) newStreams() *streamorigin.Registry {
+	cfg := streamorigin.Config{
+		ListAge:    func() time.Duration { return d.follower.Age() },
+		MaxListAge: maxPeerAge(d.cfg.Bounds),
+		Metrics:    d.reg,
+	}
+	if d.peers != nil {
+		cfg.Peers = d.peers
+	}
+	return streamorigin.New(cfg)
+}
+
 // addPeers adds the actors that share the source's data with other routers.
 func (d *directRouter) addPeers(g *run.Group, stopErr *error) {
 	if d.peers == nil {
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -89,7 +89,7 @@
 func requestTimeout(routeTimeout, callerTimeout time.Duration) time.Duration {
 	switch {
 	case routeTimeout <= 0 && callerTimeout <= 0:
-		return defaultTimeout
+		return DefaultTimeout
 	case routeTimeout <= 0:
 		return callerTimeout
 	case callerTimeout <= 0:
@@ -98,6 +98,6 @@
 	return min(routeTimeout, callerTimeout)
 }
 
-// defaultTimeout applies if neither the route nor the caller sets a timeout. It is far
+// DefaultTimeout applies if neither the route nor the caller sets a timeout. It is far
 // longer than callers of interactive services wait.
-const defaultTimeout = time.Minute
+const DefaultTimeout = time.Minute
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -171,7 +171,7 @@
 		return &CallerError{Cause: err}
 	}
 	recordGap(r)
-	r.BeginStream()
+	r.RecordEvents()
 	// The number of tokens in an event is unknown, so each event counts as one.
 	r.Delivered.Tokens += bytes.Count(events, eventDelimiter)
 	if id := lastEventID(events); id != "" {
--- /dev/null
+++ b/internal/filters/resume/resume.go
@@ -0,0 +1,174 @@
+// Package resume binds a stream that its caller resumes to the service and the software version that
+// began it. Put it behind admit, which keeps unknown callers from asking other routers, and before
+// the filters that depend on the service.
+package resume
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/api"
+	"coveferry/internal/filters/choose"
+	"coveferry/internal/filters/match"
+	"coveferry/internal/filters/relay"
+	"coveferry/internal/pipeline"
+	"coveferry/internal/request"
+	"coveferry/internal/route"
+	"coveferry/internal/streamorigin"
+	"coveferry/internal/wire"
+)
+
+// retryAfter is the Retry-After of a refused stream. By then the router that began it may have told
+// others of it.
+const retryAfter = 100 * time.Millisecond
+
+// UnknownError is a resumed stream of which nobody knows the software version that began it. The
+// request was not sent.
+type UnknownError struct{ Stream string }
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "resume: the software version that began the stream of request \"" + e.Stream + "\" isn't known"
+}
+
+// API implements api.Convertible.
+func (e *UnknownError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "unknown_stream",
+		Message: "it isn't known which software version began the stream; begin it anew", Run: wire.RunNot,
+		RetryAfter: retryAfter,
+	}
+}
+
+// MovedError is a resumed stream that began at a service to which its route no longer leads. The
+// request was not sent.
+type MovedError struct{ Service string }
+
+// Error implements error.
+func (e *MovedError) Error() string {
+	return "resume: the route no longer leads to " + e.Service + ", where the stream began"
+}
+
+// API implements api.Convertible.
+func (e *MovedError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "stream_moved",
+		Message: "the service that began the stream no longer serves the route; begin it anew", Run: wire.RunNot,
+		RetryAfter: retryAfter,
+	}
+}
+
+// Streams knows where streams began. *streamorigin.Registry implements it.
+type Streams interface {
+	Begin(now time.Time, id streamorigin.StreamID, o streamorigin.Origin)
+	End(id streamorigin.StreamID)
+	Find(ctx context.Context, q streamorigin.Query) (streamorigin.Finding, bool)
+}
+
+// Filter implements pipeline.Filter.
+type Filter struct {
+	streams   Streams
+	endpoints match.Endpoints
+	resumed   *prometheus.CounterVec
+}
+
+// New returns a filter. Without streams it passes all requests on: endpoints then have no versions.
+// metrics registers its counter of resumed streams; nil for none.
+func New(streams Streams, endpoints match.Endpoints, metrics prometheus.Registerer) *Filter {
+	f := &Filter{streams: streams, endpoints: endpoints, resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "coveferry_streams_resumed_total",
+		Help: "Streams that callers resumed, by whether they went on.",
+	}, []string{"result"})}
+	if metrics != nil {
+		metrics.MustRegister(f.resumed)
+	}
+	return f
+}
+
+// Name implements pipeline.Filter.
+func (*Filter) Name() string { return "resume" }
+
+// Do sets the service and the software version of a resumed stream, and records where a stream
+// begins.
+func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
+	if f.streams == nil || !r.Route.Stream {
+		return next(ctx, r)
+	}
+	stream := streamorigin.IDOf(r.CallerID)
+	if r.ResumedAfter == "" {
+		return f.follow(ctx, r, stream, next)
+	}
+	if r.Resumes != "" {
+		stream = streamorigin.IDOf(r.Resumes)
+	}
+	err := f.bind(ctx, r)
+	if err == nil {
+		err = f.follow(ctx, r, stream, next)
+	}
+	f.resumed.WithLabelValues(resultOf(r, err)).Inc()
+	return err
+}
+
+// follow records where the stream begins, until its caller has it to its end.
+func (f *Filter) follow(ctx context.Context, r *request.Request, stream streamorigin.StreamID, next pipeline.Next) error {
+	r.OnStreamBegun = func() {
+		f.streams.Begin(time.Now(), stream, streamorigin.Origin{Service: r.Service, Version: *r.StreamVersion})
+	}
+	err := next(ctx, r)
+	r.OnStreamBegun = nil
+	if err == nil {
+		f.streams.End(stream)
+	}
+	return err
+}
+
+// bind has the request served only where the stream that it resumes began.
+func (f *Filter) bind(ctx context.Context, r *request.Request) error {
+	query := streamorigin.Query{Service: r.Service, Window: streamorigin.ReturnWindow(cmp.Or(r.Route.Timeout, match.DefaultTimeout))}
+	if r.Resumes != "" {
+		query.ID = streamorigin.IDOf(r.Resumes)
+	}
+	found, known := f.streams.Find(ctx, query)
+	switch {
+	case ctx.Err() != nil:
+		return &relay.CallerError{Cause: ctx.Err()}
+	case !known:
+		return &UnknownError{Stream: r.Resumes}
+	}
+	r.Resumption = request.Resumption{Evidence: string(found.Evidence), Age: found.Age}
+	r.StreamVersion = &found.Origin.Version
+	if found.Origin.Service == r.Service {
+		return nil
+	}
+	if !slices.ContainsFunc(r.Route.Targets, func(t route.Target) bool { return t.Service == found.Origin.Service }) {
+		return &MovedError{Service: found.Origin.Service}
+	}
+	r.Service = found.Origin.Service
+	r.Candidates = f.endpoints(r.Service)
+	return nil
+}
+
+// Values of the result label other than the codes of errors.
+const (
+	resultContinued = "continued"
+	resultFailed    = "failed"
+)
+
+// resultOf returns what became of a resumed stream: continued if the caller got any more of it, or why
+// it was refused.
+func resultOf(r *request.Request, err error) string {
+	var noEndpoint *choose.Error
+	switch {
+	case err == nil || r.Delivered.Tokens > 0:
+		return resultContinued
+	case api.From(err).Run == wire.RunNot || errors.As(err, &noEndpoint):
+		return cmp.Or(api.From(err).Code, resultFailed)
+	}
+	return resultFailed
+}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -266,14 +266,19 @@
 	return readers
 }
 
+// sortByRank sorts routers in place, the highest rank first.
+func sortByRank(routers []seenMember) []seenMember {
+	slices.SortFunc(routers, func(a, b seenMember) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.VM, b.member.VM))
+	})
+	return routers
+}
+
 // rankReaders returns a failure domain's routers with enough capacity by rank: its readers, or the
 // first minimum routers if that is more.
 func rankReaders(routers []seenMember, minimum int) []seenMember {
 	total := len(routers)
-	routers = capableRouters(routers)
-	slices.SortFunc(routers, func(a, b seenMember) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.VM, b.member.VM))
-	})
+	routers = sortByRank(capableRouters(routers))
 	var link float64
 	for _, r := range routers {
 		link = max(link, r.member.LinkMbps)
@@ -369,6 +374,24 @@
 	return slices.Concat(readers[first:], readers[:first])
 }
 
+// byDomain returns this router and those seen recently by failure domain, in the order of rank. Those
+// that routers of other failure domains don't learn of come last.
+func (m *members) byDomain(now time.Time) map[string][]Member {
+	routers := make(map[string][]seenMember)
+	for _, h := range append(m.recent(now), m.self) {
+		routers[h.member.FailureDomain] = append(routers[h.member.FailureDomain], h)
+	}
+	byDomain := make(map[string][]Member, len(routers))
+	for domain, list := range routers {
+		capable := rankReaders(slices.Clone(list), len(list))
+		rest := slices.DeleteFunc(list, func(h seenMember) bool { return slices.Contains(capable, h) })
+		for _, h := range append(capable, sortByRank(rest)...) {
+			byDomain[domain] = append(byDomain[domain], h.member)
+		}
+	}
+	return byDomain
+}
+
 func (m *members) domains(now time.Time) []string {
 	var domains []string
 	for _, h := range m.recent(now) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,6 +10,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,6 +77,7 @@
 	failures failureReports
 	poison   exchange[poison.Message]
 	limits   exchange[balance.LimitSummaries]
+	streams  atomic.Pointer[Streams]
 	uptime   originUptime
 	changes  changeLog
 	configs  configLog
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -15,6 +15,8 @@
 	control.Register(srv, methodHello, s.serveHello)
 	control.Register(srv, methodUpdate, s.serveUpdate)
 	control.Register(srv, methodPage, s.servePage)
+	control.Register(srv, methodTellStreams, s.serveTellStreams)
+	control.Register(srv, methodAskStream, s.serveAskStream)
 }
 
 func (s *Source) serveHello(_ context.Context, _ identity.Peer, req helloRequest) (helloReply, error) {
--- /dev/null
+++ b/internal/peers/streams.go
@@ -0,0 +1,279 @@
+package peers
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coveferry/internal/control"
+	"coveferry/internal/identity"
+	"coveferry/internal/streamorigin"
+)
+
+// JSON-RPC methods between routers on the streams of callers.
+var (
+	methodTellStreams = control.NewMethod[tellStreamsRequest, struct{}]("peers.streams", identity.RoleRouter).WithTimeout(callTimeout)
+	methodAskStream   = control.NewMethod[askStreamRequest, askStreamReply]("peers.stream", identity.RoleRouter).WithTimeout(callTimeout)
+)
+
+// streamGroup lists the streams that began at one version of a service.
+type streamGroup struct {
+	Service string                  `json:"service"`
+	Version string                  `json:"version,omitempty"`
+	IDs     []streamorigin.StreamID `json:"ids"`
+}
+
+type tellStreamsRequest struct {
+	Groups []streamGroup `json:"groups"`
+}
+
+type askStreamRequest struct {
+	ID           streamorigin.StreamID `json:"id,omitempty"`
+	Service      string                `json:"service"`
+	WindowMillis int64                 `json:"window_ms"`
+}
+
+type askStreamReply struct {
+	// Known reports that the service and the version that began the stream are known.
+	Known   bool   `json:"known,omitempty"`
+	Service string `json:"service,omitempty"`
+	Version string `json:"version,omitempty"`
+	// Single reports that all endpoints of the service had the version Only in the window.
+	Single bool   `json:"single,omitempty"`
+	Only   string `json:"only,omitempty"`
+}
+
+// Streams knows where streams began. *streamorigin.Registry implements it.
+type Streams interface {
+	Record(now time.Time, s streamorigin.Stream)
+	Answer(now time.Time, q streamorigin.Query) streamorigin.Answer
+}
+
+// ServeStreams has this router remember for others where streams began.
+func (s *Source) ServeStreams(streams Streams) { s.streams.Store(&streams) }
+
+func (s *Source) serveTellStreams(_ context.Context, _ identity.Peer, req tellStreamsRequest) (struct{}, error) {
+	streams := s.streams.Load()
+	if streams == nil {
+		return struct{}{}, errNoState
+	}
+	now := time.Now()
+	for _, group := range req.Groups {
+		for _, id := range group.IDs {
+			(*streams).Record(now, streamorigin.Stream{ID: id, Origin: streamorigin.Origin{Service: group.Service, Version: group.Version}})
+		}
+	}
+	return struct{}{}, nil
+}
+
+func (s *Source) serveAskStream(_ context.Context, _ identity.Peer, req askStreamRequest) (askStreamReply, error) {
+	streams := s.streams.Load()
+	if streams == nil {
+		return askStreamReply{}, errNoState
+	}
+	a := (*streams).Answer(time.Now(), streamorigin.Query{ID: req.ID, Service: req.Service, Window: time.Duration(req.WindowMillis) * time.Millisecond})
+	return askStreamReply{Known: a.Known, Service: a.Origin.Service, Version: a.Origin.Version, Single: a.Single, Only: a.Only}, nil
+}
+
+// TellStreams implements streamorigin.Peers. Streams whose holder doesn't answer are told to the router
+// that takes its place.
+func (s *Source) TellStreams(ctx context.Context, streams []streamorigin.Stream) {
+	failed, unreachable := s.tellHolders(ctx, streams, nil)
+	if len(failed) > 0 {
+		s.tellHolders(ctx, failed, unreachable)
+	}
+}
+
+// tellHolders tells each stream to its holders, except some routers. It returns the streams that a
+// holder didn't take, and these holders.
+func (s *Source) tellHolders(ctx context.Context, streams []streamorigin.Stream, except []Member) (failed []streamorigin.Stream, unreachable []Member) {
+	all := s.members.byDomain(time.Now())
+	for domain, routers := range all {
+		all[domain] = slices.DeleteFunc(routers, func(m Member) bool { return slices.Contains(except, m) })
+	}
+	byHolder := make(map[Member][]streamorigin.Stream)
+	for _, stream := range streams {
+		for _, holder := range holdersOf(stream.ID, s.cfg.Self, all) {
+			byHolder[holder] = append(byHolder[holder], stream)
+		}
+	}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for holder, held := range byHolder {
+		calls.Go(func() {
+			sent := time.Now()
+			_, err := control.Call(ctx, s.client(holder.Address), methodTellStreams, tellStreamsRequest{Groups: groupByOrigin(held)})
+			if s.recordCall(holder, sent, err) != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = append(failed, held...)
+				unreachable = append(unreachable, holder)
+			}
+		})
+	}
+	calls.Wait()
+	return failed, unreachable
+}
+
+func groupByOrigin(streams []streamorigin.Stream) []streamGroup {
+	var groups []streamGroup
+	for _, stream := range streams {
+		o := stream.Origin
+		i := slices.IndexFunc(groups, func(g streamGroup) bool { return g.Service == o.Service && g.Version == o.Version })
+		if i < 0 {
+			i = len(groups)
+			groups = append(groups, streamGroup{Service: o.Service, Version: o.Version})
+		}
+		groups[i].IDs = append(groups[i].IDs, stream.ID)
+	}
+	return groups
+}
+
+// AskStream implements streamorigin.Peers. It asks the routers of this failure domain first, and then
+// those of all others.
+func (s *Source) AskStream(ctx context.Context, q streamorigin.Query) []streamorigin.Answer {
+	all := s.members.byDomain(time.Now())
+	answers := s.askHolders(ctx, q, ownHoldersOf(q.ID, s.cfg.Self, all))
+	if slices.ContainsFunc(answers, func(a streamorigin.Answer) bool { return a.Known }) {
+		return answers
+	}
+	return append(answers, s.askHolders(ctx, q, otherHoldersOf(q.ID, s.cfg.Self, all))...)
+}
+
+// askHolders asks routers for a stream until one has known it, all have answered, or ctx ends.
+func (s *Source) askHolders(ctx context.Context, q streamorigin.Query, holders []Member) []streamorigin.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan *askStreamReply, len(holders))
+	for _, holder := range holders {
+		go func() { replies <- s.askHolder(ctx, q, holder) }()
+	}
+	var answers []streamorigin.Answer
+	for range holders {
+		select {
+		case <-ctx.Done():
+			return answers
+		case reply := <-replies:
+			if reply == nil {
+				continue
+			}
+			answers = append(answers, streamorigin.Answer{
+				Known: reply.Known, Origin: streamorigin.Origin{Service: reply.Service, Version: reply.Version}, Single: reply.Single, Only: reply.Only,
+			})
+			if reply.Known {
+				return answers
+			}
+		}
+	}
+	return answers
+}
+
+// askHolder returns nil if the router doesn't answer or knows nothing yet.
+func (s *Source) askHolder(ctx context.Context, q streamorigin.Query, holder Member) *askStreamReply {
+	req := askStreamRequest{ID: q.ID, Service: q.Service, WindowMillis: q.Window.Milliseconds()}
+	reply, err := control.Call(ctx, s.client(holder.Address), methodAskStream, req)
+	if err != nil {
+		s.cfg.Log.Debug().Err(err).Str("router", holder.VM).Msg("asking a router for a stream failed")
+		return nil
+	}
+	return &reply
+}
+
+const (
+	// ownHolders is how many routers of each failure domain are told of its streams, one for each
+	// stream, so that a call carries several streams.
+	ownHolders = 8
+	// extraHolders is how many more routers of the own failure domain are asked than told, since
+	// routers may differ on who is there.
+	extraHolders = 1
+	// smallFleetTellInterval is the tell interval of a fleet of up to smallTellFleet routers, and
+	// largeFleetTellInterval that of others, in which several streams share a call.
+	smallTellFleet         = 12
+	smallFleetTellInterval = 50 * time.Millisecond
+	largeFleetTellInterval = 250 * time.Millisecond
+)
+
+// TellInterval implements streamorigin.Peers.
+func (s *Source) TellInterval() time.Duration {
+	if s.members.count(time.Now()) > smallTellFleet {
+		return largeFleetTellInterval
+	}
+	return smallFleetTellInterval
+}
+
+// holdersOf returns the routers that are told of a stream which self began: one of its own failure
+// domain and one of the next, or two of whichever there is. Callers return to routers of their own
+// failure domain as long as there are any.
+func holdersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+	own := slices.DeleteFunc(slices.Clone(ownPool(self, all)), func(m Member) bool { return m.VM == self.VM })
+	others := nextDomains(self, all)
+	fromOwn, fromOthers := 1, 1
+	switch {
+	case len(own) == 0:
+		fromOthers = 2
+	case len(others) == 0:
+		fromOwn = 2
+	}
+	holders := highest(id, own, fromOwn)
+	for _, domain := range others[:min(fromOthers, len(others))] {
+		holders = append(holders, highest(id, reachable(all[domain]), 1)...)
+	}
+	return holders
+}
+
+// ownHoldersOf returns the routers of self's failure domain that may have been told of a stream which
+// another router began.
+func ownHoldersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+	holders := highest(id, ownPool(self, all), 1+extraHolders)
+	holders = append(holders, highest(id, reachable(all[self.FailureDomain]), 1)...)
+	slices.SortFunc(holders, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return slices.DeleteFunc(slices.Compact(holders), func(m Member) bool { return m.VM == self.VM })
+}
+
+// otherHoldersOf returns the routers of other failure domains that may have been told.
+func otherHoldersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+	var holders []Member
+	for _, domain := range nextDomains(self, all) {
+		holders = append(holders, highest(id, reachable(all[domain]), 1)...)
+	}
+	return holders
+}
+
+// nextDomains returns the failure domains other than that of self by name, beginning with the next one.
+func nextDomains(self Member, all map[string][]Member) []string {
+	domains := slices.Sorted(maps.Keys(all))
+	next, found := slices.BinarySearch(domains, self.FailureDomain)
+	if found {
+		domains = slices.Delete(domains, next, next+1)
+	}
+	return slices.Concat(domains[next:], domains[:next])
+}
+
+// ownPool returns the routers of self's failure domain that are told of its streams.
+func ownPool(self Member, all map[string][]Member) []Member {
+	own := all[self.FailureDomain]
+	return own[:min(ownHolders, len(own))]
+}
+
+// reachable returns those routers of a failure domain, by rank, that routers of others know.
+func reachable(domain []Member) []Member { return domain[:min(membersPerRemoteDomain, len(domain))] }
+
+// highest returns the n routers with the highest rendezvous hash of stream and name.
+func highest(id streamorigin.StreamID, routers []Member, n int) []Member {
+	sorted := slices.Clone(routers)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(holderHash(id, b.VM), holderHash(id, a.VM)) })
+	return sorted[:min(n, len(sorted))]
+}
+
+// holderHash is the rendezvous hash of a stream and a router.
+func holderHash(id streamorigin.StreamID, vm string) uint64 {
+	const odd = 0xff51afd7ed558ccd // spreads the hash of the names over all bits
+	h := uint64(id) ^ xxhash.Sum64String(vm)
+	h = (h ^ (h >> 33)) * odd
+	return h ^ (h >> 33)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -50,6 +50,8 @@
 	// StreamVersion is the software version of the endpoint that sent the first event of the
 	// stream; only endpoints of that version can go on with it. nil before the first event.
 	StreamVersion *string
+	// Resumption is set for a resumed stream whose version is known. Set by resume.
+	Resumption Resumption
 	// ResumedAfter is the ID of the last event that the caller had when it sent the request; empty
 	// for none.
 	ResumedAfter string
@@ -148,6 +150,9 @@
 
 	// OnData is called for each part of an endpoint's answer; may be nil. Set by dispatch.
 	OnData func(now time.Time)
+	// OnStreamBegun is called when the caller gets the first event of the answer; may be nil. Set by
+	// resume.
+	OnStreamBegun func()
 	// OnEvent is called for each event of a stream; may be nil. Set by dispatch.
 	OnEvent func(now time.Time)
 
@@ -157,6 +162,13 @@
 	identity poison.Identity // 0 until computed
 }
 
+// Resumption says how it is known which software version began a resumed stream.
+type Resumption struct {
+	Evidence string
+	// Age is how old the evidence is.
+	Age time.Duration
+}
+
 // Step records one attempt and its result.
 type Step struct {
 	Epoch    int
@@ -225,11 +237,14 @@
 	MaxGap     time.Duration
 }
 
-// BeginStream records that the endpoint of the latest attempt has sent an event to the caller.
-func (r *Request) BeginStream() {
+// RecordEvents records that the caller has got events of the latest attempt's endpoint.
+func (r *Request) RecordEvents() {
 	if r.StreamVersion == nil {
 		r.StreamVersion = &r.Endpoint.Version
 	}
+	if r.Delivered.Tokens == 0 && r.OnStreamBegun != nil {
+		r.OnStreamBegun()
+	}
 }
 
 // MayContinue reports whether an endpoint's software can go on with the stream.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -130,6 +130,17 @@
 	Limits    Limits
 }
 
+// LongestStreamTimeout returns the longest timeout of the routes with streams; 0 if none states one.
+func (c *Config) LongestStreamTimeout() time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if c.Routes[i].Stream {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // Table is an immutable route table.
 type Table struct {
 	version           uint64
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -16,6 +16,7 @@
 	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/reside"
+	"coveferry/internal/filters/resume"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -39,6 +40,8 @@
 	// while it exceeds MaxKeyAge; a MaxKeyAge of 0 accepts any age.
 	KeyAge    func() time.Duration
 	MaxKeyAge func() time.Duration
+	// Streams knows where streams began; nil if endpoints have no software versions.
+	Streams resume.Streams
 	// ShouldCloseConnections reports whether callers are better served by other routers, for example
 	// because this one will soon have to refuse their keys. Their connections close after the
 	// next answer. nil means never.
@@ -77,6 +80,7 @@
 	return pipeline.Compose(
 		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // selects the route
 		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // checks the API key
+		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics),          // binds resumed streams to the version that began them
 		regions, // applies residency
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
 		rt.quarantine(), // refuses quarantined requests
@@ -222,6 +226,9 @@
 	if r.ResumedAfter != "" {
 		log.Str("resumed_after", r.ResumedAfter)
 	}
+	if r.Resumption.Evidence != "" {
+		log.Str("begun_at", *r.StreamVersion).Str("known_by", r.Resumption.Evidence).Dur("known_for", r.Resumption.Age)
+	}
 }
 
 // addWithheld logs which candidates got nothing because of what they said of themselves.
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -20,6 +20,7 @@
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/directory"
 	"coveferry/internal/membership"
 	"coveferry/internal/memnet"
 	"coveferry/internal/prompt"
@@ -27,6 +28,7 @@
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
+	"coveferry/internal/streamorigin"
 	"coveferry/internal/upstream"
 )
 
@@ -101,6 +103,7 @@
 	closeConnections bool
 	table            *route.Table
 	endpoints        []*bundle.Endpoint
+	streams          *streamorigin.Registry
 	regions          map[string]string // by endpoint
 	log              bytes.Buffer      // the router's log
 	// handle is called for each request with the endpoint's connection.
@@ -157,6 +160,7 @@
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
 		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
+		w.streams = streamorigin.New(streamorigin.Config{ListAge: func() time.Duration { return 0 }})
 		w.list(w.endpoints...)
 		w.router = router.New(router.Config{
 			Pool: w.pool, Client: client, Observer: w.members,
@@ -168,6 +172,7 @@
 				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  testProtocol{}, Client: client,
 				KeyAge: func() time.Duration { return w.keyAge }, MaxKeyAge: func() time.Duration { return maxKeyAge },
+				Streams:                w.streams,
 				ShouldCloseConnections: func() bool { return w.closeConnections },
 			},
 		})
@@ -195,6 +200,17 @@
 		specs = append(specs, membership.EndpointSpec{Endpoint: e.Name, VM: e.Name, Address: e.Address, Incarnation: e.ProcessID()})
 	}
 	w.members.HandleEvent(membership.BundleApplied{Endpoints: specs})
+	w.updateList()
+}
+
+// updateList has the registry of streams know the versions of the endpoints.
+func (w *routerFixture) updateList() {
+	reading := directory.Reading{Full: true, Revision: 1}
+	for _, e := range w.endpoints {
+		reading.Entries = append(reading.Entries, directory.Entry{Endpoint: *e, Version: e.Version})
+	}
+	list, _ := directory.Empty().Merge(reading, time.Now(), time.Time{})
+	w.streams.UpdateList(time.Now(), list)
 }
 
 // serveEndpoint parses requests itself, so that handle can write invalid answers.
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -5,12 +5,15 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/route"
+	"coveferry/internal/streamorigin"
 )
 
 // setVersions sets the software versions of e1, e2 and so on. It is called before any request.
@@ -22,6 +25,7 @@
 		endpoints = append(endpoints, &e)
 	}
 	w.endpoints = endpoints
+	w.updateList()
 }
 
 // Without this a stream that changes the version can't be told from one that doesn't.
@@ -29,8 +33,9 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v1", "v1")
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeEvents(conn, req, true, "id: 5\ndata: e\n\n") }
+		w.streams.Begin(time.Now(), streamorigin.IDOf("first"), streamorigin.Origin{Service: "s", Version: "v1"})
 		call(g, client, "POST", "/resume/", "x", "Resumes", "first", "Last", "4")
-		g.Expect(lastLine(w)).To(MatchRegexp(`"attempt 1 at e\d \(v1\): complete, .*"resumes":"first","resumed_after":"4"`))
+		g.Expect(lastLine(w)).To(MatchRegexp(`"attempt 1 at e\d \(v1\): complete, .*"resumes":"first","resumed_after":"4","begun_at":"v1","known_by":"own","known_for":0`))
 	})
 }
 
@@ -196,3 +201,48 @@
 		g.Expect(got.status).To(Equal(200))
 	})
 }
+
+// The route's timeout is 10 s: a stream can have begun up to 20 s ago.
+func TestResumedStreamOfAServiceWithOneVersionGoesOnWherever(t *testing.T) {
+	for _, resumes := range []string{"never-seen-%d", ""} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.setVersions("v1", "v1", "v1")
+			tries := 0
+			resume := func() int {
+				tries++
+				stream := strings.Replace(resumes, "%d", strconv.Itoa(tries), 1)
+				return call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", stream, "Last", "2").status
+			}
+			w.handle = breakingAfter(1)
+			g.Expect(resume()).To(Equal(503), "this router may have missed another version")
+			time.Sleep(20100 * time.Millisecond)
+			g.Expect(resume()).To(Equal(200))
+			w.setVersions("v1", "v1", "v2")
+			g.Expect(resume()).To(Equal(503))
+			w.setVersions("v2", "v2", "v2")
+			time.Sleep(19 * time.Second)
+			g.Expect(resume()).To(Equal(503), "it may have begun at v1")
+			time.Sleep(2 * time.Second)
+			g.Expect(resume()).To(Equal(200))
+		})
+	}
+}
+
+func TestResumedStreamStaysAtItsServiceOfAWeightedRoute(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.setVersions("v1", "v2", "v2")
+		w.streams.Begin(time.Now(), streamorigin.IDOf("moved"), streamorigin.Origin{Service: "gone", Version: "v1"})
+		got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", "moved", "Last", "2")
+		g.Expect(got.status).To(Equal(503))
+		g.Expect(w.receivedCount()).To(BeZero())
+		c := testConfig()
+		c.Version++
+		c.Services = append(c.Services, route.Service{Name: "gone"})
+		c.Routes[3].Targets = append(c.Routes[3].Targets, route.Target{Service: "gone", Weight: 0})
+		w.table = mustTable(c)
+		w.handle = breakingAfter(1)
+		got = call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", "moved", "Last", "2")
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(w.versionsOf(0)).To(HaveEach("v1"))
+	})
+}
--- /dev/null
+++ b/internal/streamorigin/registry.go
@@ -0,0 +1,281 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/clock"
+	"coveferry/internal/directory"
+)
+
+// Stream is a stream and where it began.
+type Stream struct {
+	ID     StreamID
+	Origin Origin
+}
+
+// Query asks a router where a stream began.
+type Query struct {
+	// ID is that of the stream; 0 if the caller doesn't name it.
+	ID      StreamID
+	Service string
+	// Window is the time in which the stream can have begun.
+	Window time.Duration
+}
+
+// Answer is a router's answer to a Query.
+type Answer struct {
+	// Origin is where the stream began, if Known.
+	Origin Origin
+	Known  bool
+	// Only is the version of all endpoints that the service had in the window, if Single.
+	Only   string
+	Single bool
+}
+
+// Peers reaches the other routers.
+type Peers interface {
+	// TellStreams tells a few other routers where streams began.
+	TellStreams(ctx context.Context, streams []Stream)
+	// AskStream asks those routers that would have been told. It returns when one has known the
+	// stream, all have answered, or ctx ends.
+	AskStream(ctx context.Context, q Query) []Answer
+	// TellInterval is how long a stream may wait to be told together with others. A caller that
+	// comes back sooner may find that no other router knows its stream.
+	TellInterval() time.Duration
+}
+
+const (
+	// idleInterval is the time between two checks of the list's age without other routers.
+	idleInterval = 250 * time.Millisecond
+	// askTimeout bounds the time for which a resumed stream waits for the answers of other routers,
+	// and inferredAskTimeout that where the version follows from the list.
+	askTimeout         = 150 * time.Millisecond
+	inferredAskTimeout = 30 * time.Millisecond
+	// defaultKeep is how long streams are kept before the first configuration.
+	defaultKeep = time.Minute
+	// returnFactor times the timeout of a route is how long after its beginning a stream may be
+	// resumed: after an attempt that took the whole timeout, and for as long again.
+	returnFactor = 2
+)
+
+// ReturnWindow is the time after the beginning of a stream in which its caller may resume it.
+func ReturnWindow(routeTimeout time.Duration) time.Duration { return returnFactor * routeTimeout }
+
+// Config configures a Registry.
+type Config struct {
+	// Peers reaches the other routers; nil if there are none.
+	Peers Peers
+	// ListAge returns how long ago the list of endpoints was known to be the newest. Above
+	// MaxListAge nothing is inferred from it.
+	ListAge    func() time.Duration
+	MaxListAge time.Duration
+	// Metrics registers the registry's metrics; nil for none.
+	Metrics prometheus.Registerer
+}
+
+// Registry knows where streams began: those of this router, those that other routers have told it,
+// and, from the list of endpoints, those of services that had one version only. It is safe for
+// concurrent use.
+type Registry struct {
+	cfg      Config
+	own      table
+	told     table
+	versions versionLog
+	keep     atomic.Int64 // time.Duration for which streams are kept
+	mu       sync.Mutex
+	untold   []Stream
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	r := &Registry{cfg: cfg}
+	r.keep.Store(int64(defaultKeep))
+	if cfg.Metrics != nil {
+		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "coveferry_stream_origins",
+			Help: "Streams of which this router knows the software version that began them.",
+		}, func() float64 { return float64(r.own.len() + r.told.len()) }))
+	}
+	return r
+}
+
+// KeepFor sets for how long streams are kept: the longest time in which a caller may resume one.
+func (r *Registry) KeepFor(d time.Duration) { r.keep.Store(int64(max(d, defaultKeep))) }
+
+func (r *Registry) keepFor() time.Duration { return time.Duration(r.keep.Load()) }
+
+// UpdateList records a new list of endpoints. Streams of a service that has got a second version are
+// told to other routers, since these can no longer infer the version.
+func (r *Registry) UpdateList(now time.Time, list *directory.Directory) {
+	for _, service := range r.versions.update(now, list, r.keepFor()) {
+		r.tellLater(r.own.list(service)...)
+	}
+}
+
+// Begin records where a stream of this router began, and has other routers told if they can't infer it.
+func (r *Registry) Begin(now time.Time, id StreamID, o Origin) {
+	r.own.put(now, r.keepFor(), id, o)
+	if _, single := r.versions.only(now, o.Service, r.keepFor()); !single {
+		r.tellLater(Stream{ID: id, Origin: o})
+	}
+}
+
+// End forgets a stream that its caller has received to its end.
+func (r *Registry) End(id StreamID) { r.own.remove(id) }
+
+// Record records what another router tells of a stream.
+func (r *Registry) Record(now time.Time, s Stream) { r.told.put(now, r.keepFor(), s.ID, s.Origin) }
+
+func (r *Registry) tellLater(streams ...Stream) {
+	if r.cfg.Peers == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.untold = append(r.untold, streams...)
+}
+
+// Run tells other routers of streams until ctx ends. A router that doesn't answer delays only what is
+// told together.
+func (r *Registry) Run(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for clock.Sleep(ctx, r.tellInterval()) {
+		r.checkListAge(time.Now())
+		if streams := r.takeUntold(); len(streams) > 0 {
+			calls.Go(func() { r.cfg.Peers.TellStreams(ctx, streams) })
+		}
+	}
+}
+
+func (r *Registry) tellInterval() time.Duration {
+	if r.cfg.Peers == nil {
+		return idleInterval
+	}
+	return r.cfg.Peers.TellInterval()
+}
+
+// checkListAge has all streams told when the list is no longer up to date: what the versions were
+// can't be inferred any more.
+func (r *Registry) checkListAge(now time.Time) {
+	if r.cfg.ListAge() <= r.cfg.MaxListAge {
+		r.versions.regained()
+		return
+	}
+	if r.versions.lost(now) {
+		r.tellLater(r.own.list("")...)
+	}
+}
+
+func (r *Registry) takeUntold() []Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	streams := r.untold
+	r.untold = nil
+	return streams
+}
+
+// Answer answers the query of another router from what this one knows itself.
+func (r *Registry) Answer(now time.Time, q Query) Answer {
+	var a Answer
+	a.Origin, _, a.Known = r.lookUp(now, q.ID)
+	a.Only, a.Single = r.infer(now, q)
+	return a
+}
+
+func (r *Registry) lookUp(now time.Time, id StreamID) (o Origin, age time.Duration, known bool) {
+	if o, age, known = r.own.get(now, r.keepFor(), id); known {
+		return o, age, true
+	}
+	return r.told.get(now, r.keepFor(), id)
+}
+
+// infer returns the version of a service that had only one in the window.
+func (r *Registry) infer(now time.Time, q Query) (version string, ok bool) {
+	if r.cfg.ListAge() > r.cfg.MaxListAge {
+		return "", false
+	}
+	return r.versions.only(now, q.Service, q.Window)
+}
+
+// Evidence says how the origin of a stream is known.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// EvidenceOwn: this router has recorded the stream or was told of it.
+	EvidenceOwn Evidence = "own"
+	// EvidencePeer: another router has.
+	EvidencePeer Evidence = "peer"
+	// EvidenceList: by this router's list the service had one version only.
+	EvidenceList Evidence = "list"
+	// EvidencePeerList: by the list of another router it had one only.
+	EvidencePeerList Evidence = "peer_list"
+)
+
+// Finding is the origin of a stream and how it is known.
+type Finding struct {
+	Origin   Origin
+	Evidence Evidence
+	// Age is how long ago this router recorded it, or how old its list is.
+	Age time.Duration
+}
+
+// Find returns where a stream began, and false if that isn't known.
+func (r *Registry) Find(ctx context.Context, q Query) (Finding, bool) {
+	now := time.Now()
+	if o, age, known := r.lookUp(now, q.ID); known {
+		return Finding{Origin: o, Evidence: EvidenceOwn, Age: age}, true
+	}
+	_, inferred := r.infer(now, q)
+	answers := r.ask(ctx, q, inferred)
+	for _, a := range answers {
+		if a.Known {
+			return Finding{Origin: a.Origin, Evidence: EvidencePeer}, true
+		}
+	}
+	// Inferred anew: a list that came meanwhile may have shown another version.
+	now = time.Now()
+	if version, ok := r.infer(now, q); ok {
+		return Finding{Origin: Origin{q.Service, version}, Evidence: EvidenceList, Age: r.cfg.ListAge()}, true
+	}
+	return r.findByPeerLists(now, q, answers)
+}
+
+// ask asks other routers for a stream. Without an ID they can only help by their lists.
+func (r *Registry) ask(ctx context.Context, q Query, inferred bool) []Answer {
+	if r.cfg.Peers == nil || q.ID == 0 && inferred {
+		return nil
+	}
+	timeout := askTimeout
+	if inferred {
+		timeout = inferredAskTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return r.cfg.Peers.AskStream(ctx, q)
+}
+
+// findByPeerLists infers the version from the lists of routers that have known theirs for longer, as
+// long as neither these nor this router's own list differ.
+func (r *Registry) findByPeerLists(now time.Time, q Query, answers []Answer) (Finding, bool) {
+	version, found := "", false
+	for _, a := range answers {
+		switch {
+		case !a.Single:
+		case found && a.Only != version:
+			return Finding{}, false
+		default:
+			version, found = a.Only, true
+		}
+	}
+	if !found || r.versions.hasOther(now, q, version) {
+		return Finding{}, false
+	}
+	return Finding{Origin: Origin{q.Service, version}, Evidence: EvidencePeerList}, true
+}
--- /dev/null
+++ b/internal/streamorigin/versions.go
@@ -0,0 +1,152 @@
+package streamorigin
+
+import (
+	"sync"
+	"time"
+
+	"coveferry/internal/directory"
+)
+
+// maxWindow bounds the time over which the versions of a service are known.
+const maxWindow = time.Hour
+
+// versionLog records which software versions the endpoints of each service had. It is safe for
+// concurrent use.
+type versionLog struct {
+	mu sync.Mutex
+	// knownSince is since when the list has been known without a gap; zero before the first.
+	knownSince time.Time
+	// lastListed is when an endpoint of the version was last listed, by service and version.
+	lastListed map[string]map[string]time.Time
+	// list is the latest list, and outdated says that it isn't up to date.
+	list     *directory.Directory
+	outdated bool
+}
+
+// update records a new list. It returns the services that have got another version beside those of
+// the given period before.
+func (l *versionLog) update(now time.Time, list *directory.Directory, period time.Duration) (mixed []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.knownSince.IsZero() {
+		l.knownSince = now
+	}
+	l.markListed(now)
+	before := l.countVersions(now, period)
+	l.list = list
+	l.markListed(now)
+	for service, n := range l.countVersions(now, period) {
+		if n > max(1, before[service]) {
+			mixed = append(mixed, service)
+		}
+	}
+	l.expire(now)
+	return mixed
+}
+
+// markListed records that the versions of the latest list are listed now. l.mu is held.
+func (l *versionLog) markListed(now time.Time) {
+	if l.list == nil {
+		return
+	}
+	if l.lastListed == nil {
+		l.lastListed = make(map[string]map[string]time.Time)
+	}
+	for _, e := range l.list.Entries() {
+		for _, service := range e.Endpoint.Services {
+			if l.lastListed[service] == nil {
+				l.lastListed[service] = make(map[string]time.Time)
+			}
+			l.lastListed[service][e.Endpoint.Version] = now
+		}
+	}
+}
+
+// countVersions counts each service's versions of the latest period. l.mu is held.
+func (l *versionLog) countVersions(now time.Time, period time.Duration) map[string]int {
+	counts := make(map[string]int, len(l.lastListed))
+	for service, versions := range l.lastListed {
+		for _, at := range versions {
+			if now.Sub(at) <= period {
+				counts[service]++
+			}
+		}
+	}
+	return counts
+}
+
+func (l *versionLog) expire(now time.Time) {
+	for service, versions := range l.lastListed {
+		for version, at := range versions {
+			if now.Sub(at) > maxWindow {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(l.lastListed, service)
+		}
+	}
+}
+
+// lost records that the list isn't up to date now: versions may come and go unseen. It reports
+// whether it was before.
+func (l *versionLog) lost(now time.Time) (first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first = !l.outdated
+	l.outdated = true
+	if !l.knownSince.IsZero() {
+		l.knownSince = now
+	}
+	return first
+}
+
+// regained records that the list is up to date now.
+func (l *versionLog) regained() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outdated = false
+}
+
+// only returns the version of a service if all its endpoints have had that one for the whole window
+// until now.
+func (l *versionLog) only(now time.Time, service string, window time.Duration) (version string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > maxWindow {
+		return "", false
+	}
+	listed := make(map[string]bool)
+	for _, e := range l.list.ByService(service) {
+		listed[e.Version] = true
+	}
+	for v, at := range l.lastListed[service] {
+		if now.Sub(at) <= window {
+			listed[v] = true
+		}
+	}
+	for v := range listed {
+		version = v
+	}
+	return version, len(listed) == 1
+}
+
+// hasOther reports whether the service is known to have had another version in the window.
+func (l *versionLog) hasOther(now time.Time, q Query, version string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.list == nil {
+		return false
+	}
+	for _, e := range l.list.ByService(q.Service) {
+		if e.Version != version {
+			return true
+		}
+	}
+	for v, at := range l.lastListed[q.Service] {
+		if v != version && now.Sub(at) <= q.Window {
+			return true
+		}
+	}
+	return false
+}
