Refuse a resumed stream as late only if it would wait beyond its deadline

Cause: a stream that may go on at few endpoints only was refused once these were expected to answer later than the service's longest objective, while new streams began at the other versions; and where the first request of a router was a resumed stream its share of all requests was unknown, so that it expected to wait for minutes. Change: the limit of a bound stream is its deadline; the share is estimated for each request, and only the isolation decision is left to requests that may go anywhere. Streams are told to others after 50 to 250 ms, by how many there are, instead of by the size of the fleet.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -263,6 +263,27 @@
 func (d *demand) decideIsolation(now time.Time, service string, f serviceEndpoints) isolation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	all := d.totalDemand(now)
+	if d.isolations == nil || len(d.isolations) > maxKinds {
+		d.isolations = make(map[string]isolation)
+	}
+	next := d.isolations[service].next(all.forService(service), f)
+	d.isolations[service] = next
+	return next
+}
+
+// updateShare estimates this router's share of all requests anew, and returns the last isolation
+// decision for a service.
+func (d *demand) updateShare(now time.Time, service string) isolation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.totalDemand(now)
+	return d.isolations[service]
+}
+
+// totalDemand returns the demand at all routers, and estimates this router's share of the requests.
+// d.mu is held.
+func (d *demand) totalDemand(now time.Time) Demand {
 	d.decay(now)
 	own := d.extrapolated()
 	all, routers := own, 1
@@ -272,12 +293,7 @@
 		routers += peers.Routers
 	}
 	d.ownShare = estimateShare(own.requests(), all.requests(), routers)
-	if d.isolations == nil || len(d.isolations) > maxKinds {
-		d.isolations = make(map[string]isolation)
-	}
-	next := d.isolations[service].next(all.forService(service), f)
-	d.isolations[service] = next
-	return next
+	return all
 }
 
 const (
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -62,7 +62,7 @@
 // are only some of the service's endpoints.
 func (p PromptAware) isolationFor(now time.Time, req Request, views []View, regular []int) isolation {
 	if req.Subset {
-		return p.demand.lastIsolation(req.Service)
+		return p.demand.updateShare(now, req.Service)
 	}
 	return p.demand.decideIsolation(now, req.Service, summarizeEndpoints(req, views, regular))
 }
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -40,13 +40,18 @@
 //
 // All routes of a service share one limit, derived from its longest objective. Otherwise
 // requests with a short objective would be refused while less urgent ones with a long
-// objective are admitted. A request that was already sent to an endpoint is not refused.
+// objective are admitted. A request that was already sent to an endpoint is not refused, and a
+// resumed stream only if it would wait beyond its deadline: it can't go on at endpoints of other
+// versions, which have room for new streams.
 func (f *Filter) checkWait(r *request.Request, wait time.Duration) error {
 	if f.refuseLateFactor <= 0 || r.Route == nil || len(r.Tried) > 0 {
 		return nil
 	}
 	objective := r.Table.LongestObjective(r.Service)
 	limit := time.Duration(f.refuseLateFactor * float64(objective))
+	if r.StreamVersion != nil {
+		limit = max(limit, time.Until(r.Deadline))
+	}
 	if limit <= 0 || wait <= limit {
 		return nil
 	}
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -191,19 +191,20 @@
 	// extraHolders is how many more routers of the own failure domain are asked than told, since
 	// routers may differ on who is there.
 	extraHolders = 1
-	// smallFleetTellInterval is the tell interval of a fleet of up to smallTellFleet routers, and
-	// largeFleetTellInterval that of others, in which several streams share a call.
-	smallTellFleet         = 12
-	smallFleetTellInterval = 50 * time.Millisecond
-	largeFleetTellInterval = 250 * time.Millisecond
+	// holdersPerStream is how many routers are told of a stream.
+	holdersPerStream = 2
+	// tellCallSpacing bounds the calls by which a router tells others of streams to 40 a second.
+	// The more streams begin, the longer they wait for each other and share calls, from
+	// minTellInterval to maxTellInterval.
+	tellCallSpacing = 25 * time.Millisecond
+	minTellInterval = 50 * time.Millisecond
+	maxTellInterval = 250 * time.Millisecond
 )
 
 // TellInterval implements streamorigin.Peers.
-func (s *Source) TellInterval() time.Duration {
-	if s.members.count(time.Now()) > smallTellFleet {
-		return largeFleetTellInterval
-	}
-	return smallFleetTellInterval
+func (s *Source) TellInterval(streams int) time.Duration {
+	calls := min(holdersPerStream*streams, s.members.count(time.Now()), ownHolders+membersPerRemoteDomain)
+	return min(max(time.Duration(calls)*tellCallSpacing, minTellInterval), maxTellInterval)
 }
 
 // holdersOf returns the routers that are told of a stream which self began: one of its own failure
@@ -215,9 +216,9 @@
 	fromOwn, fromOthers := 1, 1
 	switch {
 	case len(own) == 0:
-		fromOthers = 2
+		fromOthers = holdersPerStream
 	case len(others) == 0:
-		fromOwn = 2
+		fromOwn = holdersPerStream
 	}
 	holders := highest(id, own, fromOwn)
 	for _, domain := range others[:min(fromOthers, len(others))] {
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -44,9 +44,9 @@
 	// AskStream asks those routers that would have been told. It returns when one has known the
 	// stream, all have answered, or ctx ends.
 	AskStream(ctx context.Context, q Query) []Answer
-	// TellInterval is how long a stream may wait to be told together with others. A caller that
-	// comes back sooner may find that no other router knows its stream.
-	TellInterval() time.Duration
+	// TellInterval is how long to wait after so many streams were told until the next ones are. A
+	// caller that comes back sooner may find that no other router knows its stream.
+	TellInterval(streams int) time.Duration
 }
 
 const (
@@ -145,19 +145,22 @@
 func (r *Registry) Run(ctx context.Context) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	for clock.Sleep(ctx, r.tellInterval()) {
+	told := 0
+	for clock.Sleep(ctx, r.tellInterval(told)) {
 		r.checkListAge(time.Now())
-		if streams := r.takeUntold(); len(streams) > 0 {
+		streams := r.takeUntold()
+		told = len(streams)
+		if told > 0 {
 			calls.Go(func() { r.cfg.Peers.TellStreams(ctx, streams) })
 		}
 	}
 }
 
-func (r *Registry) tellInterval() time.Duration {
+func (r *Registry) tellInterval(told int) time.Duration {
 	if r.cfg.Peers == nil {
 		return idleInterval
 	}
-	return r.cfg.Peers.TellInterval()
+	return r.cfg.Peers.TellInterval(told)
 }
 
 // checkListAge has all streams told when the list is no longer up to date: what the versions were
