--- a/internal/cli/soakcmd/soakcmd.go
+++ b/internal/cli/soakcmd/soakcmd.go
@@ -143,6 +143,10 @@
 	}
 	_, err := fmt.Fprintf(w, "seed %d: %d faults, %d requests, %d served, %d processes, %d broken promises\n",
 		r.Seed, len(r.Faults), r.Requests, r.Served, r.Processes, len(r.Violations))
+	if err == nil && r.Streams.Resumed > 0 {
+		_, err = fmt.Fprintf(w, "  streams: %d of %d resumed ones went on, %d of %d new ones began\n",
+			r.Streams.Continued, r.Streams.Resumed, r.Streams.Begun, r.Streams.New)
+	}
 	for _, v := range r.Violations {
 		_, writeErr := fmt.Fprintf(w, "  %s: %s: %s\n", v.Promise, v.Request, v.What)
 		err = errors.CombineErrors(err, writeErr)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,6 +40,10 @@
 		time.Sleep(time.Duration(c.rnd.ExpFloat64() * float64(meanRequestGap)))
 		route, added := c.soak.pickRoute(c.rnd)
 		key, team := c.soak.keys.pick(c.rnd)
+		if route.Stream && route.Repeatable && HasVersions(c.soak.opts.Seed) {
+			c.resume(route, fmt.Sprintf("c%d-%d", c.number, n), key, team)
+			continue
+		}
 		call := c.call(route, fmt.Sprintf("c%d-%d", c.number, n), key, team)
 		call.Added = added
 		c.soak.record(call)
@@ -48,25 +52,34 @@
 
 // call sends one request and reads its answer.
 func (c *caller) call(route Route, id, key, team string) Call {
+	return c.callAt(c.router, route, id, key, team, &resumption{})
+}
+
+// callAt is call at a router, for the rest of the stream of which the caller holds a part. It adds
+// what it receives to that.
+func (c *caller) callAt(router int, route Route, id, key, team string, held *resumption) Call {
 	call := Call{
-		ID: id, Key: key, Team: team, Service: route.Service, Router: c.router,
+		ID: id, Key: key, Team: team, Service: route.Service, Router: router, Resumes: held.First,
 		Repeatable: route.Repeatable, Stream: route.Stream, Crashing: route.Crashing,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	if route.Stream && !route.Crashing && c.rnd.Float64() < leaveChance {
+	if route.Stream && !route.Crashing && c.rnd.Float64() < c.leaveChanceOf(route) {
 		call.CallerLeft = true
 		time.AfterFunc(randomDuration(c.rnd, maxLeaveDelay), cancel)
 	}
-	req, err := c.soak.wire.Request(ctx, c.soak.routers[c.router].router.CallerAddr, route, id, key, callerTimeout)
+	req, err := c.soak.wire.Request(ctx, c.soak.routers[router].router.CallerAddr, route, id, key, callerTimeout)
 	if err != nil {
 		panic(err) // the soak built a malformed request
 	}
+	if held.First != "" {
+		c.soak.wire.Resume(req, held.First, held.Last)
+	}
 	call.Sent = time.Now()
 	resp, err := c.client.Do(req)
 	if err == nil {
 		call.Status = resp.StatusCode
-		call.Complete, call.ContentError = c.read(resp, route, id)
+		call.Complete, call.ContentError = c.read(resp, route, id, held, &call.Sources)
 		resp.Body.Close()
 	}
 	call.End = time.Now()
@@ -75,7 +88,7 @@
 
 // read reads an answer. It reports whether the answer was complete, and what is wrong
 // with its content, if anything, also in the received part of an incomplete answer.
-func (c *caller) read(resp *http.Response, route Route, id string) (complete bool, contentError string) {
+func (c *caller) read(resp *http.Response, route Route, id string, held *resumption, sources *[]string) (complete bool, contentError string) {
 	if resp.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, resp.Body)
 		return err == nil, ""
@@ -90,31 +103,43 @@
 		}
 		return err == nil, contentError
 	}
-	return readStream(resp.Body, id)
+	return readStream(resp.Body, id, held, sources)
 }
 
-// readStream reads a stream of events, which must be numbered from 1.
-func readStream(body io.Reader, id string) (complete bool, contentError string) {
+// readStream reads a stream of events, which must be numbered from the one after the last that the
+// caller holds. It records the endpoints that they come from.
+func readStream(body io.Reader, id string, held *resumption, sources *[]string) (complete bool, contentError string) {
 	lines := bufio.NewScanner(body)
-	last := 0
 	for lines.Scan() {
 		line := lines.Text()
 		if number, ok := strings.CutPrefix(line, "id: "); ok {
 			n, err := strconv.Atoi(number)
-			if err != nil || n != last+1 {
-				return false, fmt.Sprintf("event %q follows event %d", number, last)
+			if err != nil || n != held.Last+1 {
+				return false, fmt.Sprintf("event %q follows event %d", number, held.Last)
 			}
-			last = n
+			held.Last = n
 		}
-		if text, ok := strings.CutPrefix(line, "data: "); ok && !strings.HasSuffix(text, " of "+id) {
-			return false, fmt.Sprintf("event %d is %q", last, text)
+		if text, ok := strings.CutPrefix(line, "data: "); ok {
+			from, found := strings.CutSuffix(text, " of "+id)
+			if !found {
+				return false, fmt.Sprintf("event %d is %q", held.Last, text)
+			}
+			*sources = appendSource(*sources, strings.TrimPrefix(from, "piece by "))
 		}
 	}
 	if lines.Err() != nil {
 		return false, ""
 	}
-	if last != streamEvents {
-		return true, fmt.Sprintf("the stream ended without an error after event %d of %d", last, streamEvents)
+	if held.Last != streamEvents {
+		return true, fmt.Sprintf("the stream ended without an error after event %d of %d", held.Last, streamEvents)
 	}
 	return true, ""
 }
+
+// appendSource appends an endpoint if the last event came from another one.
+func appendSource(sources []string, endpoint string) []string {
+	if n := len(sources); n > 0 && sources[n-1] == endpoint {
+		return sources
+	}
+	return append(sources, endpoint)
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,7 @@
 	PromiseEvacuate     Promise = "an evacuated failure domain gets no new work after the bound"
 	PromiseLimit        Promise = "an endpoint that names a limit gets no more than that from all routers"
 	PromiseBackoff      Promise = "an endpoint that asks a router to back off gets nothing from it meanwhile"
+	PromiseVersion      Promise = "a stream goes on only at the software version that began it"
 	PromiseCold         Promise = "a cold endpoint gets no more than it takes from all routers"
 )
 
@@ -73,6 +74,10 @@
 type Call struct {
 	ID, Key, Team, Service string
 	Router                 int
+	// Resumes is the first request of the stream that this one resumes; empty for a new one.
+	// Sources are the endpoints that its events came from.
+	Resumes string
+	Sources []string
 	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
 	Stream     bool
@@ -120,7 +125,9 @@
 	EndpointFaults map[string][]Span
 	// Domains has the failure domain of each endpoint, Evacuated the times at which each
 	// domain was evacuated, and Cold those at which each endpoint was cold.
-	Domains   map[string]string
+	Domains map[string]string
+	// Versions has the software version of each endpoint.
+	Versions  map[string]string
 	Evacuated map[string][]Span
 	Cold      map[string][]Span
 	// RateLimited has the times at which each endpoint stated a rate limit.
@@ -179,6 +186,7 @@
 	c.limits()
 	c.backoffs()
 	c.leavingAnswers()
+	c.versions()
 	c.recovery()
 	for _, exit := range observed.Exits {
 		c.add(PromiseNoExit, "", "%s", exit)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -105,6 +105,15 @@
 			s.Calls = append(s.Calls, Call{ID: "c", Key: "k", Team: "t", Service: "s", Sent: at(14), End: at(15), Status: 200, Complete: true})
 			s.Executions = append(s.Executions, Execution{ID: "c", Endpoint: "e1", Service: "s", Team: "t", Begin: at(14.1), End: at(14.9)})
 		}},
+		{PromiseVersion, func(s *Observations) {
+			s.Versions = map[string]string{"e1": "v1", "e2": "v2"}
+			s.Calls[1].Sources = []string{"e1", "e2"}
+		}},
+		{PromiseVersion, func(s *Observations) { // over two requests of its caller
+			s.Versions = map[string]string{"e1": "v1", "e2": "v2"}
+			s.Calls[0].Sources = []string{"e1"}
+			s.Calls[1].Resumes, s.Calls[1].Sources = s.Calls[0].ID, []string{"e2"}
+		}},
 		{PromiseNoExit, func(s *Observations) { s.Exits = []string{"router-0 ended by itself"} }},
 		{PromiseRetries, func(s *Observations) {
 			for range 60 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,13 +34,15 @@
 
 // Result is the result of a run.
 type Result struct {
-	Seed       uint64      `json:"seed"`
-	Faults     []Fault     `json:"faults"`
-	Requests   int         `json:"requests"`
-	Served     int         `json:"served"`
-	Runs       int         `json:"runs"`
-	Processes  int         `json:"processes"`
-	Violations []Violation `json:"violations"`
+	Seed      uint64  `json:"seed"`
+	Faults    []Fault `json:"faults"`
+	Requests  int     `json:"requests"`
+	Served    int     `json:"served"`
+	Runs      int     `json:"runs"`
+	Processes int     `json:"processes"`
+	// Streams tells how many of the streams that callers resumed went on.
+	Streams    ResumedStreams `json:"streams"`
+	Violations []Violation    `json:"violations"`
 }
 
 // Timeouts and sizes of a soak. The times are short, so that faults outlast them.
@@ -163,7 +165,8 @@
 		runIndex: make(map[string]int), log: log,
 		evacuating: map[string]bool{},
 		observed: Observations{
-			Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
+			Versions: map[string]string{},
+			Revoked:  map[string]time.Time{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
 			Down: map[int][]Span{}, Stops: map[int][]Span{}, EndpointFaults: map[string][]Span{},
 			Domains: map[string]string{}, Evacuated: map[string][]Span{}, Cold: map[string][]Span{}, RateLimited: map[string][]LimitSpan{},
 			LoggedAttempts: map[string]int{},
@@ -300,6 +303,7 @@
 			res.Served++
 		}
 	}
+	res.Streams = countResumed(r.observed.Calls)
 	res.Violations = Check(r.observed, BoundsOf(r.opts.Seed))
 	return res
 }
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -166,8 +166,10 @@
 	r.mu.Lock()
 	r.started++
 	name := fmt.Sprintf("i-%s-%03d", service, r.started)
+	version := r.versionOf(r.started)
+	r.observed.Versions[name] = version
 	r.mu.Unlock()
-	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address()}}
+	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version}}
 	if err := r.runEndpoint(ctx, e); err != nil {
 		return err
 	}
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -50,7 +50,9 @@
 // Endpoint is an endpoint's entry in the list.
 type Endpoint struct {
 	Name, Service, FailureDomain, Address string
-	Draining                              bool
+	// Version is that of its software.
+	Version  string
+	Draining bool
 	// Cold is the time for which it is cold after its start.
 	Cold time.Duration
 	// StartedAt is the start time of its process.
@@ -98,6 +100,8 @@
 	Settings(Router) string
 	// Request returns a request for a route, to the router at address.
 	Request(ctx context.Context, address string, route Route, id, key string, timeout time.Duration) (*http.Request, error)
+	// Resume makes a request one for the rest of a stream, after the event with the given number.
+	Resume(req *http.Request, first string, last int)
 	// Signed reports whether an answer has the header by which endpoints mark theirs.
 	Signed(*http.Response) bool
 	// EndpointArgs returns the arguments with which the operators' tool runs a stub
