--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -29,7 +29,7 @@
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 	"coveferry/internal/telemetry"
 	"coveferry/internal/upstream"
 )
@@ -138,7 +138,7 @@
 	control  *control.Server
 	share    endpointrate.Share // this router's share of endpoints' rate limits
 	retries  *retry.Budget
-	streams  *streamorigin.Registry
+	streams  *streamversion.Registry
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
@@ -253,7 +253,7 @@
 // applyConfig is called with each configuration put in force.
 func (d *directRouter) applyConfig(c *route.Config) {
 	d.logUnservable(c)
-	d.streams.KeepFor(streamorigin.ReturnWindow(c.LongestStreamTimeout()))
+	d.streams.KeepFor(streamversion.ReturnWindow(c.LongestStreamTimeout()))
 }
 
 // logUnservable warns of routes and teams whose allowed regions include no existing region:
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -13,7 +13,7 @@
 	"coveferry/internal/endpointrate"
 	"coveferry/internal/follow"
 	"coveferry/internal/peers"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 )
 
 const (
@@ -67,8 +67,8 @@
 
 // newStreams returns the registry of where streams began, shared with the other routers if there are
 // any.
-func (d *directRouter) newStreams() *streamorigin.Registry {
-	cfg := streamorigin.Config{
+func (d *directRouter) newStreams() *streamversion.Registry {
+	cfg := streamversion.Config{
 		ListAge:    func() time.Duration { return d.follower.Age() },
 		MaxListAge: maxPeerAge(d.cfg.Bounds),
 		Metrics:    d.reg,
@@ -76,7 +76,7 @@
 	if d.peers != nil {
 		cfg.Peers = d.peers
 	}
-	return streamorigin.New(cfg)
+	return streamversion.New(cfg)
 }
 
 // addPeers adds the actors that share the source's data with other routers.
--- a/internal/filters/resume/resume.go
+++ b/internal/filters/resume/resume.go
@@ -20,7 +20,7 @@
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/route"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 	"coveferry/internal/wire"
 )
 
@@ -64,11 +64,11 @@
 	}
 }
 
-// Streams knows where streams began. *streamorigin.Registry implements it.
+// Streams knows where streams began. *streamversion.Registry implements it.
 type Streams interface {
-	Begin(now time.Time, id streamorigin.StreamID, o streamorigin.Origin)
-	End(id streamorigin.StreamID)
-	Find(ctx context.Context, q streamorigin.Query) (streamorigin.Finding, bool)
+	Begin(now time.Time, id streamversion.StreamID, o streamversion.ServiceVersion)
+	End(id streamversion.StreamID)
+	Find(ctx context.Context, q streamversion.Query) (streamversion.Finding, bool)
 }
 
 // Filter implements pipeline.Filter.
@@ -100,12 +100,12 @@
 	if f.streams == nil || !r.Route.Stream {
 		return next(ctx, r)
 	}
-	stream := streamorigin.IDOf(r.CallerID)
+	stream := streamversion.IDOf(r.CallerID)
 	if r.ResumedAfter == "" {
 		return f.follow(ctx, r, stream, next)
 	}
 	if r.Resumes != "" {
-		stream = streamorigin.IDOf(r.Resumes)
+		stream = streamversion.IDOf(r.Resumes)
 	}
 	err := f.bind(ctx, r)
 	if err == nil {
@@ -116,9 +116,9 @@
 }
 
 // follow records where the stream begins, until its caller has it to its end.
-func (f *Filter) follow(ctx context.Context, r *request.Request, stream streamorigin.StreamID, next pipeline.Next) error {
+func (f *Filter) follow(ctx context.Context, r *request.Request, stream streamversion.StreamID, next pipeline.Next) error {
 	r.OnStreamBegun = func() {
-		f.streams.Begin(time.Now(), stream, streamorigin.Origin{Service: r.Service, Version: *r.StreamVersion})
+		f.streams.Begin(time.Now(), stream, streamversion.ServiceVersion{Service: r.Service, Version: *r.StreamVersion})
 	}
 	err := next(ctx, r)
 	r.OnStreamBegun = nil
@@ -130,9 +130,9 @@
 
 // bind has the request served only where the stream that it resumes began.
 func (f *Filter) bind(ctx context.Context, r *request.Request) error {
-	query := streamorigin.Query{Service: r.Service, Window: streamorigin.ReturnWindow(cmp.Or(r.Route.Timeout, match.DefaultTimeout))}
+	query := streamversion.Query{Service: r.Service, Window: streamversion.ReturnWindow(cmp.Or(r.Route.Timeout, match.DefaultTimeout))}
 	if r.Resumes != "" {
-		query.ID = streamorigin.IDOf(r.Resumes)
+		query.ID = streamversion.IDOf(r.Resumes)
 	}
 	found, known := f.streams.Find(ctx, query)
 	switch {
@@ -142,14 +142,14 @@
 		return &UnknownError{Stream: r.Resumes}
 	}
 	r.Resumption = request.Resumption{Evidence: string(found.Evidence), Age: found.Age}
-	r.StreamVersion = &found.Origin.Version
-	if found.Origin.Service == r.Service {
+	r.StreamVersion = &found.ServiceVersion.Version
+	if found.ServiceVersion.Service == r.Service {
 		return nil
 	}
-	if !slices.ContainsFunc(r.Route.Targets, func(t route.Target) bool { return t.Service == found.Origin.Service }) {
-		return &MovedError{Service: found.Origin.Service}
+	if !slices.ContainsFunc(r.Route.Targets, func(t route.Target) bool { return t.Service == found.ServiceVersion.Service }) {
+		return &MovedError{Service: found.ServiceVersion.Service}
 	}
-	r.Service = found.Origin.Service
+	r.Service = found.ServiceVersion.Service
 	r.Candidates = f.endpoints(r.Service)
 	return nil
 }
--- a/internal/peers/resume_sim_test.go
+++ b/internal/peers/resume_sim_test.go
@@ -12,7 +12,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 )
 
 // resumeWindow is the time in which a stream of the play can have begun.
@@ -30,10 +30,10 @@
 }
 
 // startRegistries gives each router a registry of streams.
-func startRegistries(ctx context.Context, f *fleet) []*streamorigin.Registry {
-	registries := make([]*streamorigin.Registry, len(f.nodes))
+func startRegistries(ctx context.Context, f *fleet) []*streamversion.Registry {
+	registries := make([]*streamversion.Registry, len(f.nodes))
 	for i, n := range f.nodes {
-		registries[i] = streamorigin.New(streamorigin.Config{Peers: n.source, ListAge: n.follower.Age, MaxListAge: maxAge})
+		registries[i] = streamversion.New(streamversion.Config{Peers: n.source, ListAge: n.follower.Age, MaxListAge: maxAge})
 		n.source.ServeStreams(registries[i])
 		go registries[i].Run(ctx)
 	}
@@ -45,7 +45,7 @@
 
 // playResumes begins streams of two versions at all routers in turn. Their callers come back to another
 // router after 5 ms to 2 s. The router killed, if not negative, stops in the middle.
-func playResumes(f *fleet, registries []*streamorigin.Registry, streams, killed int) (all resumedOf) {
+func playResumes(f *fleet, registries []*streamversion.Registry, streams, killed int) (all resumedOf) {
 	rnd := rand.New(rand.NewPCG(uint64(len(f.nodes)), 7))
 	results := make(chan resumedOf, streams)
 	for i := range streams {
@@ -58,16 +58,16 @@
 			continue
 		}
 		version := fmt.Sprint("v", 1+rnd.IntN(2))
-		id := streamorigin.IDOf(fmt.Sprint("stream", i))
-		registries[at].Begin(time.Now(), id, streamorigin.Origin{Service: "s", Version: version})
+		id := streamversion.IDOf(fmt.Sprint("stream", i))
+		registries[at].Begin(time.Now(), id, streamversion.ServiceVersion{Service: "s", Version: version})
 		delay := 5*time.Millisecond + time.Duration(rnd.Int64N(int64(2*time.Second)))
 		go func() {
 			time.Sleep(delay)
-			found, known := registries[back].Find(context.Background(), streamorigin.Query{ID: id, Service: "s", Window: resumeWindow})
+			found, known := registries[back].Find(context.Background(), streamversion.Query{ID: id, Service: "s", Window: resumeWindow})
 			switch {
 			case !known:
 				results <- resumedOf{unknown: 1}
-			case found.Origin.Version != version:
+			case found.ServiceVersion.Version != version:
 				results <- resumedOf{wrong: 1}
 			default:
 				results <- resumedOf{known: 1}
@@ -122,7 +122,7 @@
 		time.Sleep(2 * time.Minute)
 		const streams = 60
 		for i := range streams {
-			registries[i%len(registries)].Begin(time.Now(), streamorigin.IDOf(fmt.Sprint(i)), streamorigin.Origin{Service: "s", Version: "v1"})
+			registries[i%len(registries)].Begin(time.Now(), streamversion.IDOf(fmt.Sprint(i)), streamversion.ServiceVersion{Service: "s", Version: "v1"})
 		}
 		for _, r := range registries {
 			r.UpdateList(time.Now(), versionList("v1", "v1", "v2"))
@@ -130,9 +130,9 @@
 		time.Sleep(200 * time.Millisecond)
 		synctest.Wait()
 		for i := range streams {
-			found, known := registries[(i+1)%len(registries)].Find(ctx, streamorigin.Query{ID: streamorigin.IDOf(fmt.Sprint(i)), Service: "s", Window: resumeWindow})
+			found, known := registries[(i+1)%len(registries)].Find(ctx, streamversion.Query{ID: streamversion.IDOf(fmt.Sprint(i)), Service: "s", Window: resumeWindow})
 			g.Expect(known).To(BeTrue())
-			g.Expect(found.Origin.Version).To(Equal("v1"))
+			g.Expect(found.ServiceVersion.Version).To(Equal("v1"))
 		}
 	})
 }
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -12,7 +12,7 @@
 
 	"coveferry/internal/control"
 	"coveferry/internal/identity"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 )
 
 // JSON-RPC methods between routers on the streams of callers.
@@ -23,9 +23,9 @@
 
 // streamGroup lists the streams that began at one version of a service.
 type streamGroup struct {
-	Service string                  `json:"service"`
-	Version string                  `json:"version,omitempty"`
-	IDs     []streamorigin.StreamID `json:"ids"`
+	Service string                   `json:"service"`
+	Version string                   `json:"version,omitempty"`
+	IDs     []streamversion.StreamID `json:"ids"`
 }
 
 type tellStreamsRequest struct {
@@ -33,9 +33,9 @@
 }
 
 type askStreamRequest struct {
-	ID           streamorigin.StreamID `json:"id,omitempty"`
-	Service      string                `json:"service"`
-	WindowMillis int64                 `json:"window_ms"`
+	ID           streamversion.StreamID `json:"id,omitempty"`
+	Service      string                 `json:"service"`
+	WindowMillis int64                  `json:"window_ms"`
 }
 
 type askStreamReply struct {
@@ -48,10 +48,10 @@
 	Only   string `json:"only,omitempty"`
 }
 
-// Streams knows where streams began. *streamorigin.Registry implements it.
+// Streams knows where streams began. *streamversion.Registry implements it.
 type Streams interface {
-	Record(now time.Time, s streamorigin.Stream)
-	Answer(now time.Time, q streamorigin.Query) streamorigin.Answer
+	Record(now time.Time, s streamversion.Stream)
+	Answer(now time.Time, q streamversion.Query) streamversion.Answer
 }
 
 // ServeStreams has this router remember for others where streams began.
@@ -65,7 +65,7 @@
 	now := time.Now()
 	for _, group := range req.Groups {
 		for _, id := range group.IDs {
-			(*streams).Record(now, streamorigin.Stream{ID: id, Origin: streamorigin.Origin{Service: group.Service, Version: group.Version}})
+			(*streams).Record(now, streamversion.Stream{ID: id, ServiceVersion: streamversion.ServiceVersion{Service: group.Service, Version: group.Version}})
 		}
 	}
 	return struct{}{}, nil
@@ -76,13 +76,13 @@
 	if streams == nil {
 		return askStreamReply{}, errNoState
 	}
-	a := (*streams).Answer(time.Now(), streamorigin.Query{ID: req.ID, Service: req.Service, Window: time.Duration(req.WindowMillis) * time.Millisecond})
-	return askStreamReply{Known: a.Known, Service: a.Origin.Service, Version: a.Origin.Version, Single: a.Single, Only: a.Only}, nil
+	a := (*streams).Answer(time.Now(), streamversion.Query{ID: req.ID, Service: req.Service, Window: time.Duration(req.WindowMillis) * time.Millisecond})
+	return askStreamReply{Known: a.Known, Service: a.ServiceVersion.Service, Version: a.ServiceVersion.Version, Single: a.Single, Only: a.Only}, nil
 }
 
-// TellStreams implements streamorigin.Peers. Streams whose holder doesn't answer are told to the router
+// TellStreams implements streamversion.Peers. Streams whose holder doesn't answer are told to the router
 // that takes its place.
-func (s *Source) TellStreams(ctx context.Context, streams []streamorigin.Stream) {
+func (s *Source) TellStreams(ctx context.Context, streams []streamversion.Stream) {
 	failed, unreachable := s.tellHolders(ctx, streams, nil)
 	if len(failed) > 0 {
 		s.tellHolders(ctx, failed, unreachable)
@@ -91,12 +91,12 @@
 
 // tellHolders tells each stream to its holders, except some routers. It returns the streams that a
 // holder didn't take, and these holders.
-func (s *Source) tellHolders(ctx context.Context, streams []streamorigin.Stream, except []Member) (failed []streamorigin.Stream, unreachable []Member) {
+func (s *Source) tellHolders(ctx context.Context, streams []streamversion.Stream, except []Member) (failed []streamversion.Stream, unreachable []Member) {
 	all := s.members.byDomain(time.Now())
 	for domain, routers := range all {
 		all[domain] = slices.DeleteFunc(routers, func(m Member) bool { return slices.Contains(except, m) })
 	}
-	byHolder := make(map[Member][]streamorigin.Stream)
+	byHolder := make(map[Member][]streamversion.Stream)
 	for _, stream := range streams {
 		for _, holder := range holdersOf(stream.ID, s.cfg.Self, all) {
 			byHolder[holder] = append(byHolder[holder], stream)
@@ -107,7 +107,7 @@
 	for holder, held := range byHolder {
 		calls.Go(func() {
 			sent := time.Now()
-			_, err := control.Call(ctx, s.client(holder.Address), methodTellStreams, tellStreamsRequest{Groups: groupByOrigin(held)})
+			_, err := control.Call(ctx, s.client(holder.Address), methodTellStreams, tellStreamsRequest{Groups: groupByVersion(held)})
 			if s.recordCall(holder, sent, err) != nil {
 				mu.Lock()
 				defer mu.Unlock()
@@ -120,10 +120,10 @@
 	return failed, unreachable
 }
 
-func groupByOrigin(streams []streamorigin.Stream) []streamGroup {
+func groupByVersion(streams []streamversion.Stream) []streamGroup {
 	var groups []streamGroup
 	for _, stream := range streams {
-		o := stream.Origin
+		o := stream.ServiceVersion
 		i := slices.IndexFunc(groups, func(g streamGroup) bool { return g.Service == o.Service && g.Version == o.Version })
 		if i < 0 {
 			i = len(groups)
@@ -134,26 +134,26 @@
 	return groups
 }
 
-// AskStream implements streamorigin.Peers. It asks the routers of this failure domain first, and then
+// AskStream implements streamversion.Peers. It asks the routers of this failure domain first, and then
 // those of all others.
-func (s *Source) AskStream(ctx context.Context, q streamorigin.Query) []streamorigin.Answer {
+func (s *Source) AskStream(ctx context.Context, q streamversion.Query) []streamversion.Answer {
 	all := s.members.byDomain(time.Now())
 	answers := s.askHolders(ctx, q, ownHoldersOf(q.ID, s.cfg.Self, all))
-	if slices.ContainsFunc(answers, func(a streamorigin.Answer) bool { return a.Known }) {
+	if slices.ContainsFunc(answers, func(a streamversion.Answer) bool { return a.Known }) {
 		return answers
 	}
 	return append(answers, s.askHolders(ctx, q, otherHoldersOf(q.ID, s.cfg.Self, all))...)
 }
 
 // askHolders asks routers for a stream until one has known it, all have answered, or ctx ends.
-func (s *Source) askHolders(ctx context.Context, q streamorigin.Query, holders []Member) []streamorigin.Answer {
+func (s *Source) askHolders(ctx context.Context, q streamversion.Query, holders []Member) []streamversion.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan *askStreamReply, len(holders))
 	for _, holder := range holders {
 		go func() { replies <- s.askHolder(ctx, q, holder) }()
 	}
-	var answers []streamorigin.Answer
+	var answers []streamversion.Answer
 	for range holders {
 		select {
 		case <-ctx.Done():
@@ -162,8 +162,8 @@
 			if reply == nil {
 				continue
 			}
-			answers = append(answers, streamorigin.Answer{
-				Known: reply.Known, Origin: streamorigin.Origin{Service: reply.Service, Version: reply.Version}, Single: reply.Single, Only: reply.Only,
+			answers = append(answers, streamversion.Answer{
+				Known: reply.Known, ServiceVersion: streamversion.ServiceVersion{Service: reply.Service, Version: reply.Version}, Single: reply.Single, Only: reply.Only,
 			})
 			if reply.Known {
 				return answers
@@ -174,7 +174,7 @@
 }
 
 // askHolder returns nil if the router doesn't answer or knows nothing yet.
-func (s *Source) askHolder(ctx context.Context, q streamorigin.Query, holder Member) *askStreamReply {
+func (s *Source) askHolder(ctx context.Context, q streamversion.Query, holder Member) *askStreamReply {
 	req := askStreamRequest{ID: q.ID, Service: q.Service, WindowMillis: q.Window.Milliseconds()}
 	reply, err := control.Call(ctx, s.client(holder.Address), methodAskStream, req)
 	if err != nil {
@@ -201,7 +201,7 @@
 	maxTellInterval = 250 * time.Millisecond
 )
 
-// TellInterval implements streamorigin.Peers.
+// TellInterval implements streamversion.Peers.
 func (s *Source) TellInterval(streams int) time.Duration {
 	calls := min(holdersPerStream*streams, s.members.count(time.Now()), ownHolders+membersPerRemoteDomain)
 	return min(max(time.Duration(calls)*tellCallSpacing, minTellInterval), maxTellInterval)
@@ -210,7 +210,7 @@
 // holdersOf returns the routers that are told of a stream which self began: one of its own failure
 // domain and one of the next, or two of whichever there is. Callers return to routers of their own
 // failure domain as long as there are any.
-func holdersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+func holdersOf(id streamversion.StreamID, self Member, all map[string][]Member) []Member {
 	own := slices.DeleteFunc(slices.Clone(ownPool(self, all)), func(m Member) bool { return m.VM == self.VM })
 	others := nextDomains(self, all)
 	fromOwn, fromOthers := 1, 1
@@ -229,7 +229,7 @@
 
 // ownHoldersOf returns the routers of self's failure domain that may have been told of a stream which
 // another router began.
-func ownHoldersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+func ownHoldersOf(id streamversion.StreamID, self Member, all map[string][]Member) []Member {
 	holders := highest(id, ownPool(self, all), 1+extraHolders)
 	holders = append(holders, highest(id, reachable(all[self.FailureDomain]), 1)...)
 	slices.SortFunc(holders, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
@@ -237,7 +237,7 @@
 }
 
 // otherHoldersOf returns the routers of other failure domains that may have been told.
-func otherHoldersOf(id streamorigin.StreamID, self Member, all map[string][]Member) []Member {
+func otherHoldersOf(id streamversion.StreamID, self Member, all map[string][]Member) []Member {
 	var holders []Member
 	for _, domain := range nextDomains(self, all) {
 		holders = append(holders, highest(id, reachable(all[domain]), 1)...)
@@ -265,14 +265,14 @@
 func reachable(domain []Member) []Member { return domain[:min(membersPerRemoteDomain, len(domain))] }
 
 // highest returns the n routers with the highest rendezvous hash of stream and name.
-func highest(id streamorigin.StreamID, routers []Member, n int) []Member {
+func highest(id streamversion.StreamID, routers []Member, n int) []Member {
 	sorted := slices.Clone(routers)
 	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(holderHash(id, b.VM), holderHash(id, a.VM)) })
 	return sorted[:min(n, len(sorted))]
 }
 
 // holderHash is the rendezvous hash of a stream and a router.
-func holderHash(id streamorigin.StreamID, vm string) uint64 {
+func holderHash(id streamversion.StreamID, vm string) uint64 {
 	const odd = 0xff51afd7ed558ccd // spreads the hash of the names over all bits
 	h := uint64(id) ^ xxhash.Sum64String(vm)
 	h = (h ^ (h >> 33)) * odd
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 )
 
 // seenBy returns the routers that a router knows: all of its failure domain and a few of each other.
@@ -59,7 +59,7 @@
 			found, most := 0, 0
 			const streams = 400
 			for i := range streams {
-				id := streamorigin.IDOf(fmt.Sprint("stream", i))
+				id := streamversion.IDOf(fmt.Sprint("stream", i))
 				beganIt, resumesIt := list[i%len(list)], list[(i*7+1+i%len(list))%len(list)]
 				if beganIt == resumesIt {
 					resumesIt = list[(i+1)%len(list)]
@@ -84,13 +84,13 @@
 }
 
 // fakeStreams stands in for the registry of a router.
-type fakeStreams map[streamorigin.StreamID]streamorigin.Origin
+type fakeStreams map[streamversion.StreamID]streamversion.ServiceVersion
 
-func (f fakeStreams) Record(_ time.Time, s streamorigin.Stream) { f[s.ID] = s.Origin }
+func (f fakeStreams) Record(_ time.Time, s streamversion.Stream) { f[s.ID] = s.ServiceVersion }
 
-func (f fakeStreams) Answer(_ time.Time, q streamorigin.Query) streamorigin.Answer {
+func (f fakeStreams) Answer(_ time.Time, q streamversion.Query) streamversion.Answer {
 	o, known := f[q.ID]
-	return streamorigin.Answer{Origin: o, Known: known, Only: "v9", Single: q.Window == time.Second}
+	return streamversion.Answer{ServiceVersion: o, Known: known, Only: "v9", Single: q.Window == time.Second}
 }
 
 func TestStreamsAreToldAndFoundThroughRealCalls(t *testing.T) {
@@ -99,30 +99,30 @@
 			for _, n := range f.nodes {
 				n.source.ServeStreams(fakeStreams{})
 			}
-			var streams []streamorigin.Stream
+			var streams []streamversion.Stream
 			for i := range 50 {
-				streams = append(streams, streamorigin.Stream{
-					ID: streamorigin.IDOf(fmt.Sprint(i)), Origin: streamorigin.Origin{Service: "s", Version: fmt.Sprint("v", i%3)},
+				streams = append(streams, streamversion.Stream{
+					ID: streamversion.IDOf(fmt.Sprint(i)), ServiceVersion: streamversion.ServiceVersion{Service: "s", Version: fmt.Sprint("v", i%3)},
 				})
 			}
 			f.nodes[0].source.TellStreams(context.Background(), streams)
 			for i, s := range streams {
 				for _, n := range f.nodes[1:] {
-					own := (*n.source.streams.Load()).Answer(time.Now(), streamorigin.Query{ID: s.ID})
-					answers := append(n.source.AskStream(context.Background(), streamorigin.Query{ID: s.ID, Service: "s", Window: time.Second}), own)
+					own := (*n.source.streams.Load()).Answer(time.Now(), streamversion.Query{ID: s.ID})
+					answers := append(n.source.AskStream(context.Background(), streamversion.Query{ID: s.ID, Service: "s", Window: time.Second}), own)
 					known := 0
 					for _, a := range answers {
 						if a.Known {
 							known++
-							g.Expect(a.Origin).To(Equal(streams[i].Origin))
+							g.Expect(a.ServiceVersion).To(Equal(streams[i].ServiceVersion))
 						}
 					}
 					g.Expect(known).To(BeNumerically(">", 0), "%d routers", routers)
 				}
 			}
-			unknown := f.nodes[1].source.AskStream(context.Background(), streamorigin.Query{Service: "s", Window: time.Second})
+			unknown := f.nodes[1].source.AskStream(context.Background(), streamversion.Query{Service: "s", Window: time.Second})
 			g.Expect(unknown).NotTo(BeEmpty())
-			g.Expect(unknown[0]).To(Equal(streamorigin.Answer{Only: "v9", Single: true}))
+			g.Expect(unknown[0]).To(Equal(streamversion.Answer{Only: "v9", Single: true}))
 		})
 	}
 }
@@ -133,17 +133,17 @@
 		for _, n := range f.nodes {
 			n.source.ServeStreams(fakeStreams{})
 		}
-		s := streamorigin.Stream{ID: streamorigin.IDOf("x"), Origin: streamorigin.Origin{Service: "s", Version: "v1"}}
+		s := streamversion.Stream{ID: streamversion.IDOf("x"), ServiceVersion: streamversion.ServiceVersion{Service: "s", Version: "v1"}}
 		holders := holdersOf(s.ID, f.nodes[0].source.cfg.Self, f.nodes[0].source.members.byDomain(time.Now()))
 		for _, n := range f.nodes {
 			if n.vm == holders[0].VM {
 				n.shutDown()
 			}
 		}
-		f.nodes[0].source.TellStreams(context.Background(), []streamorigin.Stream{s})
+		f.nodes[0].source.TellStreams(context.Background(), []streamversion.Stream{s})
 		copies := 0
 		for _, n := range f.nodes {
-			if (*n.source.streams.Load()).Answer(time.Now(), streamorigin.Query{ID: s.ID}).Known {
+			if (*n.source.streams.Load()).Answer(time.Now(), streamversion.Query{ID: s.ID}).Known {
 				copies++
 			}
 		}
@@ -162,15 +162,15 @@
 		list, all := fleetOf(shape.routers, shape.domains)
 		sent, calls := 0, 0
 		for tell := range shape.tells {
-			byHolder := make(map[Member][]streamorigin.Stream)
+			byHolder := make(map[Member][]streamversion.Stream)
 			for i := range perSecond / shape.tells {
-				s := streamorigin.Stream{ID: streamorigin.IDOf(fmt.Sprint(tell, "-", i)), Origin: streamorigin.Origin{Service: "lm-pool", Version: "v1.1"}}
+				s := streamversion.Stream{ID: streamversion.IDOf(fmt.Sprint(tell, "-", i)), ServiceVersion: streamversion.ServiceVersion{Service: "lm-pool", Version: "v1.1"}}
 				for _, h := range holdersOf(s.ID, list[0], seenBy(list[0], all)) {
 					byHolder[h] = append(byHolder[h], s)
 				}
 			}
 			for _, held := range byHolder {
-				text, err := json.Marshal(tellStreamsRequest{Groups: groupByOrigin(held)})
+				text, err := json.Marshal(tellStreamsRequest{Groups: groupByVersion(held)})
 				g.Expect(err).NotTo(HaveOccurred())
 				sent += len(text) + jsonRPCBytes
 				calls++
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -28,7 +28,7 @@
 	"coveferry/internal/route"
 	"coveferry/internal/router"
 	"coveferry/internal/server"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 	"coveferry/internal/upstream"
 )
 
@@ -103,7 +103,7 @@
 	closeConnections bool
 	table            *route.Table
 	endpoints        []*bundle.Endpoint
-	streams          *streamorigin.Registry
+	streams          *streamversion.Registry
 	regions          map[string]string // by endpoint
 	log              bytes.Buffer      // the router's log
 	// handle is called for each request with the endpoint's connection.
@@ -160,7 +160,7 @@
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
 		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
-		w.streams = streamorigin.New(streamorigin.Config{ListAge: func() time.Duration { return 0 }})
+		w.streams = streamversion.New(streamversion.Config{ListAge: func() time.Duration { return 0 }})
 		w.list(w.endpoints...)
 		w.router = router.New(router.Config{
 			Pool: w.pool, Client: client, Observer: w.members,
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -13,7 +13,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/route"
-	"coveferry/internal/streamorigin"
+	"coveferry/internal/streamversion"
 )
 
 // setVersions sets the software versions of e1, e2 and so on. It is called before any request.
@@ -33,7 +33,7 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v1", "v1")
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeEvents(conn, req, true, "id: 5\ndata: e\n\n") }
-		w.streams.Begin(time.Now(), streamorigin.IDOf("first"), streamorigin.Origin{Service: "s", Version: "v1"})
+		w.streams.Begin(time.Now(), streamversion.IDOf("first"), streamversion.ServiceVersion{Service: "s", Version: "v1"})
 		call(g, client, "POST", "/resume/", "x", "Resumes", "first", "Last", "4")
 		g.Expect(lastLine(w)).To(MatchRegexp(`"attempt 1 at e\d \(v1\): complete, .*"resumes":"first","resumed_after":"4","begun_at":"v1","known_by":"own","known_for":0`))
 	})
@@ -231,7 +231,7 @@
 func TestResumedStreamStaysAtItsServiceOfAWeightedRoute(t *testing.T) {
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v2", "v2")
-		w.streams.Begin(time.Now(), streamorigin.IDOf("moved"), streamorigin.Origin{Service: "gone", Version: "v1"})
+		w.streams.Begin(time.Now(), streamversion.IDOf("moved"), streamversion.ServiceVersion{Service: "gone", Version: "v1"})
 		got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", "moved", "Last", "2")
 		g.Expect(got.status).To(Equal(503))
 		g.Expect(w.receivedCount()).To(BeZero())
--- a/internal/streamorigin/registry.go
+++ b/internal/streamversion/registry.go
@@ -1,4 +1,4 @@
-package streamorigin
+package streamversion
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 
 // Stream is a stream and where it began.
 type Stream struct {
-	ID     StreamID
-	Origin Origin
+	ID             StreamID
+	ServiceVersion ServiceVersion // that began it
 }
 
 // Query asks a router where a stream began.
@@ -29,9 +29,9 @@
 
 // Answer is a router's answer to a Query.
 type Answer struct {
-	// Origin is where the stream began, if Known.
-	Origin Origin
-	Known  bool
+	// ServiceVersion is where the stream began, if Known.
+	ServiceVersion ServiceVersion
+	Known          bool
 	// Only is the version of all endpoints that the service had in the window, if Single.
 	Only   string
 	Single bool
@@ -97,7 +97,7 @@
 	r.keep.Store(int64(defaultKeep))
 	if cfg.Metrics != nil {
 		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "coveferry_stream_origins",
+			Name: "coveferry_known_streams",
 			Help: "Streams of which this router knows the software version that began them.",
 		}, func() float64 { return float64(r.own.len() + r.told.len()) }))
 	}
@@ -118,10 +118,10 @@
 }
 
 // Begin records where a stream of this router began, and has other routers told if they can't infer it.
-func (r *Registry) Begin(now time.Time, id StreamID, o Origin) {
+func (r *Registry) Begin(now time.Time, id StreamID, o ServiceVersion) {
 	r.own.put(now, r.keepFor(), id, o)
 	if _, single := r.versions.only(now, o.Service, r.keepFor()); !single {
-		r.tellLater(Stream{ID: id, Origin: o})
+		r.tellLater(Stream{ID: id, ServiceVersion: o})
 	}
 }
 
@@ -129,7 +129,9 @@
 func (r *Registry) End(id StreamID) { r.own.remove(id) }
 
 // Record records what another router tells of a stream.
-func (r *Registry) Record(now time.Time, s Stream) { r.told.put(now, r.keepFor(), s.ID, s.Origin) }
+func (r *Registry) Record(now time.Time, s Stream) {
+	r.told.put(now, r.keepFor(), s.ID, s.ServiceVersion)
+}
 
 func (r *Registry) tellLater(streams ...Stream) {
 	if r.cfg.Peers == nil {
@@ -186,12 +188,12 @@
 // Answer answers the query of another router from what this one knows itself.
 func (r *Registry) Answer(now time.Time, q Query) Answer {
 	var a Answer
-	a.Origin, _, a.Known = r.lookUp(now, q.ID)
+	a.ServiceVersion, _, a.Known = r.lookUp(now, q.ID)
 	a.Only, a.Single = r.infer(now, q)
 	return a
 }
 
-func (r *Registry) lookUp(now time.Time, id StreamID) (o Origin, age time.Duration, known bool) {
+func (r *Registry) lookUp(now time.Time, id StreamID) (o ServiceVersion, age time.Duration, known bool) {
 	if o, age, known = r.own.get(now, r.keepFor(), id); known {
 		return o, age, true
 	}
@@ -206,7 +208,7 @@
 	return r.versions.only(now, q.Service, q.Window)
 }
 
-// Evidence says how the origin of a stream is known.
+// Evidence says how it is known where a stream began.
 type Evidence string
 
 // The kinds of evidence.
@@ -221,10 +223,10 @@
 	EvidencePeerList Evidence = "peer_list"
 )
 
-// Finding is the origin of a stream and how it is known.
+// Finding is where a stream began and how that is known.
 type Finding struct {
-	Origin   Origin
-	Evidence Evidence
+	ServiceVersion ServiceVersion
+	Evidence       Evidence
 	// Age is how long ago this router recorded it, or how old its list is.
 	Age time.Duration
 }
@@ -233,19 +235,19 @@
 func (r *Registry) Find(ctx context.Context, q Query) (Finding, bool) {
 	now := time.Now()
 	if o, age, known := r.lookUp(now, q.ID); known {
-		return Finding{Origin: o, Evidence: EvidenceOwn, Age: age}, true
+		return Finding{ServiceVersion: o, Evidence: EvidenceOwn, Age: age}, true
 	}
 	_, inferred := r.infer(now, q)
 	answers := r.ask(ctx, q, inferred)
 	for _, a := range answers {
 		if a.Known {
-			return Finding{Origin: a.Origin, Evidence: EvidencePeer}, true
+			return Finding{ServiceVersion: a.ServiceVersion, Evidence: EvidencePeer}, true
 		}
 	}
 	// Inferred anew: a list that came meanwhile may have shown another version.
 	now = time.Now()
 	if version, ok := r.infer(now, q); ok {
-		return Finding{Origin: Origin{q.Service, version}, Evidence: EvidenceList, Age: r.cfg.ListAge()}, true
+		return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidenceList, Age: r.cfg.ListAge()}, true
 	}
 	return r.findByPeerLists(now, q, answers)
 }
@@ -280,5 +282,5 @@
 	if !found || r.versions.hasOther(now, q, version) {
 		return Finding{}, false
 	}
-	return Finding{Origin: Origin{q.Service, version}, Evidence: EvidencePeerList}, true
+	return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidencePeerList}, true
 }
--- a/internal/streamorigin/registry_test.go
+++ b/internal/streamversion/registry_test.go
@@ -1,4 +1,4 @@
-package streamorigin
+package streamversion
 
 import (
 	"context"
@@ -82,7 +82,9 @@
 	return f.Find(context.Background(), q)
 }
 
-func (f *fixture) begin(id, version string) { f.Begin(time.Now(), IDOf(id), Origin{"s", version}) }
+func (f *fixture) begin(id, version string) {
+	f.Begin(time.Now(), IDOf(id), ServiceVersion{"s", version})
+}
 
 func TestNothingIsToldWhereOthersCanInferTheVersion(t *testing.T) {
 	run(t, func(f *fixture) {
@@ -104,7 +106,7 @@
 		f.update("v1", "v1", "v2")
 		f.begin("c", "v2")
 		time.Sleep(100 * time.Millisecond)
-		f.Expect(f.peers.told).To(ConsistOf(Stream{IDOf("a"), Origin{"s", "v1"}}, Stream{IDOf("c"), Origin{"s", "v2"}}))
+		f.Expect(f.peers.told).To(ConsistOf(Stream{IDOf("a"), ServiceVersion{"s", "v1"}}, Stream{IDOf("c"), ServiceVersion{"s", "v2"}}))
 	})
 }
 
@@ -132,10 +134,10 @@
 		f.update("v1")
 		_, known := f.find("a")
 		f.Expect(known).To(BeFalse(), "nobody knows")
-		f.peers.answers = []Answer{{}, {Known: true, Origin: Origin{"s", "v2"}, Single: true, Only: "v1"}}
+		f.peers.answers = []Answer{{}, {Known: true, ServiceVersion: ServiceVersion{"s", "v2"}, Single: true, Only: "v1"}}
 		found, known := f.find("a")
 		f.Expect(known).To(BeTrue())
-		f.Expect(found.Origin.Version).To(Equal("v2"))
+		f.Expect(found.ServiceVersion.Version).To(Equal("v2"))
 		f.Expect(found.Evidence).To(Equal(EvidencePeer))
 		f.peers.answers = []Answer{{}, {Single: true, Only: "v1"}}
 		for _, id := range []string{"a", ""} {
@@ -192,19 +194,19 @@
 		f.update("v1", "v1")
 		found, known := f.find("a")
 		f.Expect(known).To(BeTrue())
-		f.Expect(found.Origin.Version).To(Equal("v1"))
+		f.Expect(found.ServiceVersion.Version).To(Equal("v1"))
 	})
 }
 
 func TestStreamsAreForgottenWhenNobodyCanResumeThem(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.KeepFor(2 * time.Minute)
-		f.Record(time.Now(), Stream{IDOf("a"), Origin{"s", "v1"}})
+		f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}})
 		time.Sleep(2 * time.Minute)
 		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
 		time.Sleep(2 * time.Minute)
 		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeFalse())
-		f.Record(time.Now(), Stream{IDOf("b"), Origin{"s", "v1"}})
+		f.Record(time.Now(), Stream{IDOf("b"), ServiceVersion{"s", "v1"}})
 		f.Expect(f.told.len()).To(Equal(1), "the old one takes no memory")
 	})
 }
@@ -213,7 +215,7 @@
 	run(t, func(f *fixture) {
 		const many = 4 * tableShards * maxPerShard
 		for i := range many {
-			f.Record(time.Now(), Stream{StreamID(i), Origin{"s", "v1"}})
+			f.Record(time.Now(), Stream{StreamID(i), ServiceVersion{"s", "v1"}})
 		}
 		f.Expect(f.told.len()).To(BeNumerically("<=", 2*tableShards*maxPerShard))
 		f.Expect(f.Answer(time.Now(), Query{ID: many - 1}).Known).To(BeTrue(), "the latest is kept")
--- a/internal/streamorigin/table.go
+++ b/internal/streamversion/table.go
@@ -1,6 +1,6 @@
-// Package streamorigin remembers at which software version streams began, so that a caller that
+// Package streamversion remembers at which software version streams began, so that a caller that
 // resumes a stream at any router gets the rest of it from an endpoint of the same version.
-package streamorigin
+package streamversion
 
 import (
 	"sync"
@@ -16,8 +16,8 @@
 // IDOf returns the ID of the stream that began with a request.
 func IDOf(requestID string) StreamID { return StreamID(xxhash.Sum64String(requestID)) }
 
-// Origin is where a stream began.
-type Origin struct{ Service, Version string }
+// ServiceVersion is a software version of a service, at which a stream began.
+type ServiceVersion struct{ Service, Version string }
 
 const (
 	// tableShards is a power of two well above the number of cores of a router VM.
@@ -26,7 +26,7 @@
 	maxPerShard = 2048
 )
 
-// table holds the origins of streams. It forgets a stream after one to two times the period for which
+// table holds where streams began. It forgets a stream after one to two times the period for which
 // streams are kept, earlier if it is full. It is safe for concurrent use.
 type table struct{ shards [tableShards]tableShard }
 
@@ -38,15 +38,15 @@
 	recentSince   time.Time
 }
 
-// tableEntry is an origin and when it was recorded.
+// tableEntry is where a stream began and when it was recorded.
 type tableEntry struct {
-	origin unique.Handle[Origin]
-	at     time.Time
+	began unique.Handle[ServiceVersion]
+	at    time.Time
 }
 
 func (t *table) shard(id StreamID) *tableShard { return &t.shards[id%tableShards] }
 
-func (t *table) put(now time.Time, keep time.Duration, id StreamID, o Origin) {
+func (t *table) put(now time.Time, keep time.Duration, id StreamID, o ServiceVersion) {
 	sh := t.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -57,12 +57,12 @@
 	if sh.recent == nil {
 		sh.recent = make(map[StreamID]tableEntry)
 	}
-	sh.recent[id] = tableEntry{origin: unique.Make(o), at: now}
+	sh.recent[id] = tableEntry{began: unique.Make(o), at: now}
 	delete(sh.older, id)
 }
 
-// get returns the origin of a stream and how long ago it was recorded.
-func (t *table) get(now time.Time, keep time.Duration, id StreamID) (o Origin, age time.Duration, ok bool) {
+// get returns where a stream began and how long ago it was recorded.
+func (t *table) get(now time.Time, keep time.Duration, id StreamID) (o ServiceVersion, age time.Duration, ok bool) {
 	sh := t.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -72,9 +72,9 @@
 		e, ok = sh.older[id]
 	}
 	if !ok {
-		return Origin{}, 0, false
+		return ServiceVersion{}, 0, false
 	}
-	return e.origin.Value(), now.Sub(e.at), true
+	return e.began.Value(), now.Sub(e.at), true
 }
 
 func (t *table) remove(id StreamID) {
@@ -99,8 +99,8 @@
 	defer sh.mu.Unlock()
 	for _, generation := range []map[StreamID]tableEntry{sh.older, sh.recent} {
 		for id, e := range generation {
-			if o := e.origin.Value(); service == "" || o.Service == service {
-				streams = append(streams, Stream{ID: id, Origin: o})
+			if o := e.began.Value(); service == "" || o.Service == service {
+				streams = append(streams, Stream{ID: id, ServiceVersion: o})
 			}
 		}
 	}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamversion/versions.go
@@ -1,4 +1,4 @@
-package streamorigin
+package streamversion
 
 import (
 	"sync"
