Log why everything is read, and a whole list that is ignored as older

Cause: the lines couldn't tell a list that was ignored from one that was never read. Change: two lines, one each for a lost history and for an ignored whole list; both come with full reads only, which are rare. No decision changes. go test ./internal/follow passes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -168,6 +168,8 @@
 	var unusable *UnusableError
 	switch {
 	case errors.Is(err, ErrHistoryLost):
+		f.cfg.Log.Info().Err(err).Uint64("revision", f.Directory().Revision()).
+			Msg("the source no longer has the changes since this revision: reading everything")
 		// A cheap read may be older than the present state.
 		return sourceCall{full: true, fresh: true}
 	case errors.As(err, &unusable):
@@ -252,6 +254,7 @@
 func (f *Follower) merge(r Reading, at time.Time) {
 	now := time.Now()
 	f.detectOutage(r, at, now)
+	f.logIgnored(r.List)
 	next, changed := f.Directory().Merge(r.List, now, f.keepAbsentUntil)
 	if changed {
 		// Called before requests use the list, so that its consumer already knows the endpoints.
@@ -260,6 +263,14 @@
 	f.directory.Store(next)
 }
 
+// logIgnored logs a whole list that is ignored since a newer one is known.
+func (f *Follower) logIgnored(list directory.Reading) {
+	if known := f.Directory().Revision(); list.Full && list.Revision < known {
+		f.cfg.Log.Info().Uint64("revision", list.Revision).Uint64("known", known).
+			Msg("ignoring a whole list that is older than the known one")
+	}
+}
+
 // detectOutage has absent endpoints kept for a while after a gap in the confirmed state, since the
 // source may have had an outage in it that is longer than the lifetime of entries. It had none if
 // other routers read it throughout, as this reading or a later one may report; endpoints absent
