Order lists by the store's era before their revision

Callers' requests reached an endpoint for seconds after it had left, and two configurations came late, after the store had come back from an older copy. Cause: everything was ordered by a revision that was taken for ever rising. The returned store's lists were ignored as older, the position stayed, and once the store had given it out again the watch went on behind what had been written meanwhile. Change: one type, era and number, with one comparison, orders lists, pages read in parts, the watch's position, what peers tell each other and their record of changes; membership orders its lists by a count of its own. A watch answered in a later era, with or without 410, has everything read. For the 2.5 s in which what was lost is written again, what was known goes before the copy: endpoints that leave, have gone or moved, missing ones, evacuations; a configuration never goes back. Then the list counts. Why it holds: no two positions of different eras are compared by their number anywhere. Routers that know no eras get and send 0.

--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -20,6 +20,8 @@
 	d *directRouter
 	// previous is the directory of the last update. Only update uses it.
 	previous *directory.Directory
+	// updates counts the updates, which orders them for membership. Only update uses it.
+	updates int64
 }
 
 func newDirectoryUpdater(d *directRouter) *directoryUpdater {
@@ -61,10 +63,11 @@
 func (l *directoryUpdater) update(dir *directory.Directory) {
 	last := l.previous
 	l.previous = dir
+	l.updates++
 	l.d.streams.UpdateList(time.Now(), dir)
 	entries := dir.Entries()
 	l.d.log.Info().Int("endpoints", len(entries)).Int("kept", dir.KeptCount()).Strs("evacuated", dir.Evacuated()).
-		Uint64("revision", dir.Revision()).Msg("endpoint list changed")
+		Uint64("era", dir.Revision().Era).Uint64("revision", dir.Revision().Number).Msg("endpoint list changed")
 	l.logEvacuations(last, dir)
 	specs := make([]membership.EndpointSpec, len(entries))
 	vms := make([]membership.VM, len(entries))
@@ -77,7 +80,7 @@
 	l.d.members.HandleEvent(membership.BundleApplied{Endpoints: specs})
 	// Mark cold endpoints before they accept work again.
 	l.markCold(last, dir, entries)
-	l.d.members.HandleEvent(membership.ListRead{VMs: vms, At: time.Unix(int64(dir.Revision()), 0)})
+	l.d.members.HandleEvent(membership.ListRead{VMs: vms, At: time.Unix(l.updates, 0)})
 }
 
 // logEvacuations logs each evacuation order that was added or removed.
--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -22,15 +22,15 @@
 type evacuatedStore struct{ follow.Store }
 
 func (evacuatedStore) OperatorState(context.Context) (follow.OperatorState, error) {
-	return follow.OperatorState{Config: &route.Config{Version: 1}, Evacuated: []string{"x"}, Revision: 1}, nil
+	return follow.OperatorState{Config: &route.Config{Version: 1}, Evacuated: []string{"x"}, Revision: directory.Revision{Number: 1}}, nil
 }
 
 func (evacuatedStore) Page(context.Context, string, bool) (follow.Page, error) {
 	entry := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", VM: "e", Address: "10.0.0.1:80", FailureDomain: "x", Services: []string{"s"}, Slots: 4}}
-	return follow.Page{Reading: directory.Reading{Entries: []directory.Entry{entry}, Revision: 1}}, nil
+	return follow.Page{Reading: directory.Reading{Entries: []directory.Entry{entry}, Revision: directory.Revision{Number: 1}}}, nil
 }
 
-func (evacuatedStore) Await(ctx context.Context, _ uint64, _ time.Duration) (follow.Reading, error) {
+func (evacuatedStore) Await(ctx context.Context, _ directory.Revision, _ time.Duration) (follow.Reading, error) {
 	<-ctx.Done()
 	return follow.Reading{}, ctx.Err()
 }
@@ -91,7 +91,7 @@
 type activeStore struct{ evacuatedStore }
 
 func (activeStore) OperatorState(context.Context) (follow.OperatorState, error) {
-	return follow.OperatorState{Config: &route.Config{Version: 1}, Revision: 1}, nil
+	return follow.OperatorState{Config: &route.Config{Version: 1}, Revision: directory.Revision{Number: 1}}, nil
 }
 
 // healthUpdater returns an updater whose endpoint "e" answers health checks as given.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,8 +43,8 @@
 	Unreadable []Unreadable
 	// Evacuations are the evacuations of failure domains, or their changes.
 	Evacuations Evacuations
-	// Revision is the list's own change counter at the time of reading.
-	Revision uint64
+	// Revision is the position in the list's history at the time of reading.
+	Revision Revision
 }
 
 // Evacuations lists the failure domains under evacuation, or the changes to them.
@@ -68,7 +68,7 @@
 	byService map[string][]*bundle.Endpoint
 	// evacuated holds the evacuated failure domains, with or without endpoints.
 	evacuated map[string]bool
-	revision  uint64
+	revision  Revision
 	digest    uint64
 	// unversionedDigest is the digest without the endpoints' versions.
 	unversionedDigest uint64
@@ -76,9 +76,9 @@
 }
 
 // Empty returns a directory without endpoints.
-func Empty() *Directory { return build(nil, nil, 0) }
+func Empty() *Directory { return build(nil, nil, Revision{}) }
 
-func build(entries map[string]Entry, evacuated map[string]bool, revision uint64) *Directory {
+func build(entries map[string]Entry, evacuated map[string]bool, revision Revision) *Directory {
 	d := &Directory{
 		entries: entries, evacuated: evacuated, byService: make(map[string][]*bundle.Endpoint),
 		revision: revision,
@@ -171,13 +171,13 @@
 func (d *Directory) UnversionedDigest() uint64 { return d.unversionedDigest }
 
 // Revision returns the revision of the newest reading.
-func (d *Directory) Revision() uint64 { return d.revision }
+func (d *Directory) Revision() Revision { return d.revision }
 
 // Merge returns the directory that results from a reading, and whether it differs. A reading older
 // than the last one is ignored. Before keepAbsentUntil an endpoint that the reading lacks is kept:
 // after an outage the list lacks entries of live endpoints that will be back.
 func (d *Directory) Merge(r Reading, now, keepAbsentUntil time.Time) (*Directory, bool) {
-	if r.Revision < d.revision {
+	if r.Revision.Before(d.revision) {
 		return d, false
 	}
 	evacuated := d.evacuatedAfter(r.Evacuations)
@@ -221,7 +221,7 @@
 }
 
 // withRevision returns the same directory with a later revision.
-func (d *Directory) withRevision(revision uint64) *Directory {
+func (d *Directory) withRevision(revision Revision) *Directory {
 	same := *d
 	same.revision = revision
 	return &same
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -26,7 +26,7 @@
 }
 
 func merge(d *directory.Directory, revision uint64, keep time.Time, entries ...directory.Entry) *directory.Directory {
-	next, _ := d.Merge(directory.Reading{Full: true, Entries: entries, Revision: revision}, now, keep)
+	next, _ := d.Merge(directory.Reading{Full: true, Entries: entries, Revision: directory.Revision{Number: revision}}, now, keep)
 	return next
 }
 
@@ -58,12 +58,12 @@
 func TestMergeReportsChanges(t *testing.T) {
 	g := NewWithT(t)
 	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"))
-	same, changed := d.Merge(directory.Reading{Full: true, Entries: []directory.Entry{entry("a", "1")}, Revision: 9}, now, time.Time{})
+	same, changed := d.Merge(directory.Reading{Full: true, Entries: []directory.Entry{entry("a", "1")}, Revision: directory.Revision{Number: 9}}, now, time.Time{})
 	g.Expect(changed).To(BeFalse())
-	g.Expect(same.Revision()).To(Equal(uint64(9)))
+	g.Expect(same.Revision().Number).To(Equal(uint64(9)))
 	draining := entry("a", "1")
 	draining.Draining = true
-	_, changed = same.Merge(directory.Reading{Full: true, Entries: []directory.Entry{draining}, Revision: 10}, now, time.Time{})
+	_, changed = same.Merge(directory.Reading{Full: true, Entries: []directory.Entry{draining}, Revision: directory.Revision{Number: 10}}, now, time.Time{})
 	g.Expect(changed).To(BeTrue())
 }
 
@@ -71,26 +71,26 @@
 	g := NewWithT(t)
 	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"))
 	moved := entry("a", "9")
-	d, changed := d.Merge(directory.Reading{Entries: []directory.Entry{moved, entry("c", "3")}, Removed: []string{"b", "unknown"}, Revision: 4}, now, time.Time{})
+	d, changed := d.Merge(directory.Reading{Entries: []directory.Entry{moved, entry("c", "3")}, Removed: []string{"b", "unknown"}, Revision: directory.Revision{Number: 4}}, now, time.Time{})
 	g.Expect(changed).To(BeTrue())
 	g.Expect(names(d)).To(Equal([]string{"a", "c"}))
 	a, _ := d.Entry("a")
 	g.Expect(a.Endpoint.Address).To(Equal("9"))
-	d, changed = d.Merge(directory.Reading{Revision: 7}, now, time.Time{})
+	d, changed = d.Merge(directory.Reading{Revision: directory.Revision{Number: 7}}, now, time.Time{})
 	g.Expect(changed).To(BeFalse())
-	g.Expect(d.Revision()).To(Equal(uint64(7)))
+	g.Expect(d.Revision().Number).To(Equal(uint64(7)))
 }
 
 func TestRemovedEndpointIsKeptAfterOutage(t *testing.T) {
 	g := NewWithT(t)
 	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"))
 	until := now.Add(time.Second)
-	d, _ = d.Merge(directory.Reading{Removed: []string{"b"}, Revision: 2}, now, until)
+	d, _ = d.Merge(directory.Reading{Removed: []string{"b"}, Revision: directory.Revision{Number: 2}}, now, until)
 	g.Expect(names(d)).To(Equal([]string{"a", "b"}))
 	g.Expect(names(d.Listed())).To(Equal([]string{"a"}))
-	d, _ = d.Merge(directory.Reading{Revision: 2}, now, until)
+	d, _ = d.Merge(directory.Reading{Revision: directory.Revision{Number: 2}}, now, until)
 	g.Expect(names(d)).To(Equal([]string{"a", "b"}))
-	d, changed := d.Merge(directory.Reading{Revision: 2}, until, until)
+	d, changed := d.Merge(directory.Reading{Revision: directory.Revision{Number: 2}}, until, until)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(names(d)).To(Equal([]string{"a"}))
 }
@@ -104,7 +104,7 @@
 	changed, removed := before.ChangesTo(after)
 	g.Expect(changed).To(HaveLen(2))
 	g.Expect(removed).To(Equal([]string{"b"}))
-	same, _ := before.Merge(directory.Reading{Entries: changed, Removed: removed, Revision: 2}, now, time.Time{})
+	same, _ := before.Merge(directory.Reading{Entries: changed, Removed: removed, Revision: directory.Revision{Number: 2}}, now, time.Time{})
 	g.Expect(same.Digest()).To(Equal(after.Digest()))
 }
 
@@ -134,7 +134,7 @@
 	first.Incarnation, second.Incarnation = "100", "90" // its clock was set back
 	d := merge(directory.Empty(), 1, time.Time{}, first)
 	g.Expect(d.ByService("s")[0].ProcessID()).To(Equal("100"))
-	later, changed := d.Merge(directory.Reading{Entries: []directory.Entry{second}, Revision: 2}, now, time.Time{})
+	later, changed := d.Merge(directory.Reading{Entries: []directory.Entry{second}, Revision: directory.Revision{Number: 2}}, now, time.Time{})
 	g.Expect(changed).To(BeTrue())
 	g.Expect(later.ByService("s")[0].ProcessID()).To(Equal("90"))
 	g.Expect(later.Digest()).NotTo(Equal(d.Digest()), "peers must notice the change")
@@ -143,23 +143,23 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	var received []directory.Entry
 	g.Expect(json.Unmarshal(text, &received)).To(Succeed())
-	peer, _ := d.Merge(directory.Reading{Entries: received, Revision: 2}, now, time.Time{})
+	peer, _ := d.Merge(directory.Reading{Entries: received, Revision: directory.Revision{Number: 2}}, now, time.Time{})
 	g.Expect(peer.Digest()).To(Equal(later.Digest()))
 	g.Expect(peer.ByService("s")[0].ProcessID()).To(Equal("90"))
-	afterOlder, _ := later.Merge(directory.Reading{Entries: []directory.Entry{first}, Revision: 1}, now, time.Time{})
+	afterOlder, _ := later.Merge(directory.Reading{Entries: []directory.Entry{first}, Revision: directory.Revision{Number: 1}}, now, time.Time{})
 	g.Expect(afterOlder.ByService("s")[0].ProcessID()).To(Equal("90"), "an older reading arrives late")
 }
 
 func TestUnreadableEntryRemovesEndpoint(t *testing.T) {
 	g := NewWithT(t)
 	d := merge(directory.Empty(), 1, time.Time{}, entry("a", "1"), entry("b", "2"), entry("c", "3"))
-	overwritten := directory.Reading{Unreadable: []directory.Unreadable{{Name: "a"}}, Revision: 2}
+	overwritten := directory.Reading{Unreadable: []directory.Unreadable{{Name: "a"}}, Revision: directory.Revision{Number: 2}}
 	for _, keep := range []time.Time{{}, now.Add(time.Second)} { // also after an outage
 		d, changed := d.Merge(overwritten, now, keep)
 		g.Expect(changed).To(BeTrue())
 		g.Expect(names(d)).To(Equal([]string{"b", "c"}))
 	}
-	full := directory.Reading{Full: true, Entries: []directory.Entry{entry("b", "2")}, Unreadable: overwritten.Unreadable, Revision: 3}
+	full := directory.Reading{Full: true, Entries: []directory.Entry{entry("b", "2")}, Unreadable: overwritten.Unreadable, Revision: directory.Revision{Number: 3}}
 	d, _ = d.Merge(full, now, now.Add(time.Second))
 	g.Expect(names(d)).To(Equal([]string{"b", "c"}), "c is kept for a while, a is not")
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -71,6 +71,11 @@
 	// keepAbsentUntil is until when endpoints missing from the list after an outage are kept.
 	// Only Run uses it.
 	keepAbsentUntil time.Time
+	// returned is what was known before the source came back from an older copy; nil if it hasn't
+	// lately. Only Run uses it.
+	returned *returnedSource
+	// removed tracks the endpoints that have left the list. Only Run uses it.
+	removed removedEndpoints
 	// gap is the outage that keepAbsentUntil refers to. Only Run uses it.
 	gap Span
 	// configTransferTime is that of the last configuration. Only Run uses it.
@@ -135,7 +140,7 @@
 		err := f.poll(ctx, next)
 		if err == nil {
 			f.availability.succeeded()
-			next = sourceCall{wait: f.nextWait(time.Now())}
+			next = f.nextCall(time.Now())
 			pause = firstPause
 			clock.Sleep(ctx, f.cfg.Timing.MinInterval-time.Since(sent))
 			continue
@@ -149,6 +154,18 @@
 	}
 }
 
+// nextCall returns the call after a successful one.
+func (f *Follower) nextCall(now time.Time) sourceCall {
+	if f.returned != nil && !now.Before(f.returned.until) {
+		altered := f.returned.altered
+		f.returned = nil
+		if altered {
+			return sourceCall{full: true, fresh: true} // what the list says now counts
+		}
+	}
+	return sourceCall{wait: f.nextWait(now)}
+}
+
 // nextWait returns how long the next call waits. It is as short as possible while absent endpoints
 // are kept, since a peer may report that they have left, and is reduced by the transfer time of a
 // configuration. While a configuration is being transferred nothing confirms the state: with a
@@ -156,7 +173,7 @@
 // addition, the state was 4.0 s old, too old for peers (2.4 s) and to stay ready (2.8 s).
 func (f *Follower) nextWait(now time.Time) time.Duration {
 	wait := max(f.cfg.Timing.Wait-f.configTransferTime, min(f.cfg.Timing.Wait, f.cfg.Timing.MinInterval))
-	if left := f.keepAbsentUntil.Sub(now); left > 0 {
+	if left := f.keepUntil().Sub(now); left > 0 {
 		wait = min(wait, f.cfg.Timing.MinInterval, left+time.Millisecond)
 	}
 	return wait
@@ -168,7 +185,7 @@
 	var unusable *UnusableError
 	switch {
 	case errors.Is(err, ErrHistoryLost):
-		f.cfg.Log.Info().Err(err).Uint64("revision", f.Directory().Revision()).
+		f.logRevision(f.cfg.Log.Info().Err(err), f.Directory().Revision()).
 			Msg("the source no longer has the changes since this revision: reading everything")
 		// A cheap read may be older than the present state.
 		return sourceCall{full: true, fresh: true}
@@ -255,18 +272,25 @@
 	now := time.Now()
 	f.detectOutage(r, at, now)
 	f.logIgnored(r.List)
-	next, changed := f.Directory().Merge(r.List, now, f.keepAbsentUntil)
+	f.detectReturn(r.List, now)
+	known := f.Directory()
+	next, changed := known.Merge(f.holdKnown(r.List, now), now, f.keepUntil())
 	if changed {
+		f.removed.record(now, known, next)
 		// Called before requests use the list, so that its consumer already knows the endpoints.
 		f.cfg.OnDirectory(next)
 	}
 	f.directory.Store(next)
 }
 
+func (f *Follower) logRevision(line *zerolog.Event, r directory.Revision) *zerolog.Event {
+	return line.Uint64("era", r.Era).Uint64("revision", r.Number)
+}
+
 // logIgnored logs a whole list that is ignored since a newer one is known.
 func (f *Follower) logIgnored(list directory.Reading) {
-	if known := f.Directory().Revision(); list.Full && list.Revision < known {
-		f.cfg.Log.Info().Uint64("revision", list.Revision).Uint64("known", known).
+	if known := f.Directory().Revision(); list.Full && list.Revision.Before(known) {
+		f.logRevision(f.cfg.Log.Info(), list.Revision).Uint64("known_era", known.Era).Uint64("known", known.Number).
 			Msg("ignoring a whole list that is older than the known one")
 	}
 }
@@ -290,7 +314,7 @@
 		return
 	}
 	if f.gap.To.Equal(at) {
-		f.cfg.Log.Warn().Dur("gap", at.Sub(f.gap.From)).Dur("age", f.cfg.Clock().Sub(at)).Uint64("revision", r.List.Revision).
+		f.logRevision(f.cfg.Log.Warn(), r.List.Revision).Dur("gap", at.Sub(f.gap.From)).Dur("age", f.cfg.Clock().Sub(at)).
 			Msg("state not confirmed for longer than the lifetime of entries; temporarily keeping endpoints that are missing from the list")
 	}
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	version  uint64
 	revision uint64
+	era      uint64
 	entries  []directory.Entry
 	// staleEntries is the result of a read that isn't fresh, if set.
 	staleEntries  []directory.Entry
@@ -110,18 +111,18 @@
 	if s.unavailable {
 		return follow.Reading{}, errUnavailable
 	}
-	r := follow.Reading{Config: s.config(), List: directory.Reading{Full: true, Entries: s.entries, Revision: s.revision}}
+	r := follow.Reading{Config: s.config(), List: directory.Reading{Full: true, Entries: s.entries, Revision: directory.Revision{Era: s.era, Number: s.revision}}}
 	if fresh {
 		s.freshReads++
 	} else if s.staleEntries != nil {
-		r.List.Entries, r.List.Revision = s.staleEntries, s.staleRevision
+		r.List.Entries, r.List.Revision = s.staleEntries, directory.Revision{Era: s.era, Number: s.staleRevision}
 	}
 	return r, nil
 }
 
 // changesSince returns the changes after a revision. s.mu is held.
 func (s *source) changesSince(after uint64) follow.Reading {
-	r := follow.Reading{List: directory.Reading{Revision: s.revision}, Age: s.peerAge}
+	r := follow.Reading{List: directory.Reading{Revision: directory.Revision{Era: s.era, Number: s.revision}}, Age: s.peerAge}
 	if s.uptime != nil {
 		r.SourceUptime = s.uptime()
 	}
@@ -137,15 +138,16 @@
 	return r
 }
 
-func (s *source) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *source) Await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	s.mu.Lock()
 	s.awaits++
-	s.lastAfter = after
-	unavailable, historyLost, changed, delay := s.unavailable, s.historyLost, s.changed, s.delay
+	s.lastAfter = after.Number
+	unavailable, changed, delay := s.unavailable, s.changed, s.delay
+	historyLost := s.historyLost || after.Era != s.era
 	s.historyLost = false
-	if s.revision > after && !unavailable && !historyLost {
+	if s.revision > after.Number && !unavailable && !historyLost {
 		defer s.mu.Unlock()
-		return s.changesSince(after), nil
+		return s.changesSince(after.Number), nil
 	}
 	s.mu.Unlock()
 	if historyLost {
@@ -163,7 +165,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changesSince(after), nil
+	if after.Era != s.era {
+		return follow.Reading{}, follow.ErrHistoryLost
+	}
+	return s.changesSince(after.Number), nil
 }
 
 var timing = follow.Timing{
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -17,6 +17,9 @@
 // read is required.
 var ErrHistoryLost = errors.New("follow: the source no longer has the changes since this revision")
 
+// errEraChanged reports that the service came back from an older copy between two calls of a read.
+var errEraChanged = errors.Wrap(ErrHistoryLost, "the service came back from an older copy during a read")
+
 // ErrUnreadable reports a configuration that can't be decoded. The last one stays in force.
 var ErrUnreadable = errors.New("follow: the configuration can't be read")
 
@@ -53,8 +56,9 @@
 	// fresh is cheaper; its list may be seconds old, as its revision shows.
 	Read(ctx context.Context, fresh bool) (Reading, error)
 	// Await waits for a change after the revision, at most for wait, and returns the changes.
-	// It returns ErrHistoryLost if the revision is too old.
-	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+	// It returns ErrHistoryLost if the revision is too old, or of an earlier era than the answer
+	// and the changes since aren't known.
+	Await(ctx context.Context, after directory.Revision, wait time.Duration) (Reading, error)
 }
 
 // Store is the API of the service behind all sources. Since long answers take time, each call
@@ -67,10 +71,10 @@
 	// cheaper and may be seconds old.
 	Page(ctx context.Context, after string, fresh bool) (Page, error)
 	// Await is as in Source.
-	Await(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+	Await(ctx context.Context, after directory.Revision, wait time.Duration) (Reading, error)
 	// Changes returns at once the changes of the list after the revision. It returns
-	// ErrHistoryLost if the revision is too old.
-	Changes(ctx context.Context, after uint64) (directory.Reading, error)
+	// ErrHistoryLost if the revision is too old or of an earlier era.
+	Changes(ctx context.Context, after directory.Revision) (directory.Reading, error)
 }
 
 // OperatorState is what the operator has set, as of a revision.
@@ -79,7 +83,7 @@
 	Config *route.Config
 	// Evacuated lists the evacuated failure domains.
 	Evacuated []string
-	Revision  uint64
+	Revision  directory.Revision
 }
 
 func (s *OperatorState) evacuations() directory.Evacuations {
@@ -118,7 +122,10 @@
 		if err != nil {
 			return Reading{}, err
 		}
-		full.List.Revision = min(full.List.Revision, page.Revision)
+		if fresh && page.Revision.Era != state.Revision.Era {
+			return Reading{}, errEraChanged
+		}
+		full.List.Revision = directory.Earlier(full.List.Revision, page.Revision)
 		full.List.Entries = append(full.List.Entries, page.Entries...)
 		full.List.Unreadable = append(full.List.Unreadable, page.Unreadable...)
 		after = page.Next
@@ -129,13 +136,16 @@
 // CatchUp returns at once the changes after the revision, as Await does, but only the newest
 // version of the configuration. Await returns each missed version in full: after an outage with
 // three of 900 KB that took 2.1 s longer over a link of 10 Mbit/s.
-func (r Reader) CatchUp(ctx context.Context, after uint64) (Reading, error) {
+func (r Reader) CatchUp(ctx context.Context, after directory.Revision) (Reading, error) {
 	changes, err := r.changes(ctx, after)
 	if err != nil {
 		return Reading{}, err
 	}
 	start := time.Now()
 	state, err := r.operatorState(ctx)
+	if err == nil && state.Revision.Era != changes.Revision.Era {
+		return Reading{}, errEraChanged
+	}
 	changes.Evacuations = state.evacuations()
 	reading := Reading{Config: state.Config, ConfigTransferTime: time.Since(start), List: changes}
 	if errors.Is(err, ErrUnreadable) {
@@ -145,7 +155,7 @@
 	return reading, err
 }
 
-func (r Reader) changes(ctx context.Context, after uint64) (directory.Reading, error) {
+func (r Reader) changes(ctx context.Context, after directory.Revision) (directory.Reading, error) {
 	ctx, cancel := idle.WithTimeout(ctx, r.CallTimeout, r.CallTimeout)
 	defer cancel()
 	return r.Store.Changes(ctx, after)
--- a/internal/peers/changelog.go
+++ b/internal/peers/changelog.go
@@ -18,32 +18,32 @@
 	// list is the latest list, and lastChange the revision of its last change. Changes up to
 	// the revision floor are not recorded individually.
 	list              *directory.Directory
-	lastChange, floor uint64
+	lastChange, floor directory.Revision
 	// changed and removed map an endpoint to the revision at which its change was detected.
-	changed, removed map[string]uint64
+	changed, removed map[string]directory.Revision
 }
 
 // since returns the changes that a peer lacks whose list has this revision; same says that it
 // equals d. ok is false if the changes since then aren't recorded.
-func (c *changeLog) since(d *directory.Directory, revision uint64, same bool) (changes directory.Reading, ok bool) {
+func (c *changeLog) since(d *directory.Directory, revision directory.Revision, same bool) (changes directory.Reading, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.update(d)
 	changes.Revision = d.Revision()
 	switch {
-	case same, revision > d.Revision():
+	case same, d.Revision().Before(revision):
 		return changes, true
-	case revision < c.floor, revision >= c.lastChange:
+	case revision.Before(c.floor), !revision.Before(c.lastChange):
 		// The lists differ, but no recorded change explains it.
 		return changes, false
 	}
 	for name, at := range c.changed {
-		if e, listed := d.Entry(name); listed && at > revision {
+		if e, listed := d.Entry(name); listed && revision.Before(at) {
 			changes.Entries = append(changes.Entries, e)
 		}
 	}
 	for name, at := range c.removed {
-		if at > revision {
+		if revision.Before(at) {
 			changes.Removed = append(changes.Removed, name)
 		}
 	}
@@ -77,6 +77,6 @@
 // reset drops all recorded changes. c.mu is held.
 func (c *changeLog) reset(d *directory.Directory) {
 	c.list, c.lastChange, c.floor = d, d.Revision(), d.Revision()
-	c.changed = make(map[string]uint64)
-	c.removed = make(map[string]uint64)
+	c.changed = make(map[string]directory.Revision)
+	c.removed = make(map[string]directory.Revision)
 }
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -84,7 +84,7 @@
 	return follow.Reading{
 		Config: &route.Config{Version: version},
 		List: directory.Reading{
-			Full: true, Entries: entries, Revision: version,
+			Full: true, Entries: entries, Revision: directory.Revision{Number: version},
 			Evacuations: directory.Evacuations{Full: true, Active: v.evacuated},
 		},
 	}
@@ -100,19 +100,19 @@
 	return v.reading(version), err
 }
 
-func (v routerView) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (v routerView) Await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	version, err := v.call(ctx)
 	if err != nil {
 		return follow.Reading{}, err
 	}
-	if version > after {
+	if version > after.Number {
 		return v.reading(version), nil
 	}
 	for until := time.Now().Add(wait); time.Now().Before(until); {
 		if !clock.Sleep(ctx, min(10*time.Millisecond, time.Until(until))) {
 			return follow.Reading{}, ctx.Err()
 		}
-		if now := v.currentVersion(); now > after {
+		if now := v.currentVersion(); now > after.Number {
 			return v.reply(ctx, v.reading(now))
 		}
 	}
@@ -132,7 +132,7 @@
 	return r, nil
 }
 
-func (v routerView) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+func (v routerView) CatchUp(ctx context.Context, after directory.Revision) (follow.Reading, error) {
 	return v.Await(ctx, after, follow.MinWait)
 }
 
--- a/internal/peers/list_test.go
+++ b/internal/peers/list_test.go
@@ -17,8 +17,8 @@
 	runFleet(t, 2, func(g *WithT, f *fleet) {
 		n := f.nodes[0]
 		list := n.follower.Directory()
-		poll := func(revision, digest uint64) updateReply {
-			reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Version: 1, Revision: revision, Digest: digest})
+		poll := func(revision directory.Revision, digest uint64) updateReply {
+			reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Version: 1, listRevision: toListRevision(revision), Digest: digest})
 			g.Expect(err).NotTo(HaveOccurred())
 			return reply
 		}
@@ -28,11 +28,11 @@
 		g.Expect(reply.Entries).To(BeEmpty())
 		// Changes can't reconcile a list that differs at the same revision.
 		g.Expect(poll(list.Revision(), list.Digest()+1).HistoryLost).To(BeTrue())
-		g.Expect(poll(0, 0).HistoryLost).To(BeTrue())
+		g.Expect(poll(directory.Revision{}, 0).HistoryLost).To(BeTrue())
 		// A requester with a later revision gets no changes.
-		g.Expect(poll(list.Revision()+5, list.Digest()+1).HistoryLost).To(BeFalse())
+		g.Expect(poll(directory.Revision{Number: list.Revision().Number + 5}, list.Digest()+1).HistoryLost).To(BeFalse())
 		other := directory.Entry{Endpoint: bundle.Endpoint{Name: "f", Address: "b", Services: []string{"s"}}}
-		next, _ := list.Merge(directory.Reading{Entries: []directory.Entry{other}, Removed: []string{"e"}, Revision: 9}, time.Now(), time.Time{})
+		next, _ := list.Merge(directory.Reading{Entries: []directory.Entry{other}, Removed: []string{"e"}, Revision: directory.Revision{Number: 9}}, time.Now(), time.Time{})
 		n.source.SetState(overriddenState{State: n.follower, directory: next})
 		reply = poll(list.Revision(), list.Digest())
 		g.Expect(reply.Entries).To(Equal([]directory.Entry{other}))
@@ -51,7 +51,7 @@
 		time.Sleep(time.Second)
 		g.Expect(f.countInForce(21)).To(Equal(12))
 		for _, n := range f.nodes {
-			g.Expect(n.follower.Directory().Revision()).To(Equal(uint64(21)), n.vm)
+			g.Expect(n.follower.Directory().Revision().Number).To(Equal(uint64(21)), n.vm)
 		}
 		// Each reader makes a call per change, and one a second without changes.
 		g.Expect(f.origin.count() - before).To(BeNumerically("<=", 2*(20+4)))
@@ -83,7 +83,7 @@
 		for i := range entries {
 			entries[i] = directory.Entry{Endpoint: bundle.Endpoint{Name: fmt.Sprintf("e%04d", i), Address: fmt.Sprint(i)}}
 		}
-		list, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: entries, Revision: 3}, time.Now(), time.Time{})
+		list, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: entries, Revision: directory.Revision{Number: 3}}, time.Now(), time.Time{})
 		n.source.SetState(overriddenState{State: n.follower, directory: list})
 		starting := New(Config{Self: Member{VM: "new"}, Pool: f.nodes[1].pool, MaxAge: maxAge, Log: zerolog.Nop()})
 		for _, requester := range []*Source{starting, f.nodes[1].source} {
@@ -105,19 +105,19 @@
 		n := f.nodes[0]
 		removed := directory.Entry{Endpoint: bundle.Endpoint{Name: "gone", Address: "b", Services: []string{"s"}}}
 		listed := n.follower.Directory().Entries()
-		before, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: append(listed, removed), Revision: 1}, time.Now(), time.Time{})
-		after, _ := before.Merge(directory.Reading{Full: true, Entries: listed, Revision: 2}, time.Now(), time.Now().Add(time.Second))
+		before, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: append(listed, removed), Revision: directory.Revision{Number: 1}}, time.Now(), time.Time{})
+		after, _ := before.Merge(directory.Reading{Full: true, Entries: listed, Revision: directory.Revision{Number: 2}}, time.Now(), time.Now().Add(time.Second))
 		g.Expect(after.ByService("s")).To(HaveLen(2), "this router keeps the endpoint that may be back")
 		n.source.SetState(overriddenState{State: n.follower, directory: after})
 		page, err := n.source.servePage(context.Background(), testPeer, pageRequest{})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(page.Entries).To(Equal(listed))
-		reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Revision: 2, Digest: n.follower.Directory().Digest()})
+		reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{listRevision: listRevision{Revision: 2}, Digest: n.follower.Directory().Digest()})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(reply.HistoryLost).To(BeFalse())
 		g.Expect(reply.Entries).To(BeEmpty())
 		// A requester that still lists the endpoint must learn that it was removed.
-		reply, err = n.source.serveUpdate(context.Background(), testPeer, updateRequest{Revision: 1, Digest: before.Digest()})
+		reply, err = n.source.serveUpdate(context.Background(), testPeer, updateRequest{listRevision: listRevision{Revision: 1}, Digest: before.Digest()})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(reply.HistoryLost).To(BeTrue(), "the change log never recorded the previous list")
 	})
@@ -137,9 +137,9 @@
 		n := f.nodes[0]
 		list := n.follower.Directory()
 		versioned := directory.Entry{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}, Version: "v1"}
-		next, _ := list.Merge(directory.Reading{Entries: []directory.Entry{versioned}, Revision: 9}, time.Now(), time.Time{})
+		next, _ := list.Merge(directory.Reading{Entries: []directory.Entry{versioned}, Revision: directory.Revision{Number: 9}}, time.Now(), time.Time{})
 		n.source.SetState(overriddenState{State: n.follower, directory: next})
-		reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Version: 1, Revision: 9, UnversionedDigest: list.UnversionedDigest()})
+		reply, err := n.source.serveUpdate(context.Background(), testPeer, updateRequest{Version: 1, listRevision: listRevision{Revision: 9}, UnversionedDigest: list.UnversionedDigest()})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(reply.HistoryLost).To(BeFalse())
 		g.Expect(reply.Entries).To(BeEmpty())
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -80,14 +80,28 @@
 	Limits balance.LimitSummaries `json:"limits,omitzero"`
 }
 
+// listRevision is a directory.Revision on the wire. Routers of older software know no eras.
+type listRevision struct {
+	Era      uint64 `json:"era,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+func toListRevision(r directory.Revision) listRevision {
+	return listRevision{Era: r.Era, Revision: r.Number}
+}
+
+func (r listRevision) value() directory.Revision {
+	return directory.Revision{Era: r.Era, Number: r.Revision}
+}
+
 // updateRequest requests all changes since the requester's state.
 type updateRequest struct {
 	From Member `json:"from"`
 	// Version is that of the requester's configuration, 0 if it has none.
 	Version uint64 `json:"version"`
-	// Revision and Digest are those of the requester's list. UnversionedDigest is all that routers
+	// The revision and Digest are those of the requester's list. UnversionedDigest is all that routers
 	// send and compare that don't know the versions of endpoints.
-	Revision          uint64         `json:"revision"`
+	listRevision
 	UnversionedDigest uint64         `json:"digest"`
 	Digest            uint64         `json:"list_digest,omitempty"`
 	Demand            balance.Demand `json:"demand"`
@@ -119,7 +133,7 @@
 	Entries     []directory.Entry `json:"entries,omitempty"`
 	Removed     []string          `json:"gone,omitempty"`
 	HistoryLost bool              `json:"lost,omitempty"`
-	Revision    uint64            `json:"revision"`
+	listRevision
 	// Evacuated lists all evacuated failure domains.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// AgeMillis is how long ago the sender's state was last confirmed to be the newest.
@@ -163,6 +177,6 @@
 	Entries   []directory.Entry `json:"entries"`
 	Evacuated []string          `json:"evacuated,omitempty"` // as in updateReply
 	More      bool              `json:"more,omitempty"`
-	Revision  uint64            `json:"revision"`
-	AgeMillis int64             `json:"age_ms"`
+	listRevision
+	AgeMillis int64 `json:"age_ms"`
 }
--- a/internal/peers/monitored.go
+++ b/internal/peers/monitored.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"coveferry/internal/directory"
 	"coveferry/internal/follow"
 	"coveferry/internal/idle"
 )
@@ -116,7 +117,7 @@
 }
 
 // Await implements follow.Source. ErrHistoryLost counts as an answer.
-func (m *monitoredOrigin) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (m *monitoredOrigin) Await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	m.calls.WithLabelValues(callUpdates).Inc()
 	sent := time.Now()
 	r, err := m.Origin.Await(m.startCall(ctx), after, wait)
@@ -125,7 +126,7 @@
 }
 
 // CatchUp implements Origin.
-func (m *monitoredOrigin) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+func (m *monitoredOrigin) CatchUp(ctx context.Context, after directory.Revision) (follow.Reading, error) {
 	m.calls.WithLabelValues(callLatest).Inc()
 	sent := time.Now()
 	r, err := m.Origin.CatchUp(m.startCall(ctx), after)
--- a/internal/peers/narrow_test.go
+++ b/internal/peers/narrow_test.go
@@ -51,14 +51,14 @@
 	size, _ := json.Marshal(c)
 	time.Sleep(time.Until(v.link.Reserve(len(size))))
 	entries := []directory.Entry{{Endpoint: bundle.Endpoint{Name: "e", Address: "a", Services: []string{"s"}}}}
-	return follow.Reading{Config: c, List: directory.Reading{Full: true, Entries: entries, Revision: c.Version}}
+	return follow.Reading{Config: c, List: directory.Reading{Full: true, Entries: entries, Revision: directory.Revision{Number: c.Version}}}
 }
 
 func (v linkView) Read(context.Context, bool) (follow.Reading, error) { return v.reading(), nil }
 
-func (v linkView) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (v linkView) Await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	for until := time.Now().Add(wait); time.Now().Before(until); {
-		if v.origin.get().Version > after {
+		if v.origin.get().Version > after.Number {
 			return v.reading(), ctx.Err()
 		}
 		if !clock.Sleep(ctx, 10*time.Millisecond) {
@@ -68,7 +68,7 @@
 	return follow.Reading{List: directory.Reading{Revision: after}}, ctx.Err()
 }
 
-func (v linkView) CatchUp(ctx context.Context, after uint64) (follow.Reading, error) {
+func (v linkView) CatchUp(ctx context.Context, after directory.Revision) (follow.Reading, error) {
 	return v.Await(ctx, after, follow.MinWait)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,7 +58,7 @@
 	follow.Source
 	// CatchUp returns at once the changes after a revision, with only the newest version of
 	// the configuration. See follow.Reader.
-	CatchUp(ctx context.Context, after uint64) (follow.Reading, error)
+	CatchUp(ctx context.Context, after directory.Revision) (follow.Reading, error)
 }
 
 // originCallInterval is the least time between two calls to the origin by a router that isn't a
@@ -232,13 +232,13 @@
 
 // Await implements follow.Source. A router that isn't a reader polls its readers instead of
 // waiting at the origin.
-func (s *Source) Await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *Source) Await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	r, err := s.await(ctx, after, wait)
 	r.SourceUptime = s.uptime.span()
 	return r, err
 }
 
-func (s *Source) await(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *Source) await(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	if s.actsAsReader(time.Now()) {
 		return s.awaitAsReader(ctx, after, wait)
 	}
@@ -258,7 +258,7 @@
 // callOrigin requests the changes from the origin without waiting. If a configuration is pending
 // it reads only the newest one: Await returns each missed version in full, and a reader that
 // failed in the middle of one has often missed several.
-func (s *Source) callOrigin(ctx context.Context, after uint64) (follow.Reading, error) {
+func (s *Source) callOrigin(ctx context.Context, after directory.Revision) (follow.Reading, error) {
 	if s.isConfigPending(time.Now()) {
 		return s.origin.CatchUp(ctx, after)
 	}
@@ -286,7 +286,7 @@
 // back on that answer. If the origin is unresponsive only to the readers, the routers that it
 // would answer lose 2.4 s by waiting until the readers' state is too old: 17 of 30 routers sent
 // requests to endpoints 3.0 s after these had left.
-func (s *Source) awaitWithFallback(ctx context.Context, after uint64, fallback follow.Reading) follow.Reading {
+func (s *Source) awaitWithFallback(ctx context.Context, after directory.Revision, fallback follow.Reading) follow.Reading {
 	ctx, cancel := idle.WithTimeout(ctx, callTimeout, callTimeout)
 	defer cancel()
 	r, err := s.callOrigin(ctx, after)
@@ -298,7 +298,7 @@
 
 // awaitAsReader calls the origin, and if it fails the readers of other failure domains, since the
 // origin may refuse only this router.
-func (s *Source) awaitAsReader(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *Source) awaitAsReader(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	r, err := s.awaitOrigin(ctx, after, wait)
 	if err == nil || errors.Is(err, follow.ErrHistoryLost) || errors.Is(context.Cause(ctx), context.Canceled) {
 		return r, err
@@ -312,7 +312,7 @@
 
 // awaitOrigin waits at the origin for a change. While calls fail it doesn't wait: peers supply the
 // updates, and the calls only serve to detect the recovery and to fetch the newest state.
-func (s *Source) awaitOrigin(ctx context.Context, after uint64, wait time.Duration) (follow.Reading, error) {
+func (s *Source) awaitOrigin(ctx context.Context, after directory.Revision, wait time.Duration) (follow.Reading, error) {
 	if s.origin.unavailableFor() == 0 {
 		return s.origin.Await(ctx, after, wait)
 	}
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -69,7 +69,7 @@
 		return peerReading{}, errNoState
 	}
 	list := state.Directory().Listed()
-	req := updateRequest{From: s.cfg.Self, Revision: list.Revision(), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local()}
+	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local()}
 	// A poll may be late, so the window covers two; applying a report twice is harmless.
 	req.Loads = s.loads.local(time.Now(), 2*s.cfg.PollInterval)
 	req.Failures = s.failures.local(time.Now())
@@ -102,7 +102,7 @@
 		return peerReading{}, err
 	}
 	reading := directory.Reading{
-		Entries: reply.Entries, Removed: reply.Removed, Revision: reply.Revision,
+		Entries: reply.Entries, Removed: reply.Removed, Revision: reply.value(),
 		Evacuations: directory.Evacuations{Full: true, Active: reply.Evacuated},
 	}
 	return peerReading{Reading: follow.Reading{Config: config, List: reading, Age: age}, originUnavailable: reply.OriginUnavailable}, nil
@@ -167,11 +167,11 @@
 				return peerReading{}, err
 			}
 			full = follow.Reading{Config: config, Age: age, List: directory.Reading{
-				Full: true, Revision: reply.Revision,
+				Full: true, Revision: reply.value(),
 				Evacuations: directory.Evacuations{Full: true, Active: reply.Evacuated},
 			}}
 		}
-		full.List.Revision = min(full.List.Revision, reply.Revision)
+		full.List.Revision = directory.Earlier(full.List.Revision, reply.value())
 		full.List.Entries = append(full.List.Entries, reply.Entries...)
 		more = reply.More && len(reply.Entries) > 0
 		if more {
--- a/internal/peers/resume_sim_test.go
+++ b/internal/peers/resume_sim_test.go
@@ -20,7 +20,7 @@
 
 // versionList lists one endpoint of service s for each version.
 func versionList(versions ...string) *directory.Directory {
-	reading := directory.Reading{Full: true, Revision: 1}
+	reading := directory.Reading{Full: true, Revision: directory.Revision{Number: 1}}
 	for i, version := range versions {
 		name := fmt.Sprint("e", i)
 		reading.Entries = append(reading.Entries, directory.Entry{Endpoint: bundle.Endpoint{Name: name, Address: name, Services: []string{"s"}}, Version: version})
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -71,9 +71,9 @@
 		return updateReply{}, err
 	}
 	list := state.Directory().Listed()
-	changes, known := s.changes.since(list, req.Revision, req.holds(list))
+	changes, known := s.changes.since(list, req.value(), req.holds(list))
 	reply.Evacuated = list.Evacuated()
-	reply.Entries, reply.Removed, reply.HistoryLost, reply.Revision = changes.Entries, changes.Removed, !known, changes.Revision
+	reply.Entries, reply.Removed, reply.HistoryLost, reply.listRevision = changes.Entries, changes.Removed, !known, toListRevision(changes.Revision)
 	return reply, nil
 }
 
@@ -90,7 +90,7 @@
 		}
 	}
 	d := state.Directory().Listed()
-	reply.Revision = d.Revision()
+	reply.listRevision = toListRevision(d.Revision())
 	reply.Evacuated = d.Evacuated()
 	reply.Entries, reply.More = d.Page(req.After, maxPage)
 	return reply, nil
--- a/internal/peers/serve_bench_test.go
+++ b/internal/peers/serve_bench_test.go
@@ -34,7 +34,7 @@
 		entries = append(entries, directory.Entry{Endpoint: e})
 		list = append(list, &e)
 	}
-	dir, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: entries, Revision: 7}, time.Now(), time.Time{})
+	dir, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: entries, Revision: directory.Revision{Number: 7}}, time.Now(), time.Time{})
 	s.SetState(fixedState{config: &route.Config{Version: 1}, list: dir})
 	policy := balance.NewPromptAware()
 	pool := balance.NewPool(balance.Config{Policy: policy})
@@ -54,7 +54,7 @@
 	var polls []updateRequest
 	for i := range routers {
 		polls = append(polls, updateRequest{
-			From: Member{VM: fmt.Sprintf("router-%04d", i), FailureDomain: "d"}, Version: 1, Revision: 7, Digest: dir.Digest(), Demand: demand,
+			From: Member{VM: fmt.Sprintf("router-%04d", i), FailureDomain: "d"}, Version: 1, listRevision: listRevision{Revision: 7}, Digest: dir.Digest(), Demand: demand,
 			Loads: pool.RecentLoads(time.Now(), time.Hour, 2, true),
 		})
 	}
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -205,7 +205,7 @@
 
 // updateList has the registry of streams know the versions of the endpoints.
 func (w *routerFixture) updateList() {
-	reading := directory.Reading{Full: true, Revision: 1}
+	reading := directory.Reading{Full: true, Revision: directory.Revision{Number: 1}}
 	for _, e := range w.endpoints {
 		reading.Entries = append(reading.Entries, directory.Entry{Endpoint: *e, Version: e.Version})
 	}
--- a/internal/streamversion/registry_test.go
+++ b/internal/streamversion/registry_test.go
@@ -15,7 +15,7 @@
 
 // listOf returns a list of one endpoint of service s for each version.
 func listOf(versions ...string) *directory.Directory {
-	reading := directory.Reading{Full: true, Revision: 1}
+	reading := directory.Reading{Full: true, Revision: directory.Revision{Number: 1}}
 	for i, version := range versions {
 		name := fmt.Sprint("e", i)
 		reading.Entries = append(reading.Entries, directory.Entry{Endpoint: bundle.Endpoint{Name: name, Address: name, Services: []string{"s"}}, Version: version})
