Soak a store that comes back from older copies

Streams are kept for as long as the configuration's timeouts ask, instead of a minute at least, so that fewer are told after a start.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,8 @@
 	// EndpointLeaves has one leave by its answers alone. Only seeds with signals have them.
 	EndpointBackoff Kind = "endpoint_backoff"
 	EndpointLeaves  Kind = "endpoint_leaves"
+	// StoreReturn has the store come back from an older copy. Only seeds with returns have it.
+	StoreReturn Kind = "store_return"
 	// Evacuate is an evacuation order of a failure domain and its removal. Only seeds with
 	// evacuations have it; endpoints that start during those runs are cold.
 	Evacuate Kind = "evacuate"
@@ -199,6 +201,9 @@
 	if HasSignals(seed) {
 		plan = append(plan, signals(seed, end)...)
 	}
+	if HasReturns(seed) {
+		plan = append(plan, returns(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -31,6 +31,8 @@
 			sleepUntil(ctx, time.Now().Add(f.Duration))
 			r.wire.FailStore(NetFaultNone)
 		})
+	case StoreReturn:
+		r.recordAllRoutersFault(func() { r.returnStore(ctx, f) })
 	case KeyRevoked:
 		r.revoke()
 	case RouteTimeouts:
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -94,6 +94,10 @@
 	ListInvalid(name string, number int)
 	// FailStore injects a fault into the calls to the store; NetFaultNone ends it.
 	FailStore(NetFault)
+	// GoBack has the store come back from a copy of the given age. With historyLost it refuses
+	// watches from revisions that it doesn't have. WriteAgain writes what it lost.
+	GoBack(age time.Duration, historyLost bool)
+	WriteAgain()
 	// SettingsVariable returns the name of the environment variable with the path of
 	// the settings file; Settings returns the contents of that file.
 	SettingsVariable() string
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -104,8 +105,9 @@
 	return r
 }
 
-// KeepFor sets for how long streams are kept: the longest time in which a caller may resume one.
-func (r *Registry) KeepFor(d time.Duration) { r.keep.Store(int64(max(d, defaultKeep))) }
+// KeepFor sets for how long streams are kept: the longest time in which a caller may resume one; 0 if
+// that is unknown.
+func (r *Registry) KeepFor(d time.Duration) { r.keep.Store(int64(cmp.Or(d, defaultKeep))) }
 
 func (r *Registry) keepFor() time.Duration { return time.Duration(r.keep.Load()) }
 
