--- a/internal/follow/returned_test.go
+++ b/internal/follow/returned_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
+	"coveferry/internal/route"
 )
 
 // goBack has the service come back with the given entries at an earlier revision of the next era.
@@ -129,3 +131,38 @@
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Evacuations.Active).To(ConsistOf("d", "e"))
 }
+
+// eraStore answers each kind of call in an era of its own.
+type eraStore struct {
+	follow.Store
+	operator, page, changes uint64
+}
+
+func (s eraStore) OperatorState(context.Context) (follow.OperatorState, error) {
+	return follow.OperatorState{Config: &route.Config{Version: 1}, Revision: directory.Revision{Era: s.operator, Number: 9}}, nil
+}
+
+func (s eraStore) Page(context.Context, string, bool) (follow.Page, error) {
+	return follow.Page{Reading: directory.Reading{Revision: directory.Revision{Era: s.page, Number: 3}}}, nil
+}
+
+func (s eraStore) Changes(context.Context, directory.Revision) (directory.Reading, error) {
+	return directory.Reading{Revision: directory.Revision{Era: s.changes, Number: 3}}, nil
+}
+
+func TestReadThatFallsIntoTwoErasIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	read := func(s eraStore, fresh bool) (follow.Reading, error) {
+		return follow.Reader{Store: s, CallTimeout: time.Second}.Read(ctx, fresh)
+	}
+	for _, s := range []eraStore{{operator: 1, page: 2}, {operator: 2, page: 1}} {
+		_, err := read(s, true)
+		g.Expect(err).To(MatchError(follow.ErrHistoryLost))
+	}
+	stale, err := read(eraStore{operator: 2, page: 1}, false)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stale.List.Revision).To(Equal(directory.Revision{Era: 1, Number: 3}), "the earliest is certain")
+	_, err = follow.Reader{Store: eraStore{operator: 2, changes: 1}, CallTimeout: time.Second}.CatchUp(ctx, directory.Revision{Era: 1, Number: 1})
+	g.Expect(err).To(MatchError(follow.ErrHistoryLost))
+}
