Repeat a stale read whose pages are of a later era than its beginning

Cause: such pages would count as of the earlier era, without being held against what was known. Change: only pages of an earlier era are taken in a stale read. The test of reads that fall into two eras has the case; it failed before, and passes.

--- a/internal/follow/returned_test.go
+++ b/internal/follow/returned_test.go
@@ -160,6 +160,8 @@
 		_, err := read(s, true)
 		g.Expect(err).To(MatchError(follow.ErrHistoryLost))
 	}
+	_, err := read(eraStore{operator: 1, page: 2}, false)
+	g.Expect(err).To(MatchError(follow.ErrHistoryLost))
 	stale, err := read(eraStore{operator: 2, page: 1}, false)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(stale.List.Revision).To(Equal(directory.Revision{Era: 1, Number: 3}), "the earliest is certain")
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -122,7 +122,8 @@
 		if err != nil {
 			return Reading{}, err
 		}
-		if fresh && page.Revision.Era != state.Revision.Era {
+		stale := !fresh && page.Revision.Era < state.Revision.Era
+		if page.Revision.Era != state.Revision.Era && !stale {
 			return Reading{}, errEraChanged
 		}
 		full.List.Revision = directory.Earlier(full.List.Revision, page.Revision)
