Name the header of the tests' own protocol differently from the platform's

The routers' tests used the platform's name for the request that began a stream; names of the platform stay in its folder. Tests only; go test ./internal/router passes.

--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -36,7 +36,7 @@
 type testProtocol struct{}
 
 func (testProtocol) Incoming(h http.Header) upstream.Incoming {
-	in := upstream.Incoming{ID: h.Get("Id"), APIKey: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
+	in := upstream.Incoming{ID: h.Get("Id"), APIKey: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Begun-By")}
 	if h.Get("Patience") != "" {
 		in.CallerTimeout, _ = time.ParseDuration(h.Get("Patience"))
 	}
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -34,7 +34,7 @@
 		w.setVersions("v1", "v1", "v1")
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeEvents(conn, req, true, "id: 5\ndata: e\n\n") }
 		w.streams.Begin(time.Now(), streamversion.IDOf("first"), streamversion.ServiceVersion{Service: "s", Version: "v1"})
-		call(g, client, "POST", "/resume/", "x", "Resumes", "first", "Last", "4")
+		call(g, client, "POST", "/resume/", "x", "Begun-By", "first", "Last", "4")
 		g.Expect(lastLine(w)).To(MatchRegexp(`"attempt 1 at e\d \(v1\): complete, .*"resumes":"first","resumed_after":"4","begun_at":"v1","known_by":"own","known_for":0`))
 	})
 }
@@ -169,7 +169,7 @@
 			version := w.versionsOf(0)[0]
 			for i := range 6 { // each time after it broke off again
 				before := w.receivedCount()
-				call(g, client, "POST", "/resume/", "x", "Id", fmt.Sprint("again", i), "Resumes", "first", "Last", fmt.Sprint(2+i))
+				call(g, client, "POST", "/resume/", "x", "Id", fmt.Sprint("again", i), "Begun-By", "first", "Last", fmt.Sprint(2+i))
 				for _, at := range w.versionsOf(before) {
 					g.Expect(at).To(Equal(version), "begun at %s, resumed the %d. time", begun, i+1)
 				}
@@ -185,7 +185,7 @@
 		w.setVersions("v1", "v2", "v1")
 		w.handle = breakingAfter(1)
 		for _, resumes := range []string{"never-seen", ""} {
-			got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", resumes, "Last", "2")
+			got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", resumes, "Last", "2")
 			g.Expect(got.status).To(Equal(503))
 			g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 			g.Expect(w.receivedCount()).To(BeZero())
@@ -197,7 +197,7 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v2", "v1")
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeEvents(conn, req, true, "id: 1\ndata: x\n\n") }
-		got := call(g, client, "POST", "/resume/", "x", "Resumes", "never-seen")
+		got := call(g, client, "POST", "/resume/", "x", "Begun-By", "never-seen")
 		g.Expect(got.status).To(Equal(200))
 	})
 }
@@ -211,7 +211,7 @@
 			resume := func() int {
 				tries++
 				stream := strings.Replace(resumes, "%d", strconv.Itoa(tries), 1)
-				return call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", stream, "Last", "2").status
+				return call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", stream, "Last", "2").status
 			}
 			w.handle = breakingAfter(1)
 			g.Expect(resume()).To(Equal(503), "this router may have missed another version")
@@ -232,7 +232,7 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v2", "v2")
 		w.streams.Begin(time.Now(), streamversion.IDOf("moved"), streamversion.ServiceVersion{Service: "gone", Version: "v1"})
-		got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", "moved", "Last", "2")
+		got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", "moved", "Last", "2")
 		g.Expect(got.status).To(Equal(503))
 		g.Expect(w.receivedCount()).To(BeZero())
 		c := testConfig()
@@ -241,7 +241,7 @@
 		c.Routes[3].Targets = append(c.Routes[3].Targets, route.Target{Service: "gone", Weight: 0})
 		w.table = mustTable(c)
 		w.handle = breakingAfter(1)
-		got = call(g, client, "POST", "/resume/", "x", "Id", "again", "Resumes", "moved", "Last", "2")
+		got = call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", "moved", "Last", "2")
 		g.Expect(got.status).To(Equal(200))
 		g.Expect(w.versionsOf(0)).To(HaveEach("v1"))
 	})
