Find a service's versions by one loop, and answer refused streams by one function

Two loops over the listed and lately listed versions stood side by side, and the one that runs for each stream that begins made a map over all endpoints of its service; it stops at the second version now. The two refusals of resumed streams differ in code and text only. Behaviour as before; no timing was measured.

--- a/internal/filters/resume/resume.go
+++ b/internal/filters/resume/resume.go
@@ -39,11 +39,7 @@
 
 // API implements api.Convertible.
 func (e *UnknownError) API() *api.Error {
-	return &api.Error{
-		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "unknown_stream",
-		Message: "it isn't known which software version began the stream; begin it anew", Run: wire.RunNot,
-		RetryAfter: retryAfter,
-	}
+	return refusal("unknown_stream", "it isn't known which software version began the stream; begin it anew")
 }
 
 // MovedError is a resumed stream that began at a service to which its route no longer leads. The
@@ -57,10 +53,14 @@
 
 // API implements api.Convertible.
 func (e *MovedError) API() *api.Error {
+	return refusal("stream_moved", "the service that began the stream no longer serves the route; begin it anew")
+}
+
+// refusal returns the answer to a request that was not sent.
+func refusal(code, message string) *api.Error {
 	return &api.Error{
-		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "stream_moved",
-		Message: "the service that began the stream no longer serves the route; begin it anew", Run: wire.RunNot,
-		RetryAfter: retryAfter,
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: code, Message: message,
+		Run: wire.RunNot, RetryAfter: retryAfter,
 	}
 }
 
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -22,7 +22,7 @@
 const (
 	// tableShards is a power of two well above the number of cores of a router VM.
 	tableShards = 32
-	// maxPerShard bounds the streams in half a shard: 131,072 in a whole table, some 4 MB.
+	// maxPerShard bounds the streams in half a shard: 131,072 in a whole table.
 	maxPerShard = 2048
 )
 
--- a/internal/streamversion/versions.go
+++ b/internal/streamversion/versions.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"iter"
 	"sync"
 	"time"
 
@@ -116,37 +117,43 @@
 	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > maxWindow {
 		return "", false
 	}
-	listed := make(map[string]bool)
-	for _, e := range l.list.ByService(service) {
-		listed[e.Version] = true
-	}
-	for v, at := range l.lastListed[service] {
-		if now.Sub(at) <= window {
-			listed[v] = true
+	for v := range l.versionsIn(now, service, window) {
+		if ok && v != version {
+			return "", false
 		}
+		version, ok = v, true
 	}
-	for v := range listed {
-		version = v
-	}
-	return version, len(listed) == 1
+	return version, ok
 }
 
 // hasOther reports whether the service is known to have had another version in the window.
 func (l *versionLog) hasOther(now time.Time, q Query, version string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.list == nil {
-		return false
-	}
-	for _, e := range l.list.ByService(q.Service) {
-		if e.Version != version {
+	for v := range l.versionsIn(now, q.Service, q.Window) {
+		if v != version {
 			return true
 		}
 	}
-	for v, at := range l.lastListed[q.Service] {
-		if v != version && now.Sub(at) <= q.Window {
-			return true
+	return false
+}
+
+// versionsIn yields the versions that endpoints of a service have or had in the window until now, some
+// more than once. l.mu is held.
+func (l *versionLog) versionsIn(now time.Time, service string, window time.Duration) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if l.list == nil {
+			return
+		}
+		for _, e := range l.list.ByService(service) {
+			if !yield(e.Version) {
+				return
+			}
+		}
+		for v, at := range l.lastListed[service] {
+			if now.Sub(at) <= window && !yield(v) {
+				return
+			}
 		}
 	}
-	return false
 }
