Log the shared parts of a prompt whose request lost its endpoint

Cause: lines named a prompt's last shared part only, so that losses under a first or middle part could not be told from losses under a request's content, caller or route. Change: the line of a request that lost its endpoint names all parts but the last, 16 at most, by their ids. Measured: TestLogLineNamesPartsOfRequestWhoseEndpointWasLost.

--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -2,6 +2,8 @@
 // of its prefill and the parts that endpoints may have cached.
 package prompt
 
+import "fmt"
+
 // Part is a part of a prompt, possibly shared by several requests. An endpoint that has cached
 // a part and all parts before it doesn't prefill them again.
 type Part struct {
@@ -9,6 +11,9 @@
 	Tokens int
 }
 
+// String returns the part as it appears in logs.
+func (p Part) String() string { return fmt.Sprintf("%x:%d", p.ID, p.Tokens) }
+
 // Prompt describes a request's prompt and answer. The zero value is a request without a prompt,
 // such as one for a plain service.
 type Prompt struct {
@@ -45,10 +50,13 @@
 	return p.Parts[len(p.Parts)-1].ID
 }
 
+// SharedParts returns the parts that other requests may share: all but the last.
+func (p Prompt) SharedParts() []Part { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // SharedTokens returns the number of tokens in all parts but the last.
 func (p Prompt) SharedTokens() int {
 	n := 0
-	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+	for _, part := range p.SharedParts() {
 		n += part.Tokens
 	}
 	return n
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -11,6 +11,7 @@
 	"coveferry/internal/api"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/logging"
+	"coveferry/internal/prompt"
 	"coveferry/internal/request"
 	"coveferry/internal/slo"
 	"coveferry/internal/upstream"
@@ -120,12 +121,28 @@
 	return n
 }
 
-// addLostEndpoints logs the number of lost endpoints and the request's identity, which is the
-// same at all routers and for all retries by callers.
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// addLostEndpoints logs the number of lost endpoints and what identifies the request at all
+// routers: its identity, which is the same for each retry, and the parts of its prompt that other
+// requests may share.
 func addLostEndpoints(log *zerolog.Event, r *request.Request) {
-	if r.EndpointsLost > 0 {
-		log.Int("lost", r.EndpointsLost).Stringer(logging.FieldIdentity, r.Identity())
+	if r.EndpointsLost == 0 {
+		return
+	}
+	log.Int("lost", r.EndpointsLost).Stringer(logging.FieldIdentity, r.Identity())
+	if parts := r.Prompt.SharedParts(); len(parts) > 0 {
+		log.Stringers("parts", loggable(parts))
+	}
+}
+
+func loggable(parts []prompt.Part) []fmt.Stringer {
+	texts := make([]fmt.Stringer, min(len(parts), maxLoggedParts))
+	for i := range texts {
+		texts[i] = parts[i]
 	}
+	return texts
 }
 
 // recordSLO counts the request towards the objective of its class. Requests that end before
--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -37,6 +37,19 @@
 	})
 }
 
+// Requests that crash endpoints may differ in all but one part of their prompts.
+func TestLogLineNamesPartsOfRequestWhoseEndpointWasLost(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = resetConnection
+		call(g, client, "POST", "/once/", "a", "Parts", "5c1e07a2 91bd3f06 e4402b7d")
+		g.Expect(w.log.String()).To(ContainSubstring(`"parts":["5c1e07a2:10","91bd3f06:10"]`))
+		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
+		before := w.log.Len()
+		call(g, client, "POST", "/once/", "b", "Parts", "5c1e07a2 91bd3f06 e4402b7d")
+		g.Expect(w.log.String()[before:]).NotTo(ContainSubstring(`"parts"`))
+	})
+}
+
 // Guards against a request that crashes every endpoint that runs it, together with all other
 // requests there. Recording failures by endpoint only isn't enough: a caller that keeps
 // retrying would get the request sent to a fourth endpoint after three losses. The tests in
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -43,6 +43,10 @@
 	if h.Get("Prompt") != "" {
 		in.Prompt = prompt.Prompt{Tokens: 100, ExpectedOutput: 50}
 	}
+	for _, id := range strings.Fields(h.Get("Parts")) {
+		n, _ := strconv.ParseUint(id, 16, 64)
+		in.Prompt.Parts = append(in.Prompt.Parts, prompt.Part{ID: n, Tokens: 10})
+	}
 	return in
 }
 
