--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -88,6 +89,38 @@
 	})
 }
 
+// Guards against requests that crash endpoints by one part of their prompts and differ otherwise.
+func TestPartOfPromptsIsQuarantinedAfterThreeEndpointLosses(t *testing.T) {
+	for _, parts := range []string{"dead 2 %x", "1 dead 2 %x", "1 2 dead %x"} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.handle = func(endpoint string, req *http.Request, conn net.Conn) {
+				if strings.Contains(req.Header.Get("Parts"), "dead") {
+					resetConnection(endpoint, req, conn)
+					return
+				}
+				writeOK(conn, req, "fine")
+			}
+			sent := 0
+			ask := func(parts string) reply {
+				sent++
+				return call(g, client, "POST", "/once/", fmt.Sprint("body", sent), "Parts", fmt.Sprintf(parts, 0x100+sent))
+			}
+			for range 6 {
+				ask(parts)
+				time.Sleep(10 * time.Millisecond)
+			}
+			before := w.receivedCount()
+			got := ask(parts)
+			g.Expect(got.status).To(Equal(503), parts)
+			g.Expect(got.body).To(ContainSubstring(`"quarantined"`))
+			g.Expect(got.body).To(ContainSubstring(`"not_run"`))
+			g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			g.Expect(w.receivedCount()).To(Equal(before))
+			g.Expect(ask("1 2 %x").status).To(Equal(200), "requests with the other parts")
+		})
+	}
+}
+
 // Any answer, however wrong, shows that the endpoint is alive and must not count towards
 // quarantine.
 func TestOnlyLostEndpointsCauseQuarantine(t *testing.T) {
