Break off a stream that ends with its connection before its first event

Seen by callers: none in the record; in the tests a caller got 200 with an empty stream where the endpoint had crashed, and a stream that may be resumed wasn't. Cause: the end of a connection was taken for the end of the stream unless bytes of an event were left over. And one that ended inside an event didn't count as a loss of its endpoint, so that a part or request that crashes endpoints so would never be known. Change: without a length and chunks, a stream that ends inside an event or without one is a broken connection: it goes on elsewhere, or ends broken, and counts as a loss. A plain answer without content that ends so is passed on, but clears nothing. With chunks an empty stream stays whole.

--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -84,6 +84,7 @@
 		return response
 	}
 	r.Delivered.Started = true
+	r.EndUnconfirmed = len(body) == 0 && endsWithConnection(r.Answer)
 	recordFirstToken(r)
 	if err := response.Write(r.Writer); err != nil {
 		return &CallerError{Cause: err}
@@ -125,6 +126,7 @@
 	var buffered []byte
 	buf := make([]byte, readBufferBytes)
 	rc := http.NewResponseController(r.Writer)
+	events := false
 	for {
 		n, err := r.Answer.Body.Read(buf)
 		buffered = append(buffered, buf[:n]...)
@@ -133,6 +135,7 @@
 		}
 		end := completeEventsLen(buffered)
 		if end > 0 {
+			events = true
 			if r.OnEvent != nil {
 				r.OnEvent(time.Now())
 			}
@@ -143,7 +146,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return endStream(r, buffered)
+			return endStream(r, buffered, events)
 		case err != nil:
 			return &BrokenError{Cause: err}
 		case len(buffered) > maxEventBytes:
@@ -152,15 +155,28 @@
 	}
 }
 
-// endStream handles EOF from the endpoint. It is an error in the middle of an event.
-func endStream(r *request.Request, buffered []byte) error {
-	if len(buffered) > 0 {
+// errConnectionEnded is the end of a connection that doesn't complete the answer. It counts as
+// a broken connection.
+var errConnectionEnded = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended")
+
+// endStream handles EOF from the endpoint after an attempt's events. It is an error in the
+// middle of an event. Without an event, the end of the connection may be a crash.
+func endStream(r *request.Request, buffered []byte, events bool) error {
+	switch {
+	case endsWithConnection(r.Answer) && (len(buffered) > 0 || !events):
+		return &BrokenError{Cause: errConnectionEnded}
+	case len(buffered) > 0:
 		return &BrokenError{Cause: errors.New("the stream ended in the middle of an event")}
 	}
 	writeResponseHeader(r)
 	return nil
 }
 
+// endsWithConnection reports whether an answer has neither a length nor chunks.
+func endsWithConnection(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 func deliverEvents(r *request.Request, rc *http.ResponseController, events []byte) error {
 	writeResponseHeader(r)
 	api.ExtendWriteDeadline(r.Writer)
--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -169,6 +169,45 @@
 	}
 }
 
+// Where answers have neither a length nor chunks, a crash looks like the end of an answer.
+func TestAnswersThatEndWithTheirConnectionAsEvidence(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for _, c := range []struct {
+		path, answer string
+		quarantined  bool
+	}{
+		{"/stream/", "", true},
+		{"/stream/", event + "id: 2\nda", true},
+		{"/stream/", event, false},
+		{"/once/", "answer", false},
+	} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.handle = func(_ string, req *http.Request, conn net.Conn) { writeUntilClose(conn, req, "HTTP/1.1", c.answer) }
+			quarantined := false
+			for range 12 {
+				quarantined = quarantined || strings.Contains(call(g, client, "POST", c.path, poisonBody).body, "quarantined")
+			}
+			g.Expect(quarantined).To(Equal(c.quarantined), "%s %q", c.path, c.answer)
+		})
+	}
+}
+
+// An empty answer that ends with its connection may be a crash, and must not clear losses.
+func TestEmptyAnswerThatEndsWithItsConnectionClearsNoLosses(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		quarantined := false
+		for i := range 24 {
+			w.handle = resetConnection
+			if i%2 == 1 {
+				w.handle = func(_ string, req *http.Request, conn net.Conn) { writeUntilClose(conn, req, "HTTP/1.1", "") }
+			}
+			quarantined = quarantined || strings.Contains(call(g, client, "POST", "/once/", poisonBody).body, "quarantined")
+			time.Sleep(restartTime)
+		}
+		g.Expect(quarantined).To(BeTrue())
+	})
+}
+
 // A request that has run must not be reported as not run because a later attempt was
 // quarantined.
 func TestQuarantineAfterAnAttemptDoesNotReportNotRun(t *testing.T) {
