Soak parts of prompts that crash endpoints, and answers that end with their connections

Cause: no caller of the soak stated a prompt, crash requests were always the same one, and all answers had a length or chunks. An endpoint's record says when it breaks off an answer, so that this isn't held against a router's stop. The proxy resets a connection after it has dropped data of it: it had closed it in order, which TCP can't, and a stream without a length looked whole.

--- a/internal/cli/standincmd/replica.go
+++ b/internal/cli/standincmd/replica.go
@@ -15,11 +15,13 @@
 	Events int           `default:"0" help:"Events of each answer; 0 answers without a stream."`
 	Pause  time.Duration `default:"25ms" help:"Time between two events."`
 	Cold   time.Duration `default:"0s" help:"For how long after its start it says that it is cold."`
+
+	Closing float64 `default:"0" help:"Share of the answers that end with their connection."`
 }
 
 // Run runs the command.
 func (c *ReplicaCmd) Run(env *cli.Env) error {
-	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold)}
+	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold), Closing: c.Closing}
 	return serve(env, c.Listen, replica)
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -47,6 +47,9 @@
 	// time in which routers must share a quarantine.
 	FaultMargin time.Duration
 	Cancel      time.Duration
+	// CrashesBeforeQuarantine is the number of endpoints after which routers must quarantine
+	// the crash requests.
+	CrashesBeforeQuarantine int
 	// RetryRatio times the requests for a service in a RetryWindow, plus RetrySlack, is the
 	// number of retries that it may get from all routers.
 	RetryRatio  float64
@@ -101,6 +104,17 @@
 	// Resumed reports whether the run resumes an earlier one of the same request.
 	Resumed    bool
 	Begin, End time.Time // End is zero if the endpoint crashed before it recorded the end
+	// BrokeOff reports whether the endpoint broke off its answer.
+	BrokeOff bool
+}
+
+// end applies what the endpoint recorded of the run after its begin.
+func (e *Execution) end(rec Record) {
+	if rec.BrokeOff {
+		e.BrokeOff = true
+		return
+	}
+	e.End = rec.At
 }
 
 // Span is a time span.
@@ -245,7 +259,7 @@
 func (c *checker) stop(call Call, runs []Execution) {
 	stopping := slices.ContainsFunc(c.observed.Stops[call.Router], func(s Span) bool { return s.touches(call.Sent, call.End) })
 	cut := call.Status == 0 || call.Status == 200 && !call.Complete
-	if stopping && cut && !call.CallerLeft && len(runs) > 0 && c.undisturbed(call, runs[len(runs)-1]) {
+	if stopping && cut && !call.CallerLeft && len(runs) > 0 && !runs[len(runs)-1].BrokeOff && c.undisturbed(call, runs[len(runs)-1]) {
 		c.add(PromiseStop, call.ID, "it ran at %s and was cut off by its router's stop", runs[len(runs)-1].Endpoint)
 	}
 }
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -14,17 +14,23 @@
 // same one, sent to any router.
 func HasCrashRequests(seed uint64) bool { return seed/16%2 == 1 }
 
+// HasCrashParts reports whether the crash requests of a seed differ in all but one part of their
+// prompts, and other requests share the other parts: every second block of 64000 seeds.
+func HasCrashParts(seed uint64) bool { return seed/64000%2 == 1 }
+
 const (
-	// meanCrashRequestGap is the mean time between two crash requests.
+	// meanCrashRequestGap is the mean time between two crash requests, and meanCrashPartGap
+	// between two that have a part in common.
 	meanCrashRequestGap = 500 * time.Millisecond
+	meanCrashPartGap    = 150 * time.Millisecond
 	// crashRequestID is the prefix of the IDs of crash requests.
 	crashRequestID = "deadly-"
 	// CrashDelay is the time after which an endpoint that runs one crashes. It leaves time
 	// to write the endpoint's record.
 	CrashDelay = 50 * time.Millisecond
-	// crashesBeforeQuarantine is the number of crashes after which routers must quarantine the request,
-	// and maxRunsInQuarantine the number of requests that may still reach endpoints after that.
-	crashesBeforeQuarantine, maxRunsInQuarantine = 3, 3
+	// maxRunsInQuarantine is the number of crash requests that may still reach endpoints after
+	// Bounds.CrashesBeforeQuarantine.
+	maxRunsInQuarantine = 3
 	// replacementDelay is the time from a crash to the start of the replacement.
 	replacementDelay = 4 * time.Second
 )
@@ -33,16 +39,32 @@
 func (c *caller) sendCrashRequests(ctx context.Context) {
 	route := c.soak.routes[slices.IndexFunc(c.soak.routes, func(r Route) bool { return r.Stream && !r.Repeatable })]
 	route.Crashing = true
-	for n := 0; sleepUntil(ctx, time.Now().Add(time.Duration(c.rnd.ExpFloat64()*float64(meanCrashRequestGap)))); n++ {
+	route.Prompt = promptOf(c.soak.opts.Seed, true)
+	gap := meanCrashRequestGap
+	if route.Prompt == PromptCrashing {
+		gap = meanCrashPartGap
+	}
+	for n := 0; sleepUntil(ctx, time.Now().Add(time.Duration(c.rnd.ExpFloat64()*float64(gap)))); n++ {
 		c.router = c.rnd.IntN(len(c.soak.routers))
 		c.soak.record(c.call(route, fmt.Sprint(crashRequestID, n), permanentKey, permanentTeam))
 	}
 }
 
+// promptOf returns the kind of prompt of a seed's requests.
+func promptOf(seed uint64, crashing bool) PromptKind {
+	switch {
+	case !HasCrashParts(seed):
+		return PromptNone
+	case crashing:
+		return PromptCrashing
+	}
+	return PromptSound
+}
+
 // startCrashRequests sends crash requests until ctx ends, if the seed has them. wait waits until all
 // crashed endpoints are replaced.
 func (r *run) startCrashRequests(ctx context.Context) (wait func()) {
-	if !HasCrashRequests(r.opts.Seed) {
+	if !HasCrashRequests(r.opts.Seed) && !HasCrashParts(r.opts.Seed) {
 		return func() {}
 	}
 	c := &caller{
@@ -84,18 +106,19 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b Execution) int { return a.Begin.Compare(b.Begin) })
-	if len(runs) <= crashesBeforeQuarantine {
+	crashes := c.bounds.CrashesBeforeQuarantine
+	if len(runs) <= crashes {
 		return
 	}
-	known := runs[crashesBeforeQuarantine-1].Begin.Add(c.bounds.FaultMargin + c.bounds.Slack)
+	known := runs[crashes-1].Begin.Add(c.bounds.FaultMargin + c.bounds.Slack)
 	late := 0
-	for _, r := range runs[crashesBeforeQuarantine:] {
+	for _, r := range runs[crashes:] {
 		if r.Begin.After(known) && c.wasRunning(routers[r.ID], r.Begin) {
 			late++
 		}
 	}
 	if late > maxRunsInQuarantine {
-		c.add(PromiseQuarantine, runs[0].ID, "%d more crash requests reached endpoints after the first %d crashes; %d in total", late, crashesBeforeQuarantine, len(runs))
+		c.add(PromiseQuarantine, runs[0].ID, "%d more crash requests reached endpoints after the first %d crashes; %d in total", late, crashes, len(runs))
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -136,6 +136,7 @@
 	for {
 		n, err := from.Read(chunk)
 		if n > 0 && !p.forward(to, chunk[:n], toTarget) {
+			reset(to) // TCP never ends a connection in order after data was lost
 			return
 		}
 		if err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -77,6 +77,7 @@
 		Evacuate: 5 * time.Second, ColdExcess: 1.5, ColdSlack: 5,
 		LimitExcess: 1.5, LimitSlack: 5, LimitWithin: 3 * time.Second, LimitWindow: 4 * time.Second,
 		BackoffWithin: 500 * time.Millisecond, BackoffExcess: 2,
+		CrashesBeforeQuarantine: 3,
 	}
 }
 
@@ -95,6 +96,9 @@
 		b.Config = configWithin
 	}
 	b.RetrySlackStated = HasFailingEndpoints(seed)
+	if HasCrashParts(seed) {
+		b.CrashesBeforeQuarantine = 5 // some overlap in time, and count once for a part
+	}
 	return b
 }
 
@@ -190,7 +194,9 @@
 		newest := r.addedRoutes[len(r.addedRoutes)-1]
 		return newest.route, newest.at
 	}
-	return r.routes[rnd.IntN(len(r.routes))], time.Time{}
+	route := r.routes[rnd.IntN(len(r.routes))]
+	route.Prompt = promptOf(r.opts.Seed, false)
+	return route, time.Time{}
 }
 
 // handleRecord handles a line that an endpoint wrote.
@@ -209,9 +215,9 @@
 		r.observed.LeavingAnswers = append(r.observed.LeavingAnswers, LeavingAnswer{ID: rec.ID, Endpoint: e.Name, At: rec.At})
 	}
 	key := e.Name + " " + rec.ID
-	if rec.Ended {
+	if rec.Ended || rec.BrokeOff {
 		if i, ok := r.runIndex[key]; ok {
-			r.observed.Executions[i].End = rec.At
+			r.observed.Executions[i].end(rec)
 		}
 		return
 	}
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -169,7 +169,7 @@
 	version := r.versionOf(r.started)
 	r.observed.Versions[name] = version
 	r.mu.Unlock()
-	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version}}
+	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version, ClosingShare: closingShareOf(r.opts.Seed)}}
 	if err := r.runEndpoint(ctx, e); err != nil {
 		return err
 	}
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -28,11 +28,24 @@
 	// Prefix is the path prefix of its requests.
 	Prefix             string
 	Stream, Repeatable bool
-	// Crashing marks the crash request: all its requests are identical, and crash each
-	// endpoint that runs one after CrashDelay.
+	// Crashing marks the crash request: all its requests are identical but for Prompt, and
+	// crash each endpoint that runs one after CrashDelay.
 	Crashing bool
+	Prompt   PromptKind
 }
 
+// PromptKind is the kind of prompt that a request states.
+type PromptKind int
+
+// The kinds of prompts. PromptSound has a part that other requests share and one of its own;
+// PromptCrashing has both, and between them the part that crashes endpoints. Requests with
+// PromptCrashing have nothing else in common.
+const (
+	PromptNone PromptKind = iota
+	PromptSound
+	PromptCrashing
+)
+
 // Config is the configuration that the operator publishes.
 type Config struct {
 	Version int
@@ -57,6 +70,8 @@
 	Cold time.Duration
 	// StartedAt is the start time of its process.
 	StartedAt time.Time
+	// ClosingShare is the share of its answers that end with their connection, from 0 to 1.
+	ClosingShare float64
 }
 
 // Record is a line that an endpoint writes when it begins or ends a request.
@@ -68,6 +83,8 @@
 	At      time.Time `json:"at"`
 	// Backoff is set if the request was turned away with a request to back off.
 	Backoff time.Duration `json:"backoff,omitempty"`
+	// BrokeOff says that the endpoint breaks off the answer of a request that it began.
+	BrokeOff bool `json:"broke_off,omitempty"`
 	// Leaving says that the answer of an ended request said that the endpoint leaves.
 	Leaving bool `json:"leaving,omitempty"`
 }
