Format part IDs by one function, and say which identities are cryptographic

Cause: a part's ID was formatted in five places, the caller's message repeated the words of the error, and a comment claimed a cryptographic hash of parts, which have a plain one. Change: prompt.FormatID; the message names its subject as the error does; comments. Texts of lines and answers stay as they were.

--- a/internal/daemon/poison.go
+++ b/internal/daemon/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 	"coveferry/internal/clock"
 	"coveferry/internal/logging"
 	"coveferry/internal/poison"
+	"coveferry/internal/prompt"
 )
 
 // newPoisonTable returns a table of quarantined requests: those that seem to crash endpoints.
@@ -47,7 +47,7 @@
 		line, state = log.Info(), "is no longer quarantined: it was answered, or its endpoints are still running"
 	}
 	if e.Part != 0 {
-		line.Str(logging.FieldPart, fmt.Sprintf("%x", e.Part))
+		line.Str(logging.FieldPart, prompt.FormatID(e.Part))
 		subject = "part of prompts"
 	}
 	line.Stringer(logging.FieldIdentity, e.Identity).Strs("endpoints", e.Endpoints).Bool("local", e.Local).
--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/poison"
+	"coveferry/internal/prompt"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
 )
@@ -38,7 +39,7 @@
 	if e.Evidence.Part == 0 {
 		return "this request"
 	}
-	return fmt.Sprintf("requests with part %x in their prompts", e.Evidence.Part)
+	return "requests with part " + prompt.FormatID(e.Evidence.Part) + " in their prompts"
 }
 
 // API implements api.Convertible. The status promises that the request didn't run.
@@ -46,7 +47,7 @@
 func (e *QuarantinedError) API() *api.Error {
 	message := "endpoints ended while they ran this same request; it is held back for a while"
 	if e.Evidence.Part != 0 {
-		message = fmt.Sprintf("endpoints ended while they ran requests with part %x in their prompts; these are held back for a while", e.Evidence.Part)
+		message = "endpoints ended while they ran " + e.subject() + "; these are held back for a while"
 	}
 	return &api.Error{
 		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "quarantined",
@@ -141,7 +142,7 @@
 func (f *Filter) logTrial(r *request.Request, e poison.Evidence) {
 	line := f.log.Warn().Str(logging.FieldRequest, r.CallerID).Stringer(logging.FieldIdentity, e.Identity).Int("lost", e.LossCount)
 	if e.Part != 0 {
-		line.Str(logging.FieldPart, fmt.Sprintf("%x", e.Part))
+		line.Str(logging.FieldPart, prompt.FormatID(e.Part))
 	}
 	line.Msg("quarantined request is tried again")
 }
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -17,9 +17,9 @@
 )
 
 // Identity identifies a request by its content, or the requests that share a part of their
-// prompts, across retries and routers. All routers compute the same identity. It is part of
-// a cryptographic hash, so that no team can construct a request with the identity of another
-// one.
+// prompts, across retries and routers. All routers compute the same identity. That of a
+// content is part of a cryptographic hash, so that no team can construct a request with
+// another one's content identity; parts are shared between teams anyway.
 type Identity uint64
 
 // String returns the identity as it appears in logs.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -266,8 +266,8 @@
 }
 
 // compareImportance orders identities by importance, the most important first: by number of
-// losses that they have or have cleared, then by early losses, which a request that crashes engines mostly causes, then by the
-// latest change. t.mu is held.
+// losses that they have or have cleared, then by early losses, which a request that crashes
+// engines mostly causes, then by the latest change. t.mu is held.
 func (t *Table) compareImportance(a, b Identity) int {
 	x, y := t.records[a], t.records[b]
 	return cmp.Or(
--- a/internal/prompt/prompt.go
+++ b/internal/prompt/prompt.go
@@ -2,7 +2,7 @@
 // of its prefill and the parts that endpoints may have cached.
 package prompt
 
-import "fmt"
+import "strconv"
 
 // Part is a part of a prompt, possibly shared by several requests. An endpoint that has cached
 // a part and all parts before it doesn't prefill them again.
@@ -12,7 +12,10 @@
 }
 
 // String returns the part as it appears in logs.
-func (p Part) String() string { return fmt.Sprintf("%x:%d", p.ID, p.Tokens) }
+func (p Part) String() string { return FormatID(p.ID) + ":" + strconv.Itoa(p.Tokens) }
+
+// FormatID returns a part's ID as it appears in logs and errors.
+func FormatID(id uint64) string { return strconv.FormatUint(id, 16) }
 
 // Prompt describes a request's prompt and answer. The zero value is a request without a prompt,
 // such as one for a plain service.
