--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -32,12 +32,19 @@
 	// fails reports whether requests fail at the given time; nil means always.
 	fails func(now time.Duration) bool
 	tier  func(n int, now time.Duration) int
+	// load is the factor by which perSecond is multiplied; nil means 1.
+	load func(now time.Duration) float64
+	// routersInUse is how many routers get the requests, the first ones; nil means all.
+	routersInUse func(now time.Duration) int
+	// arrivesAt returns when a retry arrives that was decided on at the given time; nil means at
+	// once.
+	arrivesAt func(decided time.Duration) time.Duration
 }
 
 const simulationStep = 10 * time.Millisecond
 
-// run returns the times of requests and of retries.
-func (s fleetSimulation) run() (sentAt, retriedAt []time.Duration) {
+// run returns the times at which requests were sent and at which retries arrived.
+func (s fleetSimulation) run() (sentAt, arrivedAt []time.Duration) {
 	rnd := rand.New(rand.NewPCG(s.seed, 1))
 	now := time.Duration(0)
 	start := epoch.Add(time.Duration(rnd.Float64() * float64(simulationWindow)))
@@ -58,8 +65,8 @@
 				budgets[i] = newBudget(i)
 			}
 		}
-		for due += s.perSecond * simulationStep.Seconds(); due >= 1; due-- {
-			i, tier := rnd.IntN(s.routers), 0
+		for due += s.requestsInStep(now); due >= 1; due-- {
+			i, tier := rnd.IntN(s.inUse(now)), 0
 			if s.tier != nil {
 				tier = s.tier(len(sentAt), now)
 			}
@@ -67,13 +74,39 @@
 			budgets[i].RecordFirst(start.Add(now), "s", tier)
 			for range 4 {
 				if (s.fails == nil || s.fails(now)) && budgets[i].TryRetry(start.Add(now), "s", tier) {
-					retriedAt = append(retriedAt, now)
+					arrivedAt = append(arrivedAt, s.arrival(now))
 				}
 			}
 		}
 		now += simulationStep
 	}
-	return sentAt, retriedAt
+	slices.Sort(arrivedAt)
+	return sentAt, arrivedAt
+}
+
+// requestsInStep returns the number of requests in a simulation step.
+func (s fleetSimulation) requestsInStep(now time.Duration) float64 {
+	n := s.perSecond * simulationStep.Seconds()
+	if s.load != nil {
+		n *= s.load(now)
+	}
+	return n
+}
+
+// inUse returns the number of routers that get requests.
+func (s fleetSimulation) inUse(now time.Duration) int {
+	if s.routersInUse == nil {
+		return s.routers
+	}
+	return min(s.routers, max(1, s.routersInUse(now)))
+}
+
+// arrival returns when a retry that is decided on now arrives.
+func (s fleetSimulation) arrival(now time.Duration) time.Duration {
+	if s.arrivesAt == nil {
+		return now
+	}
+	return s.arrivesAt(now)
 }
 
 // worstWindow returns the retries and the limit of the window that exceeds its limit most,
