Bound retries by a token bucket, so that no window's requests pay for them twice

Cause: a router's retries were bounded by its requests of the window before each. A rush may spend what a whole window has earned at once. What then comes in the operator's window is earned again: by the next process where a router is killed, by other routers to which the requests move, by a second pulse of requests. Up to twice the ratio's share. Change: each first attempt earns a part of a retry, and the time a part of the slack; only a quarter of a window's limit may remain unspent, and .7 is earned. Whatever happens, a window has what was unspent at its beginning, and what it earned: at most .95 of the limit, as nothing else is carried over. A router that starts has nothing unspent, and earns its slack at once (nothing for a window before). Where a router can't keep a whole retry unspent, it draws. Why it holds: the sum over routers needs no agreement, no history and no message.

--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -9,16 +9,14 @@
 )
 
 const (
-	// ratioShare of the operator's ratio is used for retries: callers' own retries count as
-	// requests, but those at the window's edges may count twice.
-	ratioShare = 0.75
-	// slackShare of the operator's slack is used for retries. It is divided among the known
-	// routers, and a router that starts during a network partition knows only those on its
-	// side.
-	slackShare = 0.5
-	// retryFloor is the number of retries a second that all routers together may make beyond
-	// their ratio of the requests if the operator sets no slack.
-	retryFloor = 0.1
+	// earnedShare of the operator's ratio and slack is earned, by requests and by time.
+	earnedShare = 0.7
+	// unspentShare of both may remain unspent for a sudden failure. With earnedShare it is below
+	// 1: a window counts requests for up to a tenth longer.
+	unspentShare = 0.25
+	// retrySlackPerSecond is the slack if the operator sets none, in retries a second that all
+	// routers together may make beyond their ratio of the requests.
+	retrySlackPerSecond = 0.1
 )
 
 // directRetries returns a policy that bounds the retries of each service over all routers;
@@ -26,18 +24,19 @@
 func directRetries(b DirectBounds, routers func() int, seed uint64) *retry.Policy {
 	ratio, floor := retryShares(b)
 	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{
-		Ratio: ratio, Window: b.RetryWindow, Floor: floor, Routers: routers, Started: time.Now(), Seed: seed,
+		Ratio: ratio, Window: b.RetryWindow, Floor: floor, Burst: unspentShare / earnedShare,
+		Routers: routers, Started: time.Now(), Seed: seed,
 	})}
 }
 
 // retryShares converts the operator's bounds to the ratio and floor of a retry.BudgetConfig.
 func retryShares(b DirectBounds) (ratio, floor float64) {
-	ratio, floor = ratioShare*b.RetryRatio, retryFloor
+	ratio, floor = earnedShare*b.RetryRatio, earnedShare*retrySlackPerSecond
 	if b.RetryRatioStated && b.RetryRatio == 0 {
 		ratio = retry.ExplicitZero
 	}
 	if b.RetrySlack > 0 && b.RetryWindow > 0 {
-		floor = slackShare * b.RetrySlack / b.RetryWindow.Seconds()
+		floor = earnedShare * b.RetrySlack / b.RetryWindow.Seconds()
 	}
 	return ratio, floor
 }
@@ -56,7 +55,7 @@
 	return retryUsage{
 		budget:  budget,
 		retries: desc("coveferry_router_retries_in_window", "Retries that this router made in the window of its budget."),
-		allowed: desc("coveferry_router_retries_allowed", "Retries that the budget allows this router in a window."),
+		allowed: desc("coveferry_router_retries_allowed", "The most retries that the budget allows this router in a window."),
 	}
 }
 
