Log of each attempt whether it arrived and when it was sent

Cause: a request's line told attempts and the budget, but not whether an attempt arrived, broke with its connection or may still be on its way: retries that arrive later than they were decided on can't be told from others. Change: request.Arrival, set by dispatch from what was written and answered; each attempt of a request's line says it, with the time since the request came.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -111,7 +111,7 @@
 	f.policy.RecordFirst(time.Now(), r.Service, r.Tier)
 	h := newHistory()
 	for r.Epoch = 1; ; r.Epoch++ {
-		r.Signals, r.LimitPart, r.Connections = upstream.Signals{}, "", 0
+		r.Signals, r.LimitPart, r.Connections, r.Arrival = upstream.Signals{}, "", 0, request.ArrivalNotSent
 		h.add(next(ctx, r))
 		if ended, err := h.completeAtTokenLimit(ctx, r); ended {
 			return err
@@ -201,6 +201,7 @@
 func appendTrail(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
 	step.Signals, step.LimitPart, step.Connections = r.Signals, r.LimitPart, r.Connections
+	step.Arrival, step.SentAfter = r.Arrival, r.SentAt.Sub(r.Arrived)
 	if d.Budget != nil {
 		step.Budget = d.Budget.String()
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -67,6 +67,7 @@
 	}
 	resp, err := f.direct.client.Do(req)
 	if err != nil {
+		r.Arrival = arrivalAfter(ctx, err)
 		return &NoResponseError{Sent: server.MayHaveSent(err), Cause: err}
 	}
 	defer resp.Body.Close()
@@ -74,10 +75,12 @@
 	reply := f.direct.protocol.Decode(resp)
 	r.Signals = reply.Signals
 	if reply.ID != r.CallerID {
+		r.Arrival = request.ArrivalPending
 		// The response answers an earlier request on this connection. Its body stays
 		// unread, so the connection is closed.
 		return &NoResponseError{Sent: true, Cause: errors.Newf("the answer belongs to request %q", reply.ID)}
 	}
+	r.Arrival = request.ArrivalAnswered
 	if reply.WrongInstance {
 		f.observer.Failed(r.Endpoint.Name, r.Endpoint.ProcessID(), false)
 		return directRefusal(resp.StatusCode, reply)
@@ -98,6 +101,18 @@
 	return err
 }
 
+// arrivalAfter returns what is known of the arrival of an attempt that failed without an answer. A
+// canceled one may still be on its way.
+func arrivalAfter(ctx context.Context, err error) request.Arrival {
+	switch {
+	case !server.MayHaveSent(err):
+		return request.ArrivalNotSent
+	case ctx.Err() != nil:
+		return request.ArrivalPending
+	}
+	return request.ArrivalBroken
+}
+
 // recordDirectResponse updates the load, signals and membership of an endpoint from the
 // response header. sent is when the request was sent.
 func (f *Filter) recordDirectResponse(e *bundle.Endpoint, sent time.Time, reply upstream.Reply) {
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 
 func (f *Filter) sendOne(ctx context.Context, r *request.Request, body []byte, next pipeline.Next) error {
 	sent := time.Now()
+	r.SentAt = sent
 	if r.Kind == wire.KindRouted {
 		return f.sendDirect(ctx, r, sent, next)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -138,6 +138,10 @@
 	Signals upstream.Signals
 	// Connections counts the connections used for the latest attempt. Set by dispatch.
 	Connections int
+	// Arrival is what is known of the latest attempt's arrival, and SentAt when it was sent. Set by
+	// dispatch.
+	Arrival Arrival
+	SentAt  time.Time
 	// LimitPart describes which share of the endpoint's rate limit the latest attempt was
 	// charged to; empty if no limit was known. Set by choose.
 	LimitPart string
@@ -191,6 +195,10 @@
 	LimitPart string
 	// Connections counts the connections used for the attempt.
 	Connections int
+	// Arrival is what is known of the attempt's arrival, and SentAfter the time from the request's
+	// arrival to when the attempt was sent.
+	Arrival   Arrival
+	SentAfter time.Duration
 	// Budget describes the use of the retry budget if a retry was charged to it or refused by
 	// it; empty otherwise.
 	Budget string
@@ -203,6 +211,9 @@
 		endpoint += " (" + s.Version + ")"
 	}
 	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.Next)
+	if s.Arrival != ArrivalNotSent {
+		text += fmt.Sprintf(", %s, sent after %s", s.Arrival, s.SentAfter.Round(time.Millisecond))
+	}
 	if s.Connections > 1 {
 		text += fmt.Sprintf(", on %d connections", s.Connections)
 	}
