Charge retries until it is known that they arrived or never will

Operators would see: repeats that are held up on their way (a cut that heals, a router or endpoint that stands still) arrive together, in a window that others were decided on in. Cause: a retry was charged when it was decided on, and forgotten after a window, whether it had arrived or not. Change: a Charge counts as under way from the decision to its end: the endpoint answers, the connection breaks, nothing was sent (then it is given back), or its sender stops waiting (then for the send timeout of its connection). What is under way leaves less room for what is unspent, and at the limit no more retries are made. Routers that can't keep a whole retry unspent take turns by windows, in place of draws, so that few of them have one under way at a time. Two gauges and the request's line tell retries under way and abandoned. Why it holds: what may arrive in a window is what was under way or unspent at its beginning, at most a quarter of the limit, and what is earned in it.

--- a/internal/balance/backoff_sim_test.go
+++ b/internal/balance/backoff_sim_test.go
@@ -258,10 +258,12 @@
 	account.Refused(now)
 	account.Done(now, ResultRefused)
 	a.tried = append(a.tried, e.Name)
-	if !n.budgets[a.router].TryRetry(now, "llm", a.kind.rank) {
+	charge := n.budgets[a.router].TryRetry(now, "llm", a.kind.rank)
+	if charge == nil {
 		n.count(a, &n.refused)
 		return
 	}
+	charge.Arrived()
 	n.retries++
 	n.try(now, a)
 }
--- a/internal/daemon/directretries.go
+++ b/internal/daemon/directretries.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/retry"
+	"coveferry/internal/server"
 )
 
 const (
@@ -25,7 +26,7 @@
 	ratio, floor := retryShares(b)
 	return &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{
 		Ratio: ratio, Window: b.RetryWindow, Floor: floor, Burst: unspentShare / earnedShare,
-		Routers: routers, Started: time.Now(), Seed: seed,
+		AbandonedFor: server.SendTimeout, Routers: routers, Started: time.Now(), Seed: seed,
 	})}
 }
 
@@ -44,8 +45,8 @@
 // retryUsage exports how much of its share of each service's retries this router has used.
 // Summed over the routers, the allowed retries stay below the operator's bound.
 type retryUsage struct {
-	budget           *retry.Budget
-	retries, allowed *prometheus.Desc
+	budget                                *retry.Budget
+	retries, allowed, underWay, abandoned *prometheus.Desc
 }
 
 func newRetryUsage(budget *retry.Budget) retryUsage {
@@ -56,6 +57,10 @@
 		budget:  budget,
 		retries: desc("coveferry_router_retries_in_window", "Retries that this router made in the window of its budget."),
 		allowed: desc("coveferry_router_retries_allowed", "The most retries that the budget allows this router in a window."),
+		underWay: desc("coveferry_router_retries_under_way",
+			"Retries that this router decided on and that may still arrive, including the abandoned ones."),
+		abandoned: desc("coveferry_router_retries_abandoned",
+			"Retries under way for whose answer nobody waits any more."),
 	}
 }
 
@@ -63,6 +68,8 @@
 func (u retryUsage) Describe(descs chan<- *prometheus.Desc) {
 	descs <- u.retries
 	descs <- u.allowed
+	descs <- u.underWay
+	descs <- u.abandoned
 }
 
 // Collect implements prometheus.Collector.
@@ -70,5 +77,7 @@
 	for service, usage := range u.budget.UsageByTarget(time.Now()) {
 		metrics <- prometheus.MustNewConstMetric(u.retries, prometheus.GaugeValue, float64(usage.Retries), service)
 		metrics <- prometheus.MustNewConstMetric(u.allowed, prometheus.GaugeValue, usage.Allowed, service)
+		metrics <- prometheus.MustNewConstMetric(u.underWay, prometheus.GaugeValue, float64(usage.UnderWay), service)
+		metrics <- prometheus.MustNewConstMetric(u.abandoned, prometheus.GaugeValue, float64(usage.Abandoned), service)
 	}
 }
--- a/internal/daemon/directretries_test.go
+++ b/internal/daemon/directretries_test.go
@@ -30,6 +30,8 @@
 		values[f.GetName()] = f.Metric[0].Gauge.GetValue()
 	}
 	g.Expect(values["coveferry_router_retries_in_window"]).To(Equal(1.0))
+	g.Expect(values["coveferry_router_retries_under_way"]).To(Equal(1.0))
+	g.Expect(values["coveferry_router_retries_abandoned"]).To(BeZero())
 	g.Expect(values["coveferry_router_retries_allowed"]).To(BeNumerically("~", 0.95*(0.2*20+52.0/3), 0.01))
 }
 
@@ -59,7 +61,8 @@
 	countRetries := func(policy *retry.Policy) (n int) {
 		for range 1000 {
 			policy.RecordFirst(now, "s", 0)
-			for policy.Budget.TryRetry(now, "s", 0) {
+			for charge := policy.Budget.TryRetry(now, "s", 0); charge != nil; charge = policy.Budget.TryRetry(now, "s", 0) {
+				charge.Arrived()
 				n++
 			}
 		}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -110,22 +110,51 @@
 func (f *Filter) retryLoop(ctx context.Context, r *request.Request, next pipeline.Next) error {
 	f.policy.RecordFirst(time.Now(), r.Service, r.Tier)
 	h := newHistory()
+	var charge *retry.Charge
 	for r.Epoch = 1; ; r.Epoch++ {
-		r.Signals, r.LimitPart, r.Connections, r.Arrival = upstream.Signals{}, "", 0, request.ArrivalNotSent
-		h.add(next(ctx, r))
+		h.add(sendAttempt(ctx, r, charge, next))
 		if ended, err := h.completeAtTokenLimit(ctx, r); ended {
 			return err
 		}
 		decision := f.decide(ctx, r, h)
 		appendTrail(r, h.latestErr, decision)
 		f.setResumeEndpoint(r, h.resultErr, decision)
+		charge = decision.Charge
 		if decision.Action == retry.ActionGiveUp || !clock.Sleep(ctx, decision.Delay) {
+			charge.NotSent(time.Now())
 			return h.result()
 		}
 		discardUndelivered(r)
 	}
 }
 
+// sendAttempt makes an attempt and settles what it was charged as soon as it is known whether it
+// arrived.
+func sendAttempt(ctx context.Context, r *request.Request, charge *retry.Charge, next pipeline.Next) error {
+	r.Signals, r.LimitPart, r.Connections, r.Arrival = upstream.Signals{}, "", 0, request.ArrivalNotSent
+	r.OnAnswered = charge.Arrived
+	if r.Kind != wire.KindRouted {
+		charge.Arrived() // an agent bounds by itself what waits there
+	}
+	defer func() {
+		r.OnAnswered = nil
+		settle(charge, r.Arrival)
+	}()
+	return next(ctx, r)
+}
+
+// settle tells a charge what is known of its attempt's arrival.
+func settle(charge *retry.Charge, arrival request.Arrival) {
+	switch arrival {
+	case request.ArrivalNotSent:
+		charge.NotSent(time.Now())
+	case request.ArrivalPending:
+		charge.Abandoned(time.Now())
+	default:
+		charge.Arrived()
+	}
+}
+
 // decide returns what to do after the latest attempt.
 func (f *Filter) decide(ctx context.Context, r *request.Request, h *history) retry.Decision {
 	var noVersion *choose.VersionError
--- a/internal/filters/attempts/attempts_test.go
+++ b/internal/filters/attempts/attempts_test.go
@@ -174,3 +174,42 @@
 		g.Expect(took).To(BeZero(), "the pair must not cause a revisit")
 	})
 }
+
+// answers marks the attempt as answered, as dispatch does when an answer begins.
+func answers(then attempt) attempt {
+	return func(r *request.Request) error {
+		r.Arrival = request.ArrivalAnswered
+		r.OnAnswered()
+		return then(r)
+	}
+}
+
+// A retry that is not sent, or whose arrival isn't known, must not count as one that arrived.
+func TestChargesAreSettledByWhatIsKnownOfTheArrival(t *testing.T) {
+	failed := refused(wire.ReasonEngineFailed, wire.RunUnknown)
+	pending := func(r *request.Request) error {
+		r.Arrival = request.ArrivalPending
+		return failed(r)
+	}
+	for _, c := range []struct {
+		name                       string
+		second                     attempt
+		retries, underWay, abandon int
+	}{
+		{"answered", answers(failed), 1, 0, 0},
+		{"not sent", failed, 0, 0, 0},
+		{"may still arrive", pending, 1, 1, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			budget := retry.NewBudget(retry.BudgetConfig{Floor: 0.5})
+			r := &request.Request{Kind: wire.KindRouted, Service: "s", NonIdempotent: true}
+			policy := &retry.Policy{Budget: budget}
+			_, _, _ = runWithPolicy(policy, r, refused(wire.ReasonEngineFailed, wire.RunNot), c.second)
+			usage := budget.Usage(time.Now(), "s", 0)
+			g := NewWithT(t)
+			g.Expect(usage.Retries).To(Equal(c.retries), c.name)
+			g.Expect(usage.UnderWay).To(Equal(c.underWay), c.name)
+			g.Expect(usage.Abandoned).To(Equal(c.abandon), c.name)
+		})
+	}
+}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -81,6 +81,9 @@
 		return &NoResponseError{Sent: true, Cause: errors.Newf("the answer belongs to request %q", reply.ID)}
 	}
 	r.Arrival = request.ArrivalAnswered
+	if r.OnAnswered != nil {
+		r.OnAnswered()
+	}
 	if reply.WrongInstance {
 		f.observer.Failed(r.Endpoint.Name, r.Endpoint.ProcessID(), false)
 		return directRefusal(resp.StatusCode, reply)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -155,6 +155,9 @@
 	// OnFirstToken is called at the first token; may be nil. Set by shed.
 	OnFirstToken func()
 
+	// OnAnswered is called when the endpoint's answer to the attempt begins; may be nil. Set by
+	// attempts.
+	OnAnswered func()
 	// OnData is called for each part of an endpoint's answer; may be nil. Set by dispatch.
 	OnData func(now time.Time)
 	// OnStreamBegun is called when the caller gets the first event of the answer; may be nil. Set by
--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -42,6 +42,13 @@
 	arrivesAt func(decided time.Duration) time.Duration
 }
 
+// retryArrives tries a retry and reports whether the budget allows it. It arrives at once.
+func retryArrives(b *Budget, now time.Time, target string, tier int) bool {
+	charge := b.TryRetry(now, target, tier)
+	charge.Arrived()
+	return charge != nil
+}
+
 const simulationStep = 10 * time.Millisecond
 
 // run returns the times at which requests were sent and at which retries arrived.
@@ -60,7 +67,12 @@
 		budgets[i] = newBudget(i)
 	}
 	due := 0.0
+	underWay := make(map[time.Duration][]*Charge)
 	for step := 0; now < s.duration; step++ {
+		for _, charge := range underWay[now] {
+			charge.Arrived()
+		}
+		delete(underWay, now)
 		for i := range budgets {
 			if s.restarts != nil && s.restarts(i, step) {
 				budgets[i] = newBudget(i)
@@ -74,8 +86,17 @@
 			sentAt = append(sentAt, now)
 			budgets[i].RecordFirst(start.Add(now), "s", tier)
 			for range 4 {
-				if (s.fails == nil || s.fails(now)) && budgets[i].TryRetry(start.Add(now), "s", tier) {
-					arrivedAt = append(arrivedAt, s.arrival(now))
+				if s.fails != nil && !s.fails(now) {
+					continue
+				}
+				if charge := budgets[i].TryRetry(start.Add(now), "s", tier); charge != nil {
+					at := s.arrival(now)
+					arrivedAt = append(arrivedAt, at)
+					if at == now {
+						charge.Arrived()
+						continue
+					}
+					underWay[at] = append(underWay[at], charge)
 				}
 			}
 		}
@@ -254,7 +275,7 @@
 		b.RecordFirst(now, "s", 0)
 	}
 	exhaust := func(at time.Time) (made int) {
-		for b.TryRetry(at, "s", 0) {
+		for retryArrives(b, at, "s", 0) {
 			made++
 		}
 		return made
@@ -275,7 +296,7 @@
 		}
 	}
 	exhaust := func() (made int) {
-		for b.TryRetry(epoch, "s", 0) {
+		for retryArrives(b, epoch, "s", 0) {
 			made++
 		}
 		return made
@@ -311,7 +332,7 @@
 		for range requests {
 			b.RecordFirst(epoch, "s", tier)
 		}
-		for b.TryRetry(epoch, "s", tier) {
+		for retryArrives(b, epoch, "s", tier) {
 			made++
 		}
 		return made
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -20,9 +20,9 @@
 	return r.perFirst*float64(firsts) + r.perWindow*portion
 }
 
-// roundingShare of a part of a retry is the probability that it becomes a whole one. It is below 1
-// since the draws of many routers may exceed their mean.
-const roundingShare = 0.9
+// turnShare is the part of the routers' turns that are used, of those that their limits would allow;
+// see bucket.turn. It is below 1 since more routers than the mean may have their turn at once.
+const turnShare = 0.8
 
 // tolerance is for sums of fractions.
 const tolerance = 1e-9
@@ -32,18 +32,25 @@
 type bucket struct {
 	window time.Duration
 	burst  float64
-	random *rand.Rand
+	// seed must differ between routers that share a limit; 0 shares none.
+	seed uint64
+	// began is the time from which windows are counted.
+	began time.Time
 	// attempts counts the first attempts (Total) and the retries (Part).
 	attempts [load.MaxTiers]window.Ring
 	// unspent may be negative for a tier that used a part of what others had.
 	unspent [load.MaxTiers]float64
 	// earned is until when the time has earned retries.
 	earned time.Time
+	// underWay counts the retries that may still arrive, including those in abandoned, which holds
+	// until when each of them counts, the earliest first.
+	underWay  int
+	abandoned []time.Time
 }
 
 // newBucket returns a bucket whose tiers have the given number of unspent retries each.
-func newBucket(length time.Duration, burst, unspent float64, earned time.Time, random *rand.Rand) bucket {
-	b := bucket{window: length, burst: burst, random: random, earned: earned}
+func newBucket(length time.Duration, burst, unspent float64, began time.Time, seed uint64) bucket {
+	b := bucket{window: length, burst: burst, seed: seed, began: began, earned: began}
 	for i := range b.attempts {
 		b.attempts[i] = window.New(length)
 		b.unspent[i] = unspent
@@ -55,60 +62,101 @@
 // unspent of earlier ones, so that a request can be retried by what it has earned itself.
 func (b *bucket) recordFirst(now time.Time, tier int, r rate) {
 	b.attempts[tier].Add(now, window.Counts{Total: 1})
-	limits := b.refill(now, tier, r)
+	limits, turn := b.refill(now, tier, r)
+	room := b.room(limits)
 	for i := range b.unspent {
-		b.unspent[i] = min(b.unspent[i], limits[i])
+		b.unspent[i] = min(b.unspent[i], room*limits[i])
 		if limits[i] == 0 {
 			b.unspent[i] = 0 // a tier without requests must not owe others for good
 		}
 	}
-	b.unspent[tier] += r.perFirst
+	b.unspent[tier] += turn * r.perFirst
 }
 
-// takeRetry takes a retry of the tier if there is one.
+// takeRetry takes a retry of the tier if there is one. A tier that has less than a whole one may use
+// parts of other tiers, once, until it has earned that.
 func (b *bucket) takeRetry(now time.Time, tier int, r rate) bool {
-	limits := b.refill(now, tier, r)
-	if !b.take(tier, sum(limits)) {
+	limits, _ := b.refill(now, tier, r)
+	if float64(b.underWay) >= sum(limits)+tolerance || b.unspent[tier] <= tolerance || sum(b.unspent) < 1-tolerance {
 		return false
 	}
+	b.unspent[tier]--
+	b.underWay++
 	b.attempts[tier].Add(now, window.Counts{Part: 1})
 	return true
 }
 
-// take reduces what is unspent by a retry. A tier that has less than a whole one may use parts of
-// other tiers, once, until it has earned that. A limit below a whole retry never lets one add up:
-// a draw decides then, which costs what there is.
-func (b *bucket) take(tier int, limit float64) bool {
-	left := b.unspent[tier]
-	switch {
-	case left <= tolerance:
-		return false
-	case left < 1-tolerance && limit < 1-tolerance:
-		b.unspent[tier] = 0
-		return b.random != nil && b.random.Float64() < left*roundingShare
-	case sum(b.unspent) < 1-tolerance:
-		return false
+// settle ends a retry that is no longer under way.
+func (b *bucket) settle() { b.underWay-- }
+
+// refund ends a retry of which nothing was sent, and gives it back.
+func (b *bucket) refund(now time.Time, tier int) {
+	b.underWay--
+	b.unspent[tier]++
+	b.attempts[tier].Add(now, window.Counts{Part: -1})
+}
+
+// abandon has a retry count as under way until the given time.
+func (b *bucket) abandon(until time.Time) { b.abandoned = append(b.abandoned, until) }
+
+// dropAbandoned ends the abandoned retries that can't arrive any more.
+func (b *bucket) dropAbandoned(now time.Time) {
+	for len(b.abandoned) > 0 && !b.abandoned[0].After(now) {
+		b.abandoned = b.abandoned[1:]
+		b.underWay--
 	}
-	b.unspent[tier]--
-	return true
 }
 
 // tierLimits are the limits on what may remain unspent, by tier.
 type tierLimits [load.MaxTiers]float64
 
-// refill adds what the time has earned, up to the limits on what may remain unspent, and returns
-// these. Tiers earn by their parts of the first attempts; without any, the given tier earns all.
-func (b *bucket) refill(now time.Time, tier int, r rate) tierLimits {
+// refill adds what the time has earned, up to the limits on what may remain unspent. It returns
+// these, and by how much this router earns more in its turn. Tiers earn by their parts of the first
+// attempts; without any, the given tier earns all.
+func (b *bucket) refill(now time.Time, tier int, r rate) (limits tierLimits, turn float64) {
+	b.dropAbandoned(now)
 	counts := b.counts(now)
 	portions := counts.portions(tier)
-	byTime := r.perWindow * float64(max(0, now.Sub(b.earned))) / float64(b.window)
+	for i := range limits {
+		limits[i] = b.burst * r.inWindow(counts[i].Total, portions[i])
+	}
+	turn = b.turn(now, sum(limits))
+	for i := range limits {
+		limits[i] *= turn
+	}
+	byTime := turn * r.perWindow * float64(max(0, now.Sub(b.earned))) / float64(b.window)
 	b.earned = later(b.earned, now)
-	var limits tierLimits
+	room := b.room(limits)
 	for i := range b.unspent {
-		limits[i] = b.burst * r.inWindow(counts[i].Total, portions[i])
-		b.unspent[i] = max(b.unspent[i], min(b.unspent[i]+byTime*portions[i], limits[i]))
+		b.unspent[i] = max(b.unspent[i], min(b.unspent[i]+byTime*portions[i], room*limits[i]))
+	}
+	return limits, turn
+}
+
+// turn returns by how much this router earns more in this window. Routers that could never keep a
+// whole retry unspent take turns, by windows: who has his turn may keep one, for those that have
+// none.
+func (b *bucket) turn(now time.Time, limit float64) float64 {
+	switch {
+	case b.seed == 0 || limit >= 1-tolerance:
+		return 1
+	case limit <= tolerance:
+		return 0
+	}
+	window := uint64(max(0, now.Sub(b.began)) / b.window)
+	if rand.New(rand.NewPCG(b.seed, window)).Float64() >= turnShare*limit {
+		return 0
+	}
+	return 1 / limit
+}
+
+// room returns the share of the limits that retries under way leave. These count as if they were
+// unspent, since they may arrive together with what is.
+func (b *bucket) room(limits tierLimits) float64 {
+	if b.underWay == 0 {
+		return 1
 	}
-	return limits
+	return max(0, 1-float64(b.underWay)/max(tolerance, sum(limits)))
 }
 
 // counts returns the counts of the window that ends now.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,8 @@
 	defaultWindow = 10 * time.Second
 	defaultFloor  = 1
 	defaultBurst  = 1
+
+	defaultAbandonedFor = 5 * time.Second
 )
 
 // ExplicitZero is a ratio or floor of 0, as opposed to one that is unset.
@@ -41,6 +42,8 @@
 	// thus have at most 1+Burst times what it earns, even if routers are restarted or requests
 	// move between them: nothing but what is unspent is carried over.
 	Burst float64
+	// AbandonedFor is how long a retry may still arrive after its sender stopped waiting for it.
+	AbandonedFor time.Duration
 	// Routers returns how many routers share the floor; nil means this one only. Without
 	// sharing, the floors add up: 0.1 a second at each of 103 routers and for each of
 	// three tiers allowed 309 retries in 10 s.
@@ -48,9 +51,9 @@
 	// Started is when this router started; zero means when the budget is first used. A shared
 	// floor is earned from then on.
 	Started time.Time
-	// Seed must differ between routers that share a floor. A router that can't keep a whole
-	// retry unspent draws by it whether it may use the part that it has. With 0 it never
-	// retries then, which at 880 routers means that no router does.
+	// Seed must differ between routers that share a floor. Routers that can't keep a whole
+	// retry unspent take turns by it. With 0 such a router hardly ever retries, which at 880
+	// routers means that none does.
 	Seed uint64
 }
 
@@ -76,6 +79,7 @@
 func NewBudget(cfg BudgetConfig) *Budget {
 	cfg.Window = cmp.Or(cfg.Window, defaultWindow)
 	cfg.Burst = cmp.Or(cfg.Burst, defaultBurst)
+	cfg.AbandonedFor = cmp.Or(cfg.AbandonedFor, defaultAbandonedFor)
 	b := &Budget{cfg: cfg, started: cfg.Started, targets: make(map[string]*target)}
 	b.SetLimits(cfg.Ratio, cfg.Floor)
 	return b
@@ -102,13 +106,17 @@
 	t.bucket.recordFirst(now, tierIndex(tier), rate)
 }
 
-// TryRetry charges a retry and returns true if the budget allows it.
-func (b *Budget) TryRetry(now time.Time, targetName string, tier int) bool {
+// TryRetry charges a retry if the budget allows it; otherwise it returns nil. The retry counts as
+// under way until the charge is settled.
+func (b *Budget) TryRetry(now time.Time, targetName string, tier int) *Charge {
 	rate := b.currentRate()
 	t := b.targetFor(now, targetName)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.bucket.takeRetry(now, tierIndex(tier), rate)
+	if !t.bucket.takeRetry(now, tierIndex(tier), rate) {
+		return nil
+	}
+	return &Charge{target: t, tier: tierIndex(tier), abandonedFor: b.cfg.AbandonedFor}
 }
 
 // currentRate returns what this router earns now.
@@ -135,7 +143,7 @@
 		t, known = b.targets[targetName]
 	}
 	if !known {
-		t = &target{bucket: newBucket(b.cfg.Window, b.cfg.Burst, b.initiallyUnspent(), b.startOr(now), b.randomFor(targetName))}
+		t = &target{bucket: newBucket(b.cfg.Window, b.cfg.Burst, b.initiallyUnspent(), b.startOr(now), b.seedFor(targetName))}
 		b.targets[targetName] = t
 	}
 	return t
@@ -158,12 +166,12 @@
 	return b.currentRate().perWindow
 }
 
-// randomFor returns the source of random numbers for a target, nil without a seed.
-func (b *Budget) randomFor(targetName string) *rand.Rand {
+// seedFor returns the seed of a target's turns, 0 without a seed.
+func (b *Budget) seedFor(targetName string) uint64 {
 	if b.cfg.Seed == 0 {
-		return nil
+		return 0
 	}
-	return rand.New(rand.NewPCG(b.cfg.Seed, xxhash.Sum64String(targetName)))
+	return b.cfg.Seed ^ xxhash.Sum64String(targetName)
 }
 
 // tierIndex returns the index under which a tier is counted. External configurations may
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -41,7 +41,7 @@
 			b.RecordFirst(now, "plain", tier)
 			requests++
 			for range 6 { // all endpoints refuse it as full
-				if b.TryRetry(now, "plain", tier) {
+				if retryArrives(b, now, "plain", tier) {
 					retries++
 				}
 			}
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -56,6 +56,8 @@
 	// Budget is the usage of the budget that was charged or that refused the retry; nil if
 	// no budget was involved.
 	Budget *Usage
+	// Charge must be settled by whoever sends the retry; nil if none was charged.
+	Charge *Charge
 }
 
 // Policy decides about retries. Its fields must not change while it is in use. Zero fields
@@ -133,7 +135,7 @@
 	if !charged {
 		return d
 	}
-	if !p.Budget.TryRetry(now, a.Target, a.Tier) {
+	if d.Charge = p.Budget.TryRetry(now, a.Target, a.Tier); d.Charge == nil {
 		d = Decision{Reason: ReasonBudget}
 	}
 	usage := p.Budget.Usage(now, a.Target, a.Tier)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -73,6 +73,7 @@
 		retried := 0
 		for range 200 {
 			d := p.Decide(Attempt{Number: 1, Target: "s", Tier: 1, Outcome: OutcomeNotRun}, epoch, 0)
+			d.Charge.Arrived()
 			if d.Action == ActionRetry {
 				retried++
 			} else if d.Reason != ReasonBudget {
@@ -89,11 +90,11 @@
 	g := gomega.NewWithT(t)
 	b := NewBudget(BudgetConfig{})
 	for range 100 {
-		b.TryRetry(epoch, "s", 5)
+		retryArrives(b, epoch, "s", 5)
 	}
-	g.Expect(b.TryRetry(epoch, "s", 5)).To(gomega.BeFalse())
-	g.Expect(b.TryRetry(epoch, "s", 0)).To(gomega.BeTrue())
-	g.Expect(b.TryRetry(epoch.Add(defaultWindow), "s", 5)).To(gomega.BeTrue())
+	g.Expect(retryArrives(b, epoch, "s", 5)).To(gomega.BeFalse())
+	g.Expect(retryArrives(b, epoch, "s", 0)).To(gomega.BeTrue())
+	g.Expect(retryArrives(b, epoch.Add(defaultWindow), "s", 5)).To(gomega.BeTrue())
 }
 
 func TestMaxRunsLimitsRetries(t *testing.T) {
--- a/internal/retry/usage.go
+++ b/internal/retry/usage.go
@@ -16,13 +16,16 @@
 	Allowed float64
 	// Unspent is how many retries are left now.
 	Unspent float64
+	// UnderWay is the number of retries of all tiers that may still arrive. Abandoned of them were
+	// given up by their senders.
+	UnderWay, Abandoned int
 	// SharingRouters is the number of routers that share the floor.
 	SharingRouters int
 }
 
 // String formats the usage for the log.
 func (u Usage) String() string {
-	return fmt.Sprintf("retries %d of %.1f by one of %d routers, %.1f left", u.Retries, u.Allowed, u.SharingRouters, u.Unspent)
+	return fmt.Sprintf("retries %d of %.1f by one of %d routers, %.1f left, %d under way", u.Retries, u.Allowed, u.SharingRouters, u.Unspent, u.UnderWay)
 }
 
 // Usage returns the usage of one tier at a target.
@@ -42,6 +45,7 @@
 			total.Retries += u.Retries
 			total.Allowed += u.Allowed
 			total.Unspent += u.Unspent
+			total.UnderWay, total.Abandoned = u.UnderWay, u.Abandoned
 		}
 		usage[name] = total
 	}
@@ -53,12 +57,14 @@
 	r, routers := b.currentRate(), b.routerCount()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.bucket.dropAbandoned(now)
 	counts := t.bucket.counts(now)
 	portions := counts.portions(0)
 	for i := range usage {
 		usage[i] = Usage{
 			Retries: counts[i].Part, Allowed: (1 + b.cfg.Burst) * r.inWindow(counts[i].Total, portions[i]),
 			Unspent: t.bucket.unspent[i], SharingRouters: routers,
+			UnderWay: t.bucket.underWay, Abandoned: len(t.bucket.abandoned),
 		}
 	}
 	return usage
--- a/internal/router/routed_outcomes_test.go
+++ b/internal/router/routed_outcomes_test.go
@@ -143,7 +143,7 @@
 			good(endpoint, req, conn)
 		}
 		g.Expect(call(g, client, "POST", "/safe/", "x").status).To(Equal(200))
-		g.Expect(w.log.String()).To(MatchRegexp(`attempt 1 at e\d: .*, repeat, connection broke, sent after 0s, retries 1 of 20.2 by one of 1 routers, 9.1 left`))
+		g.Expect(w.log.String()).To(MatchRegexp(`attempt 1 at e\d: .*, repeat, connection broke, sent after 0s, retries 1 of 20.2 by one of 1 routers, 9.1 left, 1 under way"`))
 		g.Expect(w.log.String()).To(MatchRegexp(`attempt 2 at e\d: complete, .*, answered, sent after 0s`))
 	})
 }
