Soak requests that are held on their way to endpoints and then let go

Cause: the soak's proxies lost what they stopped, or delayed it by milliseconds; nothing played retries that arrive seconds after they were decided on, in real processes.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -69,15 +69,18 @@
 type NetFault string
 
 // The network faults. NetFaultOneWay drops data from the target and NetFaultSilence drops data in
-// both directions; both leave connections open.
+// both directions; both leave connections open. NetFaultHold delays what is sent to the target until
+// the fault ends.
 const (
 	NetFaultNone    NetFault = ""
 	NetFaultDelay   NetFault = "delay"
 	NetFaultReset   NetFault = "reset"
 	NetFaultOneWay  NetFault = "one_way"
 	NetFaultSilence NetFault = "silence"
+	NetFaultHold    NetFault = "hold"
 )
 
+// netFaults are those of all seeds.
 var netFaults = []NetFault{NetFaultDelay, NetFaultReset, NetFaultOneWay, NetFaultSilence}
 
 // Fault is one fault of a plan.
@@ -204,6 +207,9 @@
 	if HasReturns(seed) {
 		plan = append(plan, returns(seed, end)...)
 	}
+	if HasHeldRequests(seed) {
+		plan = append(plan, held(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -157,6 +157,8 @@
 	case fault == NetFaultSilence, fault == NetFaultOneWay && !toTarget:
 		p.waitWhile(fault)
 		return false
+	case fault == NetFaultHold && toTarget:
+		p.waitWhile(fault)
 	}
 	if p.limiter != nil && !toTarget {
 		if err := p.limiter.WaitN(context.Background(), len(chunk)); err != nil {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -44,6 +44,9 @@
 	return bufio.NewReader(conn).ReadString('\n')
 }
 
+// heldFor is how long a proxy holds a line.
+const heldFor = 150 * time.Millisecond
+
 func TestProxyInjectsNetFaults(t *testing.T) {
 	g := NewWithT(t)
 	p, err := NewProxy(echo(t))
@@ -76,6 +79,12 @@
 
 	conn = dial()
 	g.Expect(roundTrip(conn, "calm")).To(Equal("calm\n"))
+	p.SetFault(NetFaultHold)
+	sent = time.Now()
+	time.AfterFunc(heldFor, func() { p.SetFault(NetFaultNone) })
+	g.Expect(roundTrip(conn, "held")).To(Equal("held\n"))
+	g.Expect(time.Since(sent)).To(BeNumerically(">=", heldFor))
+
 	p.SetFault(NetFaultReset)
 	_, err = roundTrip(conn, "reset")
 	g.Expect(err).To(HaveOccurred())
