Let a tier keep what others leave unspent, so that many tiers use the budget

Cause: each tier could keep its own part of what may remain unspent only; with many tiers on a router of little traffic the parts are below a retry, and what was earned on top was dropped. Change: what may remain unspent is bounded for all tiers together; if it is too much, tiers that have more than their part lose the excess first. By time a tier earns up to its part, as before.

--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -63,14 +63,28 @@
 func (b *bucket) recordFirst(now time.Time, tier int, r rate) {
 	b.attempts[tier].Add(now, window.Counts{Total: 1})
 	limits, turn := b.refill(now, tier, r)
-	room := b.room(limits)
-	for i := range b.unspent {
-		b.unspent[i] = min(b.unspent[i], room*limits[i])
-		if limits[i] == 0 {
+	b.trim(limits)
+	b.unspent[tier] += turn * r.perFirst
+}
+
+// trim drops what exceeds the limit on all tiers together, of tiers that have more than their part.
+func (b *bucket) trim(limits tierLimits) {
+	free := b.free(limits)
+	var over tierLimits
+	for i, limit := range limits {
+		if limit == 0 {
 			b.unspent[i] = 0 // a tier without requests must not owe others for good
 		}
+		over[i] = max(0, b.unspent[i]-free*limit)
+	}
+	excess := sum(b.unspent) - free*sum(limits)
+	if excess <= 0 {
+		return
+	}
+	share := min(1, excess/max(tolerance, sum(over)))
+	for i := range over {
+		b.unspent[i] -= share * over[i]
 	}
-	b.unspent[tier] += turn * r.perFirst
 }
 
 // takeRetry takes a retry of the tier if there is one. A tier that has less than a whole one may use
@@ -126,13 +140,19 @@
 	}
 	byTime := turn * r.perWindow * float64(max(0, now.Sub(b.earned))) / float64(b.window)
 	b.earned = later(b.earned, now)
-	room := b.room(limits)
+	free := b.free(limits)
 	for i := range b.unspent {
-		b.unspent[i] = max(b.unspent[i], min(b.unspent[i]+byTime*portions[i], room*limits[i]))
+		b.unspent[i] = max(b.unspent[i], min(b.unspent[i]+byTime*portions[i], free*limits[i]))
 	}
 	return limits, turn
 }
 
+// free returns the share of the limits that retries under way leave. These count as if they were
+// unspent, since they may arrive together with what is.
+func (b *bucket) free(limits tierLimits) float64 {
+	return max(0, 1-float64(b.underWay)/max(tolerance, sum(limits)))
+}
+
 // turn returns by how much this router earns more in this window. Routers that could never keep a
 // whole retry unspent take turns, by windows: who has his turn may keep one, for those that have
 // none.
@@ -150,15 +170,6 @@
 	return 1 / limit
 }
 
-// room returns the share of the limits that retries under way leave. These count as if they were
-// unspent, since they may arrive together with what is.
-func (b *bucket) room(limits tierLimits) float64 {
-	if b.underWay == 0 {
-		return 1
-	}
-	return max(0, 1-float64(b.underWay)/max(tolerance, sum(limits)))
-}
-
 // counts returns the counts of the window that ends now.
 func (b *bucket) counts(now time.Time) tierCounts {
 	var counts tierCounts
