Commit a failing test of sound requests that are held back where endpoints reset connections

Cause, as far as shown: losses at endpoints that stay alive count until a router has an answer of that endpoint to a request sent within a second, for each record by itself, eight endpoints each.

--- a/internal/poison/play_test.go
+++ b/internal/poison/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,10 +24,15 @@
 	playPrefill = 150 * time.Millisecond
 	// playDrain is longer than any request.
 	playDrain = 10 * time.Second
+	// playCheckDelay is the time from a broken connection to the check of the endpoint's health.
+	playCheckDelay = 600 * time.Millisecond
 	// lossesBeforeBound and timeToKnow bound when all routers must know a part.
 	lossesBeforeBound = 5
 	timeToKnow        = 3 * time.Second
 	deadlyPart        = 0xdead
+	// maxRefusedShare is the share of sound requests that may be refused while endpoints reset
+	// connections.
+	maxRefusedShare = 0.05
 )
 
 // play is a fleet whose requests share parts of their prompts, without a network.
@@ -50,6 +56,16 @@
 	name    string
 	upAt    time.Time
 	running []playRequest
+	// resets is the share of requests whose connections it resets while it stays alive.
+	resets float64
+	// checks are the health checks under way.
+	checks []playCheck
+}
+
+// playCheck is a router's health check of an endpoint that broke a connection.
+type playCheck struct {
+	router         int
+	sent, answered time.Time
 }
 
 type playRequest struct {
@@ -69,6 +85,9 @@
 				if e.Quarantined && e.Part != 0 {
 					p.quarantinedParts[e.Part] = true
 				}
+				if e.Quarantined && e.Local {
+					p.checkAtOnce(i, e.Endpoints)
+				}
 			},
 		}))
 	}
@@ -89,6 +108,7 @@
 		}
 		for _, e := range p.endpoints {
 			p.advance(e)
+			p.answerChecks(e)
 		}
 		p.exchange()
 	}
@@ -134,6 +154,10 @@
 	if e == nil {
 		return
 	}
+	if p.rnd.Float64() < e.resets {
+		p.reset(e, r)
+		return
+	}
 	r.ends = p.now.Add(200*time.Millisecond + time.Duration(p.rnd.ExpFloat64()*float64(500*time.Millisecond)))
 	if deadly {
 		r.ends = p.now.Add(playCrashDelay)
@@ -142,6 +166,33 @@
 	e.running = append(e.running, r)
 }
 
+// checkAtOnce has a router check the health of endpoints that seem to have crashed under a request.
+func (p *play) checkAtOnce(router int, names []string) {
+	for _, e := range p.endpoints {
+		if slices.Contains(names, e.name) && !p.now.Before(e.upAt) {
+			e.checks = append(e.checks, playCheck{router: router, sent: p.now.Add(playStep), answered: p.now.Add(2 * playStep)})
+		}
+	}
+}
+
+// reset breaks the connection of a request, whose router then checks the endpoint's health.
+func (p *play) reset(e *playEndpoint, r playRequest) {
+	p.tables[r.router].RecordLoss(r.req, Loss{Endpoint: e.name, Sent: r.sent, At: p.now.Add(playStep), Early: true})
+	sent := p.now.Add(playCheckDelay)
+	e.checks = append(e.checks, playCheck{router: r.router, sent: sent, answered: sent.Add(playStep)})
+}
+
+// answerChecks has an endpoint answer the health checks that are due.
+func (p *play) answerChecks(e *playEndpoint) {
+	e.checks = slices.DeleteFunc(e.checks, func(c playCheck) bool {
+		if p.now.Before(c.answered) {
+			return false
+		}
+		p.tables[c.router].RecordResponse(e.name, c.sent)
+		return true
+	})
+}
+
 // pick returns an endpoint that is up, nil if there is none.
 func (p *play) pick() *playEndpoint {
 	for range 20 {
@@ -165,6 +216,7 @@
 		default:
 			p.soundServed++
 			p.tables[r.router].RecordCompletion(r.req)
+			p.tables[r.router].RecordResponse(e.name, r.sent)
 		}
 	}
 	e.running = left
@@ -280,3 +332,35 @@
 		}
 	}
 }
+
+// Guards against holding back what all requests share while endpoints reset most connections and stay
+// alive.
+func TestPartsAreNotQuarantinedWhereEndpointsResetConnections(t *testing.T) {
+	for _, routers := range []int{3, 12, 31, 103} {
+		for _, share := range []float64{0.3, 0.9} {
+			t.Run(fmt.Sprintf("%d routers, %g", routers, share), func(t *testing.T) { testResettingEndpoints(t, routers, share) })
+		}
+	}
+}
+
+func testResettingEndpoints(t *testing.T, routers int, share float64) {
+	g := NewWithT(t)
+	p := newPlay(1, routers)
+	sound := 10 * float64(routers)
+	p.run(5*time.Second, sound, 0)
+	for _, e := range p.endpoints[:len(p.endpoints)*7/10] {
+		e.resets = share
+	}
+	p.run(10*time.Second, sound, 0)
+	refused, sent := p.soundRefused, p.soundSent
+	for _, e := range p.endpoints {
+		e.resets = 0
+	}
+	p.run(time.Second, sound, 0)
+	refusedSoonAfter := p.soundRefused - refused
+	p.run(10*time.Second, sound, 0)
+	refusedLater := p.soundRefused - refused - refusedSoonAfter
+	t.Logf("%d of %d refused, %d in the second after it, %d later", refused, sent, refusedSoonAfter, refusedLater)
+	g.Expect(refused).To(BeNumerically("<=", maxRefusedShare*float64(sent)))
+	g.Expect(refusedLater).To(BeZero())
+}
