Remember endpoints that reset connections and stay alive, over all requests and routers

Cause: whether an endpoint survived was kept for each content and part by itself, for eight endpoints at most, so that with more of them losses were dropped and told again by turns; and only answers to requests showed it, not the health checks that follow a broken connection. Change: a table remembers survivors by endpoint for 30 s (2,048), losses there count for nothing and are dropped from all records, and a message tells the news (32). Each answer to a health check counts. An endpoint is shown to be alive as before: by an answer to what was sent within a second. Why it holds: that an endpoint breaks connections by itself is known of the endpoint, not of a request; what is true of it at one router is true at all.

--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/membership"
 	"coveferry/internal/route"
@@ -170,7 +171,7 @@
 	if dir.IsEvacuated(entry.Endpoint.FailureDomain) {
 		return membership.HealthResult{}, membership.ErrProbeSkipped
 	}
-	sentAt := time.Now()
+	sentAt, sentClock := time.Now(), clock.Boot()
 	if !l.d.pool.MayCheck(sentAt, &entry.Endpoint) {
 		return membership.HealthResult{}, membership.ErrProbeSkipped
 	}
@@ -178,6 +179,7 @@
 	l.d.pool.ApplySignals(time.Now(), sentAt, name, health.Signals)
 	if err == nil {
 		l.d.pool.RecordAccepted(time.Now(), sentAt, name)
+		l.d.poison.RecordResponse(name+"/"+entry.Endpoint.ProcessID(), sentClock)
 	}
 	result := membership.HealthResult{Connected: health.Connected, Leaving: health.Leaving}
 	switch {
--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -11,9 +11,11 @@
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
 	"coveferry/internal/membership"
+	"coveferry/internal/poison"
 	"coveferry/internal/route"
 	"coveferry/internal/upstream"
 )
@@ -127,3 +129,20 @@
 	g.Expect(err).To(MatchError(unhealthy))
 	g.Expect(result).To(Equal(membership.HealthResult{Connected: true}))
 }
+
+// An endpoint that broke a connection and answers its health check right after it hasn't crashed.
+func TestHealthCheckShowsThatAnEndpointSurvived(t *testing.T) {
+	g := NewWithT(t)
+	l := healthUpdater(t, upstream.Health{Connected: true}, nil)
+	entry, listed := l.d.follower.Directory().Entry("e")
+	g.Expect(listed).To(BeTrue())
+	request := poison.Request{Service: "s", Content: 1}
+	for _, process := range []string{"e/" + entry.Endpoint.ProcessID(), "f/1", "g/1"} {
+		now := clock.Boot()
+		l.d.poison.RecordLoss(request, poison.Loss{Endpoint: process, Sent: now, At: now})
+	}
+	g.Expect(l.d.poison.Check(request).Refused).To(BeTrue())
+	_, err := l.checkHealth(context.Background(), "e")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.d.poison.Check(request).Refused).To(BeFalse())
+}
--- a/internal/daemon/poison.go
+++ b/internal/daemon/poison.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
 
-	"coveferry/internal/clock"
 	"coveferry/internal/logging"
 	"coveferry/internal/poison"
 	"coveferry/internal/prompt"
@@ -71,10 +70,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 			defer cancel()
-			sentAt := clock.Boot()
-			if _, err := d.updater.checkHealth(ctx, name); err == nil {
-				d.poison.RecordResponse(process, sentAt)
-			}
+			_, _ = d.updater.checkHealth(ctx, name) // an answer is recorded where it is read
 		}()
 	}
 }
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -38,6 +38,8 @@
 	// digests differ send each other all of them.
 	QuarantineDigest uint64  `json:"digest,omitempty"`
 	Entries          []Entry `json:"words,omitempty"`
+	// Survivors are endpoints that break connections by themselves, whatever runs there.
+	Survivors []SurvivorEntry `json:"survivors,omitempty"`
 }
 
 // Digest returns the digest, which a router sends to receive only changes.
@@ -61,6 +63,10 @@
 	for _, id := range ids[:min(len(ids), maxEntries)] {
 		m.Entries = append(m.Entries, t.records[id].entry(id, now))
 	}
+	if all {
+		maxAge = survivorRetention
+	}
+	m.Survivors = t.survivors.entries(now, maxAge)
 	return m
 }
 
@@ -97,34 +103,55 @@
 // table's clock.
 func (t *Table) Apply(sentAt time.Time, m Message) {
 	now := t.cfg.Clock()
+	for _, s := range m.Survivors {
+		if t.applySurvivor(s, sentAt, now) {
+			t.dropLossesAt(s.Endpoint, false)
+		}
+	}
 	for _, e := range m.Entries {
+		e.Losses = slices.DeleteFunc(slices.Clone(e.Losses), func(l LossEntry) bool { return !t.lossCounts(l.loss(sentAt, now)) })
 		t.update(suspect{e.Identity, e.Part}, true, false, func(r *record) bool { return r.merge(sentAt, now, e) })
 	}
 }
 
+func (t *Table) applySurvivor(s SurvivorEntry, sentAt, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.survivors.confirm(s.Endpoint, ago(sentAt, s.SurvivedAgo), now)
+}
+
+// ago returns the time that was the given number of milliseconds before sentAt.
+func ago(sentAt time.Time, millis int64) time.Time {
+	return sentAt.Add(-time.Duration(max(0, millis)) * time.Millisecond)
+}
+
+// loss returns the loss that another router told of.
+func (l LossEntry) loss(sentAt, now time.Time) Loss {
+	return Loss{Endpoint: l.Endpoint, Sent: ago(sentAt, l.SentAgo), At: ago(sentAt, l.LostAgo), Early: l.Early, reported: true, learnedAt: now}
+}
+
 // merge merges an entry and reports whether it changed the record. Times that both routers
 // know may differ by some milliseconds, which doesn't count as a change.
 func (r *record) merge(sentAt, now time.Time, e Entry) bool {
 	changed := false
-	ago := func(millis int64) time.Time { return sentAt.Add(-time.Duration(max(0, millis)) * time.Millisecond) }
-	if e.CompletedAgo != nil && isLater(ago(*e.CompletedAgo), r.completedAt) {
-		changed = r.addCompletion(ago(*e.CompletedAgo)) || changed
+	if e.CompletedAgo != nil && isLater(ago(sentAt, *e.CompletedAgo), r.completedAt) {
+		changed = r.addCompletion(ago(sentAt, *e.CompletedAgo)) || changed
 	}
-	if e.TriedAgo != nil && isLater(ago(*e.TriedAgo), r.triedAt) {
-		changed = r.addTrial(ago(*e.TriedAgo)) || changed
+	if e.TriedAgo != nil && isLater(ago(sentAt, *e.TriedAgo), r.triedAt) {
+		changed = r.addTrial(ago(sentAt, *e.TriedAgo)) || changed
 	}
 	for _, endpoint := range e.Survivors {
 		changed = r.addSurvivor(endpoint, now) || changed
 	}
 	refuted := 0
 	for _, l := range e.Losses {
-		loss := Loss{Endpoint: l.Endpoint, Sent: ago(l.SentAgo), At: ago(l.LostAgo), Early: l.Early, reported: true, learnedAt: now}
+		loss := l.loss(sentAt, now)
 		changed = r.addLoss(loss) || changed
 		if !loss.At.After(r.completedAt) {
 			refuted++
 		}
 	}
-	if refuted > 0 && (e.CompletedAgo == nil || isLater(r.completedAt, ago(*e.CompletedAgo))) {
+	if refuted > 0 && (e.CompletedAgo == nil || isLater(r.completedAt, ago(sentAt, *e.CompletedAgo))) {
 		// The sender doesn't know of the completion, so this counts as a change to report.
 		r.cleared = refuted
 		changed = true
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -86,6 +86,7 @@
 	// completedAt is when a request to a service last completed at this router.
 	completedAt map[string]time.Time
 	completions completions
+	survivors   survivors
 	purgedAt    time.Time
 }
 
@@ -136,9 +137,13 @@
 	return nil
 }
 
-// RecordLoss records that an endpoint was lost while it ran a request.
+// RecordLoss records that an endpoint was lost while it ran a request. Endpoints that break
+// connections by themselves don't count.
 func (t *Table) RecordLoss(req Request, l Loss) {
 	l.learnedAt = t.cfg.Clock()
+	if !t.lossCounts(l) {
+		return
+	}
 	for _, s := range req.suspects() {
 		if s.part != 0 && l.Streamed >= crashDelay {
 			continue
@@ -154,11 +159,38 @@
 	if t.Empty() {
 		return
 	}
+	if t.confirmSurvivor(endpoint, sent) {
+		t.dropLossesAt(endpoint, true)
+		return
+	}
 	for _, id := range t.requestsLostAt(endpoint) {
 		t.update(suspect{identity: id}, false, true, func(r *record) bool { return r.confirmSurvivor(endpoint, sent, t.cfg.Clock()) })
 	}
 }
 
+// lossCounts records a loss, and reports whether it may say something about the request: not if the
+// endpoint breaks connections by itself.
+func (t *Table) lossCounts(l Loss) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.survivors.recordLoss(l)
+	return !t.survivors.has(l.Endpoint, l.learnedAt)
+}
+
+func (t *Table) confirmSurvivor(endpoint string, sent time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.survivors.recordResponse(endpoint, sent, t.cfg.Clock())
+}
+
+// dropLossesAt drops the losses of an endpoint that survived from all records. local is set for this
+// router's own observations.
+func (t *Table) dropLossesAt(endpoint string, local bool) {
+	for _, id := range t.requestsLostAt(endpoint) {
+		t.update(suspect{identity: id}, false, local, func(r *record) bool { return r.addSurvivor(endpoint, t.cfg.Clock()) })
+	}
+}
+
 // requestsLostAt returns the requests with a recorded loss of the endpoint.
 func (t *Table) requestsLostAt(endpoint string) []Identity {
 	t.mu.Lock()
