Play retry budgets with unusual ratios, slacks and windows

Cause: all plays of the bound had ratio .2, slack 52 and 10 s. Change: the operator's bounds are a value of the play; ratio 0, .02 and 1, slack 0 and 1,000, windows of 1 and 60 s, each after a calm and with all routers killed during the failure.

--- a/internal/retry/bound_test.go
+++ b/internal/retry/bound_test.go
@@ -11,19 +11,45 @@
 	. "github.com/onsi/gomega"
 )
 
-// operatorSlack is the number of retries that the operator allows per window in addition
-// to the ratio. Budgets get the shares of both limits that directRetries in package daemon
-// gives them.
+// operatorBounds bounds the retries of all routers together: ratio of the requests, and slack, in
+// each window.
+type operatorBounds struct {
+	ratio, slack float64
+	window       time.Duration
+}
+
+// defaultBounds are those of most simulations.
+var defaultBounds = operatorBounds{ratio: operatorRatio, slack: operatorSlack, window: simulationWindow}
+
+// Budgets get the shares of the operator's bounds that directRetries in package daemon gives them.
 const (
 	operatorRatio, operatorSlack = 0.2, 52.0
 	simulationWindow             = 10 * time.Second
-	budgetRatio, budgetSlack     = 0.7 * operatorRatio, 0.7 * operatorSlack
-	budgetBurst                  = 0.25 / 0.7
+	earnedShare                  = 0.7
+	budgetBurst                  = 0.25 / earnedShare
+	budgetRatio, budgetSlack     = earnedShare * operatorRatio, earnedShare * operatorSlack
 )
 
+// budgetOf returns the budget of one of the routers.
+func (o operatorBounds) budgetOf(router, routers int, started time.Time) *Budget {
+	return NewBudget(BudgetConfig{
+		Ratio: orExplicitZero(earnedShare * o.ratio), Floor: orExplicitZero(earnedShare * o.slack / o.window.Seconds()),
+		Window: o.window, Burst: budgetBurst, Seed: uint64(router + 1),
+		Routers: func() int { return routers }, Started: started,
+	})
+}
+
+func orExplicitZero(limit float64) float64 {
+	if limit == 0 {
+		return ExplicitZero
+	}
+	return limit
+}
+
 // fleetSimulation simulates routers that send requests to one service and retry those that
 // fail.
 type fleetSimulation struct {
+	bounds    operatorBounds
 	routers   int
 	perSecond float64 // requests, over all routers
 	duration  time.Duration
@@ -55,13 +81,8 @@
 func (s fleetSimulation) run() (sentAt, arrivedAt []time.Duration) {
 	rnd := rand.New(rand.NewPCG(s.seed, 1))
 	now := time.Duration(0)
-	start := epoch.Add(time.Duration(rnd.Float64() * float64(simulationWindow)))
-	newBudget := func(i int) *Budget {
-		return NewBudget(BudgetConfig{
-			Ratio: budgetRatio, Window: simulationWindow, Floor: budgetSlack / simulationWindow.Seconds(), Burst: budgetBurst, Seed: uint64(i + 1),
-			Routers: func() int { return s.routers }, Started: start.Add(now),
-		})
-	}
+	start := epoch.Add(time.Duration(rnd.Float64() * float64(s.bounds.window)))
+	newBudget := func(i int) *Budget { return s.bounds.budgetOf(i, s.routers, start.Add(now)) }
 	budgets := make([]*Budget, s.routers)
 	for i := range budgets {
 		budgets[i] = newBudget(i)
@@ -134,19 +155,19 @@
 // worstWindow returns the retries and the limit of the window that exceeds its limit most,
 // or comes closest to it. The limit is computed from the largest number of requests in
 // that window, the one half a window earlier, and the one a whole window earlier.
-func worstWindow(sentAt, retriedAt []time.Duration) (retries int, allowed float64) {
+func (o operatorBounds) worstWindow(sentAt, retriedAt []time.Duration) (retries int, allowed float64) {
 	countInWindow := func(at []time.Duration, from time.Duration) int {
 		lo, _ := slices.BinarySearch(at, from)
-		hi, _ := slices.BinarySearch(at, from+simulationWindow)
+		hi, _ := slices.BinarySearch(at, from+o.window)
 		return hi - lo
 	}
 	worstExcess := 0.0
 	for _, from := range slices.Compact(slices.Clone(retriedAt)) {
 		n, requests := countInWindow(retriedAt, from), 0
-		for _, back := range []time.Duration{0, simulationWindow / 2, simulationWindow} {
+		for _, back := range []time.Duration{0, o.window / 2, o.window} {
 			requests = max(requests, countInWindow(sentAt, from-back))
 		}
-		limit := operatorRatio*float64(requests) + operatorSlack
+		limit := o.ratio*float64(requests) + o.slack
 		if retries == 0 || float64(n)-limit > worstExcess {
 			worstExcess, retries, allowed = float64(n)-limit, n, limit
 		}
@@ -169,10 +190,10 @@
 	t.Helper()
 	for _, n := range fleetSizes {
 		t.Run(fmt.Sprintf("%d routers, %g requests a second", n, perSecond), func(t *testing.T) {
-			p := fleetSimulation{routers: n, perSecond: perSecond, duration: 40 * time.Second, seed: uint64(n)}
+			p := fleetSimulation{bounds: defaultBounds, routers: n, perSecond: perSecond, duration: 40 * time.Second, seed: uint64(n)}
 			setup(&p)
 			sent, retried := p.run()
-			retries, allowed := worstWindow(sent, retried)
+			retries, allowed := p.bounds.worstWindow(sent, retried)
 			t.Logf("%d retries, %d of %.0f allowed in the worst window", len(retried), retries, allowed)
 			NewWithT(t).Expect(float64(retries)).To(BeNumerically("<=", allowed))
 		})
@@ -183,8 +204,8 @@
 	for _, perSecond := range []float64{20, 500} {
 		checkRetryBound(t, perSecond, func(*fleetSimulation) {})
 		for _, n := range fleetSizes {
-			sent, retried := fleetSimulation{routers: n, perSecond: perSecond, duration: 40 * time.Second, seed: uint64(n)}.run()
-			retries, allowed := worstWindow(sent, retried)
+			sent, retried := fleetSimulation{bounds: defaultBounds, routers: n, perSecond: perSecond, duration: 40 * time.Second, seed: uint64(n)}.run()
+			retries, allowed := defaultBounds.worstWindow(sent, retried)
 			NewWithT(t).Expect(float64(retries)).To(BeNumerically(">=", minUsedShare*allowed), "%d routers", n)
 		}
 	}
--- a/internal/retry/windows_test.go
+++ b/internal/retry/windows_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -93,3 +94,24 @@
 		})
 	}
 }
+
+// Guards against bounds that only hold at the usual ratio, slack and window.
+func TestUnusualBoundsAreNotExceeded(t *testing.T) {
+	for _, bounds := range []operatorBounds{
+		{ratio: 1, slack: 52, window: 10 * time.Second},
+		{ratio: 0, slack: 52, window: 10 * time.Second},
+		{ratio: 0.2, slack: 0, window: 10 * time.Second},
+		{ratio: 0.02, slack: 1000, window: 10 * time.Second},
+		{ratio: 0.2, slack: 52, window: time.Second},
+		{ratio: 0.2, slack: 52, window: 60 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%g, %g, %s", bounds.ratio, bounds.slack, bounds.window), func(t *testing.T) {
+			begin := bounds.window + bounds.window/2
+			checkRetryBound(t, 200, func(p *fleetSimulation) {
+				p.bounds, p.duration = bounds, begin+2*bounds.window
+				p.fails = func(now time.Duration) bool { return now >= begin }
+				p.restarts = func(_, step int) bool { return step == stepCount(begin+bounds.window/5) }
+			})
+		})
+	}
+}
