Keep survivors of broken connections in the table only, and account for them

Cause: each record had its own list of endpoints that survived, beside the table's. Change: the list of a record, its word to other routers and a second check are gone; what is told of survivors is the table's.

--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -17,8 +17,6 @@
 	// Part is the ID of the part that the requests share; 0 for one request.
 	Part   uint64      `json:"part,omitempty"`
 	Losses []LossEntry `json:"losses,omitempty"`
-	// Survivors are endpoints that broke the connection but stayed alive.
-	Survivors []string `json:"survivors,omitempty"`
 	// CompletedAgo and TriedAgo are nil if that never happened.
 	CompletedAgo *int64 `json:"completed_ago_ms,omitempty"`
 	TriedAgo     *int64 `json:"tried_ago_ms,omitempty"`
@@ -46,8 +44,8 @@
 func (m Message) Digest() uint64 { return m.QuarantineDigest }
 
 // UpdateFor returns the message for a router that sent the given digest: all changes not
-// older than maxAge, and if the digests differ, also all requests that are quarantined,
-// have completed or have survivors.
+// older than maxAge, and if the digests differ, also all requests that are quarantined
+// or have completed.
 func (t *Table) UpdateFor(peerDigest uint64, maxAge time.Duration) Message {
 	if t.Empty() {
 		return Message{}
@@ -58,7 +56,7 @@
 	m := Message{QuarantineDigest: t.digest()}
 	all := m.QuarantineDigest != peerDigest
 	ids := t.sortedByPriority(func(r *record) bool {
-		return now.Sub(r.changedAt) < maxAge || all && (r.quarantined() || !r.completedAt.IsZero() || len(r.survivors) > 0)
+		return now.Sub(r.changedAt) < maxAge || all && (r.quarantined() || !r.completedAt.IsZero())
 	})
 	for _, id := range ids[:min(len(ids), maxEntries)] {
 		m.Entries = append(m.Entries, t.records[id].entry(id, now))
@@ -82,7 +80,7 @@
 }
 
 func (r *record) entry(id Identity, now time.Time) Entry {
-	e := Entry{Identity: id, Part: r.part, Survivors: slices.Clone(r.survivors), CompletedAgo: millisAgo(now, r.completedAt), TriedAgo: millisAgo(now, r.triedAt)}
+	e := Entry{Identity: id, Part: r.part, CompletedAgo: millisAgo(now, r.completedAt), TriedAgo: millisAgo(now, r.triedAt)}
 	for _, l := range r.losses {
 		e.Losses = append(e.Losses, LossEntry{
 			Endpoint: l.Endpoint, SentAgo: now.Sub(l.Sent).Milliseconds(), LostAgo: now.Sub(l.At).Milliseconds(), Early: l.Early,
@@ -140,9 +138,6 @@
 	if e.TriedAgo != nil && isLater(ago(sentAt, *e.TriedAgo), r.triedAt) {
 		changed = r.addTrial(ago(sentAt, *e.TriedAgo)) || changed
 	}
-	for _, endpoint := range e.Survivors {
-		changed = r.addSurvivor(endpoint, now) || changed
-	}
 	refuted := 0
 	for _, l := range e.Losses {
 		loss := l.loss(sentAt, now)
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -11,7 +11,7 @@
 	// second one while many are lost at the same time. By the third, the request is the
 	// likely cause, and each further loss costs all requests that run there.
 	lossThreshold = 3
-	// maxLossesKept limits the losses, and the survivors, kept per request. The newest ones
+	// maxLossesKept limits the losses kept per request. The newest ones
 	// and those in sequence determine the hold time.
 	maxLossesKept = 8
 	// initialHold is the hold time after lossThreshold simultaneous losses, as when a
@@ -62,10 +62,7 @@
 type record struct {
 	part   uint64 // ID of the part; 0 for a whole request
 	losses []Loss // newest ones, sorted by time
-	// survivors are endpoints that broke the connection but stayed alive, and survivedAt
-	// is when the latest of them was found to be alive. Their broken connections say
-	// nothing about the request.
-	survivors  []string
+	// survivedAt is when losses were last dropped since their endpoint had survived.
 	survivedAt time.Time
 	// completedAt is when the request last got a response. Losses before that don't count.
 	completedAt time.Time
@@ -82,7 +79,7 @@
 
 // addLoss adds a loss and reports whether the record changed.
 func (r *record) addLoss(l Loss) bool {
-	if !l.At.After(r.completedAt) || r.hasLossAt(l.Endpoint) || slices.Contains(r.survivors, l.Endpoint) {
+	if !l.At.After(r.completedAt) || r.hasLossAt(l.Endpoint) {
 		return false
 	}
 	if r.quarantined() && r.isTrial(l) {
@@ -120,23 +117,12 @@
 	return slices.ContainsFunc(r.losses, func(l Loss) bool { return l.Endpoint == endpoint })
 }
 
-// confirmSurvivor records that an endpoint answered a request sent at the given time, and
-// reports whether this proves that it survived a loss.
-func (r *record) confirmSurvivor(endpoint string, sent, now time.Time) bool {
-	disproved := func(l Loss) bool {
-		return l.Endpoint == endpoint && sent.After(l.learnedAt) && sent.Sub(l.At) < minRestartTime
-	}
-	return slices.ContainsFunc(r.losses, disproved) && r.addSurvivor(endpoint, now)
-}
-
-// addSurvivor records that an endpoint survived, and reports whether the record changed.
-func (r *record) addSurvivor(endpoint string, now time.Time) bool {
-	if slices.Contains(r.survivors, endpoint) {
+// dropLossesAt drops the losses of an endpoint that survived, and reports whether there were any.
+func (r *record) dropLossesAt(endpoint string, now time.Time) bool {
+	if !r.hasLossAt(endpoint) {
 		return false
 	}
 	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return l.Endpoint == endpoint })
-	r.survivors = append(r.survivors, endpoint)
-	r.survivors = r.survivors[max(0, len(r.survivors)-maxLossesKept):]
 	r.survivedAt = now
 	return true
 }
--- a/internal/poison/survivors.go
+++ b/internal/poison/survivors.go
@@ -108,3 +108,51 @@
 	}
 	return list
 }
+
+// RecordResponse records that an endpoint responded to a request sent at the given time,
+// which may prove that it survived a recorded loss. Without this, endpoints that reset
+// connections but stay alive would get every frequent request quarantined.
+func (t *Table) RecordResponse(endpoint string, sent time.Time) {
+	if t.Empty() {
+		return
+	}
+	if t.confirmSurvivor(endpoint, sent) {
+		t.dropLossesAt(endpoint, true)
+	}
+}
+
+// lossCounts records a loss, and reports whether it may say something about the request: not if the
+// endpoint breaks connections by itself.
+func (t *Table) lossCounts(l Loss) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.survivors.recordLoss(l)
+	return !t.survivors.has(l.Endpoint, l.learnedAt)
+}
+
+func (t *Table) confirmSurvivor(endpoint string, sent time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.survivors.recordResponse(endpoint, sent, t.cfg.Clock())
+}
+
+// dropLossesAt drops the losses of an endpoint that survived from all records. local is set for this
+// router's own observations.
+func (t *Table) dropLossesAt(endpoint string, local bool) {
+	for _, id := range t.requestsLostAt(endpoint) {
+		t.update(suspect{identity: id}, false, local, func(r *record) bool { return r.dropLossesAt(endpoint, t.cfg.Clock()) })
+	}
+}
+
+// requestsLostAt returns the requests with a recorded loss of the endpoint.
+func (t *Table) requestsLostAt(endpoint string) []Identity {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []Identity
+	for id, r := range t.records {
+		if r.hasLossAt(endpoint) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
