Test that an abandoned attempt is logged as one that may still arrive

Cause: only answered and broken attempts had a test of their line. Measured: the test passes; it fails where dispatch tells a canceled attempt as broken.

--- a/internal/router/routed_outcomes_test.go
+++ b/internal/router/routed_outcomes_test.go
@@ -147,3 +147,13 @@
 		g.Expect(w.log.String()).To(MatchRegexp(`attempt 2 at e\d: complete, .*, answered, sent after 0s`))
 	})
 }
+
+// An attempt that was given up without an answer may arrive later, and counts as one that may.
+func TestLogTellsThatAnAbandonedAttemptMayStillArrive(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = func(string, *http.Request, net.Conn) { time.Sleep(time.Minute) }
+		g.Expect(call(g, client, "POST", "/once/", "x", "Patience", "700ms").status).To(Equal(504))
+		g.Expect(w.log.String()).To(MatchRegexp(`attempt 1 at e\d: .*, may still arrive, sent after 0s`))
+		time.Sleep(time.Minute)
+	})
+}
