Settle the charges of the retry storm's simulation

Cause: a charge has to be settled by whoever sends the retry; the simulation didn't, so that its budget took all retries for under way. Found on reading the change. Also two words in the bucket.

--- a/internal/balance/lab/storm.go
+++ b/internal/balance/lab/storm.go
@@ -34,6 +34,7 @@
 
 type call struct {
 	number int
+	charge *retry.Charge // of a retry
 }
 
 type storm struct {
@@ -92,6 +93,7 @@
 func (s *storm) send(c *call) {
 	if !s.throttle.Allow(s.now, 0, s.rnd.Float64()) {
 		s.throttle.Refused(s.now, 0)
+		c.charge.NotSent(s.now)
 		return
 	}
 	if s.freeAt.Before(s.now) {
@@ -102,10 +104,11 @@
 		s.at(s.now.Add(stormTimeout), func() { s.timeout(c) })
 		return
 	}
-	s.at(s.freeAt, s.answered)
+	s.at(s.freeAt, func() { s.answered(c) })
 }
 
-func (s *storm) answered() {
+func (s *storm) answered(c *call) {
+	c.charge.Arrived()
 	s.throttle.Accepted(s.now, 0)
 	bin := int(s.now.Sub(start) / StormBin)
 	if bin < len(s.goodput) {
@@ -114,12 +117,13 @@
 }
 
 func (s *storm) timeout(c *call) {
+	c.charge.Arrived()
 	s.throttle.Refused(s.now, 0)
 	a := retry.Attempt{Number: c.number, Outcome: retry.OutcomeUnknown, Idempotent: true}
 	d := s.policy.Decide(a, s.now, s.rnd.Float64())
 	if d.Action != retry.ActionRetry {
 		return
 	}
-	next := &call{number: c.number + 1}
+	next := &call{number: c.number + 1, charge: d.Charge}
 	s.at(s.now.Add(d.Delay), func() { s.send(next) })
 }
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -154,7 +154,7 @@
 }
 
 // turn returns by how much this router earns more in this window. Routers that could never keep a
-// whole retry unspent take turns, by windows: who has his turn may keep one, for those that have
+// whole retry unspent take turns, by windows: in its turn a router may keep one, for those that have
 // none.
 func (b *bucket) turn(now time.Time, limit float64) float64 {
 	switch {
@@ -163,8 +163,8 @@
 	case limit <= tolerance:
 		return 0
 	}
-	window := uint64(max(0, now.Sub(b.began)) / b.window)
-	if rand.New(rand.NewPCG(b.seed, window)).Float64() >= turnShare*limit {
+	index := uint64(max(0, now.Sub(b.began)) / b.window)
+	if rand.New(rand.NewPCG(b.seed, index)).Float64() >= turnShare*limit {
 		return 0
 	}
 	return 1 / limit
