Count a health check answered as leaving as a sign of life again

Cause: when the recording of health answers moved to where they are read, only healthy ones counted; before, an endpoint that answered the check after a seeming crash by saying that it leaves counted as alive too. Found on reading the change. Change: either answer is recorded; the test has both, and fails for the leaving one without it. Measured: tests of daemon pass.

--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -179,6 +179,8 @@
 	l.d.pool.ApplySignals(time.Now(), sentAt, name, health.Signals)
 	if err == nil {
 		l.d.pool.RecordAccepted(time.Now(), sentAt, name)
+	}
+	if err == nil || health.Leaving {
 		l.d.poison.RecordResponse(name+"/"+entry.Endpoint.ProcessID(), sentClock)
 	}
 	result := membership.HealthResult{Connected: health.Connected, Leaving: health.Leaving}
--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -132,17 +132,21 @@
 
 // An endpoint that broke a connection and answers its health check right after it hasn't crashed.
 func TestHealthCheckShowsThatAnEndpointSurvived(t *testing.T) {
-	g := NewWithT(t)
-	l := healthUpdater(t, upstream.Health{Connected: true}, nil)
-	entry, listed := l.d.follower.Directory().Entry("e")
-	g.Expect(listed).To(BeTrue())
-	request := poison.Request{Service: "s", Content: 1}
-	for _, process := range []string{"e/" + entry.Endpoint.ProcessID(), "f/1", "g/1"} {
-		now := clock.Boot()
-		l.d.poison.RecordLoss(request, poison.Loss{Endpoint: process, Sent: now, At: now})
+	for name, l := range map[string]*directoryUpdater{
+		"healthy": healthUpdater(t, upstream.Health{Connected: true}, nil),
+		"leaving": healthUpdater(t, upstream.Health{Connected: true, Signals: upstream.Signals{Leaving: true}}, errors.New("status 503")),
+	} {
+		g := NewWithT(t)
+		entry, listed := l.d.follower.Directory().Entry("e")
+		g.Expect(listed).To(BeTrue(), name)
+		request := poison.Request{Service: "s", Content: 1}
+		for _, process := range []string{"e/" + entry.Endpoint.ProcessID(), "f/1", "g/1"} {
+			now := clock.Boot()
+			l.d.poison.RecordLoss(request, poison.Loss{Endpoint: process, Sent: now, At: now})
+		}
+		g.Expect(l.d.poison.Check(request).Refused).To(BeTrue(), name)
+		_, err := l.checkHealth(context.Background(), "e")
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		g.Expect(l.d.poison.Check(request).Refused).To(BeFalse(), name)
 	}
-	g.Expect(l.d.poison.Check(request).Refused).To(BeTrue())
-	_, err := l.checkHealth(context.Background(), "e")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(l.d.poison.Check(request).Refused).To(BeFalse())
 }
