Build the budgets of the fleet's play by the function that the other plays have

Cause: the play of two services wrote out the shares of the operator's bounds a second time. Change: operatorBounds.budgetOf; same shares, seeds and start, the assertions as they were. Measured: tests of retry pass.

--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -25,10 +25,7 @@
 	for _, routers := range []int{1, 10, 103, 880} {
 		budgets := make([]*Budget, routers)
 		for i := range budgets {
-			budgets[i] = NewBudget(BudgetConfig{
-				Ratio: 0.7 * ratio, Window: window, Floor: 0.7 * slack / window.Seconds(), Burst: 0.25 / 0.7,
-				Routers: func() int { return routers }, Started: epoch.Add(-window), Seed: uint64(i + 1),
-			})
+			budgets[i] = operatorBounds{ratio: ratio, slack: slack, window: window}.budgetOf(i, routers, epoch.Add(-window))
 		}
 		retries, requests := 0, 0
 		for n := range int(window.Seconds()) * perSecond {
