Review case 2: a key is checked by an old table and a newer table's age

Cause: a request takes the route table when its header arrives. After its body has arrived the key is looked up in that table, but freshness is that of the newest state. A router that had been turned away by the store accepts a taken key for each request whose body arrives while it learns of the change.

No change of the software.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -17,7 +17,8 @@
 
 // cases maps the name of a case to its function, which returns whether the rule held.
 var cases = map[string]func(r *rig) (held bool, err error){
-	"stale-age": staleAge,
+	"revoked-key": revokedKey,
+	"stale-age":   staleAge,
 }
 
 func main() {
