Review case 3: a client that closes its direction gets a false success

Cause: when a caller's FIN cancels a request, the router writes nothing and its handler returns normally, so that net/http completes the answer: 200 with no body and no seal, or the last chunk of a stream that had begun.

No change of the software.

--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -20,6 +20,9 @@
 	// own line is slow.
 	pieces int
 	over   time.Duration
+	// closeAfter is when, after the request, the client closes its direction of the channel; 0 for
+	// not before the answer has ended.
+	closeAfter time.Duration
 
 	sent, end time.Time
 	status    int
@@ -75,6 +78,10 @@
 			time.Sleep(c.over / time.Duration(pieces-1))
 		}
 	}
+	if c.closeAfter > 0 {
+		time.Sleep(c.closeAfter)
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
 }
 
 func hash(s string) uint32 {
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *rig) (held bool, err error){
 	"revoked-key": revokedKey,
 	"stale-age":   staleAge,
+	"half-closed": halfClosed,
 }
 
 func main() {
