Judge a request by one route table and its age, taken once the body is complete

Cause: the table was taken when the header had arrived, its age (that of the follower's newest state) when the body was complete. As the store is back the newest state is fresh, the table in hand is not, and still holds the key. The routers' lines tell this from the other two guesses (a bound that is computed wrongly, a configuration that came late): version of the old table, key_age of some ms, "configuration in force" for the new one before the line.

The follower keeps table and time of confirmation in one value, so that no reader gets one of each.

Why it is enough: a request was sent before its body was complete, so a table confirmed less than 4.7 s before that shows each key taken away 5 s before it was sent.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -207,12 +207,11 @@
 		Log:          d.log,
 		Metrics:      d.reg,
 		Routing: &router.Routing{
-			Table:                  d.table,
+			Routes:                 d.routes,
 			Endpoints:              d.endpoints,
 			Region:                 d.regionOf,
 			Protocol:               d.cfg.Protocol,
 			Client:                 d.client,
-			KeyAge:                 d.follower.Age,
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			ShouldCloseConnections: func() bool { return !d.isReady() },
@@ -233,13 +232,13 @@
 	return time.Duration(keyAgeShare * float64(d.bounds.Load().RevokeWithin))
 }
 
-// table returns the route table in force, nil before the first one.
-func (d *directRouter) table() *route.Table {
-	t := d.follower.Table()
-	if t == nil && d.peers != nil {
+// routes returns the route table in force, and reads it at once if there is none yet.
+func (d *directRouter) routes() route.Snapshot {
+	routes := d.follower.Routes()
+	if routes.Table == nil && d.peers != nil {
 		d.peers.SkipPeerWait()
 	}
-	return t
+	return routes
 }
 
 func (d *directRouter) endpoints(service string) []*bundle.Endpoint {
--- a/internal/daemon/directmemory_test.go
+++ b/internal/daemon/directmemory_test.go
@@ -82,12 +82,12 @@
 		Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client, Retry: &retry.Policy{},
 		BodyTimeout: time.Minute, MaxOpen: requests, MaxBodyBytes: 1 << 20, Rand: func() float64 { return 0 }, Log: zerolog.Nop(),
 		Routing: &router.Routing{
-			Table: func() *route.Table { return table },
+			Routes: func() route.Snapshot { return route.Snapshot{Table: table} },
 			Endpoints: func(string) []*bundle.Endpoint {
 				return []*bundle.Endpoint{{Name: "e", Address: endpoint.Addr().String(), Slots: requests}}
 			},
 			Protocol: upstream.Plain{}, Client: client,
-			KeyAge: func() time.Duration { return 0 }, MaxKeyAge: func() time.Duration { return 0 },
+			MaxKeyAge: func() time.Duration { return 0 },
 		},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/api"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -34,7 +35,8 @@
 
 // StaleError is a key that can't be verified because the router's key data is too old.
 type StaleError struct {
-	Age, Limit time.Duration
+	Age   age.Age
+	Limit time.Duration
 }
 
 // Error implements error.
@@ -52,18 +54,12 @@
 	}
 }
 
-// Config configures a Filter.
-type Config struct {
-	// Age returns the age of the key data.
-	Age func() time.Duration
-	// MaxAge returns the age up to which keys are accepted; 0 means always.
-	MaxAge func() time.Duration
-}
-
 // Filter implements pipeline.Filter.
-type Filter struct{ cfg Config }
+type Filter struct{ maxAge func() time.Duration }
 
-func New(cfg Config) *Filter { return &Filter{cfg: cfg} }
+// New returns a filter that accepts keys while the route table of their request is no older than
+// maxAge; 0 means always.
+func New(maxAge func() time.Duration) *Filter { return &Filter{maxAge: maxAge} }
 
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "admit" }
@@ -77,11 +73,11 @@
 }
 
 func (f *Filter) admit(r *request.Request) error {
-	if !r.Table.NeedsKeys() {
+	if !r.Routes.Table.NeedsKeys() {
 		return nil
 	}
-	team := r.Table.Team(r.APIKey)
-	stale := f.checkFreshness()
+	team := r.Routes.Table.Team(r.APIKey)
+	stale := f.checkFreshness(r.Routes.Age)
 	if r.Route.Public {
 		if team != nil && stale == nil {
 			setTeam(r, team)
@@ -98,10 +94,10 @@
 	return nil
 }
 
-func (f *Filter) checkFreshness() error {
-	age, limit := f.cfg.Age(), f.cfg.MaxAge()
-	if limit > 0 && age > limit {
-		return &StaleError{Age: age, Limit: limit}
+func (f *Filter) checkFreshness(tableAge age.Age) error {
+	limit := f.maxAge()
+	if limit > 0 && tableAge.Exceeds(limit) {
+		return &StaleError{Age: tableAge, Limit: limit}
 	}
 	return nil
 }
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -140,8 +140,8 @@
 	if r.Route != nil {
 		r.TokensPerEvent = tokensPerEvent(r)
 		query.MaxGap, query.Stride, query.Objective = r.Route.MaxGap, r.TokensPerEvent, r.Route.Objective
-		query.Tier = r.Table.Rank(r.Tier, r.Route.Tier)
-		query.ColdRate = r.Table.Cold(r.Service).Rate
+		query.Tier = r.Routes.Table.Rank(r.Tier, r.Route.Tier)
+		query.ColdRate = r.Routes.Table.Cold(r.Service).Rate
 	}
 	if r.Class != nil {
 		query.Class = r.Class.Name
@@ -168,7 +168,7 @@
 // resumeFromCopy sends the request to the endpoint that holds a copy of its KV cache. The
 // endpoint's rate limit applies to these attempts as well.
 func (f *Filter) resumeFromCopy(r *request.Request) error {
-	query := balance.Request{Tier: r.Table.Rank(r.Tier, r.Route.Tier), ColdRate: r.Table.Cold(r.Service).Rate}
+	query := balance.Request{Tier: r.Routes.Table.Rank(r.Tier, r.Route.Tier), ColdRate: r.Routes.Table.Cold(r.Service).Rate}
 	if !f.pool.Take(time.Now(), r.ResumeFrom, query) {
 		return &Error{Cause: errCopyRateLimited}
 	}
@@ -191,14 +191,14 @@
 	if r.Route == nil {
 		return false
 	}
-	s := r.Table.Service(r.Service)
+	s := r.Routes.Table.Service(r.Service)
 	return s != nil && s.Engine != nil && s.Engine.Backups
 }
 
 // tokensPerEvent returns the number of tokens per event that the route table states for
 // the service, or 0 if unknown.
 func tokensPerEvent(r *request.Request) int {
-	s := r.Table.Service(r.Service)
+	s := r.Routes.Table.Service(r.Service)
 	if s == nil || s.Engine == nil {
 		return 0
 	}
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -47,7 +47,7 @@
 	if f.refuseLateFactor <= 0 || r.Route == nil || len(r.Tried) > 0 {
 		return nil
 	}
-	objective := r.Table.LongestObjective(r.Service)
+	objective := r.Routes.Table.LongestObjective(r.Service)
 	limit := time.Duration(f.refuseLateFactor * float64(objective))
 	if r.StreamVersion != nil {
 		limit = max(limit, time.Until(r.Deadline))
--- a/internal/filters/choose/late_test.go
+++ b/internal/filters/choose/late_test.go
@@ -46,7 +46,7 @@
 		pool.Track(time.Now(), "e", balance.Work{Prompt: prompt.Prompt{Tokens: 10_000}})
 	}
 	tab := newRouteTable(t)
-	r.Kind, r.Table, r.Route, r.Service, r.Epoch = wire.KindRouted, tab, tab.Match("h", path), "s", 1
+	r.Kind, r.Routes.Table, r.Route, r.Service, r.Epoch = wire.KindRouted, tab, tab.Match("h", path), "s", 1
 	r.Prompt = prompt.Prompt{Tokens: 500}
 	r.Candidates = []*bundle.Endpoint{{Name: "e", Slots: 64, Version: "v1"}, {Name: "gone", Slots: 64, Version: "v1"}, {Name: "free", Slots: 64, Version: "v2"}}
 	if r.StreamVersion == nil {
@@ -97,7 +97,7 @@
 	f := choose.New(choose.Config{Pool: pool, IgnoreKeys: true, RefuseLateFactor: 1})
 	newRequest := func(path string) *request.Request {
 		return &request.Request{
-			Kind: wire.KindRouted, Table: tab, Route: tab.Match("h", path), Service: "s", Epoch: 1, Tier: tier,
+			Kind: wire.KindRouted, Routes: route.Snapshot{Table: tab}, Route: tab.Match("h", path), Service: "s", Epoch: 1, Tier: tier,
 			Prompt: prompt.Prompt{Tokens: 10_000}, Candidates: []*bundle.Endpoint{{Name: "e", Slots: 64}},
 		}
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -149,7 +149,7 @@
 	work := balance.Work{Service: r.Service, Tier: r.Tier, Prompt: r.Prompt, TightGap: r.TightGap, Stride: r.TokensPerEvent}
 	if r.Route != nil {
 		work.MaxGap, work.Objective = r.Route.MaxGap, r.Route.Objective
-		work.Tier = r.Table.Rank(r.Tier, r.Route.Tier)
+		work.Tier = r.Routes.Table.Rank(r.Tier, r.Route.Tier)
 	}
 	return work
 }
@@ -204,7 +204,7 @@
 		Endpoint:  r.Endpoint.Name,
 		Address:   r.Endpoint.Address,
 		Team:      r.TeamName,
-		Rank:      r.Table.Rank(r.Tier, r.Route.Tier),
+		Rank:      r.Routes.Table.Rank(r.Tier, r.Route.Tier),
 		TimeLeft:  max(time.Millisecond, r.TimeLeft(f.clock())),
 		LastEvent: r.Delivered.LastEvent,
 	}
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -54,7 +54,7 @@
 // Do sets the request's route and the fields that follow from it.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	found := r.Table.Match(r.Host, path)
+	found := r.Routes.Table.Match(r.Host, path)
 	if found == nil {
 		return &Error{Host: r.Host, Path: path}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/age"
 	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/idle"
@@ -60,13 +61,10 @@
 
 // Follower holds the latest state of a source. It is safe for concurrent use.
 type Follower struct {
-	cfg       Config
-	table     atomic.Pointer[route.Table]
-	config    atomic.Pointer[route.Config]
-	directory atomic.Pointer[directory.Directory]
-	// confirmed is the time, by Clock, at which the latest call was sent that confirmed the
-	// state; nil before the first.
-	confirmed    atomic.Pointer[time.Time]
+	cfg Config
+	// state is replaced as a whole, by Run only, so that readers never combine what was known at
+	// one time with how old it is at another.
+	state        atomic.Pointer[state]
 	availability availabilityLog
 	// keepAbsentUntil is until when endpoints missing from the list after an outage are kept.
 	// Only Run uses it.
@@ -84,13 +82,23 @@
 	unreadable *unreadable
 }
 
+// state is what a follower knows. It is immutable.
+type state struct {
+	table     *route.Table
+	config    *route.Config
+	directory *directory.Directory
+	// confirmedAt is the time, by Clock, at which the latest call was sent that confirmed the
+	// state; zero before the first.
+	confirmedAt time.Time
+}
+
 // New returns a follower that has no state until Run.
 func New(cfg Config) *Follower {
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
 	f := &Follower{cfg: cfg}
-	f.directory.Store(directory.Empty())
+	f.state.Store(&state{directory: directory.Empty()})
 	f.unreadable = newUnreadable(cfg.Log, cfg.Metrics)
 	if cfg.Metrics != nil {
 		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -102,25 +110,38 @@
 	return f
 }
 
+// update replaces the state by a changed copy.
+func (f *Follower) update(change func(*state)) {
+	next := *f.state.Load()
+	change(&next)
+	f.state.Store(&next)
+}
+
 // Table returns the newest route table, nil before the first.
-func (f *Follower) Table() *route.Table { return f.table.Load() }
+func (f *Follower) Table() *route.Table { return f.state.Load().table }
+
+// Routes returns the newest route table and its present age.
+func (f *Follower) Routes() route.Snapshot {
+	s := f.state.Load() // before the clock is read: a pause in between makes the table older
+	return route.Snapshot{Table: s.table, Age: age.Since(s.confirmedAt, f.cfg.Clock())}
+}
 
 // Directory returns the newest list of endpoints, empty before the first.
-func (f *Follower) Directory() *directory.Directory { return f.directory.Load() }
+func (f *Follower) Directory() *directory.Directory { return f.state.Load().directory }
 
 // Config returns the configuration that the table was built from, nil before the first.
-func (f *Follower) Config() *route.Config { return f.config.Load() }
+func (f *Follower) Config() *route.Config { return f.state.Load().config }
 
 // unknownAge is the age before the first successful call.
 const unknownAge = time.Duration(1<<63 - 1)
 
 // Age returns how long ago the table and the list were last confirmed to be the newest.
 func (f *Follower) Age() time.Duration {
-	at := f.confirmed.Load()
-	if at == nil {
+	at := f.state.Load().confirmedAt
+	if at.IsZero() {
 		return unknownAge
 	}
-	return f.cfg.Clock().Sub(*at)
+	return f.cfg.Clock().Sub(at)
 }
 
 // sourceCall describes the next call to the source.
@@ -248,7 +269,7 @@
 // applyConfig puts a configuration in force if it is newer than the current one. If it is invalid,
 // the current one stays in force and the error is an *UnusableError.
 func (f *Follower) applyConfig(c *route.Config) error {
-	old := f.table.Load()
+	old := f.Table()
 	if old != nil && c.Version <= old.Version() {
 		return nil
 	}
@@ -257,8 +278,7 @@
 		f.cfg.Log.Error().Err(err).Uint64("version", c.Version).Msg("configuration rejected; the last one stays in force")
 		return &UnusableError{Version: c.Version, Cause: err}
 	}
-	f.table.Store(table)
-	f.config.Store(c)
+	f.update(func(s *state) { s.table, s.config = table, c })
 	f.cfg.Log.Info().Uint64("version", c.Version).Int("routes", table.Size()).Msg("configuration in force")
 	if f.cfg.OnConfig != nil {
 		f.cfg.OnConfig(c)
@@ -280,7 +300,7 @@
 		// Called before requests use the list, so that its consumer already knows the endpoints.
 		f.cfg.OnDirectory(next)
 	}
-	f.directory.Store(next)
+	f.update(func(s *state) { s.directory = next })
 }
 
 func (f *Follower) logRevision(line *zerolog.Event, r directory.Revision) *zerolog.Event {
@@ -302,8 +322,8 @@
 // requests to endpoints 4.3 s after these had left.
 func (f *Follower) detectOutage(r Reading, at, now time.Time) {
 	threshold := f.cfg.Timing.OutageThreshold
-	if last := f.confirmed.Load(); last != nil && at.Sub(*last) > threshold {
-		f.gap = Span{From: *last, To: at}
+	if last := f.state.Load().confirmedAt; !last.IsZero() && at.Sub(last) > threshold {
+		f.gap = Span{From: last, To: at}
 		f.keepAbsentUntil = now.Add(f.cfg.Timing.EntryReturnTime)
 	}
 	if !now.Before(f.keepAbsentUntil) {
@@ -321,8 +341,8 @@
 
 // confirm records that the state was the newest at the given time, unless a later time is recorded.
 func (f *Follower) confirm(at time.Time) {
-	if old := f.confirmed.Load(); old != nil && !at.After(*old) {
+	if old := f.state.Load().confirmedAt; !old.IsZero() && !at.After(old) {
 		return
 	}
-	f.confirmed.Store(&at)
+	f.update(func(s *state) { s.confirmedAt = at })
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -34,9 +34,10 @@
 	Service string
 	Path    string
 
-	// Table is the route table for the whole life of a request of kind KindRouted. Host and
-	// RequestURI (path and query) are as received from the caller.
-	Table      *route.Table
+	// Routes is the route table of a request of kind KindRouted: until its body is complete that in
+	// force on arrival, and from then on that in force at that moment. Host and RequestURI (path
+	// and query) are as received from the caller.
+	Routes     route.Snapshot
 	Host       string
 	RequestURI string
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,6 +6,8 @@
 import (
 	"strings"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 // Repeat is how often a request may run.
@@ -154,6 +156,15 @@
 	ranks             map[tierPair]int
 }
 
+// Snapshot is a route table and how old it was when the snapshot was taken. Decisions that depend on
+// how old the table is, such as whether a key is still valid, take both from one snapshot.
+type Snapshot struct {
+	// Table is nil before the first one.
+	Table *Table
+	// Age is how long before it was taken the table was last confirmed to be the newest.
+	Age age.Age
+}
+
 // NewTable builds a table. If a route is invalid, the error is an *Error that names it.
 func NewTable(c Config) (*Table, error) {
 	t := &Table{
--- a/internal/router/bundleroutes.go
+++ b/internal/router/bundleroutes.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/bundle"
 	"coveferry/internal/route"
 	"coveferry/internal/upstream"
@@ -15,13 +16,12 @@
 // bundle is in force.
 func BundleRouting(inForce func() *bundle.Snapshot, client *http.Client) *Routing {
 	return &Routing{
-		Table: func() *route.Table { return inForce().Routes() },
+		Routes: func() route.Snapshot { return route.Snapshot{Table: inForce().Routes(), Age: age.Of(0)} },
 		Endpoints: func(service string) []*bundle.Endpoint {
 			return inForce().DirectEndpoints(service)
 		},
 		Protocol:  upstream.Plain{},
 		Client:    client,
-		KeyAge:    func() time.Duration { return 0 },
 		MaxKeyAge: func() time.Duration { return 0 },
 	}
 }
@@ -31,7 +31,7 @@
 func (rt *Router) routesFirst(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		path, _, _ := strings.Cut(req.RequestURI, "?")
-		if t := rt.cfg.Routing.Table(); t != nil && t.Match(req.Host, path) != nil {
+		if t := rt.cfg.Routing.Routes().Table; t != nil && t.Match(req.Host, path) != nil {
 			rt.ServeRouted(w, req)
 			return
 		}
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -28,17 +28,16 @@
 // Routing configures a router to serve requests by a route table from endpoints that it reaches
 // without agents.
 type Routing struct {
-	// Table returns the route table in force; nil if there is none yet.
-	Table     func() *route.Table
+	// Routes returns the route table in force and how old it is.
+	Routes    func() route.Snapshot
 	Endpoints match.Endpoints
 	// Region returns an endpoint's region, empty if unknown; nil uses Endpoint.Region.
 	Region   func(*bundle.Endpoint) string
 	Protocol upstream.Protocol
 	// Client sends requests to endpoints.
 	Client *http.Client
-	// KeyAge is the age of the router's API key data. Requests that need a key are refused
-	// while it exceeds MaxKeyAge; a MaxKeyAge of 0 accepts any age.
-	KeyAge    func() time.Duration
+	// MaxKeyAge is the age of the route table above which requests that need a key are refused; 0
+	// accepts any age.
 	MaxKeyAge func() time.Duration
 	// Streams knows where streams began; nil if endpoints have no software versions.
 	Streams resume.Streams
@@ -78,9 +77,9 @@
 	rt.directDispatch = rt.dispatch(rt.cfg.Client)
 	regions := reside.New(c.regionOf())
 	return pipeline.Compose(
-		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),             // selects the route
-		admit.New(admit.Config{Age: c.KeyAge, MaxAge: c.MaxKeyAge}), // checks the API key
-		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics),          // binds resumed streams to the version that began them
+		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),    // selects the route
+		admit.New(c.MaxKeyAge),                             // checks the API key
+		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions, // applies residency
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
 		rt.quarantine(), // refuses quarantined requests
@@ -119,7 +118,7 @@
 		Method:     req.Method,
 		Host:       req.Host,
 		RequestURI: req.RequestURI,
-		Table:      rt.cfg.Routing.Table(),
+		Routes:     rt.cfg.Routing.Routes(),
 	})
 }
 
@@ -193,8 +192,11 @@
 		log = rt.completedLog.Info()
 	}
 	log.Err(err).Str(logging.FieldRequest, r.CallerID).Str("route", routeName(r)).
-		Str(logging.FieldResult, result).Uint64("version", versionOf(r.Table)).
-		Dur("key_age", rt.cfg.Routing.KeyAge()).Dur(logging.FieldTook, time.Since(r.Arrived))
+		Str(logging.FieldResult, result).Uint64("version", versionOf(r.Routes.Table)).
+		Dur(logging.FieldTook, time.Since(r.Arrived))
+	if keyAge, known := r.Routes.Age.Get(); known {
+		log.Dur("key_age", keyAge)
+	}
 	if r.Route != nil {
 		addSelection(log, r)
 	}
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/age"
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
@@ -116,7 +117,9 @@
 
 const (
 	maxKeyAge = 4 * time.Second
-	routeHost = "api.example"
+	// routedBodyTimeout exceeds maxKeyAge, as it does where routers run.
+	routedBodyTimeout = 30 * time.Second
+	routeHost         = "api.example"
 )
 
 func intPtr(rank int) *int { return &rank }
@@ -168,14 +171,14 @@
 		w.list(w.endpoints...)
 		w.router = router.New(router.Config{
 			Pool: w.pool, Client: client, Observer: w.members,
-			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: bodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
+			Retry: &retry.Policy{ChargeAll: true, Budget: retry.NewBudget(retry.BudgetConfig{})}, BodyTimeout: routedBodyTimeout, MaxOpen: 10, MaxBodyBytes: 1 << 20,
 			Rand: func() float64 { return 0 }, Log: zerolog.New(zerolog.SyncWriter(&w.log)), Clock: time.Now,
 			Routing: &router.Routing{
-				Table:     func() *route.Table { return w.table },
+				Routes:    func() route.Snapshot { return route.Snapshot{Table: w.table, Age: age.Of(w.keyAge)} },
 				Endpoints: func(string) []*bundle.Endpoint { return w.endpoints },
 				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  testProtocol{}, Client: client,
-				KeyAge: func() time.Duration { return w.keyAge }, MaxKeyAge: func() time.Duration { return maxKeyAge },
+				MaxKeyAge:              func() time.Duration { return maxKeyAge },
 				Streams:                w.streams,
 				ShouldCloseConnections: func() bool { return w.closeConnections },
 			},
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -74,6 +74,9 @@
 		return err
 	}
 	r.Body = body
+	if r.Kind == wire.KindRouted {
+		r.Routes = rt.cfg.Routing.Routes() // the body may have taken longer than keys stay valid
+	}
 	ctx, stop := rt.drain.withAbort(req.Context())
 	defer stop()
 	err = rt.runFilters(ctx, r)
@@ -88,7 +91,7 @@
 	if r.Kind != wire.KindRouted {
 		return rt.chain(ctx, r)
 	}
-	if r.Table == nil {
+	if r.Routes.Table == nil {
 		return notReadyError{}
 	}
 	return rt.routedChain(ctx, r)
@@ -156,7 +159,7 @@
 // checkHeaders enforces the route table's limit on header size, which may change with each
 // table. The HTTP server's own limit applies to all requests.
 func checkHeaders(req *http.Request, r *request.Request) error {
-	if r.Table == nil || r.Table.Limits().HeaderBytes <= 0 {
+	if r.Routes.Table == nil || r.Routes.Table.Limits().HeaderBytes <= 0 {
 		return nil
 	}
 	const separatorBytes = len(": \r\n")
@@ -166,7 +169,7 @@
 			size += len(name) + len(value) + separatorBytes
 		}
 	}
-	if limit := r.Table.Limits().HeaderBytes; size > limit {
+	if limit := r.Routes.Table.Limits().HeaderBytes; size > limit {
 		return headersTooLarge(limit)
 	}
 	return nil
@@ -180,10 +183,10 @@
 	if r.Kind != wire.KindRouted {
 		return int64(r.Snapshot.Bundle().Limits.RequestBytes)
 	}
-	if r.Table == nil || r.Table.Limits().BodyBytes <= 0 {
+	if r.Routes.Table == nil || r.Routes.Table.Limits().BodyBytes <= 0 {
 		return defaultBodyBytes
 	}
-	return r.Table.Limits().BodyBytes
+	return r.Routes.Table.Limits().BodyBytes
 }
 
 // receiveBody reads the request's body subject to BodyTimeout, its size limit and the memory
