Say that an age is unknown, and believe no age that can't be

Cause, shown by the lines of such routers ("key_age" of minus 292 years after "read everything from another router") and by a play without a network: a router puts its first configuration in force before it has confirmed it. A peer that reads it in between was sent the largest Duration for "unknown", rounded up to 9,223,372,036,855 ms, which overflows to minus 292 years when it is converted, passes each limit, and is recorded as a confirmation 292 years ahead, which no later one replaces. Ruled out: a clock that jumps (CLOCK_BOOTTIME; the ages are the same figure at each router), the store (its answers carry no age).

Change: - age.Age is an age that may be unknown; unknown exceeds each limit.

--- a/internal/age/age.go
+++ b/internal/age/age.go
@@ -1,7 +1,10 @@
 // Package age holds how old knowledge is, in a process and in messages between processes.
 package age
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Age is how long ago something was last confirmed. The zero value is unknown, which exceeds every
 // limit.
@@ -18,6 +21,42 @@
 	return Age{value: d, known: true}
 }
 
+// maxMillis is the largest number of milliseconds that a time.Duration can hold.
+const maxMillis = math.MaxInt64 / int64(time.Millisecond)
+
+// FromMillis decodes an age from a message of another process, in milliseconds. It is unknown if no
+// age can have the value: it is bad input then, and must not make anything look new.
+func FromMillis(millis int64) Age {
+	if millis < 0 || millis > maxMillis {
+		return Age{}
+	}
+	return Of(time.Duration(millis) * time.Millisecond)
+}
+
+// FromOptionalMillis is FromMillis for a field that is absent if the age is unknown.
+func FromOptionalMillis(millis *int64) Age {
+	if millis == nil {
+		return Age{}
+	}
+	return FromMillis(*millis)
+}
+
+// OptionalMillis encodes an age for a message: rounded up, so that it never looks younger, and nil
+// if it is unknown.
+func (a Age) OptionalMillis() *int64 {
+	if !a.known {
+		return nil
+	}
+	millis := a.value.Milliseconds()
+	if time.Duration(millis)*time.Millisecond < a.value {
+		millis++
+	}
+	return &millis
+}
+
+// Before returns the time that was the age before t, and false if the age is unknown.
+func (a Age) Before(t time.Time) (time.Time, bool) { return t.Add(-a.value), a.known }
+
 // Since returns the age at now of what was confirmed at a time of the same clock; unknown if that
 // time is zero.
 func Since(confirmedAt, now time.Time) Age {
--- a/internal/age/age_test.go
+++ b/internal/age/age_test.go
@@ -31,3 +31,30 @@
 	g.Expect(age.Since(now, now).Exceeds(0)).To(BeFalse())
 	g.Expect(age.Since(now.Add(-time.Second), now)).To(Equal(age.Of(time.Second)))
 }
+
+// Guards against values of a message that look new or overflow.
+func TestValuesThatNoAgeCanHaveAreUnknown(t *testing.T) {
+	g := NewWithT(t)
+	for _, millis := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1} {
+		g.Expect(age.FromMillis(millis)).To(Equal(age.Age{}), "%d", millis)
+	}
+	g.Expect(age.FromOptionalMillis(nil)).To(Equal(age.Age{}))
+	g.Expect(age.Age{}.OptionalMillis()).To(BeNil())
+}
+
+func FuzzAgeNeverLooksYoungerAfterAMessage(f *testing.F) {
+	for _, seed := range []int64{0, 1, -1, 999_999, 1_000_001, math.MaxInt64, math.MinInt64} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, n int64) {
+		before := age.Of(time.Duration(n))
+		after := age.FromOptionalMillis(before.OptionalMillis())
+		if after.Less(before) {
+			t.Errorf("%s became %s", before, after)
+		}
+		decoded, known := age.FromMillis(n).Get()
+		if known && (decoded < 0 || decoded.Milliseconds() != n) {
+			t.Errorf("%d ms became %s", n, decoded)
+		}
+	})
+}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -275,11 +275,12 @@
 }
 
 func (d *directRouter) isReady() bool {
-	if len(d.ready.Closed()) > 0 || d.follower.Table() == nil || d.follower.Directory().Len() == 0 {
+	known := d.follower.Snapshot()
+	if len(d.ready.Closed()) > 0 || known.Table == nil || known.Directory.Len() == 0 {
 		return false
 	}
 	limit := time.Duration(unreadyShare * float64(d.maxKeyAge()))
-	return limit == 0 || d.follower.Age() < limit && d.sourceUnavailableFor() < limit
+	return limit == 0 || !known.Age.Exceeds(limit) && d.sourceUnavailableFor() < limit
 }
 
 func (d *directRouter) run(ctx context.Context) error {
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"coveferry/internal/age"
 	"coveferry/internal/control"
 	"coveferry/internal/endpointrate"
 	"coveferry/internal/follow"
@@ -69,7 +70,7 @@
 // any.
 func (d *directRouter) newStreams() *streamversion.Registry {
 	cfg := streamversion.Config{
-		ListAge:    func() time.Duration { return d.follower.Age() },
+		ListAge:    func() age.Age { return d.follower.Age() },
 		MaxListAge: maxPeerAge(d.cfg.Bounds),
 		Metrics:    d.reg,
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -80,6 +80,8 @@
 	configTransferTime time.Duration
 	// unreadable tracks the unreadable entries of the list. Only Run uses it.
 	unreadable *unreadable
+	// confirmationsRejected counts confirmations of the state that were not believed.
+	confirmationsRejected prometheus.Counter
 }
 
 // state is what a follower knows. It is immutable.
@@ -88,8 +90,20 @@
 	config    *route.Config
 	directory *directory.Directory
 	// confirmedAt is the time, by Clock, at which the latest call was sent that confirmed the
-	// state; zero before the first.
+	// state; zero before the first. confirmedBy is the router that answered, empty for the service
+	// itself.
 	confirmedAt time.Time
+	confirmedBy string
+}
+
+// Snapshot is the state of a source as known at one moment.
+type Snapshot struct {
+	// Snapshot holds the route table, and the age of everything here.
+	route.Snapshot
+	// Config is what the table was built from; nil before the first.
+	Config *route.Config
+	// Directory is the list of endpoints, empty before the first.
+	Directory *directory.Directory
 }
 
 // New returns a follower that has no state until Run.
@@ -100,12 +114,7 @@
 	f := &Follower{cfg: cfg}
 	f.state.Store(&state{directory: directory.Empty()})
 	f.unreadable = newUnreadable(cfg.Log, cfg.Metrics)
-	if cfg.Metrics != nil {
-		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "coveferry_list_kept_endpoints",
-			Help: "Endpoints that are used though the list lacks them, since it may have lost their entries in an outage.",
-		}, func() float64 { return float64(f.Directory().KeptCount()) }))
-	}
+	f.registerMetrics(cfg.Metrics)
 	f.availability = availabilityLog{name: "configuration and list of endpoints", log: cfg.Log}
 	return f
 }
@@ -120,29 +129,26 @@
 // Table returns the newest route table, nil before the first.
 func (f *Follower) Table() *route.Table { return f.state.Load().table }
 
-// Routes returns the newest route table and its present age.
-func (f *Follower) Routes() route.Snapshot {
-	s := f.state.Load() // before the clock is read: a pause in between makes the table older
-	return route.Snapshot{Table: s.table, Age: age.Since(s.confirmedAt, f.cfg.Clock())}
+// Snapshot returns the newest state and its present age.
+func (f *Follower) Snapshot() Snapshot {
+	s := f.state.Load() // before the clock is read: a pause in between makes the state older
+	return Snapshot{
+		Snapshot: route.Snapshot{Table: s.table, Age: age.Since(s.confirmedAt, f.cfg.Clock()), ConfirmedBy: s.confirmedBy},
+		Config:   s.config, Directory: s.directory,
+	}
 }
 
+// Routes returns the newest route table and its present age.
+func (f *Follower) Routes() route.Snapshot { return f.Snapshot().Snapshot }
+
 // Directory returns the newest list of endpoints, empty before the first.
 func (f *Follower) Directory() *directory.Directory { return f.state.Load().directory }
 
 // Config returns the configuration that the table was built from, nil before the first.
 func (f *Follower) Config() *route.Config { return f.state.Load().config }
 
-// unknownAge is the age before the first successful call.
-const unknownAge = time.Duration(1<<63 - 1)
-
 // Age returns how long ago the table and the list were last confirmed to be the newest.
-func (f *Follower) Age() time.Duration {
-	at := f.state.Load().confirmedAt
-	if at.IsZero() {
-		return unknownAge
-	}
-	return f.cfg.Clock().Sub(at)
-}
+func (f *Follower) Age() age.Age { return f.Snapshot().Age }
 
 // sourceCall describes the next call to the source.
 type sourceCall struct {
@@ -232,14 +238,12 @@
 		f.cfg.Log.Error().Err(r.Unreadable).Msg("can't decode the configuration; the last one stays in force")
 		return &UnusableError{Cause: r.Unreadable}
 	}
-	if r.Config != nil {
-		f.configTransferTime = r.ConfigTransferTime
-		if err := f.applyConfig(r.Config); err != nil {
-			return err
-		}
+	if r.Config == nil {
+		f.update(func(s *state) { f.confirm(s, at, r.From) })
+		return nil
 	}
-	f.confirm(at)
-	return nil
+	f.configTransferTime = r.ConfigTransferTime
+	return f.applyConfig(r.Config, at, r.From)
 }
 
 func (f *Follower) callSource(ctx context.Context, call sourceCall) (Reading, error) {
@@ -266,11 +270,13 @@
 // Unwrap returns the cause.
 func (e *UnusableError) Unwrap() error { return e.Cause }
 
-// applyConfig puts a configuration in force if it is newer than the current one. If it is invalid,
-// the current one stays in force and the error is an *UnusableError.
-func (f *Follower) applyConfig(c *route.Config) error {
+// applyConfig puts a configuration in force if it is newer than the current one, and confirms the
+// state as of the given time. If it is invalid, the current one stays in force and the error is an
+// *UnusableError.
+func (f *Follower) applyConfig(c *route.Config, at time.Time, from string) error {
 	old := f.Table()
 	if old != nil && c.Version <= old.Version() {
+		f.update(func(s *state) { f.confirm(s, at, from) })
 		return nil
 	}
 	table, err := route.NewTable(*c)
@@ -278,7 +284,10 @@
 		f.cfg.Log.Error().Err(err).Uint64("version", c.Version).Msg("configuration rejected; the last one stays in force")
 		return &UnusableError{Version: c.Version, Cause: err}
 	}
-	f.update(func(s *state) { s.table, s.config = table, c })
+	f.update(func(s *state) {
+		s.table, s.config = table, c
+		f.confirm(s, at, from)
+	})
 	f.cfg.Log.Info().Uint64("version", c.Version).Int("routes", table.Size()).Msg("configuration in force")
 	if f.cfg.OnConfig != nil {
 		f.cfg.OnConfig(c)
@@ -339,10 +348,15 @@
 	}
 }
 
-// confirm records that the state was the newest at the given time, unless a later time is recorded.
-func (f *Follower) confirm(at time.Time) {
-	if old := f.state.Load().confirmedAt; !old.IsZero() && !at.After(old) {
+// confirm records in s that the state was the newest at the given time, unless a later time is
+// recorded. A time that hasn't come yet is not recorded: nothing later would ever replace it.
+func (f *Follower) confirm(s *state, at time.Time, from string) {
+	if now := f.cfg.Clock(); at.After(now) {
+		f.confirmationsRejected.Inc()
+		f.cfg.Log.Error().Str("from", from).Dur("ahead", at.Sub(now)).Msg("state confirmed as of a time that hasn't come yet: not believed")
 		return
 	}
-	f.update(func(s *state) { s.confirmedAt = at })
+	if at.After(s.confirmedAt) {
+		s.confirmedAt, s.confirmedBy = at, from
+	}
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -96,6 +97,15 @@
 	})
 }
 
+// ageOf returns the age of the follower's state. It has been confirmed before.
+func ageOf(f *follow.Follower) time.Duration {
+	age, known := f.Age().Get()
+	if !known {
+		panic("the age of the state is unknown")
+	}
+	return age
+}
+
 func (s *source) config() *route.Config {
 	c := &route.Config{Version: s.version}
 	if s.unusable {
@@ -223,10 +233,10 @@
 		s.configure(func() { s.delay = 200 * time.Millisecond })
 		sleep(1100 * time.Millisecond)
 		// The waiting call was sent at 0 and hasn't been answered.
-		g.Expect(f.Age()).To(Equal(1100 * time.Millisecond))
+		g.Expect(ageOf(f)).To(Equal(1100 * time.Millisecond))
 		sleep(200 * time.Millisecond)
 		// It was answered at 1.2 s, and only confirms the state as of time 0.
-		g.Expect(f.Age()).To(Equal(1300 * time.Millisecond))
+		g.Expect(ageOf(f)).To(Equal(1300 * time.Millisecond))
 	})
 }
 
@@ -235,11 +245,11 @@
 		sleep(time.Millisecond)
 		s.configure(func() { s.unavailable = true })
 		sleep(10 * time.Second)
-		g.Expect(f.Age()).To(BeNumerically(">", 8*time.Second))
+		g.Expect(ageOf(f)).To(BeNumerically(">", 8*time.Second))
 		g.Expect(f.Table().Version()).To(Equal(uint64(1)))
 		s.configure(func() { s.unavailable = false })
 		sleep(time.Second)
-		g.Expect(f.Age()).To(BeNumerically("<", 1500*time.Millisecond))
+		g.Expect(ageOf(f)).To(BeNumerically("<", 1500*time.Millisecond))
 	})
 }
 
@@ -294,7 +304,7 @@
 			sleep(10 * time.Millisecond)
 		}
 		g.Expect(s.awaits).To(BeNumerically("<=", 52))
-		g.Expect(f.Age()).To(BeNumerically("<=", 2*timing.MinInterval))
+		g.Expect(ageOf(f)).To(BeNumerically("<=", 2*timing.MinInterval))
 	})
 }
 
@@ -367,7 +377,7 @@
 		s.configure(func() { s.unavailable = false })
 		// A call in progress fails within the slack, and a pause follows.
 		sleep(timing.Slack + 450*time.Millisecond)
-		g.Expect(f.Age()).To(BeNumerically("<", timing.Slack+450*time.Millisecond))
+		g.Expect(ageOf(f)).To(BeNumerically("<", timing.Slack+450*time.Millisecond))
 		g.Expect(s.reads).To(Equal(1), "missed changes need no full read")
 	})
 }
@@ -394,3 +404,40 @@
 		g.Expect(s.reads).To(Equal(1))
 	})
 }
+
+// Guards against a state that never grows old again after one answer with an impossible age.
+func TestConfirmationAheadOfTimeIsNotBelieved(t *testing.T) {
+	runFollower(t, func(g *WithT, s *source, f *follow.Follower) {
+		sleep(300 * time.Millisecond)
+		s.configure(func() { s.peerAge = math.MinInt64 + 1 })
+		sleep(2 * time.Second)
+		s.configure(func() { s.unavailable = true })
+		sleep(10 * time.Second)
+		g.Expect(ageOf(f)).To(BeNumerically(">", 10*time.Second))
+		s.configure(func() { s.unavailable, s.peerAge = false, 0 })
+		sleep(2 * time.Second)
+		g.Expect(ageOf(f)).To(BeNumerically("<", 2*time.Second))
+	})
+}
+
+// Guards against a table that other goroutines see before it is known how old it is.
+func TestTableAndItsConfirmationAreSeenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSource()
+		var f *follow.Follower
+		f = follow.New(follow.Config{
+			Source: s, Timing: timing, Log: zerolog.Nop(), Clock: time.Now, OnDirectory: func(*directory.Directory) {},
+			OnConfig: func(*route.Config) {
+				known := f.Snapshot()
+				g.Expect(known.Table).NotTo(BeNil())
+				g.Expect(known.Age.Exceeds(time.Second)).To(BeFalse(), "age %s", known.Age)
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		sleep(300 * time.Millisecond)
+		g.Expect(f.Table()).NotTo(BeNil())
+	})
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -34,6 +34,8 @@
 	// Age is the maximum age that the data had when it was requested; 0 if the service itself
 	// answered.
 	Age time.Duration
+	// From is the router that answered; empty for the service itself.
+	From string
 	// SourceUptime is a span over which the routers, taken together, read the service without a
 	// long gap; empty if unknown.
 	SourceUptime Span
--- a/internal/follow/suspend_test.go
+++ b/internal/follow/suspend_test.go
@@ -26,10 +26,10 @@
 		go f.Run(ctx)
 		sleep(300 * time.Millisecond)
 		suspended = 8 * time.Second
-		g.Expect(f.Age()).To(BeNumerically(">", 8*time.Second), "keys must not be trusted after resuming")
+		g.Expect(ageOf(f)).To(BeNumerically(">", 8*time.Second), "keys must not be trusted after resuming")
 		// The first call after resuming returns what was removed meanwhile.
 		s.removeEndpoint("b")
 		sleep(timing.Wait + timing.Slack)
-		g.Expect(f.Age()).To(BeNumerically("<", timing.Wait+timing.Slack))
+		g.Expect(ageOf(f)).To(BeNumerically("<", timing.Wait+timing.Slack))
 	})
 }
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -158,6 +158,8 @@
 	// Shape of the fleet.
 	domains int     // number of failure domains; 0 means 2
 	mbps    float64 // of each router's link; 0 means unknown
+	// onConfigTime is how long a router takes to put a configuration in force.
+	onConfigTime time.Duration
 }
 
 // maxAge is above two waits, as in the daemon: without changes the state gets that old.
@@ -210,6 +212,7 @@
 			OutageThreshold: outage, EntryReturnTime: 2500 * time.Millisecond,
 		},
 		OnDirectory: func(*directory.Directory) {},
+		OnConfig:    func(*route.Config) { time.Sleep(f.onConfigTime) },
 	})
 	n.source.SetState(n.follower)
 	var ctx context.Context
@@ -220,6 +223,15 @@
 	f.nodes = append(f.nodes, n)
 }
 
+// age returns the age of the router's state. It has been confirmed before.
+func (n *node) age() time.Duration {
+	age, known := n.follower.Age().Get()
+	if !known {
+		panic(n.vm + ": the age of the state is unknown")
+	}
+	return age
+}
+
 func (n *node) shutDown() {
 	if n.stop == nil {
 		return
--- a/internal/peers/list_test.go
+++ b/internal/peers/list_test.go
@@ -11,6 +11,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
+	"coveferry/internal/follow"
 )
 
 func TestUpdateReplyContainsOnlyChanges(t *testing.T) {
@@ -129,7 +130,12 @@
 	directory *directory.Directory
 }
 
-func (s overriddenState) Directory() *directory.Directory { return s.directory }
+// Snapshot implements State.
+func (s overriddenState) Snapshot() follow.Snapshot {
+	known := s.State.Snapshot()
+	known.Directory = s.directory
+	return known
+}
 
 // Otherwise each poll between routers of two software versions would read the whole list.
 func TestRouterThatKnowsNoVersionsOfEndpointsNeedsNoFullRead(t *testing.T) {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -136,8 +136,9 @@
 	listRevision
 	// Evacuated lists all evacuated failure domains.
 	Evacuated []string `json:"evacuated,omitempty"`
-	// AgeMillis is how long ago the sender's state was last confirmed to be the newest.
-	AgeMillis int64 `json:"age_ms"`
+	// AgeMillis is how long ago the sender's state was last confirmed to be the newest; absent if
+	// that is unknown.
+	AgeMillis *int64 `json:"age_ms,omitempty"`
 	// OriginUnavailable reports that the reader's own calls to the origin fail at present, so
 	// that it gets no further changes.
 	OriginUnavailable bool `json:"source_lost,omitempty"`
@@ -178,5 +179,5 @@
 	Evacuated []string          `json:"evacuated,omitempty"` // as in updateReply
 	More      bool              `json:"more,omitempty"`
 	listRevision
-	AgeMillis int64 `json:"age_ms"`
+	AgeMillis *int64 `json:"age_ms,omitempty"` // as in updateReply
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,7 +25,6 @@
 	"coveferry/internal/follow"
 	"coveferry/internal/idle"
 	"coveferry/internal/poison"
-	"coveferry/internal/route"
 )
 
 // Config configures a Source.
@@ -82,7 +81,9 @@
 	changes  changeLog
 	configs  configLog
 	origin   *monitoredOrigin
-	mu       sync.Mutex
+	// rejectedAges counts the answers of peers whose age was not believed or too old.
+	rejectedAges *prometheus.CounterVec
+	mu           sync.Mutex
 	// state is what this router has in force and sends to others.
 	state      State
 	helloCount int // hellos sent, to select the next seed
@@ -104,11 +105,7 @@
 
 // State is the state that a router sends to others. See follow.Follower.
 type State interface {
-	// Config returns the configuration in force; nil before the first.
-	Config() *route.Config
-	Directory() *directory.Directory
-	// Age returns how long ago both were last confirmed to be the newest.
-	Age() time.Duration
+	Snapshot() follow.Snapshot
 }
 
 // New returns a Source that knows no peers until Run.
@@ -116,7 +113,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Boot
 	}
-	s := &Source{cfg: cfg, members: newMembers(cfg.Self), uptime: originUptime{maxGap: cfg.OutageThreshold}, skipPeers: make(chan struct{})}
+	s := &Source{cfg: cfg, members: newMembers(cfg.Self), uptime: originUptime{maxGap: cfg.OutageThreshold}, skipPeers: make(chan struct{}), rejectedAges: newRejectedAges(cfg.Metrics)}
 	s.origin = &monitoredOrigin{Origin: cfg.Origin, calls: newCallCounter(cfg.Metrics), onAnswer: func() { s.uptime.recordAnswer(cfg.Clock()) }}
 	return s
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,7 +19,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		g.Expect(f.countInForce(7)).To(Equal(12))
 		for _, n := range f.nodes {
-			g.Expect(n.follower.Age()).To(BeNumerically("<", maxAge), n.vm)
+			g.Expect(n.age()).To(BeNumerically("<", maxAge), n.vm)
 			g.Expect(n.follower.Directory().Len()).To(Equal(1))
 		}
 	})
@@ -32,7 +32,7 @@
 		time.Sleep(time.Second)
 		for _, n := range f.nodes {
 			if n.stop != nil {
-				g.Expect(n.follower.Age()).To(BeNumerically("<", maxAge+time.Second), n.vm)
+				g.Expect(n.age()).To(BeNumerically("<", maxAge+time.Second), n.vm)
 			}
 		}
 		time.Sleep(8 * time.Second)
@@ -50,7 +50,7 @@
 		f.setVersion(5)
 		time.Sleep(5 * time.Second)
 		g.Expect(f.nodes[0].follower.Table().Version()).To(Equal(uint64(5)))
-		g.Expect(f.nodes[0].follower.Age()).To(BeNumerically("<", 4*time.Second))
+		g.Expect(f.nodes[0].age()).To(BeNumerically("<", 4*time.Second))
 		g.Expect(f.nodes[0].source.OriginUnavailableFor()).To(BeNumerically(">", 3*time.Second))
 		g.Expect(f.nodes[1].source.OriginUnavailableFor()).To(BeZero())
 		f.origin.mu.Lock()
@@ -84,11 +84,11 @@
 		start := time.Now()
 		before := make([]time.Duration, len(f.nodes))
 		for i, n := range f.nodes {
-			before[i] = n.follower.Age()
+			before[i] = n.age()
 		}
 		time.Sleep(10 * time.Second)
 		for i, n := range f.nodes {
-			grown := n.follower.Age() - before[i]
+			grown := n.age() - before[i]
 			g.Expect(grown).To(BeNumerically(">", time.Since(start)-2*time.Second), n.vm)
 		}
 	})
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"coveferry/internal/age"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/follow"
@@ -68,7 +70,8 @@
 	if state == nil {
 		return peerReading{}, errNoState
 	}
-	list := state.Directory().Listed()
+	known := state.Snapshot()
+	list := known.Directory.Listed()
 	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local()}
 	// A poll may be late, so the window covers two; applying a report twice is harmless.
 	req.Loads = s.loads.local(time.Now(), 2*s.cfg.PollInterval)
@@ -76,7 +79,7 @@
 	req.Poison = s.poison.request(s.pollUpdateWindow())
 	req.Limits = s.limits.request(s.pollUpdateWindow())
 	req.OriginUptime = s.uptime.report(s.cfg.Clock())
-	base := state.Config()
+	base := known.Config
 	req.Version = versionOf(base)
 	sent, sentClock := time.Now(), s.cfg.Clock()
 	reply, err := control.Call(ctx, s.client(peer.Address), methodUpdate, req)
@@ -90,7 +93,7 @@
 	s.poison.applyReply(sentClock, reply.Poison)
 	s.limits.applyReply(sentClock, reply.Limits)
 	s.uptime.apply(sentClock, reply.OriginUptime)
-	age, err := s.checkAge(peer, reply.AgeMillis)
+	stateAge, err := s.checkAge(peer, reply.AgeMillis)
 	if err != nil {
 		return peerReading{}, err
 	}
@@ -105,7 +108,7 @@
 		Entries: reply.Entries, Removed: reply.Removed, Revision: reply.value(),
 		Evacuations: directory.Evacuations{Full: true, Active: reply.Evacuated},
 	}
-	return peerReading{Reading: follow.Reading{Config: config, List: reading, Age: age}, originUnavailable: reply.OriginUnavailable}, nil
+	return peerReading{Reading: follow.Reading{Config: config, List: reading, Age: stateAge, From: peer.VM}, originUnavailable: reply.OriginUnavailable}, nil
 }
 
 // config returns this router's own configuration; nil if it has none.
@@ -114,7 +117,7 @@
 	if state == nil {
 		return nil
 	}
-	return state.Config()
+	return state.Snapshot().Config
 }
 
 func versionOf(c *route.Config) uint64 {
@@ -137,13 +140,36 @@
 	return config, err
 }
 
-// checkAge converts the age of a peer's state and returns an error if it exceeds MaxAge.
-func (s *Source) checkAge(peer Member, millis int64) (time.Duration, error) {
-	age := time.Duration(millis) * time.Millisecond
-	if age > s.cfg.MaxAge {
-		return 0, errors.Newf("peers: the state of %s is %s old", peer.VM, age)
+// Values of the label "reason" of the counter of rejected ages.
+const (
+	reasonUnknown = "unknown"
+	reasonTooOld  = "too_old"
+)
+
+func newRejectedAges(metrics prometheus.Registerer) *prometheus.CounterVec {
+	rejected := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "coveferry_peer_ages_rejected_total",
+		Help: "Answers of other routers whose state was too old, or of an age that is unknown or can't be.",
+	}, []string{"reason"})
+	if metrics != nil {
+		metrics.MustRegister(rejected)
 	}
-	return age, nil
+	return rejected
+}
+
+// checkAge decodes the age of a peer's state and returns an error if it is unknown or exceeds
+// MaxAge.
+func (s *Source) checkAge(peer Member, millis *int64) (time.Duration, error) {
+	stateAge, known := age.FromOptionalMillis(millis).Get()
+	switch {
+	case !known:
+		s.rejectedAges.WithLabelValues(reasonUnknown).Inc()
+		return 0, errors.Newf("peers: the age of the state of %s is unknown", peer.VM)
+	case stateAge > s.cfg.MaxAge:
+		s.rejectedAges.WithLabelValues(reasonTooOld).Inc()
+		return 0, errors.Newf("peers: the state of %s is %s old", peer.VM, stateAge)
+	}
+	return stateAge, nil
 }
 
 // readPages reads the whole list from a peer, and the change of the configuration. The result
@@ -158,7 +184,7 @@
 			return peerReading{}, err
 		}
 		if after == "" {
-			age, err := s.checkAge(peer, reply.AgeMillis)
+			stateAge, err := s.checkAge(peer, reply.AgeMillis)
 			if err != nil {
 				return peerReading{}, err
 			}
@@ -166,7 +192,7 @@
 			if err != nil {
 				return peerReading{}, err
 			}
-			full = follow.Reading{Config: config, Age: age, List: directory.Reading{
+			full = follow.Reading{Config: config, Age: stateAge, From: peer.VM, List: directory.Reading{
 				Full: true, Revision: reply.value(),
 				Evacuations: directory.Evacuations{Full: true, Active: reply.Evacuated},
 			}}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/control"
+	"coveferry/internal/follow"
 	"coveferry/internal/identity"
 )
 
@@ -37,13 +38,18 @@
 // errNoState is the reply of a router that has no state yet.
 var errNoState = errors.New("peers: nothing is known here yet")
 
-// readyState returns this router's state, or errNoState if it has none to send yet.
-func (s *Source) readyState() (State, error) {
+// readyState returns this router's state, or errNoState if it has none to send yet. Nobody could use
+// a state that was never confirmed.
+func (s *Source) readyState() (follow.Snapshot, error) {
 	state := s.localState()
-	if state == nil || state.Config() == nil || state.Directory().Len() == 0 {
-		return nil, errNoState
+	if state == nil {
+		return follow.Snapshot{}, errNoState
 	}
-	return state, nil
+	known := state.Snapshot()
+	if _, confirmed := known.Age.Get(); !confirmed || known.Config == nil || known.Directory.Len() == 0 {
+		return follow.Snapshot{}, errNoState
+	}
+	return known, nil
 }
 
 func (s *Source) serveUpdate(_ context.Context, _ identity.Peer, req updateRequest) (updateReply, error) {
@@ -59,18 +65,17 @@
 	if err != nil {
 		return updateReply{}, err
 	}
-	// The age is read before the state, which may only be newer than that.
-	reply := updateReply{AgeMillis: state.Age().Milliseconds() + 1, OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
+	reply := updateReply{AgeMillis: state.Age.OptionalMillis(), OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
 	others, routers := s.demand.sum(now, req.From.VM)
 	reply.Demand, reply.DemandRouters = s.demand.local().Add(others), routers+1
 	s.loads.apply(now.Add(-loadReportDelay), req.Loads)
 	reply.Loads = s.loads.latest(now)
 	s.failures.record(req.From.VM, req.Failures, now)
 	reply.Failures = s.failures.total(now, req.From.VM)
-	if reply.Config, err = s.configs.since(state.Config(), req.Version); err != nil {
+	if reply.Config, err = s.configs.since(state.Config, req.Version); err != nil {
 		return updateReply{}, err
 	}
-	list := state.Directory().Listed()
+	list := state.Directory.Listed()
 	changes, known := s.changes.since(list, req.value(), req.holds(list))
 	reply.Evacuated = list.Evacuated()
 	reply.Entries, reply.Removed, reply.HistoryLost, reply.listRevision = changes.Entries, changes.Removed, !known, toListRevision(changes.Revision)
@@ -83,13 +88,13 @@
 	if err != nil {
 		return pageReply{}, err
 	}
-	reply := pageReply{AgeMillis: state.Age().Milliseconds() + 1}
+	reply := pageReply{AgeMillis: state.Age.OptionalMillis()}
 	if req.After == "" {
-		if reply.Config, err = s.configs.since(state.Config(), req.Version); err != nil {
+		if reply.Config, err = s.configs.since(state.Config, req.Version); err != nil {
 			return pageReply{}, err
 		}
 	}
-	d := state.Directory().Listed()
+	d := state.Directory.Listed()
 	reply.listRevision = toListRevision(d.Revision())
 	reply.Evacuated = d.Evacuated()
 	reply.Entries, reply.More = d.Page(req.After, maxPage)
--- a/internal/peers/serve_bench_test.go
+++ b/internal/peers/serve_bench_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
+	"coveferry/internal/follow"
 	"coveferry/internal/identity"
 	"coveferry/internal/load"
 	"coveferry/internal/route"
@@ -18,11 +20,13 @@
 type fixedState struct {
 	config *route.Config
 	list   *directory.Directory
+	age    age.Age
 }
 
-func (s fixedState) Config() *route.Config           { return s.config }
-func (s fixedState) Directory() *directory.Directory { return s.list }
-func (s fixedState) Age() time.Duration              { return time.Second }
+// Snapshot implements State.
+func (s fixedState) Snapshot() follow.Snapshot {
+	return follow.Snapshot{Snapshot: route.Snapshot{Age: s.age}, Config: s.config, Directory: s.list}
+}
 
 // newBenchReader returns a reader of a list of endpoints, and the polls of its routers.
 func newBenchReader(routers, endpoints int) (*Source, []updateRequest) {
@@ -35,7 +39,7 @@
 		list = append(list, &e)
 	}
 	dir, _ := directory.Empty().Merge(directory.Reading{Full: true, Entries: entries, Revision: directory.Revision{Number: 7}}, time.Now(), time.Time{})
-	s.SetState(fixedState{config: &route.Config{Version: 1}, list: dir})
+	s.SetState(fixedState{config: &route.Config{Version: 1}, list: dir, age: age.Of(time.Second)})
 	policy := balance.NewPromptAware()
 	pool := balance.NewPool(balance.Config{Policy: policy})
 	pool.Views(time.Now(), list)
--- a/internal/peers/start_test.go
+++ b/internal/peers/start_test.go
@@ -34,9 +34,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		g.Expect(f.origin.count()).To(BeNumerically("<", 2*routers))
-		f.origin.mu.Lock()
-		clear(f.origin.refused)
-		f.origin.mu.Unlock()
+		f.refuseNone()
 		time.Sleep(1200 * time.Millisecond)
 		g.Expect(f.countInForce(1)).To(Equal(routers))
 	})
@@ -171,9 +169,7 @@
 		}
 		f.startNodes(g, routers, 300*time.Millisecond)
 		time.Sleep(300 * time.Millisecond)
-		f.origin.mu.Lock()
-		clear(f.origin.refused)
-		f.origin.mu.Unlock()
+		f.refuseNone()
 		g.Expect(f.waitForVersion(1, 5*time.Second)).To(BeNumerically("<", time.Second))
 		t.Logf("%d full reads", f.origin.reads)
 		g.Expect(f.origin.reads).To(BeNumerically("<", routers/2), "by some, repeatedly until there is a configuration")
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -163,6 +163,8 @@
 	Table *Table
 	// Age is how long before it was taken the table was last confirmed to be the newest.
 	Age age.Age
+	// ConfirmedBy is the router that confirmed it; empty for the source itself.
+	ConfirmedBy string
 }
 
 // NewTable builds a table. If a route is invalid, the error is an *Error that names it.
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -197,6 +197,9 @@
 	if keyAge, known := r.Routes.Age.Get(); known {
 		log.Dur("key_age", keyAge)
 	}
+	if r.Routes.ConfirmedBy != "" {
+		log.Str("keys_by", r.Routes.ConfirmedBy)
+	}
 	if r.Route != nil {
 		addSelection(log, r)
 	}
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -167,7 +167,7 @@
 		client := server.NewClient(nil, w.net.Dialer("router"))
 		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
 		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
-		w.streams = streamversion.New(streamversion.Config{ListAge: func() time.Duration { return 0 }})
+		w.streams = streamversion.New(streamversion.Config{ListAge: func() age.Age { return age.Of(0) }})
 		w.list(w.endpoints...)
 		w.router = router.New(router.Config{
 			Pool: w.pool, Client: client, Observer: w.members,
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"coveferry/internal/age"
 	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 )
@@ -73,7 +74,7 @@
 	Peers Peers
 	// ListAge returns how long ago the list of endpoints was known to be the newest. Above
 	// MaxListAge nothing is inferred from it.
-	ListAge    func() time.Duration
+	ListAge    func() age.Age
 	MaxListAge time.Duration
 	// Metrics registers the registry's metrics; nil for none.
 	Metrics prometheus.Registerer
@@ -170,7 +171,7 @@
 // checkListAge has all streams told when the list is no longer up to date: what the versions were
 // can't be inferred any more.
 func (r *Registry) checkListAge(now time.Time) {
-	if r.cfg.ListAge() <= r.cfg.MaxListAge {
+	if !r.cfg.ListAge().Exceeds(r.cfg.MaxListAge) {
 		r.versions.regained()
 		return
 	}
@@ -204,7 +205,7 @@
 
 // infer returns the version of a service that had only one in the window.
 func (r *Registry) infer(now time.Time, q Query) (version string, ok bool) {
-	if r.cfg.ListAge() > r.cfg.MaxListAge {
+	if r.cfg.ListAge().Exceeds(r.cfg.MaxListAge) {
 		return "", false
 	}
 	return r.versions.only(now, q.Service, q.Window)
@@ -249,7 +250,8 @@
 	// Inferred anew: a list that came meanwhile may have shown another version.
 	now = time.Now()
 	if version, ok := r.infer(now, q); ok {
-		return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidenceList, Age: r.cfg.ListAge()}, true
+		listAge, _ := r.cfg.ListAge().Get()
+		return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidenceList, Age: listAge}, true
 	}
 	return r.findByPeerLists(now, q, answers)
 }
--- a/internal/streamversion/registry_test.go
+++ b/internal/streamversion/registry_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/age"
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
 )
@@ -64,7 +65,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{WithT: NewWithT(t)}
-		f.Registry = New(Config{Peers: &f.peers, ListAge: func() time.Duration { return f.listAge }, MaxListAge: maxListAge})
+		f.Registry = New(Config{Peers: &f.peers, ListAge: func() age.Age { return age.Of(f.listAge) }, MaxListAge: maxListAge})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go f.Run(ctx)
