Decode all ages that routers send each other by one function

What it would do (no caller saw it; found by tests with such messages): a member of the list counts as alive for good; the span in which the source was readable is never replaced; a load report or a stated limit wins over all later ones (a negative age was taken for 0, the newest); losses quarantine a request for good and a completion clears it; a window of a stream that is negative lets a version be inferred that isn't known; reports between processes of the agent path likewise.

Change: age.FromMillis decodes them; what has an impossible age is dropped, a window becomes the longest. Senders state 0 at least (age.MillisSince), since a time may be recorded just after theirs was read.

--- a/internal/age/age.go
+++ b/internal/age/age.go
@@ -54,6 +54,10 @@
 	return &millis
 }
 
+// MillisSince encodes for a message how long before now something was, at least 0: another goroutine
+// may have recorded it after now was read.
+func MillisSince(at, now time.Time) int64 { return max(0, now.Sub(at).Milliseconds()) }
+
 // Before returns the time that was the age before t, and false if the age is unknown.
 func (a Age) Before(t time.Time) (time.Time, bool) { return t.Add(-a.value), a.known }
 
--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"coveferry/internal/age"
 )
 
 const (
@@ -230,8 +232,11 @@
 }
 
 func (p *Pool) applyPeerBackoff(now time.Time, w FailureSummary) {
-	askedAt := now.Add(-time.Duration(w.BackoffAgeMillis) * time.Millisecond)
-	left := time.Duration(w.BackoffMillis) * time.Millisecond
+	askedAt, dated := age.FromMillis(w.BackoffAgeMillis).Before(now)
+	left, bounded := age.FromMillis(w.BackoffMillis).Get()
+	if !dated || !bounded {
+		return
+	}
 	sh := p.shard(w.Endpoint)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/throttle/window"
 )
 
@@ -89,10 +90,10 @@
 		}
 		w := FailureSummary{Endpoint: name, Attempts: n.Total, Failed: n.Part, Reporters: min(1, n.Part)}
 		if st.isUnresponsive(now) {
-			w.Unresponsive, w.UnresponsiveMillis = 1, now.Sub(maxTime(st.lastResponseAt, st.waitingSince)).Milliseconds()
+			w.Unresponsive, w.UnresponsiveMillis = 1, age.MillisSince(maxTime(st.lastResponseAt, st.waitingSince), now)
 		}
 		if st.backoff.waiting(now) {
-			w.BackoffMillis, w.BackoffAgeMillis = st.backoff.until.Sub(now).Milliseconds(), now.Sub(st.backoff.askedAt).Milliseconds()
+			w.BackoffMillis, w.BackoffAgeMillis = st.backoff.until.Sub(now).Milliseconds(), age.MillisSince(st.backoff.askedAt, now)
 		}
 		failures = append(failures, w)
 	}
--- a/internal/balance/peerlimits.go
+++ b/internal/balance/peerlimits.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"coveferry/internal/age"
 )
 
 // maxPeerLimits bounds the limits in one message to a peer. One takes some 60 bytes: 2 KB are added
@@ -100,7 +102,7 @@
 }
 
 func (l *limit) summary(endpoint string, now time.Time) LimitSummary {
-	s := LimitSummary{Endpoint: endpoint, AgeMillis: now.Sub(l.statedAt).Milliseconds()}
+	s := LimitSummary{Endpoint: endpoint, AgeMillis: age.MillisSince(l.statedAt, now)}
 	if l.active {
 		perSecond := l.perSecond
 		s.PerSecond = &perSecond
@@ -112,7 +114,9 @@
 // know are skipped.
 func (p *Pool) ApplyPeerLimits(now, sentAt time.Time, limits []LimitSummary) {
 	for _, s := range limits {
-		p.applyPeerLimit(now, sentAt.Add(-time.Duration(max(0, s.AgeMillis))*time.Millisecond), s)
+		if at, dated := age.FromMillis(s.AgeMillis).Before(sentAt); dated {
+			p.applyPeerLimit(now, at, s)
+		}
 	}
 }
 
--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 // LoadSummary is a router's summary of an endpoint's load.
@@ -32,13 +34,12 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for name, st := range sh.states {
-		age := now.Sub(st.reportedAt)
-		if st.reportedAt.IsZero() || age > maxAge || ownOnly && st.reportFromPeer {
+		if st.reportedAt.IsZero() || now.Sub(st.reportedAt) > maxAge || ownOnly && st.reportFromPeer {
 			continue
 		}
 		loads = append(loads, LoadSummary{
 			Endpoint: name, Running: st.load.TotalRunning(), Queued: st.load.TotalQueued(),
-			AgeMillis: age.Milliseconds(),
+			AgeMillis: age.MillisSince(st.reportedAt, now),
 		})
 	}
 	return loads
@@ -50,8 +51,9 @@
 	for _, s := range loads {
 		sh := p.shard(s.Endpoint)
 		sh.mu.Lock()
-		if st, ok := sh.states[s.Endpoint]; ok {
-			st.applyPeerLoad(sentAt.Add(-time.Duration(s.AgeMillis)*time.Millisecond), s)
+		at, dated := age.FromMillis(s.AgeMillis).Before(sentAt)
+		if st, ok := sh.states[s.Endpoint]; ok && dated {
+			st.applyPeerLoad(at, s)
 		}
 		sh.mu.Unlock()
 	}
--- a/internal/balance/unresponsive.go
+++ b/internal/balance/unresponsive.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 const (
@@ -151,7 +153,10 @@
 // accepted: too few routers found it so, if the endpoint sends no load reports, or it has responded
 // or reported its load since.
 func (st *state) rejectsPeerReport(now time.Time, w FailureSummary) bool {
-	since := now.Add(-time.Duration(w.UnresponsiveMillis) * time.Millisecond)
+	since, dated := age.FromMillis(w.UnresponsiveMillis).Before(now)
+	if !dated {
+		return true
+	}
 	if st.reportedAt.IsZero() && w.Unresponsive < minUnresponsiveReporters {
 		return true
 	}
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -87,9 +87,7 @@
 	if !reply.Starting {
 		s.members.markEstablishedPeer()
 	}
-	for _, m := range reply.Members {
-		s.members.recordSeen(m.Member, sent.Add(-time.Duration(m.AgoMillis)*time.Millisecond))
-	}
+	s.members.recordListed(reply.Members, sent)
 }
 
 const (
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 // memberTTL is how long a router counts as a member after it was last seen alive. Each sends a hello
@@ -74,6 +76,15 @@
 	}
 }
 
+// recordListed records the members that another router listed in a message sent at the given time.
+func (m *members) recordListed(list []listedMember, sent time.Time) {
+	for _, listed := range list {
+		if seenAt, known := age.FromMillis(listed.AgoMillis).Before(sent); known {
+			m.recordSeen(listed.Member, seenAt)
+		}
+	}
+}
+
 // rateSharerTTL is how long a router counts as sharing the rate limits of endpoints with those of
 // its failure domain after it was last seen. It may still be running and merely be partitioned from
 // them. If it was stopped, its share of an endpoint's rate goes unused in that time, so the endpoint
@@ -150,7 +161,7 @@
 		}
 		for _, h := range routers {
 			if h.member.VM != m.self.member.VM {
-				needed = append(needed, listedMember{Member: h.member, AgoMillis: now.Sub(h.seenAt).Milliseconds()})
+				needed = append(needed, listedMember{Member: h.member, AgoMillis: age.MillisSince(h.seenAt, now)})
 			}
 		}
 	}
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/control"
 	"coveferry/internal/identity"
 	"coveferry/internal/streamversion"
@@ -34,6 +36,16 @@
 	WindowMillis int64                  `json:"window_ms"`
 }
 
+// window returns the time in which the stream can have begun, the longest there is if the request
+// names none that can be.
+func (r askStreamRequest) window() time.Duration {
+	window, known := age.FromMillis(r.WindowMillis).Get()
+	if !known {
+		return math.MaxInt64
+	}
+	return window
+}
+
 type askStreamReply struct {
 	// Known reports that the service and the version that began the stream are known.
 	Known   bool   `json:"known,omitempty"`
@@ -72,7 +84,7 @@
 	if streams == nil {
 		return askStreamReply{}, errNoState
 	}
-	a := (*streams).Answer(time.Now(), streamversion.Query{ID: req.ID, Service: req.Service, Window: time.Duration(req.WindowMillis) * time.Millisecond})
+	a := (*streams).Answer(time.Now(), streamversion.Query{ID: req.ID, Service: req.Service, Window: req.window()})
 	return askStreamReply{Known: a.Known, Service: a.ServiceVersion.Service, Version: a.ServiceVersion.Version, Single: a.Single, Only: a.Only}, nil
 }
 
--- a/internal/peers/uptime.go
+++ b/internal/peers/uptime.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/follow"
 )
 
@@ -54,7 +55,7 @@
 	if span.To.IsZero() {
 		return uptimeReport{}
 	}
-	return uptimeReport{ForMillis: span.To.Sub(span.From).Milliseconds(), AgoMillis: now.Sub(span.To).Milliseconds()}
+	return uptimeReport{ForMillis: age.MillisSince(span.From, span.To), AgoMillis: age.MillisSince(span.To, now)}
 }
 
 // apply adds the span of a report that was sent at the given time.
@@ -62,6 +63,9 @@
 	if report == (uptimeReport{}) {
 		return
 	}
-	to := sentAt.Add(-time.Duration(report.AgoMillis) * time.Millisecond)
-	s.add(follow.Span{From: to.Add(-time.Duration(report.ForMillis) * time.Millisecond), To: to})
+	to, knownEnd := age.FromMillis(report.AgoMillis).Before(sentAt)
+	from, knownStart := age.FromMillis(report.ForMillis).Before(to)
+	if knownEnd && knownStart {
+		s.add(follow.Span{From: from, To: to})
+	}
 }
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 // maxEntries limits the requests in one message, at about 120 bytes each. With 64,
@@ -83,7 +85,7 @@
 	e := Entry{Identity: id, Part: r.part, CompletedAgo: millisAgo(now, r.completedAt), TriedAgo: millisAgo(now, r.triedAt)}
 	for _, l := range r.losses {
 		e.Losses = append(e.Losses, LossEntry{
-			Endpoint: l.Endpoint, SentAgo: now.Sub(l.Sent).Milliseconds(), LostAgo: now.Sub(l.At).Milliseconds(), Early: l.Early,
+			Endpoint: l.Endpoint, SentAgo: age.MillisSince(l.Sent, now), LostAgo: age.MillisSince(l.At, now), Early: l.Early,
 		})
 	}
 	return e
@@ -93,7 +95,7 @@
 	if at.IsZero() {
 		return nil
 	}
-	ago := now.Sub(at).Milliseconds()
+	ago := age.MillisSince(at, now)
 	return &ago
 }
 
@@ -107,7 +109,8 @@
 		}
 	}
 	for _, e := range m.Entries {
-		e.Losses = slices.DeleteFunc(slices.Clone(e.Losses), func(l LossEntry) bool { return !t.lossCounts(l.loss(sentAt, now)) })
+		e = e.dated()
+		e.Losses = slices.DeleteFunc(e.Losses, func(l LossEntry) bool { return !t.lossCounts(l.loss(sentAt, now)) })
 		t.update(suspect{e.Identity, e.Part}, true, false, func(r *record) bool { return r.merge(sentAt, now, e) })
 	}
 }
@@ -115,12 +118,32 @@
 func (t *Table) applySurvivor(s SurvivorEntry, sentAt, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.survivors.confirm(s.Endpoint, ago(sentAt, s.SurvivedAgo), now)
+	return isDated(s.SurvivedAgo) && t.survivors.confirm(s.Endpoint, ago(sentAt, s.SurvivedAgo), now)
+}
+
+// isDated reports whether an age of a message is one that can be.
+func isDated(millis int64) bool {
+	_, known := age.FromMillis(millis).Get()
+	return known
+}
+
+// dated returns a copy of the entry without what has an age that can't be.
+func (e Entry) dated() Entry {
+	e.Losses = slices.DeleteFunc(slices.Clone(e.Losses), func(l LossEntry) bool { return !isDated(l.SentAgo) || !isDated(l.LostAgo) })
+	if e.CompletedAgo != nil && !isDated(*e.CompletedAgo) {
+		e.CompletedAgo = nil
+	}
+	if e.TriedAgo != nil && !isDated(*e.TriedAgo) {
+		e.TriedAgo = nil
+	}
+	return e
 }
 
-// ago returns the time that was the given number of milliseconds before sentAt.
+// ago returns the time that was the given number of milliseconds before sentAt, for an age that
+// isDated.
 func ago(sentAt time.Time, millis int64) time.Time {
-	return sentAt.Add(-time.Duration(max(0, millis)) * time.Millisecond)
+	at, _ := age.FromMillis(millis).Before(sentAt)
+	return at
 }
 
 // loss returns the loss that another router told of.
--- a/internal/poison/survivors.go
+++ b/internal/poison/survivors.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 const (
@@ -103,7 +105,7 @@
 			break
 		}
 		if now.Sub(known.confirmedAt) < maxAge {
-			list = append(list, SurvivorEntry{Endpoint: endpoint, SurvivedAgo: now.Sub(known.survivedAt).Milliseconds()})
+			list = append(list, SurvivorEntry{Endpoint: endpoint, SurvivedAgo: age.MillisSince(known.survivedAt, now)})
 		}
 	}
 	return list
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coveferry/internal/age"
 	"coveferry/internal/bundle"
 	"coveferry/internal/control"
 	"coveferry/internal/identity"
@@ -81,8 +82,14 @@
 	AgeMillis int64 `json:"age,omitempty"`
 }
 
+// isDated reports whether the report's age is one that can be.
+func (r PeerReport) isDated() bool {
+	_, known := age.FromMillis(r.AgeMillis).Get()
+	return known
+}
+
 func (r PeerReport) check() error {
-	if r.ID == "" || len(r.ID) > maxIDLength || len(r.DigestPrefix) > digestPrefixLength || !r.State.valid() || r.AgeMillis < 0 {
+	if r.ID == "" || len(r.ID) > maxIDLength || len(r.DigestPrefix) > digestPrefixLength || !r.State.valid() || !r.isDated() {
 		return errors.Wrap(ErrBadMessage, "sighting")
 	}
 	return nil
--- a/internal/rollout/peerreports.go
+++ b/internal/rollout/peerreports.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"coveferry/internal/age"
 )
 
 const (
@@ -31,8 +33,8 @@
 // record stores a report unless a newer one is known. A forwarded report only
 // grows older, so forwarding can't make an unresponsive process look alive.
 func (p *peerReports) record(now time.Time, report PeerReport) {
-	at := now.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
-	if old, ok := p.byID[report.ID]; ok && !at.After(old.reportedAt) {
+	at, dated := age.FromMillis(report.AgeMillis).Before(now)
+	if old, ok := p.byID[report.ID]; !dated || ok && !at.After(old.reportedAt) {
 		return
 	}
 	report.AgeMillis = 0
@@ -55,7 +57,7 @@
 		return PeerReport{}, false
 	}
 	out := one.report
-	out.AgeMillis = max(0, now.Sub(one.reportedAt).Milliseconds())
+	out.AgeMillis = age.MillisSince(one.reportedAt, now)
 	return out, true
 }
 
--- a/internal/rollout/refusals.go
+++ b/internal/rollout/refusals.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"coveferry/internal/age"
 	"coveferry/internal/bundle"
 )
 
@@ -64,7 +65,7 @@
 	defer r.mu.Unlock()
 	out := slices.Clone(r.list)
 	for i := range out {
-		out[i].AgeMillis = max(0, now.Sub(out[i].last).Milliseconds())
+		out[i].AgeMillis = age.MillisSince(out[i].last, now)
 	}
 	return out
 }
