Judge requests of a bundle, too, by the one in force once their body is complete

Same cause as the revoked key of a slow body, on the path with agents: team, class and endpoints came from the bundle of the header's arrival, so that a key that a newer bundle drops went on working for requests whose bodies were on their way (up to 30 s). No caller saw it; shown by TestKeyThatABundleDropsWhileTheBodyArrivesIsRejected, which fails without the change (the request is dispatched).

Change: the router takes the bundle in force again when the body is complete. The limit on the body's size stays that of the header's arrival.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -25,10 +25,12 @@
 	// ArrivedClock is the time of arrival by the clock that includes the pauses of the process
 	// and its VM.
 	ArrivedClock time.Time
-	Snapshot     *bundle.Snapshot // kept until the request ends
-	Kind         wire.Kind
-	Header       http.Header
-	Body         []byte
+	// Snapshot is the bundle in force on arrival, and from the moment at which the body is complete
+	// that in force then.
+	Snapshot *bundle.Snapshot
+	Kind     wire.Kind
+	Header   http.Header
+	Body     []byte
 	// Method, Service and Path are set for calls to a plain service.
 	Method  string
 	Service string
--- a/internal/router/bundleroutes_test.go
+++ b/internal/router/bundleroutes_test.go
@@ -43,7 +43,7 @@
 		snapshot := bundle.NewSnapshot(routedBundle())
 		cfg.Snapshot = snapshot
 		cfg.Routing = router.BundleRouting(func() *bundle.Snapshot { return snapshot }, direct)
-	}, func(g *WithT, client *http.Client) {
+	}, func(g *WithT, _ *router.Router, client *http.Client) {
 		got := call(g, client, "POST", "/receipts/7", "x", "Authorization", "Bearer "+testKey)
 		g.Expect(got.status).To(Equal(200))
 		g.Expect(got.body).To(Equal("filed for free"))
--- a/internal/router/routed_slowbody_test.go
+++ b/internal/router/routed_slowbody_test.go
@@ -9,37 +9,40 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/bundle"
 	"coveferry/internal/route"
+	"coveferry/internal/router"
 )
 
 // bodyTransferTime is how long the bodies of slowCall take; it exceeds maxKeyAge.
 const bodyTransferTime = maxKeyAge + time.Second
 
-// slowBody is a body that takes bodyTransferTime.
+// slowBody is a body that takes the given time. After half of it, midway is called.
 type slowBody struct {
-	rest   io.Reader
-	midway func()
-	begun  bool
+	rest     io.Reader
+	duration time.Duration
+	midway   func()
+	begun    bool
 }
 
 // Read implements io.Reader.
 func (b *slowBody) Read(p []byte) (int, error) {
 	if !b.begun {
 		b.begun = true
-		return copy(p, "first "), nil
+		return copy(p, " "), nil
 	}
 	if b.midway != nil {
-		time.Sleep(bodyTransferTime / 2)
+		time.Sleep(b.duration / 2)
 		b.midway()
 		b.midway = nil
-		time.Sleep(bodyTransferTime / 2)
+		time.Sleep(b.duration / 2)
 	}
 	return b.rest.Read(p)
 }
 
 // slowCall sends a request whose body takes bodyTransferTime. After half of it, midway is called.
 func slowCall(g *WithT, client *http.Client, path, key string, midway func()) reply {
-	body := &slowBody{rest: strings.NewReader("second"), midway: midway}
+	body := &slowBody{rest: strings.NewReader("second"), duration: bodyTransferTime, midway: midway}
 	req, err := http.NewRequest("POST", "http://"+address+path, body)
 	g.Expect(err).NotTo(HaveOccurred())
 	req.Host = routeHost
@@ -123,7 +126,7 @@
 				}
 			})
 			g.Expect(got.status).To(Equal(200))
-			g.Expect(w.received()[0].body).To(Equal("first second"))
+			g.Expect(w.received()[0].body).To(Equal(" second"))
 		})
 	}
 }
@@ -135,3 +138,16 @@
 		g.Expect(got.status).To(Equal(200))
 	})
 }
+
+// Guards against keys that are looked up in the bundle of the header's arrival.
+func TestKeyThatABundleDropsWhileTheBodyArrivesIsRejected(t *testing.T) {
+	serve(t, nil, func(g *WithT, rt *router.Router, client *http.Client) {
+		body := &slowBody{rest: strings.NewReader(`"model":"m","prompt":"x"}`), duration: bodyTimeout / 2, midway: func() {
+			next := testBundle()
+			next.Version, next.Teams = 2, next.Teams[1:]
+			rt.Swap(bundle.NewSnapshot(next))
+		}}
+		got := send(g, client, http.MethodPost, "/v1/completions", io.MultiReader(strings.NewReader("{"), body))
+		g.Expect(got.Error.Code).To(Equal("wrong_key"))
+	})
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -53,7 +53,7 @@
 }
 
 // serve runs test against a router in a synctest bubble.
-func serve(t *testing.T, change func(*router.Config), test func(g *WithT, client *http.Client)) {
+func serve(t *testing.T, change func(*router.Config), test func(g *WithT, rt *router.Router, client *http.Client)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -69,12 +69,13 @@
 		if change != nil {
 			change(&cfg)
 		}
+		rt := router.New(cfg)
 		l, err := net.Listen(address)
 		g.Expect(err).NotTo(HaveOccurred())
-		srv := server.New(server.Config{Listener: l, Handler: router.New(cfg).Handler(), Grace: time.Minute, HeaderTimeout: time.Second})
+		srv := server.New(server.Config{Listener: l, Handler: rt.Handler(), Grace: time.Minute, HeaderTimeout: time.Second})
 		go func() { _ = srv.Run() }()
 		client := server.NewClient(nil, net.Dialer("caller"))
-		test(g, client)
+		test(g, rt, client)
 		client.CloseIdleConnections()
 		g.Expect(srv.Stop()).To(Succeed())
 	})
@@ -133,7 +134,7 @@
 		{"unknown path", "/v2/chat", good, nil, 404, "invalid_request_error", "unknown_path"},
 		{"endpoint down", chat, good, nil, 503, "upstream_error", "endpoint_lost"},
 	}
-	serve(t, nil, func(g *WithT, client *http.Client) {
+	serve(t, nil, func(g *WithT, _ *router.Router, client *http.Client) {
 		for _, c := range cases {
 			got := send(g, client, http.MethodPost, c.path, strings.NewReader(c.body), c.header...)
 			description := fmt.Sprintf("%s: %+v", c.name, got)
@@ -148,7 +149,7 @@
 
 // A body without a Content-Length is bounded while it arrives.
 func TestChunkedBodyIsBounded(t *testing.T) {
-	serve(t, nil, func(g *WithT, client *http.Client) {
+	serve(t, nil, func(g *WithT, _ *router.Router, client *http.Client) {
 		body := io.MultiReader(strings.NewReader(strings.Repeat("x", bodyLimit)), strings.NewReader("x"))
 		got := send(g, client, http.MethodPost, "/v1/completions", body)
 		g.Expect(got.status).To(Equal(http.StatusRequestEntityTooLarge))
@@ -156,7 +157,7 @@
 }
 
 func TestSlowBodyTimesOut(t *testing.T) {
-	serve(t, nil, func(g *WithT, client *http.Client) {
+	serve(t, nil, func(g *WithT, _ *router.Router, client *http.Client) {
 		body, w := io.Pipe()
 		began := time.Now()
 		got := send(g, client, http.MethodPost, "/v1/completions", body)
@@ -168,7 +169,7 @@
 
 func TestTeamLimitSetsRetryAfter(t *testing.T) {
 	const body = `{"model":"m","prompt":"x"}`
-	serve(t, nil, func(g *WithT, client *http.Client) {
+	serve(t, nil, func(g *WithT, _ *router.Router, client *http.Client) {
 		// With such a short deadline the router doesn't wait until the endpoint is used again.
 		header := []string{"Authorization", "Bearer limited-key", "Coveferry-Deadline", "100ms"}
 		ask := func() errorAnswer {
@@ -187,14 +188,14 @@
 func TestOpenRequestsAndBodyMemoryAreBounded(t *testing.T) {
 	const body = `{"model":"m","prompt":"x"}`
 	smallBodyMemory := func(c *router.Config) { c.MaxBodyBytes = int64(len(body)) - 1 }
-	serve(t, smallBodyMemory, func(g *WithT, client *http.Client) {
+	serve(t, smallBodyMemory, func(g *WithT, _ *router.Router, client *http.Client) {
 		got := send(g, client, http.MethodPost, "/v1/completions", strings.NewReader(body))
 		g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		g.Expect(got.Error.Code).To(Equal("router_full"))
 		g.Expect(got.retryAfter).To(Equal("1"))
 	})
 	noOpenRequests := func(c *router.Config) { c.MaxOpen = 0 }
-	serve(t, noOpenRequests, func(g *WithT, client *http.Client) {
+	serve(t, noOpenRequests, func(g *WithT, _ *router.Router, client *http.Client) {
 		got := send(g, client, http.MethodPost, "/v1/completions", strings.NewReader(body))
 		g.Expect(got.Error.Code).To(Equal("router_full"))
 	})
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -74,9 +74,7 @@
 		return err
 	}
 	r.Body = body
-	if r.Kind == wire.KindRouted {
-		r.Routes = rt.cfg.Routing.Routes() // the body may have taken longer than keys stay valid
-	}
+	rt.useLatestConfig(r)
 	ctx, stop := rt.drain.withAbort(req.Context())
 	defer stop()
 	err = rt.runFilters(ctx, r)
@@ -86,6 +84,15 @@
 	return err
 }
 
+// useLatestConfig has a request judged by the configuration in force: its body may have taken longer
+// than a key that its header named stayed valid.
+func (rt *Router) useLatestConfig(r *request.Request) {
+	r.Snapshot = rt.snapshot.Load()
+	if r.Kind == wire.KindRouted {
+		r.Routes = rt.cfg.Routing.Routes()
+	}
+}
+
 // runFilters runs the request through the filter chain of its kind.
 func (rt *Router) runFilters(ctx context.Context, r *request.Request) error {
 	if r.Kind != wire.KindRouted {
