Don't say that there is no route out of a table too old to tell

Same cause, on the way to 404: a request whose route the table lacks was told so however old the table was, though a newer one may have it; a 404 isn't tried again. A key in the same place already gets 503. Shown by the case "no route in a table too old" of TestKeyAuthorization, which failed (404).

Change: above the age at which keys are refused the answer is 503, not run, with the time until the next read.

--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"coveferry/internal/age"
 	"coveferry/internal/api"
 	"coveferry/internal/bundle"
 	"coveferry/internal/pipeline"
@@ -32,6 +33,30 @@
 	}
 }
 
+// retryAfterOutdated is the Retry-After sent while the table is outdated: about the time until the
+// next read.
+const retryAfterOutdated = 100 * time.Millisecond
+
+// OutdatedError is a request that matches no route of a table too old to tell that there is none.
+type OutdatedError struct {
+	Host, Path string
+	Age        age.Age
+}
+
+// Error implements error.
+func (e *OutdatedError) Error() string {
+	return "match: no route for host " + e.Host + " and path " + e.Path + ", by a table of age " + e.Age.String()
+}
+
+// API implements api.Convertible.
+func (e *OutdatedError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "routes_stale",
+		Message: "this router knows no such route, but there may be one by now; another may know it",
+		Run:     wire.RunNot, RetryAfter: retryAfterOutdated,
+	}
+}
+
 // Endpoints lists the endpoints of a service.
 type Endpoints func(service string) []*bundle.Endpoint
 
@@ -39,24 +64,27 @@
 type Filter struct {
 	protocol  upstream.Protocol
 	endpoints Endpoints
+	maxAge    func() time.Duration
 	random    func() float64
 }
 
-// New returns a filter that reads request headers by the protocol. random returns numbers
-// from [0, 1), which select among a route's weighted targets.
-func New(p upstream.Protocol, endpoints Endpoints, random func() float64) *Filter {
-	return &Filter{protocol: p, endpoints: endpoints, random: random}
+// New returns a filter that reads request headers by the protocol. A table older than maxAge can't
+// tell that there is no route; 0 means that any can. random returns numbers from [0, 1), which
+// select among a route's weighted targets.
+func New(p upstream.Protocol, endpoints Endpoints, maxAge func() time.Duration, random func() float64) *Filter {
+	return &Filter{protocol: p, endpoints: endpoints, maxAge: maxAge, random: random}
 }
 
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "match" }
 
-// Do sets the request's route and the fields that follow from it.
+// Do sets the request's route and the fields that follow from it. Its errors are *Error and
+// *OutdatedError.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	found := r.Routes.Table.Match(r.Host, path)
 	if found == nil {
-		return &Error{Host: r.Host, Path: path}
+		return f.noRoute(r, path)
 	}
 	in := f.protocol.Incoming(r.Header)
 	r.Route = found
@@ -75,6 +103,13 @@
 	return next(ctx, r)
 }
 
+func (f *Filter) noRoute(r *request.Request, path string) error {
+	if limit := f.maxAge(); limit > 0 && r.Routes.Age.Exceeds(limit) {
+		return &OutdatedError{Host: r.Host, Path: path, Age: r.Routes.Age}
+	}
+	return &Error{Host: r.Host, Path: path}
+}
+
 // isIdempotent reports whether the request may run more than once. A stream may only if it
 // is resumable, since the caller may have received part of it.
 func isIdempotent(r *request.Request) bool {
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -36,8 +36,8 @@
 	Protocol upstream.Protocol
 	// Client sends requests to endpoints.
 	Client *http.Client
-	// MaxKeyAge is the age of the route table above which requests that need a key are refused; 0
-	// accepts any age.
+	// MaxKeyAge is the age of the route table above which requests that need a key, or whose route it
+	// doesn't have, are refused as not run; 0 accepts any age.
 	MaxKeyAge func() time.Duration
 	// Streams knows where streams began; nil if endpoints have no software versions.
 	Streams resume.Streams
@@ -77,7 +77,7 @@
 	rt.directDispatch = rt.dispatch(rt.cfg.Client)
 	regions := reside.New(c.regionOf())
 	return pipeline.Compose(
-		match.New(c.Protocol, c.Endpoints, rt.cfg.Rand),    // selects the route
+		match.New(c.Protocol, c.Endpoints, c.MaxKeyAge, rt.cfg.Rand), // selects the route
 		admit.New(c.MaxKeyAge),                             // checks the API key
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions, // applies residency
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -320,6 +320,8 @@
 		{"known key", "/once/", "k", 0, false, 200, 1},
 		{"unknown key", "/once/", "no", 0, false, 401, 0},
 		{"no route", "/none/", "k", 0, false, 404, 0},
+		{"no route in a table at maximum age", "/none/", "k", maxKeyAge, false, 404, 0},
+		{"no route in a table too old", "/none/", "k", maxKeyAge + 1, false, 503, 0},
 		{"key data at maximum age", "/once/", "k", maxKeyAge, false, 200, 1},
 		{"key data too old", "/once/", "k", maxKeyAge + 1, false, 503, 0},
 		{"unknown key with key data too old", "/once/", "no", maxKeyAge + 1, false, 503, 0},
