--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -75,6 +75,9 @@
 	if held.First != "" {
 		c.soak.wire.Resume(req, held.First, held.Last)
 	}
+	if HasSlowBodies(c.soak.opts.Seed) && req.ContentLength > 0 && c.rnd.Float64() < slowBodyChance {
+		slowDown(req, randomDuration(c.rnd, longestBody))
+	}
 	call.Sent = time.Now()
 	resp, err := c.client.Do(req)
 	if err == nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -129,6 +129,8 @@
 	// Revoked has the time at which each key was revoked, Drained that at which each
 	// endpoint was marked as draining.
 	Revoked, Drained map[string]time.Time
+	// Moved has the keys that moved to another team.
+	Moved map[string]Move
 	// RouterFaults has the times of faults of each router, its connections or the store.
 	RouterFaults map[int][]Span
 	// Down has the times at which each router's process was not running.
@@ -265,7 +267,7 @@
 }
 
 func (c *checker) run(call Call, r Execution) {
-	if r.Service != call.Service || r.Team != call.Team {
+	if r.Service != call.Service || !c.mayRunFor(call, r.Team) {
 		c.add(PromiseRoute, call.ID, "it ran at %s of service %s for team %q", r.Endpoint, r.Service, r.Team)
 	}
 	if at, ok := c.observed.Revoked[call.Key]; ok && c.bounds.Revoke > 0 && call.Sent.Sub(at) > c.bounds.Revoke+c.bounds.Slack {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -25,7 +25,7 @@
 			{ID: "a", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.1), End: at(10.9)},
 			{ID: "b", Endpoint: "e2", Service: "s", Team: "t", Begin: at(10.1), End: at(10.9)},
 		},
-		Revoked: map[string]time.Time{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
+		Revoked: map[string]time.Time{}, Moved: map[string]Move{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
 		Stops: map[int][]Span{}, Down: map[int][]Span{}, EndpointFaults: map[string][]Span{},
 		Domains: map[string]string{}, Evacuated: map[string][]Span{}, Cold: map[string][]Span{}, RateLimited: map[string][]LimitSpan{},
 		LastFault: at(0),
@@ -45,6 +45,10 @@
 
 func TestCheckFindsEachViolation(t *testing.T) {
 	NewWithT(t).Expect(brokenPromises(validRun())).To(BeEmpty())
+	moved := validRun()
+	moved.Moved["k"] = Move{At: at(9), Team: "heir"}
+	moved.Executions[1].Team = "heir"
+	NewWithT(t).Expect(brokenPromises(moved)).To(BeEmpty(), "both teams within the bound")
 	for _, c := range []struct {
 		promise      Promise
 		breakPromise func(*Observations)
@@ -63,6 +67,14 @@
 		{PromiseRoute, func(s *Observations) { s.Executions[0].Service = "other" }},
 		{PromiseRoute, func(s *Observations) { s.Executions[0].Team = "other" }},
 		{PromiseRoute, func(s *Observations) { s.Executions[0].ID = "unheard of" }},
+		{PromiseRoute, func(s *Observations) { // the old team, too late
+			s.Moved["k"] = Move{At: at(4), Team: "heir"}
+			s.Executions[1].Team = "heir"
+		}},
+		{PromiseRoute, func(s *Observations) { // the new team, too early
+			s.Moved["k"] = Move{At: at(11.5), Team: "heir"}
+			s.Executions[1].Team = "heir"
+		}},
 		{PromiseCancel, func(s *Observations) { s.Calls[1].CallerLeft, s.Executions[1].End = true, at(12.5) }},
 		{PromiseStop, func(s *Observations) {
 			s.Calls[0].Complete, s.LastFault = false, at(10)
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 )
@@ -22,11 +21,12 @@
 type keyring struct {
 	mu      sync.Mutex
 	valid   []string
+	moved   map[string]bool // to heirTeam
 	revoked map[string]time.Time
 }
 
 func newKeyring() *keyring {
-	k := &keyring{revoked: make(map[string]time.Time)}
+	k := &keyring{moved: make(map[string]bool), revoked: make(map[string]time.Time)}
 	for i := range revocableKeys {
 		k.valid = append(k.valid, fmt.Sprintf("fading-key-%02d", i))
 	}
@@ -37,7 +37,15 @@
 func (k *keyring) teams() map[string][]string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return map[string][]string{permanentTeam: {permanentKey}, revocableTeam: slices.Clone(k.valid)}
+	teams := map[string][]string{permanentTeam: {permanentKey}}
+	for _, key := range k.valid {
+		team := revocableTeam
+		if k.moved[key] {
+			team = heirTeam
+		}
+		teams[team] = append(teams[team], key)
+	}
+	return teams
 }
 
 // revoke removes a valid key and returns it, or "" if only one is left. After publication the
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,10 @@
 	EndpointLeaves  Kind = "endpoint_leaves"
 	// StoreReturn has the store come back from an older copy. Only seeds with returns have it.
 	StoreReturn Kind = "store_return"
+	// RoutersKill is RouterKill of all routers at once, and KeyMoved gives a key to another team. Only
+	// seeds with slow bodies have them.
+	RoutersKill Kind = "routers_kill"
+	KeyMoved    Kind = "key_moved"
 	// Evacuate is an evacuation order of a failure domain and its removal. Only seeds with
 	// evacuations have it; endpoints that start during those runs are cold.
 	Evacuate Kind = "evacuate"
@@ -210,6 +214,9 @@
 	if HasHeldRequests(seed) {
 		plan = append(plan, held(seed, end)...)
 	}
+	if HasSlowBodies(seed) {
+		plan = append(plan, slowBodies(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -170,7 +170,7 @@
 		evacuating: map[string]bool{},
 		observed: Observations{
 			Versions: map[string]string{},
-			Revoked:  map[string]time.Time{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
+			Revoked:  map[string]time.Time{}, Moved: map[string]Move{}, Drained: map[string]time.Time{}, RouterFaults: map[int][]Span{},
 			Down: map[int][]Span{}, Stops: map[int][]Span{}, EndpointFaults: map[string][]Span{},
 			Domains: map[string]string{}, Evacuated: map[string][]Span{}, Cold: map[string][]Span{}, RateLimited: map[string][]LimitSpan{},
 			LoggedAttempts: map[string]int{},
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -13,7 +13,9 @@
 	router := r.routers[f.Target%len(r.routers)]
 	switch f.Kind {
 	case RouterKill:
-		r.recordRouterFault(router, func() { r.endRouter(ctx, router, syscall.SIGKILL, f.Duration) })
+		r.killRouter(ctx, router, f.Duration)
+	case RoutersKill:
+		r.killRouters(ctx, f)
 	case RouterStop:
 		r.stopRouter(ctx, router)
 	case RouterPause:
@@ -35,6 +37,8 @@
 		r.recordAllRoutersFault(func() { r.returnStore(ctx, f) })
 	case KeyRevoked:
 		r.revoke()
+	case KeyMoved:
+		r.moveKey()
 	case RouteTimeouts:
 		r.mu.Lock()
 		r.timeout = routeTimeout + time.Duration(f.Target%5)*time.Second
@@ -131,6 +135,11 @@
 	}
 }
 
+// killRouter kills a router's process and restarts it after d.
+func (r *run) killRouter(ctx context.Context, p *routerProc, d time.Duration) {
+	r.recordRouterFault(p, func() { r.endRouter(ctx, p, syscall.SIGKILL, d) })
+}
+
 // stopRouter stops a router as planned. The stop is recorded in Stops and not as a
 // fault, so that requests during it are still checked.
 func (r *run) stopRouter(ctx context.Context, p *routerProc) {
