Give up a stream whose comments or event have no end, and count no comment as life

Cause: each complete block of a stream counted as an event and each byte as a sign of life, also comments; the first one sent the answer's head to the caller. An event was bounded at 1 MB, and searched from its beginning at each read.

Change: comments between events go on at once, as before, but are neither events nor a sign of life; before the first event they wait for it, so that another endpoint may still begin the answer. 64 KB of comments without an event, or an event of 256 KB, end the attempt as a broken one. Only new bytes are searched for the end of an event. The line of an attempt names the part without an end and the bytes read; coveferry_router_endless_answers_total counts them.

Shown: of TestAnswerWithoutEndIsReadToABoundAndReplaced the cases event, comments and comments after an event, and TestSlowCommentsAreNoSignOfLife (unexpected EOF where 504 is due) failed before. Comments arrive unchanged, streams of comments only too (TestCommentsOfAStreamArriveUnchanged). Callers of this path get comments before the first event later than before.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -231,6 +231,10 @@
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
 	step.Signals, step.LimitPart, step.Connections = r.Signals, r.LimitPart, r.Connections
 	step.Arrival, step.SentAfter = r.Arrival, r.SentAt.Sub(r.Arrived)
+	var endless *upstream.EndlessError
+	if errors.As(err, &endless) {
+		step.Endless = endless.Part
+	}
 	if d.Budget != nil {
 		step.Budget = d.Budget.String()
 	}
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -68,7 +68,7 @@
 	resp, err := f.direct.client.Do(req)
 	if err != nil {
 		r.Arrival = arrivalAfter(ctx, err)
-		return &NoResponseError{Sent: server.MayHaveSent(err), Cause: err}
+		return &NoResponseError{Sent: server.MayHaveSent(err), Cause: explained(err)}
 	}
 	defer resp.Body.Close()
 	r.OnData(time.Now())
@@ -104,6 +104,17 @@
 	return err
 }
 
+// headTooLong is in the text of net/http's error, which has no type, for a head above the bound.
+const headTooLong = "server response headers exceeded"
+
+// explained returns what a failed call was, as a type where it is known.
+func explained(err error) error {
+	if strings.Contains(err.Error(), headTooLong) {
+		return &upstream.EndlessError{Part: upstream.PartHead, Bytes: server.MaxResponseHeaderBytes}
+	}
+	return err
+}
+
 // arrivalAfter returns what is known of the arrival of an attempt that failed without an answer. A
 // canceled one may still be on its way.
 func arrivalAfter(ctx context.Context, err error) request.Arrival {
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -23,8 +23,10 @@
 	// complete. If the connection breaks before that, the request can be retried or
 	// answered with an accurate error.
 	maxBufferedBytes = 256 << 10
-	// maxEventBytes limits one event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes limits one event of a stream, and maxCommentBytes the comments between two, which
+	// may go on without end at an endpoint that makes no progress.
+	maxEventBytes   = 256 << 10
+	maxCommentBytes = 64 << 10
 	// readBufferBytes is the maximum size of one read.
 	readBufferBytes = 4 << 10
 )
@@ -123,36 +125,96 @@
 // relayRoutedStream relays complete events only, so that a resumed stream can continue
 // after the last event that the caller received.
 func relayRoutedStream(r *request.Request) error {
-	var buffered []byte
+	s := routedStream{r: r, rc: http.NewResponseController(r.Writer)}
 	buf := make([]byte, readBufferBytes)
-	rc := http.NewResponseController(r.Writer)
-	events := false
 	for {
-		n, err := r.Answer.Body.Read(buf)
-		buffered = append(buffered, buf[:n]...)
-		if n > 0 && r.OnData != nil {
-			r.OnData(time.Now())
-		}
-		end := completeEventsLen(buffered)
-		if end > 0 {
-			events = true
-			if r.OnEvent != nil {
-				r.OnEvent(time.Now())
-			}
-			if err := deliverEvents(r, rc, buffered[:end]); err != nil {
-				return err
-			}
-			buffered = append(buffered[:0], buffered[end:]...)
+		n, readErr := r.Answer.Body.Read(buf)
+		if err := s.add(buf[:n]); err != nil {
+			return err
 		}
 		switch {
-		case errors.Is(err, io.EOF):
-			return endStream(r, buffered, events)
-		case err != nil:
-			return &BrokenError{Cause: err}
-		case len(buffered) > maxEventBytes:
-			return &BrokenError{Cause: errors.Newf("an event is longer than %d bytes", maxEventBytes)}
+		case errors.Is(readErr, io.EOF):
+			return s.end()
+		case readErr != nil:
+			return &BrokenError{Cause: readErr}
+		}
+	}
+}
+
+// routedStream is the state of a stream that is relayed.
+type routedStream struct {
+	r  *request.Request
+	rc *http.ResponseController
+	// buffered is what has been received and not delivered: a part of an event, and the comments
+	// before the first event. With those delivered, no other endpoint could begin the answer.
+	buffered []byte
+	// begun is set by the first event, and comments counts the bytes of comments since the last.
+	begun    bool
+	comments int
+}
+
+// add adds what was received, and delivers complete events and the comments between them.
+func (s *routedStream) add(received []byte) error {
+	scanned := len(s.buffered)
+	s.buffered = append(s.buffered, received...)
+	end := completeEventsLen(s.buffered, scanned)
+	var err error
+	switch {
+	case end == 0:
+	case containsEvent(s.buffered[:end]):
+		err = s.deliverEvents(end)
+	case s.begun:
+		err = s.deliverComments(end)
+	default:
+		s.comments = end
+	}
+	switch {
+	case err != nil:
+		return err
+	case s.comments > maxCommentBytes:
+		return &BrokenError{Cause: &upstream.EndlessError{Part: upstream.PartComments, Bytes: s.comments}}
+	case len(s.buffered) > maxEventBytes:
+		return &BrokenError{Cause: &upstream.EndlessError{Part: upstream.PartEvent, Bytes: len(s.buffered)}}
+	}
+	return nil
+}
+
+func (s *routedStream) deliverEvents(end int) error {
+	s.begun, s.comments = true, 0
+	now := time.Now()
+	if s.r.OnData != nil {
+		s.r.OnData(now)
+	}
+	if s.r.OnEvent != nil {
+		s.r.OnEvent(now)
+	}
+	if err := deliverEvents(s.r, s.rc, s.buffered[:end]); err != nil {
+		return err
+	}
+	s.drop(end)
+	return nil
+}
+
+// deliverComments delivers comments, which are no progress.
+func (s *routedStream) deliverComments(end int) error {
+	s.comments += end
+	if err := write(s.r, s.rc, s.buffered[:end]); err != nil {
+		return err
+	}
+	s.drop(end)
+	return nil
+}
+
+func (s *routedStream) drop(n int) { s.buffered = append(s.buffered[:0], s.buffered[n:]...) }
+
+// end handles the end of the answer. A stream may consist of comments only.
+func (s *routedStream) end() error {
+	if !s.begun && len(s.buffered) > 0 && completeEventsLen(s.buffered, 0) == len(s.buffered) && !endsWithConnection(s.r.Answer) {
+		if err := s.deliverComments(len(s.buffered)); err != nil {
+			return err
 		}
 	}
+	return endStream(s.r, s.buffered, s.begun)
 }
 
 // errConnectionEnded is the end of a connection that doesn't complete the answer. It counts as
@@ -177,15 +239,23 @@
 	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
 }
 
-func deliverEvents(r *request.Request, rc *http.ResponseController, events []byte) error {
+// write sends a part of a stream to the caller at once.
+func write(r *request.Request, rc *http.ResponseController, part []byte) error {
 	writeResponseHeader(r)
 	api.ExtendWriteDeadline(r.Writer)
-	if _, err := r.Writer.Write(events); err != nil {
+	if _, err := r.Writer.Write(part); err != nil {
 		return &CallerError{Cause: err}
 	}
 	if err := rc.Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
+	return nil
+}
+
+func deliverEvents(r *request.Request, rc *http.ResponseController, events []byte) error {
+	if err := write(r, rc, events); err != nil {
+		return err
+	}
 	recordGap(r)
 	r.RecordEvents()
 	// The number of tokens in an event is unknown, so each event counts as one.
@@ -209,20 +279,33 @@
 
 var (
 	eventDelimiter = []byte("\n\n")
+	crlfDelimiter  = []byte("\r\n\r\n")
 	idField        = []byte("id:")
 )
 
 // completeEventsLen returns the length of the complete events at the start of b. An event
-// ends with an empty line, with LF or CRLF line endings.
-func completeEventsLen(b []byte) int {
-	end := bytes.LastIndex(b, eventDelimiter)
-	if end >= 0 {
-		end += len(eventDelimiter)
+// ends with an empty line, with LF or CRLF line endings. The first scanned bytes are known to
+// hold no end of an event, unless these are comments before the first event.
+func completeEventsLen(b []byte, scanned int) int {
+	from := max(0, scanned-len(crlfDelimiter)+1)
+	rest, end := b[from:], 0
+	if i := bytes.LastIndex(rest, eventDelimiter); i >= 0 {
+		end = from + i + len(eventDelimiter)
 	}
-	if crlf := bytes.LastIndex(b, []byte("\r\n\r\n")); crlf >= 0 {
-		end = max(end, crlf+4)
+	if i := bytes.LastIndex(rest, crlfDelimiter); i >= 0 {
+		end = max(end, from+i+len(crlfDelimiter))
+	}
+	return end
+}
+
+// containsEvent reports whether complete events are more than comments and empty lines.
+func containsEvent(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\n' && line[0] != '\r' {
+			return true
+		}
 	}
-	return max(end, 0)
+	return false
 }
 
 // lastEventID returns the ID of the last event that has one.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -205,6 +205,8 @@
 	// arrival to when the attempt was sent.
 	Arrival   Arrival
 	SentAfter time.Duration
+	// Endless is the part of the answer that had no end; empty for none.
+	Endless upstream.Part
 	// Budget describes the use of the retry budget if a retry was charged to it or refused by
 	// it; empty otherwise.
 	Budget string
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -31,6 +31,7 @@
 	endpointsLost    prometheus.Counter
 	limitAnswers     prometheus.Counter
 	extraConnections prometheus.Counter
+	endlessAnswers   *prometheus.CounterVec
 	tokens           *prometheus.CounterVec
 	firstToken       *prometheus.HistogramVec
 }
@@ -57,6 +58,10 @@
 			Name: "coveferry_router_connections_again_total",
 			Help: "Connections beyond the first on which an attempt was sent to its endpoint.",
 		}),
+		endlessAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coveferry_router_endless_answers_total",
+			Help: "Attempts whose answer was given up since a part of it has no end: head, event or comments.",
+		}, []string{"part"}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_tokens_total",
 			Help: "Tokens delivered to callers.",
@@ -68,7 +73,7 @@
 		}, []string{"class"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.attempts, m.endpointsLost, m.limitAnswers, m.extraConnections, m.tokens, m.firstToken)
+		reg.MustRegister(m.requests, m.attempts, m.endpointsLost, m.limitAnswers, m.extraConnections, m.endlessAnswers, m.tokens, m.firstToken)
 	}
 	return m
 }
@@ -85,6 +90,7 @@
 	rt.metrics.endpointsLost.Add(float64(r.EndpointsLost))
 	rt.metrics.limitAnswers.Add(float64(countLimitAnswers(r.Trail)))
 	rt.metrics.extraConnections.Add(float64(countExtraConnections(r.Trail)))
+	rt.countEndlessAnswers(r.Trail)
 	if r.Delivered.Tokens > 0 {
 		rt.metrics.tokens.WithLabelValues(class).Add(float64(r.Delivered.Tokens))
 		rt.metrics.firstToken.WithLabelValues(class).Observe(r.Delivered.FirstToken.Sub(r.Arrived).Seconds())
@@ -112,6 +118,14 @@
 	return n
 }
 
+func (rt *Router) countEndlessAnswers(trail []request.Step) {
+	for _, step := range trail {
+		if step.Endless != "" {
+			rt.metrics.endlessAnswers.WithLabelValues(string(step.Endless)).Inc()
+		}
+	}
+}
+
 // countExtraConnections counts the connections beyond the first of each attempt.
 func countExtraConnections(trail []request.Step) int {
 	n := 0
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -19,9 +19,9 @@
 	// and pingTimeout how long the reply may take.
 	pingAfter   = 5 * time.Second
 	pingTimeout = 2 * time.Second
-	// maxResponseHeaderBytes bounds the head of an answer with all interim answers before it.
+	// MaxResponseHeaderBytes bounds the head of an answer with all interim answers before it.
 	// Hundreds of heads without end at once take some MB.
-	maxResponseHeaderBytes = 32 << 10
+	MaxResponseHeaderBytes = 32 << 10
 	// continueTimeout is longer than any deadline.
 	continueTimeout = 24 * time.Hour
 )
@@ -104,7 +104,7 @@
 		TLSHandshakeTimeout:    dialTimeout,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 		// A request that expects "100 Continue" withholds its body until the
 		// peer sends it; its context ends the wait.
