Abort the connection of a caller who has left instead of completing its answer

Cause: net/http cancels the request on the FIN; for the error of a caller who left the handler returned, and net/http completes what a handler leaves.

Change: the handler aborts, as for other answers that can't be completed. Other ways out of the handler with an answer begun abort already (broken streams, large answers, stop of the process); errors before it begins are whole answers.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -106,11 +106,12 @@
 
 // answerError reports an error to the caller: as a complete answer before the answer has
 // started, otherwise as an event in the stream. A plain service's answer that has started has
-// no place for an error, so its connection is aborted.
+// no place for an error, so its connection is aborted. So is that of a caller who has left, who may
+// still read: returning would complete the answer.
 func (rt *Router) answerError(r *request.Request, err error) {
 	var gone *relay.CallerError
 	if errors.As(err, &gone) {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if r.Kind == wire.KindRouted {
 		rt.answerRouted(r, err)
