Send on a request's target exactly as it came, or refuse it with 400

Cause: the outgoing URL was put together in two ways by hand. net/http drops the "?" of an empty query unless ForceQuery is set, and escapes Path again where RawPath isn't set; it takes an opaque path that begins with "//" for an address.

Change: upstream.Target is the one way to build the target. It compares what net/http will send with what came; where they differ (bytes that net/http would escape, after "//") the request is answered 400, not run, before any endpoint is chosen, as is CONNECT with a query. Routes and quarantine see the target as it came, as before.

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"net/url"
 	"strings"
 	"time"
 
@@ -186,12 +185,9 @@
 
 // directRequest returns the caller's request with the headers of the protocol added.
 func (f *Filter) directRequest(ctx context.Context, r *request.Request) (*http.Request, error) {
-	path, query, _ := strings.Cut(r.RequestURI, "?")
-	target := &url.URL{Scheme: "http", Host: r.Endpoint.Address, Opaque: path, RawQuery: query}
-	if strings.HasPrefix(path, "//") {
-		// net/http would parse the rest of the path as a host.
-		target.Opaque = ""
-		target.Path = path
+	target, err := upstream.Target(r.Endpoint.Address, r.RequestURI)
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -33,6 +33,34 @@
 	}
 }
 
+// TargetError is a request whose target no endpoint can be sent as it came.
+type TargetError struct{ Cause error }
+
+// Error implements error.
+func (e *TargetError) Error() string { return "match: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *TargetError) Unwrap() error { return e.Cause }
+
+// API implements api.Convertible.
+func (e *TargetError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusBadRequest, Type: api.TypeInvalid, Code: "bad_target",
+		Message: "the request's target can't be passed on unchanged", Run: wire.RunNot,
+	}
+}
+
+// checkTarget returns an error unless endpoints can be sent the request's target as it came.
+func checkTarget(method, target string) error {
+	if method == http.MethodConnect && strings.Contains(target, "?") {
+		return &TargetError{&upstream.TargetError{Target: target}} // net/http would drop the query
+	}
+	if _, err := upstream.Target("", target); err != nil {
+		return &TargetError{err}
+	}
+	return nil
+}
+
 // retryAfterOutdated is the Retry-After sent while the table is outdated: about the time until the
 // next read.
 const retryAfterOutdated = 100 * time.Millisecond
@@ -78,14 +106,17 @@
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "match" }
 
-// Do sets the request's route and the fields that follow from it. Its errors are *Error and
-// *OutdatedError.
+// Do sets the request's route and the fields that follow from it. Its errors are *Error,
+// *OutdatedError and *TargetError.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	found := r.Routes.Table.Match(r.Host, path)
 	if found == nil {
 		return f.noRoute(r, path)
 	}
+	if err := checkTarget(r.Method, r.RequestURI); err != nil {
+		return err
+	}
 	in := f.protocol.Incoming(r.Header)
 	r.Route = found
 	r.CallerID = cmp.Or(in.ID, r.ID)
