Don't write an endpoint's failure into a stream that has begun

Cause: relayBuffered passes a plain answer on without asking whether the answer to the caller has begun; its status and header are lost then, its body is not.

Change: where the rest of a stream is due, any other answer ends the attempt as a broken one.

Shown: TestFailureOfAResumedAttemptIsNotWrittenIntoTheStream, which failed with 400 and passes with 400, 404 and 500.

--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -74,6 +74,9 @@
 
 // relayBuffered buffers a plain response until it is complete.
 func relayBuffered(r *request.Request) error {
+	if r.Delivered.Started {
+		return &BrokenError{Cause: errors.Newf("status %d where the rest of a stream is due", r.Answer.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Answer.Body, maxBufferedBytes))
 	if err != nil {
 		return &BrokenError{Cause: err}
--- a/internal/router/routed_stream_test.go
+++ b/internal/router/routed_stream_test.go
@@ -162,3 +162,21 @@
 		g.Expect(w.receivedCount()).To(Equal(1))
 	})
 }
+
+// Guards against an endpoint's failure that is written into a stream, which then looks complete.
+func TestFailureOfAResumedAttemptIsNotWrittenIntoTheStream(t *testing.T) {
+	for _, status := range []int{400, 404, 500} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.handle = func(_ string, req *http.Request, conn net.Conn) {
+				if req.Header.Get("Last") != "" {
+					writeAnswer(conn, status, "Id: "+req.Header.Get("Id")+"\r\nSigned: x\r\n", "no")
+					return
+				}
+				writeEvents(conn, req, false, "id: 1\ndata: a\n\n")
+			}
+			got := call(g, client, "POST", "/resume/", "x")
+			g.Expect(got.err).To(HaveOccurred(), "%d", status)
+			g.Expect(got.body).To(Equal("id: 1\ndata: a\n\n"))
+		})
+	}
+}
