Keep answering other routers after a failed accept

Cause: the control server returned each error of Accept, and an actor that returns ends the group.

Change: as net/http does, it logs the error and accepts again after 100 ms, unless the listener is closed.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/semaphore"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/identity"
 )
 
@@ -97,6 +98,9 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.cfg.Listener.Addr().String() }
 
+// acceptRetryDelay is the pause after a failed accept, in which connections may end.
+const acceptRetryDelay = 100 * time.Millisecond
+
 // Run serves connections until Stop is called, and then returns nil.
 func (s *Server) Run() error {
 	l := netutil.LimitListener(s.cfg.Listener, s.cfg.MaxConns)
@@ -108,9 +112,14 @@
 			}
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrapf(err, "control: accept at %s", s.Addr())
 		}
+		if err != nil { // such as too many open files
+			s.cfg.Log.Error().Err(err).Msg("control: accepting a connection failed")
+			clock.Sleep(s.ctx, acceptRetryDelay)
+			continue
+		}
 		if !s.startTask(func() { s.serveConn(conn) }) {
 			_ = conn.Close() // accepted after Stop
 		}
