--- a/internal/soak/slowbodies.go
+++ b/internal/soak/slowbodies.go
@@ -15,12 +15,16 @@
 
 const (
 	// slowBodyChance is the probability that a body is sent slowly, in up to longestBody.
-	slowBodyChance = 0.3
+	slowBodyChance = 0.5
 	longestBody    = 3 * time.Second
 	// meanKillAllGap is the mean time between two kills of all routers, and meanMoveGap that between
 	// two moves of a key.
 	meanKillAllGap = 6 * time.Second
 	meanMoveGap    = 3 * time.Second
+	// revokingOutage is how long the store answers nobody, from the start of the faults, while keys are
+	// revoked that callers go on using.
+	revokingOutage      = 8 * time.Second
+	keysRevokedInOutage = 4
 	// longestDown is how long all routers are down after a kill.
 	longestDown = time.Second
 	// heirTeam is the team that keys move to.
@@ -30,8 +34,15 @@
 // slowBodies uses its own random source, like growth.
 func slowBodies(seed uint64, end time.Duration) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 9))
-	var plan []Fault
-	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanKillAllGap)) {
+	plan := []Fault{
+		{At: faultFreeStart, Kind: StoreFault, NetFault: NetFaultReset, Duration: min(revokingOutage, end-faultFreeStart)},
+	}
+	for range keysRevokedInOutage {
+		plan = append(plan, Fault{At: faultFreeStart + unobservedRevokeDelay, Kind: KeyRevoked})
+	}
+	// Not before the bodies of the outage have come: a router that has just started has no state, and
+	// so none that is outdated.
+	for at := faultFreeStart + revokingOutage + longestBody; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanKillAllGap)) {
 		plan = append(plan, Fault{At: at, Kind: RoutersKill, Duration: min(randomDuration(rnd, longestDown), end-at)})
 	}
 	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanMoveGap)) {
