Charge long answers that are buffered to the memory for bodies

All callers of a router, when many endpoints send answers without an end at once: each open request could hold 256 KB of a plain answer or of an event, and a router of 134 MB takes 857 requests: 214 MB. Reading such an answer by doubling took up to three times its size.

Change: 32 KB of each answer are free (they are part of what an open request may take); what is beyond is reserved, in all at most half of the memory for bodies, so that callers' bodies keep the other half. A plain answer for which there is no room is passed on as it comes, as longer ones are; an event breaks its attempt. The buffer has the size that the answer states.

Answers of all sizes around the bounds arrive unchanged (TestPlainAnswersOfAllSizesArriveUnchanged).

--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -27,6 +27,8 @@
 	// may go on without end at an endpoint that makes no progress.
 	maxEventBytes   = 256 << 10
 	maxCommentBytes = 64 << 10
+	// freeBufferBytes may be buffered of each answer without a reservation.
+	freeBufferBytes = 32 << 10
 	// readBufferBytes is the maximum size of one read.
 	readBufferBytes = 4 << 10
 )
@@ -77,11 +79,11 @@
 	if r.Delivered.Started {
 		return &BrokenError{Cause: errors.Newf("status %d where the rest of a stream is due", r.Answer.StatusCode)}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Answer.Body, maxBufferedBytes))
+	body, whole, err := readBuffered(r)
 	if err != nil {
 		return &BrokenError{Cause: err}
 	}
-	if len(body) == maxBufferedBytes {
+	if !whole {
 		return relayLarge(r, body)
 	}
 	response := &EndpointError{Status: r.Answer.StatusCode, Header: r.Answer.Header, Body: body}
@@ -97,6 +99,48 @@
 	return nil
 }
 
+// readBuffered reads a plain response as far as it may be buffered, and reports whether that is all
+// of it.
+func readBuffered(r *request.Request) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r.Answer.Body, freeBufferBytes))
+	if err != nil || len(body) < freeBufferBytes {
+		return body, true, err
+	}
+	if !reserve(r, maxBufferedBytes) {
+		return body, false, nil
+	}
+	buf := make([]byte, bufferSize(r.Answer))
+	return fill(buf, copy(buf, body), r.Answer.Body)
+}
+
+// bufferSize returns the size of the buffer for an answer longer than freeBufferBytes: one byte more
+// than its length if that is known, to read its end.
+func bufferSize(answer *http.Response) int64 {
+	if answer.ContentLength < 0 {
+		return maxBufferedBytes
+	}
+	return min(answer.ContentLength+1, maxBufferedBytes)
+}
+
+// fill reads into buf, of which so many bytes are filled, and reports whether the reader ended.
+func fill(buf []byte, filled int, from io.Reader) (read []byte, whole bool, err error) {
+	for filled < len(buf) {
+		n, err := from.Read(buf[filled:])
+		filled += n
+		if errors.Is(err, io.EOF) {
+			return buf[:filled], true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return buf, false, nil
+}
+
+func reserve(r *request.Request, bytes int64) bool {
+	return r.ReserveAnswer == nil || r.ReserveAnswer(bytes)
+}
+
 // relayLarge relays a response that is too large to buffer.
 func relayLarge(r *request.Request, head []byte) error {
 	writeResponseHeader(r)
@@ -156,6 +200,9 @@
 	comments int
 }
 
+// errNoMemory is an event too long for the memory that is left.
+var errNoMemory = errors.New("no memory is left for a long event")
+
 // add adds what was received, and delivers complete events and the comments between them.
 func (s *routedStream) add(received []byte) error {
 	scanned := len(s.buffered)
@@ -176,6 +223,8 @@
 		return err
 	case s.comments > maxCommentBytes:
 		return &BrokenError{Cause: &upstream.EndlessError{Part: upstream.PartComments, Bytes: s.comments}}
+	case len(s.buffered) > freeBufferBytes && !reserve(s.r, maxEventBytes):
+		return &BrokenError{Cause: errNoMemory}
 	case len(s.buffered) > maxEventBytes:
 		return &BrokenError{Cause: &upstream.EndlessError{Part: upstream.PartEvent, Bytes: len(s.buffered)}}
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -161,6 +161,9 @@
 	// OnAnswered is called when the endpoint's answer to the attempt begins; may be nil. Set by
 	// attempts.
 	OnAnswered func()
+	// ReserveAnswer reserves memory to buffer so many bytes of an answer, and reports whether there is
+	// room; nil if there always is.
+	ReserveAnswer func(bytes int64) bool
 	// OnData is called for each part of an endpoint's answer; may be nil. Set by dispatch.
 	OnData func(now time.Time)
 	// OnStreamBegun is called when the caller gets the first event of the answer; may be nil. Set by
--- a/internal/router/routed_endless_test.go
+++ b/internal/router/routed_endless_test.go
@@ -170,3 +170,25 @@
 		g.Expect(w.received()[1].header.Get("Last")).To(Equal("2"))
 	})
 }
+
+// Guards against answers that lose a byte where buffers end.
+func TestPlainAnswersOfAllSizesArriveUnchanged(t *testing.T) {
+	for _, size := range []int{0, 1, 32<<10 - 1, 32 << 10, 32<<10 + 1, 40_000, 256<<10 - 1, 256 << 10, 256<<10 + 1, 600_000} {
+		for _, chunked := range []bool{false, true} {
+			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+				body := strings.Repeat("x", size)
+				w.handle = func(_ string, req *http.Request, conn net.Conn) {
+					if chunked {
+						writeEvents(conn, req, true, body+"y")
+						return
+					}
+					writeOK(conn, req, body)
+				}
+				got := call(g, client, "POST", "/safe/", "x")
+				g.Expect(got.err).NotTo(HaveOccurred())
+				g.Expect(len(got.body)).To(BeElementOf(size, size+1))
+				g.Expect(strings.TrimSuffix(got.body, "y") == body).To(BeTrue(), "%d", size)
+			})
+		}
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -75,6 +75,9 @@
 	}
 	r.Body = body
 	rt.useLatestConfig(r)
+	answer := &answerBudget{capacity: rt.capacity}
+	defer answer.release()
+	r.ReserveAnswer = answer.reserve
 	ctx, stop := rt.drain.withAbort(req.Context())
 	defer stop()
 	err = rt.runFilters(ctx, r)
