--- a/internal/soak/failing.go
+++ b/internal/soak/failing.go
@@ -19,6 +19,8 @@
 	// After is the time between reading a request and failing it.
 	After time.Duration `json:"after"`
 	How   FailHow       `json:"how"`
+	// Pause is the time between two parts of an answer without an end; 0 sends at full speed.
+	Pause time.Duration `json:"pause,omitempty"`
 }
 
 // FailHow is the way in which a request is failed.
@@ -69,14 +71,14 @@
 }
 
 // failEndpoints has an endpoint, or sometimes all endpoints of its service, fail a share of
-// their requests for a while. If two such faults hit the same endpoint, the later one applies
-// until either of them ends.
-func (r *run) failEndpoints(ctx context.Context, f Fault) {
+// their requests for a while, in one of the given ways. If two such faults hit the same endpoint,
+// the later one applies until either of them ends.
+func (r *run) failEndpoints(ctx context.Context, f Fault, modes []Failing) {
 	failing := r.pickFailing(f.Target)
 	if len(failing) == 0 {
 		return
 	}
-	mode := failureModes[f.Target%len(failureModes)]
+	mode := modes[f.Target%len(modes)]
 	from := time.Now()
 	var open sync.WaitGroup
 	for _, e := range failing {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,9 @@
 	// EndpointFailing has an endpoint fail a share of the requests that it has read. Only
 	// seeds with failing endpoints have it.
 	EndpointFailing Kind = "endpoint_failing"
+	// EndpointEndless has an endpoint answer a share of its requests without an end. Only seeds with
+	// endless answers have it.
+	EndpointEndless Kind = "endpoint_endless"
 	// EndpointBackoff has an endpoint turn requests away and ask routers to back off, and
 	// EndpointLeaves has one leave by its answers alone. Only seeds with signals have them.
 	EndpointBackoff Kind = "endpoint_backoff"
@@ -217,6 +220,9 @@
 	if HasSlowBodies(seed) {
 		plan = append(plan, slowBodies(seed, end)...)
 	}
+	if HasEndlessAnswers(seed) {
+		plan = append(plan, endless(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -95,7 +95,7 @@
 	if HasNarrowLinks(seed) {
 		b.Config = configWithin
 	}
-	b.RetrySlackStated = HasFailingEndpoints(seed)
+	b.RetrySlackStated = HasFailingEndpoints(seed) || HasEndlessAnswers(seed)
 	if HasCrashParts(seed) {
 		b.CrashesBeforeQuarantine = 5 // some overlap in time, and count once for a part
 	}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -55,7 +55,9 @@
 	case EndpointLimit:
 		r.limitEndpoint(ctx, f)
 	case EndpointFailing:
-		r.failEndpoints(ctx, f)
+		r.failEndpoints(ctx, f, failureModes)
+	case EndpointEndless:
+		r.failEndpoints(ctx, f, endlessModes)
 	case EndpointBackoff:
 		r.backOff(ctx, f)
 	case EndpointLeaves:
