Hold the endpoint's answer in the test of survivors until it is due

Traced: the third loss starts the router's own health check of the endpoint, in a goroutine, whose stand-in answers at once; if it runs before the test looks, the quarantine is lifted already. With a pause of 5 ms in that place the test fails each time. The router does what it should; the test raced with it.

Change: the stand-in answers once the test lets it. The expectations are the same; 200 runs pass.

--- a/internal/daemon/directlist_test.go
+++ b/internal/daemon/directlist_test.go
@@ -98,10 +98,18 @@
 
 // healthUpdater returns an updater whose endpoint "e" answers health checks as given.
 func healthUpdater(t *testing.T, health upstream.Health, err error) *directoryUpdater {
+	answer := make(chan struct{})
+	close(answer)
+	return healthUpdaterAfter(t, answer, health, err)
+}
+
+// healthUpdaterAfter is healthUpdater for an endpoint that answers once the channel is closed.
+func healthUpdaterAfter(t *testing.T, answer <-chan struct{}, health upstream.Health, err error) *directoryUpdater {
 	g := NewWithT(t)
 	d, newErr := newDirect(DirectConfig{
 		VM: "vm", FailureDomain: "y", Callers: "127.0.0.1:0", Store: &activeStore{},
 		Health: func(context.Context, *http.Client, string, string, string) (upstream.Health, error) {
+			<-answer
 			return health, err
 		},
 	}, zerolog.Nop())
@@ -132,11 +140,16 @@
 
 // An endpoint that broke a connection and answers its health check right after it hasn't crashed.
 func TestHealthCheckShowsThatAnEndpointSurvived(t *testing.T) {
-	for name, l := range map[string]*directoryUpdater{
-		"healthy": healthUpdater(t, upstream.Health{Connected: true}, nil),
-		"leaving": healthUpdater(t, upstream.Health{Connected: true, Signals: upstream.Signals{Leaving: true}}, errors.New("status 503")),
+	for name, c := range map[string]struct {
+		health upstream.Health
+		err    error
+	}{
+		"healthy": {upstream.Health{Connected: true}, nil},
+		"leaving": {upstream.Health{Connected: true, Signals: upstream.Signals{Leaving: true}}, errors.New("status 503")},
 	} {
 		g := NewWithT(t)
+		answer := make(chan struct{}) // the router checks an endpoint by itself once it seems to have crashed
+		l := healthUpdaterAfter(t, answer, c.health, c.err)
 		entry, listed := l.d.follower.Directory().Entry("e")
 		g.Expect(listed).To(BeTrue(), name)
 		request := poison.Request{Service: "s", Content: 1}
@@ -145,6 +158,7 @@
 			l.d.poison.RecordLoss(request, poison.Loss{Endpoint: process, Sent: now, At: now})
 		}
 		g.Expect(l.d.poison.Check(request).Refused).To(BeTrue(), name)
+		close(answer)
 		_, err := l.checkHealth(context.Background(), "e")
 		g.Expect(err).NotTo(HaveOccurred(), name)
 		g.Expect(l.d.poison.Check(request).Refused).To(BeFalse(), name)
