Don't count the stand-in's own copies in the test of answers without an end

Traced: the stand-in wrote its 250 KB with io.WriteString, which copies it for each connection while the write is blocked; on a busy machine most of 300 were blocked at once, inside the process that is measured.

Change: all connections write one slice, and the memory before is measured once, so that what a case leaves can't hide what the next one takes. The bound is the same.

--- a/internal/daemon/directendless_test.go
+++ b/internal/daemon/directendless_test.go
@@ -26,14 +26,14 @@
 
 // serveStuckAnswer sends a long part of an answer without an end, and then nothing until the caller
 // closes, so that all of them are held at once.
-func serveStuckAnswer(conn net.Conn, first, rest string) {
+func serveStuckAnswer(conn net.Conn, first string, rest []byte) {
 	defer conn.Close()
 	req, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
 	if err != nil {
 		return
 	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(first, "ID", req.Header.Get("Coveferry-Request-Id")))
-	_, _ = io.WriteString(conn, rest)
+	_, _ = conn.Write(rest)
 	_, _ = io.Copy(io.Discard, conn)
 }
 
@@ -43,6 +43,7 @@
 		requests = 300
 		memory   = 134 << 20
 	)
+	before := memoryInUse()
 	head := "HTTP/1.1 200 OK\r\nCoveferry-Request-Id: ID\r\nConnection: close\r\n"
 	for name, c := range map[string]struct {
 		stream          bool
@@ -57,7 +58,7 @@
 			endpoint, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			defer endpoint.Close()
-			rest := strings.Repeat(c.repeated, 250<<10/len(c.repeated))
+			rest := []byte(strings.Repeat(c.repeated, 250<<10/len(c.repeated))) // one copy for all connections
 			go func() {
 				for {
 					conn, err := endpoint.Accept()
@@ -90,7 +91,6 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(rt.ServeRouted), Grace: 100 * time.Millisecond, HeaderTimeout: time.Second})
 			go func() { _ = srv.Run() }()
-			before := memoryInUse()
 			for range requests {
 				conn, err := net.Dial("tcp", l.Addr().String())
 				g.Expect(err).NotTo(HaveOccurred())
