Keep the delivery and the end of a routed stream in one type

Two functions and two methods of the same names passed the request and its controller along; the end of a stream was decided in two places.

--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -240,9 +240,17 @@
 	if s.r.OnEvent != nil {
 		s.r.OnEvent(now)
 	}
-	if err := deliverEvents(s.r, s.rc, s.buffered[:end]); err != nil {
+	events := s.buffered[:end]
+	if err := s.write(events); err != nil {
 		return err
 	}
+	recordGap(s.r)
+	s.r.RecordEvents()
+	// The number of tokens in an event is unknown, so each event counts as one.
+	s.r.Delivered.Tokens += bytes.Count(events, eventDelimiter)
+	if id := lastEventID(events); id != "" {
+		s.r.Delivered.LastEvent = id
+	}
 	s.drop(end)
 	return nil
 }
@@ -250,74 +258,52 @@
 // deliverComments delivers comments, which are no progress.
 func (s *routedStream) deliverComments(end int) error {
 	s.comments += end
-	if err := write(s.r, s.rc, s.buffered[:end]); err != nil {
+	if err := s.write(s.buffered[:end]); err != nil {
 		return err
 	}
 	s.drop(end)
 	return nil
 }
 
-func (s *routedStream) drop(n int) { s.buffered = append(s.buffered[:0], s.buffered[n:]...) }
-
-// end handles the end of the answer. A stream may consist of comments only.
-func (s *routedStream) end() error {
-	if !s.begun && len(s.buffered) > 0 && completeEventsLen(s.buffered, 0) == len(s.buffered) && !endsWithConnection(s.r.Answer) {
-		if err := s.deliverComments(len(s.buffered)); err != nil {
-			return err
-		}
+// write sends a part of the stream to the caller at once.
+func (s *routedStream) write(part []byte) error {
+	writeResponseHeader(s.r)
+	api.ExtendWriteDeadline(s.r.Writer)
+	if _, err := s.r.Writer.Write(part); err != nil {
+		return &CallerError{Cause: err}
 	}
-	return endStream(s.r, s.buffered, s.begun)
+	if err := s.rc.Flush(); err != nil {
+		return &CallerError{Cause: err}
+	}
+	return nil
 }
 
-// errConnectionEnded is the end of a connection that doesn't complete the answer. It counts as
-// a broken connection.
-var errConnectionEnded = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended")
+func (s *routedStream) drop(n int) { s.buffered = append(s.buffered[:0], s.buffered[n:]...) }
 
-// endStream handles EOF from the endpoint after an attempt's events. It is an error in the
-// middle of an event. Without an event, the end of the connection may be a crash.
-func endStream(r *request.Request, buffered []byte, events bool) error {
+// end handles the end of the answer. It is an error in the middle of an event. Without an event, the
+// end of the connection may be a crash, and any other end one of a stream of comments only.
+func (s *routedStream) end() error {
 	switch {
-	case endsWithConnection(r.Answer) && (len(buffered) > 0 || !events):
+	case endsWithConnection(s.r.Answer) && (len(s.buffered) > 0 || !s.begun):
 		return &BrokenError{Cause: errConnectionEnded}
-	case len(buffered) > 0:
+	case completeEventsLen(s.buffered, 0) < len(s.buffered):
 		return &BrokenError{Cause: errors.New("the stream ended in the middle of an event")}
+	case len(s.buffered) > 0:
+		return s.deliverComments(len(s.buffered))
 	}
-	writeResponseHeader(r)
+	writeResponseHeader(s.r)
 	return nil
 }
 
+// errConnectionEnded is the end of a connection that doesn't complete the answer. It counts as
+// a broken connection.
+var errConnectionEnded = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended")
+
 // endsWithConnection reports whether an answer has neither a length nor chunks.
 func endsWithConnection(answer *http.Response) bool {
 	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
 }
 
-// write sends a part of a stream to the caller at once.
-func write(r *request.Request, rc *http.ResponseController, part []byte) error {
-	writeResponseHeader(r)
-	api.ExtendWriteDeadline(r.Writer)
-	if _, err := r.Writer.Write(part); err != nil {
-		return &CallerError{Cause: err}
-	}
-	if err := rc.Flush(); err != nil {
-		return &CallerError{Cause: err}
-	}
-	return nil
-}
-
-func deliverEvents(r *request.Request, rc *http.ResponseController, events []byte) error {
-	if err := write(r, rc, events); err != nil {
-		return err
-	}
-	recordGap(r)
-	r.RecordEvents()
-	// The number of tokens in an event is unknown, so each event counts as one.
-	r.Delivered.Tokens += bytes.Count(events, eventDelimiter)
-	if id := lastEventID(events); id != "" {
-		r.Delivered.LastEvent = id
-	}
-	return nil
-}
-
 // recordGap records the longest gap between deliveries of the stream, which shows whether
 // it was late.
 func recordGap(r *request.Request) {
