--- a/internal/age/age.go
+++ b/internal/age/age.go
@@ -70,15 +70,15 @@
 	return Of(now.Sub(confirmedAt))
 }
 
+// Known reports whether the age is known.
+func (a Age) Known() bool { return a.known }
+
 // Get returns the age, and false if it is unknown.
 func (a Age) Get() (time.Duration, bool) { return a.value, a.known }
 
 // Exceeds reports whether the age is above the limit, as an unknown one always is.
 func (a Age) Exceeds(limit time.Duration) bool { return !a.known || a.value > limit }
 
-// Less reports whether a is known and below b, or b is unknown.
-func (a Age) Less(b Age) bool { return a.known && (!b.known || a.value < b.value) }
-
 // String implements fmt.Stringer.
 func (a Age) String() string {
 	if !a.known {
--- a/internal/age/age_test.go
+++ b/internal/age/age_test.go
@@ -8,14 +8,14 @@
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/age"
+	"coveferry/internal/age/agetest"
 )
 
 func TestUnknownAgeExceedsEveryLimit(t *testing.T) {
 	g := NewWithT(t)
 	for _, unknown := range []age.Age{{}, age.Of(-1), age.Of(math.MinInt64), age.Since(time.Time{}, time.Now())} {
 		g.Expect(unknown.Exceeds(math.MaxInt64)).To(BeTrue())
-		g.Expect(unknown.Less(age.Of(math.MaxInt64))).To(BeFalse())
-		g.Expect(age.Of(math.MaxInt64).Less(unknown)).To(BeTrue())
+		g.Expect(unknown.Known()).To(BeFalse())
 		_, known := unknown.Get()
 		g.Expect(known).To(BeFalse())
 		g.Expect(unknown.String()).To(Equal("unknown"))
@@ -35,7 +35,7 @@
 // Guards against values of a message that look new or overflow.
 func TestValuesThatNoAgeCanHaveAreUnknown(t *testing.T) {
 	g := NewWithT(t)
-	for _, millis := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1} {
+	for _, millis := range agetest.ImpossibleMillis {
 		g.Expect(age.FromMillis(millis)).To(Equal(age.Age{}), "%d", millis)
 	}
 	g.Expect(age.FromOptionalMillis(nil)).To(Equal(age.Age{}))
@@ -49,7 +49,8 @@
 	f.Fuzz(func(t *testing.T, n int64) {
 		before := age.Of(time.Duration(n))
 		after := age.FromOptionalMillis(before.OptionalMillis())
-		if after.Less(before) {
+		value, _ := before.Get()
+		if after.Known() && (!before.Known() || !after.Exceeds(value-1)) {
 			t.Errorf("%s became %s", before, after)
 		}
 		decoded, known := age.FromMillis(n).Get()
--- a/internal/balance/ages_test.go
+++ b/internal/balance/ages_test.go
@@ -1,21 +1,18 @@
 package balance
 
 import (
-	"math"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-)
 
-// impossibleMillis are ages that no message can state in truth: in the future, or beyond what a
-// time.Duration can hold.
-var impossibleMillis = []int64{-1, -5_000, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1}
+	"coveferry/internal/age/agetest"
+)
 
 // Guards against reports of peers that are newer than any of this router for good.
 func TestPeerReportsOfAnImpossibleAgeAreIgnored(t *testing.T) {
 	g := NewWithT(t)
-	for _, millis := range impossibleMillis {
+	for _, millis := range agetest.ImpossibleMillis {
 		p, all := backoffPool(2), newEndpoints(2)
 		p.ApplyPeerLoads(at(1000), []LoadSummary{{Endpoint: "e0", Running: 60, AgeMillis: millis}})
 		p.ApplyPeerLoads(at(1000), []LoadSummary{{Endpoint: "e0", Running: 1, AgeMillis: 10}})
--- a/internal/filters/admit/admit.go
+++ b/internal/filters/admit/admit.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	team := r.Routes.Table.Team(r.APIKey)
-	stale := f.checkFreshness(r.Routes.Age)
+	stale := f.checkFreshness(r.Routes)
 	if r.Route.Public {
 		if team != nil && stale == nil {
 			setTeam(r, team)
@@ -94,10 +94,10 @@
 	return nil
 }
 
-func (f *Filter) checkFreshness(tableAge age.Age) error {
+func (f *Filter) checkFreshness(routes route.Snapshot) error {
 	limit := f.maxAge()
-	if limit > 0 && tableAge.Exceeds(limit) {
-		return &StaleError{Age: tableAge, Limit: limit}
+	if routes.OlderThan(limit) {
+		return &StaleError{Age: routes.Age, Limit: limit}
 	}
 	return nil
 }
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -135,7 +135,7 @@
 }
 
 func (f *Filter) noRoute(r *request.Request, path string) error {
-	if limit := f.maxAge(); limit > 0 && r.Routes.Age.Exceeds(limit) {
+	if r.Routes.OlderThan(f.maxAge()) {
 		return &OutdatedError{Host: r.Host, Path: path, Age: r.Routes.Age}
 	}
 	return &Error{Host: r.Host, Path: path}
--- a/internal/peers/ages_test.go
+++ b/internal/peers/ages_test.go
@@ -7,18 +7,15 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/age/agetest"
 	"coveferry/internal/follow"
 )
 
-// impossibleMillis are ages that no message can state in truth: in the future, or beyond what a
-// time.Duration can hold.
-var impossibleMillis = []int64{-1, -5_000, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1}
-
 // Guards against a router that counts as alive for good after one wrong message.
 func TestMemberSeenAheadOfTimeIsNotRecorded(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	for _, millis := range impossibleMillis {
+	for _, millis := range agetest.ImpossibleMillis {
 		m := newMembers(Member{VM: "self", FailureDomain: "d"})
 		m.recordListed([]listedMember{{Member: Member{VM: "other", FailureDomain: "d"}, AgoMillis: millis}}, now)
 		g.Expect(m.count(now)).To(BeZero(), "%d", millis)
@@ -32,7 +29,7 @@
 func TestUptimeAheadOfTimeIsNotRecorded(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	for _, millis := range impossibleMillis {
+	for _, millis := range agetest.ImpossibleMillis {
 		for _, report := range []uptimeReport{{ForMillis: 1000, AgoMillis: millis}, {ForMillis: millis, AgoMillis: 10}} {
 			u := originUptime{maxGap: outage}
 			u.apply(now, report)
@@ -44,7 +41,7 @@
 // Guards against a window so short that a service seems to have had one version in it.
 func TestImpossibleWindowOfAStreamIsTheLongest(t *testing.T) {
 	g := NewWithT(t)
-	for _, millis := range impossibleMillis {
+	for _, millis := range agetest.ImpossibleMillis {
 		g.Expect(askStreamRequest{WindowMillis: millis}.window()).To(Equal(time.Duration(math.MaxInt64)))
 	}
 	g.Expect(askStreamRequest{WindowMillis: 1500}.window()).To(Equal(1500 * time.Millisecond))
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -46,7 +46,7 @@
 		return follow.Snapshot{}, errNoState
 	}
 	known := state.Snapshot()
-	if _, confirmed := known.Age.Get(); !confirmed || known.Config == nil || known.Directory.Len() == 0 {
+	if !known.Age.Known() || known.Config == nil || known.Directory.Len() == 0 {
 		return follow.Snapshot{}, errNoState
 	}
 	return known, nil
--- a/internal/peers/unconfirmed_test.go
+++ b/internal/peers/unconfirmed_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/age"
+	"coveferry/internal/age/agetest"
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
 	"coveferry/internal/memnet"
@@ -82,7 +82,7 @@
 func TestAgesThatNoStateCanHaveAreNotBelieved(t *testing.T) {
 	g := NewWithT(t)
 	s := newServingSource()
-	for _, millis := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1, maxAge.Milliseconds() + 1} {
+	for _, millis := range append([]int64{maxAge.Milliseconds() + 1}, agetest.ImpossibleMillis...) {
 		_, err := s.checkAge(Member{VM: "peer"}, &millis)
 		g.Expect(err).To(HaveOccurred(), "%d", millis)
 	}
--- a/internal/poison/ages_test.go
+++ b/internal/poison/ages_test.go
@@ -1,20 +1,17 @@
 package poison
 
 import (
-	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
-)
 
-// impossibleMillis are ages that no message can state in truth: in the future, or beyond what a
-// time.Duration can hold.
-var impossibleMillis = []int64{-1, -5_000, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1}
+	"coveferry/internal/age/agetest"
+)
 
 // Guards against a request that one wrong message quarantines or clears for good.
 func TestLossesAndCompletionsOfAnImpossibleAgeAreIgnored(t *testing.T) {
 	g := NewWithT(t)
-	for _, millis := range impossibleMillis {
+	for _, millis := range agetest.ImpossibleMillis {
 		f := newTestFleet()
 		table := f.table("a")
 		var losses []LossEntry
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -122,10 +122,7 @@
 }
 
 // isDated reports whether an age of a message is one that can be.
-func isDated(millis int64) bool {
-	_, known := age.FromMillis(millis).Get()
-	return known
-}
+func isDated(millis int64) bool { return age.FromMillis(millis).Known() }
 
 // dated returns a copy of the entry without what has an age that can't be.
 func (e Entry) dated() Entry {
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -82,14 +82,8 @@
 	AgeMillis int64 `json:"age,omitempty"`
 }
 
-// isDated reports whether the report's age is one that can be.
-func (r PeerReport) isDated() bool {
-	_, known := age.FromMillis(r.AgeMillis).Get()
-	return known
-}
-
 func (r PeerReport) check() error {
-	if r.ID == "" || len(r.ID) > maxIDLength || len(r.DigestPrefix) > digestPrefixLength || !r.State.valid() || !r.isDated() {
+	if r.ID == "" || len(r.ID) > maxIDLength || len(r.DigestPrefix) > digestPrefixLength || !r.State.valid() || !age.FromMillis(r.AgeMillis).Known() {
 		return errors.Wrap(ErrBadMessage, "sighting")
 	}
 	return nil
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -167,6 +167,9 @@
 	ConfirmedBy string
 }
 
+// OlderThan reports whether the table is too old for a decision that allows this age; 0 allows any.
+func (s Snapshot) OlderThan(maxAge time.Duration) bool { return maxAge > 0 && s.Age.Exceeds(maxAge) }
+
 // NewTable builds a table. If a route is invalid, the error is an *Error that names it.
 func NewTable(c Config) (*Table, error) {
 	t := &Table{
