Reserve the memory of bodies and of answers by one type

answerBudget repeated bodyBudget with a second semaphore. One budget counts in each of its pools now. Limits, refusals and their texts are the same; tests of router and daemon pass.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -67,17 +67,17 @@
 		return err
 	}
 	defer rt.capacity.release()
-	budget := &bodyBudget{capacity: rt.capacity}
-	defer budget.release()
-	body, err := rt.receiveBody(req, r, budget)
+	bodyBudget := &budget{pools: rt.capacity.bodies}
+	defer bodyBudget.release()
+	body, err := rt.receiveBody(req, r, bodyBudget)
 	if err != nil {
 		return err
 	}
 	r.Body = body
 	rt.useLatestConfig(r)
-	answer := &answerBudget{capacity: rt.capacity}
-	defer answer.release()
-	r.ReserveAnswer = answer.reserve
+	answerBudget := &budget{pools: rt.capacity.answers}
+	defer answerBudget.release()
+	r.ReserveAnswer = answerBudget.reserve
 	ctx, stop := rt.drain.withAbort(req.Context())
 	defer stop()
 	err = rt.runFilters(ctx, r)
@@ -202,13 +202,13 @@
 
 // receiveBody reads the request's body subject to BodyTimeout, its size limit and the memory
 // left for bodies. A body whose declared size doesn't fit isn't read.
-func (rt *Router) receiveBody(req *http.Request, r *request.Request, budget *bodyBudget) ([]byte, error) {
+func (rt *Router) receiveBody(req *http.Request, r *request.Request, budget *budget) ([]byte, error) {
 	limit := bodyLimit(r)
 	if req.ContentLength > limit {
 		return nil, bodyTooLarge(limit)
 	}
-	if err := budget.reserve(req.ContentLength); err != nil {
-		return nil, err
+	if !budget.reserve(req.ContentLength) {
+		return nil, capacityExceeded("bodies")
 	}
 	rc := http.NewResponseController(r.Writer)
 	// Connections in tests may not support deadlines; these are read without one.
