Build a request's target once, where its route is found

match built the outgoing target to check it and threw it away; dispatch built it again for each attempt, with an error that could no longer happen. The request carries it, an attempt only adds the endpoint's address. Tests of targets unchanged and green.

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -185,15 +185,13 @@
 
 // directRequest returns the caller's request with the headers of the protocol added.
 func (f *Filter) directRequest(ctx context.Context, r *request.Request) (*http.Request, error) {
-	target, err := upstream.Target(r.Endpoint.Address, r.RequestURI)
-	if err != nil {
-		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
-	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
 	}
-	req.URL = target
+	target := *r.Target
+	target.Host = r.Endpoint.Address
+	req.URL = &target
 	req.Host = r.Host
 	req.Header = endToEndHeaders(r.Header)
 	if req.Header.Get("User-Agent") == "" {
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -50,15 +51,16 @@
 	}
 }
 
-// checkTarget returns an error unless endpoints can be sent the request's target as it came.
-func checkTarget(method, target string) error {
-	if method == http.MethodConnect && strings.Contains(target, "?") {
-		return &TargetError{&upstream.TargetError{Target: target}} // net/http would drop the query
+// targetOf returns the URL that sends the request's target to an endpoint as it came.
+func targetOf(r *request.Request) (*url.URL, error) {
+	target, err := upstream.Target(r.RequestURI)
+	if err == nil && r.Method == http.MethodConnect && target.ForceQuery {
+		err = &upstream.TargetError{Target: r.RequestURI} // net/http would drop the query
 	}
-	if _, err := upstream.Target("", target); err != nil {
-		return &TargetError{err}
+	if err != nil {
+		return nil, &TargetError{err}
 	}
-	return nil
+	return target, nil
 }
 
 // retryAfterOutdated is the Retry-After sent while the table is outdated: about the time until the
@@ -114,11 +116,12 @@
 	if found == nil {
 		return f.noRoute(r, path)
 	}
-	if err := checkTarget(r.Method, r.RequestURI); err != nil {
+	target, err := targetOf(r)
+	if err != nil {
 		return err
 	}
 	in := f.protocol.Incoming(r.Header)
-	r.Route = found
+	r.Route, r.Target = found, target
 	r.CallerID = cmp.Or(in.ID, r.ID)
 	r.APIKey = in.APIKey
 	r.Prompt = in.Prompt
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"coveferry/internal/bundle"
@@ -45,6 +46,8 @@
 
 	// Set by match, for requests of kind KindRouted.
 	Route *route.Route
+	// Target is the URL that sends RequestURI to an endpoint unchanged, without the endpoint's address.
+	Target *url.URL
 	// CallerID is the caller's ID of the request, which is also sent to endpoints.
 	CallerID string
 	// Resumes is the caller's ID of the request whose answer brought the first event of the stream
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -13,11 +13,11 @@
 	return "upstream: the target can't be sent on unchanged: " + e.Target
 }
 
-// Target returns the URL with which net/http sends a request with exactly this target, as received
-// from a caller, to an address. Its error is a *TargetError.
-func Target(address, target string) (*url.URL, error) {
+// Target returns the URL, but for its host, with which net/http sends a request with exactly this
+// target, as received from a caller. Its error is a *TargetError.
+func Target(target string) (*url.URL, error) {
 	path, query, hasQuery := strings.Cut(target, "?")
-	u := &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery}
+	u := &url.URL{Scheme: "http", Opaque: path, RawQuery: query, ForceQuery: hasQuery}
 	if strings.HasPrefix(path, "//") {
 		// net/http would take an opaque path that begins so for an address.
 		unescaped, err := url.PathUnescape(path)
--- a/internal/upstream/target_test.go
+++ b/internal/upstream/target_test.go
@@ -11,10 +11,11 @@
 
 // sentTarget returns the target as an endpoint reads it; false if it is refused.
 func sentTarget(t *testing.T, method, target string) (string, bool) {
-	u, err := Target("10.0.0.1:80", target)
+	u, err := Target(target)
 	if err != nil {
 		return "", false
 	}
+	u.Host = "10.0.0.1:80"
 	req := &http.Request{Method: method, URL: u, Host: "h", Header: http.Header{}}
 	var wire bytes.Buffer
 	if err := req.Write(&wire); err != nil {
