Put a configuration in force and confirm the state in one update

Three calls of confirm, one for each way through poll, are one: the table is built first, then state and confirmation change together, then the callback is told. What is logged, confirmed and rejected is the same; tests of follow and peers pass.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -238,12 +238,23 @@
 		f.cfg.Log.Error().Err(r.Unreadable).Msg("can't decode the configuration; the last one stays in force")
 		return &UnusableError{Cause: r.Unreadable}
 	}
-	if r.Config == nil {
-		f.update(func(s *state) { f.confirm(s, at, r.From) })
-		return nil
+	if r.Config != nil {
+		f.configTransferTime = r.ConfigTransferTime
 	}
-	f.configTransferTime = r.ConfigTransferTime
-	return f.applyConfig(r.Config, at, r.From)
+	table, err := f.newerTable(r.Config)
+	if err != nil {
+		return err
+	}
+	f.update(func(s *state) {
+		if table != nil {
+			s.table, s.config = table, r.Config
+		}
+		f.confirm(s, at, r.From)
+	})
+	if table != nil {
+		f.announce(r.Config, table)
+	}
+	return nil
 }
 
 func (f *Follower) callSource(ctx context.Context, call sourceCall) (Reading, error) {
@@ -270,29 +281,26 @@
 // Unwrap returns the cause.
 func (e *UnusableError) Unwrap() error { return e.Cause }
 
-// applyConfig puts a configuration in force if it is newer than the current one, and confirms the
-// state as of the given time. If it is invalid, the current one stays in force and the error is an
-// *UnusableError.
-func (f *Follower) applyConfig(c *route.Config, at time.Time, from string) error {
-	old := f.Table()
-	if old != nil && c.Version <= old.Version() {
-		f.update(func(s *state) { f.confirm(s, at, from) })
-		return nil
+// newerTable builds the table of a configuration, nil if there is none or it isn't newer than the
+// current one. If it is invalid, the error is an *UnusableError.
+func (f *Follower) newerTable(c *route.Config) (*route.Table, error) {
+	if old := f.Table(); c == nil || old != nil && c.Version <= old.Version() {
+		return nil, nil
 	}
 	table, err := route.NewTable(*c)
 	if err != nil {
 		f.cfg.Log.Error().Err(err).Uint64("version", c.Version).Msg("configuration rejected; the last one stays in force")
-		return &UnusableError{Version: c.Version, Cause: err}
+		return nil, &UnusableError{Version: c.Version, Cause: err}
 	}
-	f.update(func(s *state) {
-		s.table, s.config = table, c
-		f.confirm(s, at, from)
-	})
+	return table, nil
+}
+
+// announce tells of a configuration that was put in force.
+func (f *Follower) announce(c *route.Config, table *route.Table) {
 	f.cfg.Log.Info().Uint64("version", c.Version).Int("routes", table.Size()).Msg("configuration in force")
 	if f.cfg.OnConfig != nil {
 		f.cfg.OnConfig(c)
 	}
-	return nil
 }
 
 // merge applies a reading of the list as of the given time. The first reading after an outage lacks
