--- a/internal/soak/endless.go
+++ b/internal/soak/endless.go
@@ -33,12 +33,5 @@
 
 // endless uses its own random source, like growth.
 func endless(seed uint64, end time.Duration) []Fault {
-	rnd := rand.New(rand.NewPCG(seed, 10))
-	var plan []Fault
-	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanFailingGap)) {
-		f := Fault{At: at, Kind: EndpointEndless, Target: rnd.IntN(1 << 16), Duration: shortestFailing + randomDuration(rnd, longestFailing-shortestFailing)}
-		f.Duration = min(f.Duration, end-at)
-		plan = append(plan, f)
-	}
-	return plan
+	return failures(EndpointEndless, rand.New(rand.NewPCG(seed, 10)), end)
 }
--- a/internal/soak/failing.go
+++ b/internal/soak/failing.go
@@ -60,10 +60,14 @@
 
 // failing uses its own random source, like growth.
 func failing(seed uint64, end time.Duration) []Fault {
-	rnd := rand.New(rand.NewPCG(seed, 5))
+	return failures(EndpointFailing, rand.New(rand.NewPCG(seed, 5)), end)
+}
+
+// failures draws times in which endpoints fail in the given way.
+func failures(kind Kind, rnd *rand.Rand, end time.Duration) []Fault {
 	var plan []Fault
 	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanFailingGap)) {
-		f := Fault{At: at, Kind: EndpointFailing, Target: rnd.IntN(1 << 16), Duration: shortestFailing + randomDuration(rnd, longestFailing-shortestFailing)}
+		f := Fault{At: at, Kind: kind, Target: rnd.IntN(1 << 16), Duration: shortestFailing + randomDuration(rnd, longestFailing-shortestFailing)}
 		f.Duration = min(f.Duration, end-at)
 		plan = append(plan, f)
 	}
