--- a/internal/daemon/directendless_test.go
+++ b/internal/daemon/directendless_test.go
@@ -6,22 +6,11 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
-
-	"coveferry/internal/age"
-	"coveferry/internal/balance"
-	"coveferry/internal/bundle"
-	"coveferry/internal/retry"
-	"coveferry/internal/route"
-	"coveferry/internal/router"
-	"coveferry/internal/server"
-	"coveferry/internal/upstream"
 )
 
 // serveStuckAnswer sends a long part of an answer without an end, and then nothing until the caller
@@ -55,44 +44,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			endpoint, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			defer endpoint.Close()
 			rest := []byte(strings.Repeat(c.repeated, 250<<10/len(c.repeated))) // one copy for all connections
-			go func() {
-				for {
-					conn, err := endpoint.Accept()
-					if err != nil {
-						return
-					}
-					go serveStuckAnswer(conn, c.first, rest)
-				}
-			}()
-			table, err := route.NewTable(route.Config{
-				Services: []route.Service{{Name: "s"}},
-				Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Stream: c.stream, Targets: []route.Target{{Service: "s", Weight: 1}}, Timeout: 3 * time.Second}},
-			})
-			g.Expect(err).NotTo(HaveOccurred())
 			open, bodies := directMemoryLimits(memory)
-			client := server.NewDirectClient()
-			rt := router.New(router.Config{
-				Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client, Retry: &retry.Policy{},
-				BodyTimeout: time.Minute, MaxOpen: open, MaxBodyBytes: bodies, Rand: func() float64 { return 0 }, Log: zerolog.Nop(),
-				Routing: &router.Routing{
-					Routes: func() route.Snapshot { return route.Snapshot{Table: table, Age: age.Of(0)} },
-					Endpoints: func(string) []*bundle.Endpoint {
-						return []*bundle.Endpoint{{Name: "e", Address: endpoint.Addr().String(), Slots: requests}}
-					},
-					Protocol: upstream.Plain{}, Client: client,
-					MaxKeyAge: func() time.Duration { return 0 },
-				},
+			r := startMeasuredRouter(t, measuredRouter{
+				serve:  func(conn net.Conn) { serveStuckAnswer(conn, c.first, rest) },
+				stream: c.stream, timeout: 3 * time.Second, open: open, bodies: bodies, grace: 100 * time.Millisecond,
 			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(rt.ServeRouted), Grace: 100 * time.Millisecond, HeaderTimeout: time.Second})
-			go func() { _ = srv.Run() }()
 			for range requests {
-				conn, err := net.Dial("tcp", l.Addr().String())
+				conn, err := net.Dial("tcp", r.address)
 				g.Expect(err).NotTo(HaveOccurred())
 				defer conn.Close()
 				_, _ = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
@@ -104,8 +63,7 @@
 			}
 			t.Logf("%d KB each", most/requests>>10)
 			g.Expect(most).To(BeNumerically("<", openBytes*requests+bodies))
-			runtime.KeepAlive(rt)
-			_ = srv.Stop() // aborts the requests, whose answers have no end
+			_ = r.stop() // aborts the requests, whose answers have no end
 		})
 	}
 }
--- a/internal/daemon/directmemory_test.go
+++ b/internal/daemon/directmemory_test.go
@@ -55,36 +55,47 @@
 	}
 }
 
-// An open request whose caller doesn't read must not take more memory than openBytes,
-// including the endpoint's side of the connection in this process.
-func TestStalledCallerMemoryIsBounded(t *testing.T) {
+// measuredRouter is a router in this process, before one endpoint that is a part of the process, too.
+type measuredRouter struct {
+	// serve is the endpoint's side of a connection.
+	serve   func(conn net.Conn)
+	stream  bool // the route's answers are streams
+	timeout time.Duration
+	// open and bodies are the router's limits, grace is the time for its stop.
+	open, bodies int64
+	grace        time.Duration
+	// address is the router's, and stop stops it. Set by startMeasuredRouter.
+	address string
+	stop    func() error
+}
+
+func startMeasuredRouter(t *testing.T, r measuredRouter) measuredRouter {
 	g := NewWithT(t)
-	const requests = 200
 	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	defer endpoint.Close()
+	t.Cleanup(func() { _ = endpoint.Close() })
 	go func() {
 		for {
 			conn, err := endpoint.Accept()
 			if err != nil {
 				return
 			}
-			go serveEndlessStream(conn)
+			go r.serve(conn)
 		}
 	}()
 	table, err := route.NewTable(route.Config{
 		Services: []route.Service{{Name: "s"}},
-		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Stream: true, Targets: []route.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute}},
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Stream: r.stream, Targets: []route.Target{{Service: "s", Weight: 1}}, Timeout: r.timeout}},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	client := server.NewDirectClient()
 	rt := router.New(router.Config{
 		Pool: balance.NewPool(balance.Config{Policy: balance.NewPromptAware()}), Client: client, Retry: &retry.Policy{},
-		BodyTimeout: time.Minute, MaxOpen: requests, MaxBodyBytes: 1 << 20, Rand: func() float64 { return 0 }, Log: zerolog.Nop(),
+		BodyTimeout: time.Minute, MaxOpen: r.open, MaxBodyBytes: r.bodies, Rand: func() float64 { return 0 }, Log: zerolog.Nop(),
 		Routing: &router.Routing{
 			Routes: func() route.Snapshot { return route.Snapshot{Table: table} },
 			Endpoints: func(string) []*bundle.Endpoint {
-				return []*bundle.Endpoint{{Name: "e", Address: endpoint.Addr().String(), Slots: requests}}
+				return []*bundle.Endpoint{{Name: "e", Address: endpoint.Addr().String(), Slots: int(r.open)}}
 			},
 			Protocol: upstream.Plain{}, Client: client,
 			MaxKeyAge: func() time.Duration { return 0 },
@@ -92,12 +103,24 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(rt.ServeRouted), Grace: time.Second, HeaderTimeout: time.Second})
+	srv := server.New(server.Config{Listener: l, Handler: http.HandlerFunc(rt.ServeRouted), Grace: r.grace, HeaderTimeout: time.Second})
 	go func() { _ = srv.Run() }()
+	r.address, r.stop = l.Addr().String(), srv.Stop
+	return r
+}
+
+// An open request whose caller doesn't read must not take more memory than openBytes,
+// including the endpoint's side of the connection in this process.
+func TestStalledCallerMemoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	const requests = 200
+	r := startMeasuredRouter(t, measuredRouter{
+		serve: serveEndlessStream, stream: true, timeout: time.Minute, open: requests, bodies: 1 << 20, grace: time.Second,
+	})
 	before := memoryInUse()
 	var callers []net.Conn
 	for i := range requests {
-		conn, err := net.Dial("tcp", l.Addr().String())
+		conn, err := net.Dial("tcp", r.address)
 		g.Expect(err).NotTo(HaveOccurred())
 		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nCoveferry-Request-Id: %d\r\nContent-Length: 0\r\n\r\n", i)
 		_, err = io.ReadFull(conn, make([]byte, 64))
@@ -111,7 +134,7 @@
 	for _, conn := range callers {
 		conn.Close()
 	}
-	g.Expect(srv.Stop()).To(Succeed())
+	g.Expect(r.stop()).To(Succeed())
 }
 
 // memoryInUse returns the bytes of the heap and the stacks.
