--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,6 +89,9 @@
 	SecondsPerOutputToken, SecondsPerPromptToken float64
 	// PrefillOverhead is the fixed part of a prompt's prefill time, in seconds.
 	PrefillOverhead float64
+	// Pace is how long work takes at the endpoint, apart from its load, relative to the usual
+	// time; 0 if the endpoint doesn't state it.
+	Pace float64
 	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
 	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
 	// among the views.
