Weigh endpoints whose refusals contradict their stated load by what they serve

Cause: an endpoint that refuses every request, not run, while it states that one of its slots is taken looks idle to all routers. All first attempts go there, and callers are refused once no retries are left.

Change: package refusals keeps the evidence of an endpoint's life: refusals for lack of room whose answer states a free slot and no queue, and served requests. An endpoint that contradicts its load for 600 ms gets its even share times the share that it serves, by a draw for each request, and probes if it serves none. Routers tell each other of the counts in FailureSummary (19 bytes more for such an endpoint). Backoffs, rate limits, cold and leaving endpoints, 400, 421 and 429 don't count.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -105,6 +105,8 @@
 	ReducedCapacity bool
 	// Full is set if the endpoint recently refused a request for lack of capacity.
 	Full bool
+	// Distrusted is set if the endpoint's refusals contradict its load.
+	Distrusted bool
 	// Weight is 1 for a healthy endpoint, less for one that ramps up after it was slow, failing
 	// or gone, and 0 for one that is ejected or suspect.
 	Weight float64
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -41,6 +41,11 @@
 	// OnBackoff is called when an endpoint asks this router to back off and when it accepts
 	// requests again. It must not block. It may be nil.
 	OnBackoff func(BackoffEvent)
+	// OnRefusals is called when an endpoint begins or ends to be distrusted for refusals that
+	// contradict its load. It must not block. It may be nil.
+	OnRefusals func(RefusalEvent)
+	// TrustStatedLoad ignores such refusals, for comparison.
+	TrustStatedLoad bool
 	// OnDomainEvent is called when a failure domain becomes unresponsive or responsive again. It
 	// must not block. It may be nil.
 	OnDomainEvent func(DomainEvent)
--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coveferry/internal/age"
+	"coveferry/internal/refusals"
 	"coveferry/internal/throttle/window"
 )
 
@@ -50,6 +51,11 @@
 	// BackoffAgeMillis ago; 0 if it wants requests.
 	BackoffMillis    int64 `json:"b,omitempty"`
 	BackoffAgeMillis int64 `json:"g,omitempty"`
+	// Contradicted is how many requests the endpoint refused lately though its load left room,
+	// Served how many it served, and Distrusting how many routers distrust it for that.
+	Contradicted int `json:"c,omitempty"`
+	Served       int `json:"v,omitempty"`
+	Distrusting  int `json:"d,omitempty"`
 }
 
 // Add adds another router's summary of the same endpoint.
@@ -61,6 +67,9 @@
 		s.UnresponsiveMillis = o.UnresponsiveMillis
 	}
 	s.Unresponsive += o.Unresponsive
+	s.Contradicted += o.Contradicted
+	s.Served += o.Served
+	s.Distrusting += o.Distrusting
 	if o.BackoffMillis > s.BackoffMillis {
 		s.BackoffMillis, s.BackoffAgeMillis = o.BackoffMillis, o.BackoffAgeMillis
 	}
@@ -85,10 +94,12 @@
 	defer sh.mu.Unlock()
 	for name, st := range sh.states {
 		n := st.recentAttempts(now)
-		if n.Part == 0 && !st.isUnresponsive(now) && !st.backoff.waiting(now) {
+		own := st.ownRefusals(now)
+		if n.Part == 0 && !st.isUnresponsive(now) && !st.backoff.waiting(now) && own == (refusals.Counts{}) {
 			continue
 		}
 		w := FailureSummary{Endpoint: name, Attempts: n.Total, Failed: n.Part, Reporters: min(1, n.Part)}
+		w.addRefusals(own)
 		if st.isUnresponsive(now) {
 			w.Unresponsive, w.UnresponsiveMillis = 1, age.MillisSince(maxTime(st.lastResponseAt, st.waitingSince), now)
 		}
@@ -147,6 +158,7 @@
 	}
 	p.applyPeerUnresponsive(now, reports)
 	p.applyPeerBackoffs(now, reports)
+	p.applyPeerRefusals(now, reports)
 	return failing
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -26,6 +26,7 @@
 	limits       limitStats
 	backoffs     backoffStats
 	domains      domainMonitor
+	refusals     refusalStats
 }
 
 // scratch holds the reusable buffers of one call of Choose.
@@ -150,6 +151,10 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
+	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 {
+		p.recordDistrustedChoice(now, req, s.views[i], s.rnd)
+		return i, nil
+	}
 	restoreIfAllEjected(s.views)
 	for {
 		i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
@@ -264,6 +269,7 @@
 	v.Metered = limited || st.backoff.ramping(now)
 	v.ReducedCapacity = st.rateState.reducedCapacity(now, req.ColdRate)
 	v.Suspect = st.rateState.suspect
+	v.Distrusted = st.refusals.Distrusted()
 	switch {
 	case st.leaving:
 		return draining
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -68,6 +69,9 @@
 	responseGap quantile // seconds without a response while requests are inflight
 	// domainResponseGap is the same over all endpoints of a failure domain.
 	domainResponseGap quantile
+	// servedAt is when an endpoint of the group last served a request or began to, in Unix
+	// nanoseconds.
+	servedAt atomic.Int64
 }
 
 // speedEstimate is the expected speed of an endpoint.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -8,6 +8,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/load"
+	"coveferry/internal/refusals"
 	"coveferry/internal/throttle/window"
 )
 
@@ -79,6 +80,8 @@
 	// restartedAt is when this router learned that the endpoint's process was replaced; zero if
 	// it hasn't been.
 	restartedAt time.Time
+	servedAt    time.Time          // when it last served a request of this router or began to
+	refusals    *refusals.Evidence // nil unless its refusals contradicted its load lately
 }
 
 func (st *state) fillView(c *bundle.Endpoint, v *View) {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -47,9 +47,10 @@
 	// statedLimit is set if the endpoint stated a rate limit when the request was sent. Such an
 	// endpoint is overloaded: that it is slow and fails requests says nothing about its speed and
 	// health within the limit.
-	statedLimit bool
-	prefillOnce sync.Once
-	releaseOnce sync.Once
+	statedLimit    bool
+	servedRecorded bool
+	prefillOnce    sync.Once
+	releaseOnce    sync.Once
 }
 
 // Track is Sent for a request with known work, and returns the TrackedRequest.
@@ -119,6 +120,7 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 		t.PrefillDone()
+		t.recordServed(now)
 		if t.measuresPrefill && t.speeds != nil {
 			t.speeds.recordFirstToken(now.Sub(t.sent).Seconds(), t.promptTokens)
 		}
@@ -173,6 +175,9 @@
 // Done records the outcome of the request. Times to first token depend on the prompts rather than
 // the endpoints, so that they aren't compared between endpoints.
 func (t *TrackedRequest) Done(now time.Time, res Result) {
+	if res == ResultOK {
+		t.recordServed(now)
+	}
 	if t.statedLimit {
 		res = ResultCancelled // doesn't affect the endpoint's health
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
@@ -139,19 +140,22 @@
 	share    endpointrate.Share // this router's share of endpoints' rate limits
 	retries  *retry.Budget
 	streams  *streamversion.Registry
+	// refusalLog bounds the lines about distrusted endpoints.
+	refusalLog *rate.Limiter
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
-	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
+	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient(), refusalLog: newRefusalLogLimit()}
 	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{
 		Policy: policy, Seed: membership.SeedOf(cfg.VM), RateShare: d.endpointRateShare, OnLimit: d.logLimit,
-		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff,
+		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff, OnRefusals: d.logRefusals,
 	})
 	d.registerLimits()
 	d.registerBackoffs()
+	d.registerRefusals()
 	d.registerUnresponsiveDomains()
 	d.members = newMembershipTracker(cfg.VM, d.pool, d.reg, log)
 	d.poison = newPoisonTable(cfg.VM, d.fleetSize, d.reg, log, d.checkCrashed)
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -45,6 +45,7 @@
 	account.Release()
 	if isQueueFull(err) {
 		account.Refused(time.Now())
+		recordContradiction(account, r, err)
 	}
 	f.reportConnectionFailure(ctx, r.Endpoint, err)
 	account.Done(time.Now(), result(ctx, err))
@@ -170,6 +171,18 @@
 	return errors.As(err, &refused) && refused.Reason == string(sched.ReasonQueueFull)
 }
 
+// recordContradiction records a refusal for lack of room whose answer names no other reason: a pause,
+// a rate limit, a cold engine or a release.
+func recordContradiction(account *balance.TrackedRequest, r *request.Request, err error) {
+	var refused *RefusedError
+	s := r.Signals
+	otherReason := s.Leaving || s.Backoff > 0 || s.Cold > 0 || s.RateLimit.Kind != upstream.LimitNone
+	if otherReason || !errors.As(err, &refused) || !refused.lacksRoom {
+		return
+	}
+	account.ContradictedLoad(time.Now(), s.Load, r.Endpoint.Slots)
+}
+
 func directRefusal(status int, reply upstream.Reply) error {
 	refusal := wire.Refusal{Run: wire.RunNot}
 	switch {
@@ -180,7 +193,8 @@
 	default:
 		refusal.Reason = string(sched.ReasonQueueFull)
 	}
-	return &RefusedError{Refusal: refusal}
+	lacksRoom := refusal.Reason == string(sched.ReasonQueueFull) && status == http.StatusServiceUnavailable
+	return &RefusedError{Refusal: refusal, lacksRoom: lacksRoom}
 }
 
 // directRequest returns the caller's request with the headers of the protocol added.
--- a/internal/filters/dispatch/errors.go
+++ b/internal/filters/dispatch/errors.go
@@ -15,7 +15,11 @@
 const retryAfterDown = time.Second
 
 // RefusedError is an agent's refusal of an attempt.
-type RefusedError struct{ wire.Refusal }
+type RefusedError struct {
+	wire.Refusal
+	// lacksRoom is set if an endpoint without an agent refused the attempt with a 503.
+	lacksRoom bool
+}
 
 // Error implements error.
 func (e *RefusedError) Error() string {
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -22,6 +22,7 @@
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/directory"
+	"coveferry/internal/load"
 	"coveferry/internal/membership"
 	"coveferry/internal/memnet"
 	"coveferry/internal/prompt"
@@ -76,7 +77,17 @@
 
 func testSignals(h http.Header) upstream.Signals {
 	backoff, _ := time.ParseDuration(h.Get("Backoff"))
-	return upstream.Signals{Leaving: h.Get("Leaving") != "", Backoff: backoff, RateLimit: parseRateLimit(h.Get("Limit"))}
+	cold, _ := time.ParseDuration(h.Get("Cold"))
+	return upstream.Signals{Load: parseLoad(h.Get("Load")), Leaving: h.Get("Leaving") != "", Backoff: backoff, Cold: cold, RateLimit: parseRateLimit(h.Get("Limit"))}
+}
+
+// parseLoad decodes the running requests and the slots of a load report, "1/4".
+func parseLoad(text string) *load.Report {
+	var r load.Report
+	if _, err := fmt.Sscanf(text, "%d/%d", &r.Running[0], &r.Slots); err != nil {
+		return nil
+	}
+	return &r
 }
 
 func parseRateLimit(text string) upstream.RateLimit {
@@ -153,19 +164,28 @@
 // runRouted runs test against a router in a synctest bubble.
 func runRouted(t *testing.T, test func(g *WithT, w *routerFixture, client *http.Client)) {
 	t.Helper()
+	runRoutedAmong(t, balance.Config{}, 3, test)
+}
+
+// runRoutedAmong is runRouted with a number of endpoints, e1 and so on, and a configuration of the
+// pool without a policy.
+func runRoutedAmong(t *testing.T, cfg balance.Config, endpoints int, test func(g *WithT, w *routerFixture, client *http.Client)) {
+	t.Helper()
+	cfg.Policy = balance.NewPromptAware()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := &routerFixture{net: memnet.New(), table: mustTable(testConfig())}
 		w.handle = func(_ string, req *http.Request, conn net.Conn) { writeOK(conn, req, "fine") }
 		var stops []func()
-		for _, name := range []string{"e1", "e2", "e3"} {
+		for i := range endpoints {
+			name := fmt.Sprint("e", i+1)
 			l, err := w.net.Listen("10.0.0." + name[1:] + ":80")
 			g.Expect(err).NotTo(HaveOccurred())
 			w.endpoints = append(w.endpoints, &bundle.Endpoint{Name: name, Address: l.Addr().String(), Services: []string{"s"}, Slots: 4})
 			stops = append(stops, w.serveEndpoint(name, l))
 		}
 		client := server.NewClient(nil, w.net.Dialer("router"))
-		w.pool = balance.NewPool(balance.Config{Policy: balance.NewPromptAware()})
+		w.pool = balance.NewPool(cfg)
 		w.members = membership.NewTracker(membership.Config{Name: "router", Pool: w.pool, Log: zerolog.Nop()})
 		w.streams = streamversion.New(streamversion.Config{ListAge: func() age.Age { return age.Of(0) }})
 		w.list(w.endpoints...)
