--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -223,6 +223,9 @@
 	if HasEndlessAnswers(seed) {
 		plan = append(plan, endless(seed, end)...)
 	}
+	if HasRefusingEndpoints(seed) {
+		plan = append(plan, refusing(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
