--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coveferry/internal/load"
+	"coveferry/internal/pace"
 	"coveferry/internal/prompt"
 )
 
@@ -92,6 +93,8 @@
 	// Pace is how long work takes at the endpoint, apart from its load, relative to the usual
 	// time; 0 if the endpoint doesn't state it.
 	Pace float64
+	// PaceClass is the class of Pace, by which endpoints are compared.
+	PaceClass pace.Class
 	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
 	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
 	// among the views.
--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"coveferry/internal/age"
+	"coveferry/internal/pace"
 )
 
 // LoadSummary is a router's summary of an endpoint's load.
@@ -13,6 +15,8 @@
 	Endpoint string `json:"e"`
 	Running  int    `json:"r"`
 	Queued   int    `json:"q"`
+	// WorkPercent is load.Report.WorkPercent, rounded; 0 if unknown.
+	WorkPercent int `json:"w,omitempty"`
 	// AgeMillis is the age of the endpoint's load report, a lower bound.
 	AgeMillis int64 `json:"a"`
 }
@@ -39,12 +43,20 @@
 		}
 		loads = append(loads, LoadSummary{
 			Endpoint: name, Running: st.load.TotalRunning(), Queued: st.load.TotalQueued(),
-			AgeMillis: age.MillisSince(st.reportedAt, now),
+			WorkPercent: statedPercent(st.load.WorkPercent), AgeMillis: age.MillisSince(st.reportedAt, now),
 		})
 	}
 	return loads
 }
 
+// statedPercent returns the percentage of a report as it is told to peers; 0 if it can't be a reading.
+func statedPercent(percent float64) int {
+	if !pace.Valid(percent) {
+		return 0
+	}
+	return int(math.Round(percent))
+}
+
 // ApplyPeerLoads merges the loads that a peer sent at sentAt. Endpoints that this router doesn't
 // know, or has newer reports of, are skipped.
 func (p *Pool) ApplyPeerLoads(sentAt time.Time, loads []LoadSummary) {
@@ -61,11 +73,16 @@
 
 // applyPeerLoad applies a load report that another router received at the given time.
 func (st *state) applyPeerLoad(at time.Time, s LoadSummary) {
-	if !at.After(st.reportedAt) || at.Before(st.restartedAt) {
+	if at.Before(st.restartedAt) {
+		return
+	}
+	st.pace.Add(at, float64(s.WorkPercent)) // also if it is older: each shows another moment
+	if !at.After(st.reportedAt) {
 		return
 	}
 	st.load.Running, st.load.Queued = [len(st.load.Running)]int{}, [len(st.load.Queued)]int{}
 	st.load.Running[0], st.load.Queued[0] = s.Running, s.Queued
+	st.load.WorkPercent = float64(s.WorkPercent)
 	st.reportedAt, st.reportFromPeer = at, true
 	st.dropSendsUntil(at)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -249,7 +249,9 @@
 		st.speeds = p.speedsOf(st.group)
 	}
 	st.fillView(c, v)
-	speed := st.speeds.estimate(st.outputToken)
+	paceNow := st.pace.At(now)
+	v.Pace, v.PaceClass = paceNow.Factor, paceNow.Class
+	speed := st.speeds.estimate(st.outputToken, v.Pace)
 	v.SecondsPerOutputToken, v.SecondsPerPromptToken, v.PrefillOverhead = speed.SecondsPerOutputToken, speed.SecondsPerPromptToken, speed.PrefillOverhead
 	v.CachedTokens = st.cachedParts.cached(now, req.Prompt)
 	v.Full = st.full(now)
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -61,15 +61,23 @@
 
 // engineSpeeds holds the speed estimates of an endpoint group. It is safe for concurrent use.
 type engineSpeeds struct {
-	mu          sync.Mutex
-	outputToken quantile // seconds per output token
-	promptToken quantile // seconds per prompt token
-	firstToken  quantile // seconds to the first token of prompts with little to prefill
+	mu sync.Mutex
+	speedQuantiles
+	// usual holds the estimates at the usual pace. Only endpoints that state their pace contribute,
+	// with their times divided by it.
+	usual       speedQuantiles
 	responseGap quantile // seconds without a response while requests are inflight
 	// domainResponseGap is the same over all endpoints of a failure domain.
 	domainResponseGap quantile
 }
 
+// speedQuantiles holds the quantiles of a group's speeds.
+type speedQuantiles struct {
+	outputToken quantile // seconds per output token
+	promptToken quantile // seconds per prompt token
+	firstToken  quantile // seconds to the first token of prompts with little to prefill
+}
+
 // speedEstimate is the expected speed of an endpoint.
 type speedEstimate struct {
 	// SecondsPerOutputToken is the time between two output tokens, 0 if unknown, and
@@ -79,47 +87,55 @@
 	PrefillOverhead float64
 }
 
-func (e *engineSpeeds) recordOutputToken(perToken float64) {
+// recordOutputToken records the seconds per output token at an endpoint of the given pace, 0 if it
+// states none.
+func (e *engineSpeeds) recordOutputToken(perToken, pace float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.outputToken.add(perToken, outputTokenQuantile)
+	if pace > 0 {
+		e.usual.outputToken.add(perToken/pace, outputTokenQuantile)
+	}
 }
 
 // recordFirstToken records the time to first token, in seconds, of a prompt of which the given
-// number of tokens was prefilled.
-func (e *engineSpeeds) recordFirstToken(elapsed float64, tokens int) {
+// number of tokens was prefilled at an endpoint of the given pace, 0 if it states none.
+func (e *engineSpeeds) recordFirstToken(elapsed float64, tokens int, pace float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.speedQuantiles.recordFirstToken(elapsed, tokens)
+	if pace > 0 {
+		e.usual.recordFirstToken(elapsed/pace, tokens)
+	}
+}
+
+func (q *speedQuantiles) recordFirstToken(elapsed float64, tokens int) {
 	if tokens >= minPrefillTokens {
-		e.promptToken.add(elapsed/float64(tokens), prefillQuantile)
+		q.promptToken.add(elapsed/float64(tokens), prefillQuantile)
 		return
 	}
-	e.firstToken.add(elapsed-e.secondsPerPromptToken()*float64(tokens), prefillQuantile)
+	q.firstToken.add(elapsed-q.secondsPerPromptToken()*float64(tokens), prefillQuantile)
 }
 
-// secondsPerPromptToken returns the prefill time of a token. e.mu is held.
-func (e *engineSpeeds) secondsPerPromptToken() float64 {
-	if e.promptToken.samples < minSamples {
+// secondsPerPromptToken returns the prefill time of a token.
+func (q *speedQuantiles) secondsPerPromptToken() float64 {
+	if q.promptToken.samples < minSamples {
 		return defaultSecondsPerPromptToken
 	}
-	return e.promptToken.value
+	return q.promptToken.value
 }
 
-// estimate returns the expected speed of an endpoint whose own seconds per output token are
-// estimated by own.
-func (e *engineSpeeds) estimate(own quantile) speedEstimate {
+// estimate returns the expected speed of an endpoint. If it states its pace, that is the speed at the
+// usual pace scaled by the endpoint's pace. Otherwise pace is 0, and own estimates the endpoint's
+// seconds per output token.
+func (e *engineSpeeds) estimate(own quantile, pace float64) speedEstimate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	est := speedEstimate{SecondsPerPromptToken: e.secondsPerPromptToken()}
-	if e.outputToken.samples < minSamples {
-		return est
+	if pace > 0 {
+		return e.atUsualPace().groupEstimate().scaled(pace)
 	}
-	est.SecondsPerOutputToken = e.outputToken.value
-	if e.firstToken.samples >= minSamples {
-		// A fully cached prompt has its first token after one decoding step.
-		est.PrefillOverhead = max(0, e.firstToken.value-est.SecondsPerOutputToken)
-	}
-	if own.samples < minSamples {
+	est := e.groupEstimate()
+	if est.SecondsPerOutputToken == 0 || own.samples < minSamples {
 		return est
 	}
 	ratio := min(max(own.value/e.outputToken.value, 1/maxSpeedRatio), maxSpeedRatio)
@@ -128,6 +144,36 @@
 	return est
 }
 
+// atUsualPace returns the estimates at the usual pace. Until there are enough samples from endpoints
+// that state their pace, it is those of all samples, which keeps the ratios between endpoints right.
+func (e *engineSpeeds) atUsualPace() *speedQuantiles {
+	if e.usual.promptToken.samples < minSamples && e.promptToken.samples >= minSamples {
+		return &e.speedQuantiles
+	}
+	return &e.usual
+}
+
+// groupEstimate returns the expected speed of an endpoint of which nothing else is known.
+func (q *speedQuantiles) groupEstimate() speedEstimate {
+	est := speedEstimate{SecondsPerPromptToken: q.secondsPerPromptToken()}
+	if q.outputToken.samples < minSamples {
+		return est
+	}
+	est.SecondsPerOutputToken = q.outputToken.value
+	if q.firstToken.samples >= minSamples {
+		// A fully cached prompt has its first token after one decoding step.
+		est.PrefillOverhead = max(0, q.firstToken.value-est.SecondsPerOutputToken)
+	}
+	return est
+}
+
+func (s speedEstimate) scaled(factor float64) speedEstimate {
+	s.SecondsPerOutputToken *= factor
+	s.SecondsPerPromptToken *= factor
+	s.PrefillOverhead *= factor
+	return s
+}
+
 // eventPace measures the time between the events of a stream.
 type eventPace struct {
 	stride     float64 // tokens per event
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -8,6 +8,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/load"
+	"coveferry/internal/pace"
 	"coveferry/internal/throttle/window"
 )
 
@@ -68,6 +69,7 @@
 	// estimates of its group.
 	outputToken quantile
 	speeds      *engineSpeeds
+	pace        pace.Estimator // of the endpoint's stated percentages
 	avoidUntil  time.Time
 	// refusedAt is when the endpoint last refused a request of this router for lack of capacity,
 	// and requestsAtRefusal the number of requests it had then.
@@ -115,6 +117,7 @@
 		return
 	}
 	st.updateAverages(r)
+	st.pace.Add(now, r.WorkPercent)
 	st.health.recordSample(now)
 	st.load = r
 	st.reportedAt = now
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -120,15 +120,25 @@
 		t.firstEventAt = now
 		t.PrefillDone()
 		if t.measuresPrefill && t.speeds != nil {
-			t.speeds.recordFirstToken(now.Sub(t.sent).Seconds(), t.promptTokens)
+			t.speeds.recordFirstToken(now.Sub(t.sent).Seconds(), t.promptTokens, t.endpointPace(now))
 		}
 	}
 	perToken := t.pace.record(now)
 	if perToken == 0 || t.speeds == nil {
 		return // no sample
 	}
-	t.update(func(st *state) { st.outputToken.add(perToken, outputTokenQuantile) })
-	t.speeds.recordOutputToken(perToken)
+	paceFactor := 0.0
+	t.update(func(st *state) {
+		st.outputToken.add(perToken, outputTokenQuantile)
+		paceFactor = st.pace.At(now).Factor
+	})
+	t.speeds.recordOutputToken(perToken, paceFactor)
+}
+
+// endpointPace returns the endpoint's pace, 0 if it is unknown.
+func (t *TrackedRequest) endpointPace(now time.Time) (factor float64) {
+	t.update(func(st *state) { factor = st.pace.At(now).Factor })
+	return factor
 }
 
 // PrefillDone records that the prompt is prefilled or no longer needs to be. Further calls have
--- /dev/null
+++ b/internal/pace/class.go
@@ -0,0 +1,105 @@
+package pace
+
+import (
+	"iter"
+	"math"
+	"time"
+)
+
+// Class is a coarse class of paces with a ratio of classRatio between two of them. Higher classes
+// are slower. Routers with slightly different readings have the same classes.
+type Class int8
+
+// Unknown is the class of an endpoint whose pace is unknown.
+const Unknown Class = 0
+
+const (
+	classRatio = 1.25
+	// usualClass is the class of the factor 1. The classes of all valid readings are above 0.
+	usualClass Class = 20
+	// hysteresis is the distance, in classes, from the center of the current class at which the class
+	// changes at once. A change by 2.4 times exceeds it.
+	hysteresis = 0.75
+	// settleTime is how long another class has to be the nearest one for the class to change within
+	// the hysteresis. Without it the class would depend on earlier paces, which another router may not
+	// have seen.
+	settleTime = 3 * time.Second
+)
+
+// classifier assigns a class to a factor that changes over time.
+type classifier struct {
+	current Class
+	// differsSince is the time since which another class is the nearest one; valid if differs is set.
+	differsSince time.Duration
+	differs      bool
+}
+
+// update records a factor and reports whether the class changed. at is the time since a fixed moment.
+func (c *classifier) update(at time.Duration, factor float64) bool {
+	position := math.Log(factor)/math.Log(classRatio) + float64(usualClass)
+	nearest := Class(math.Round(position))
+	if nearest == c.current {
+		c.differs = false
+		return false
+	}
+	if !c.differs {
+		c.differs, c.differsSince = true, at
+	}
+	held := c.current != Unknown && math.Abs(position-float64(c.current)) <= hysteresis
+	if held && at-c.differsSince < settleTime {
+		return false
+	}
+	c.current, c.differs = nearest, false
+	return true
+}
+
+// toleratedSteps is the number of classes above the usual one that count as usual: endpoints that are
+// alike may be in neighboring classes.
+const toleratedSteps = 1
+
+// Usual is the class with which the endpoints of a group are compared.
+type Usual struct {
+	class Class
+	// Uneven is set if some endpoint is slower than usual.
+	Uneven bool
+}
+
+// UsualOf returns the usual class: the lower quartile of those known, which stays the fast endpoints'
+// class while up to three quarters are slow.
+func UsualOf(classes iter.Seq[Class]) Usual {
+	var counts [math.MaxInt8 + 1]int
+	known, slowest := 0, Unknown
+	for c := range classes {
+		if c <= Unknown {
+			continue
+		}
+		counts[c]++
+		known++
+		slowest = max(slowest, c)
+	}
+	if known == 0 {
+		return Usual{}
+	}
+	rest := (known - 1) / 4
+	for c, n := range counts {
+		if rest -= n; rest < 0 {
+			u := Usual{class: Class(c)}
+			u.Uneven = u.Slow(slowest)
+			return u
+		}
+	}
+	return Usual{}
+}
+
+// Slow reports whether a class is slower than usual.
+func (u Usual) Slow(c Class) bool { return u.class != Unknown && c > u.class+toleratedSteps }
+
+// Weight returns the share of work for an endpoint of a class, relative to a usual endpoint: 1 unless
+// it is slow. Fast endpoints and those whose pace is unknown have the weight of usual ones, so that
+// only slow endpoints' weights change while paces become known.
+func (u Usual) Weight(c Class) float64 {
+	if !u.Slow(c) {
+		return 1
+	}
+	return math.Pow(classRatio, -float64(c-u.class))
+}
--- /dev/null
+++ b/internal/pace/class_test.go
@@ -0,0 +1,88 @@
+package pace
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func classOf(factor float64) Class {
+	var c classifier
+	c.update(0, factor)
+	return c.current
+}
+
+func usualOf(factors ...float64) Usual {
+	classes := make([]Class, len(factors))
+	for i, f := range factors {
+		if f > 0 {
+			classes[i] = classOf(f)
+		}
+	}
+	return UsualOf(slices.Values(classes))
+}
+
+func TestWeightIsTheRelativeSpeed(t *testing.T) {
+	g := NewWithT(t)
+	u := usualOf(0.7, 0.7, 1.7, 0.7, 0.7, 1.7)
+	g.Expect(u.Uneven).To(BeTrue())
+	g.Expect(u.Weight(classOf(0.7))).To(Equal(1.0))
+	g.Expect(u.Weight(classOf(1.7))).To(BeNumerically("~", 0.7/1.7, 0.05))
+	g.Expect(u.Weight(Unknown)).To(Equal(1.0))
+}
+
+// While all endpoints are slow at once, and while they are alike, nothing may move.
+func TestAlikeEndpointsHaveEqualWeights(t *testing.T) {
+	for _, factors := range [][]float64{{}, {0, 0}, {1, 1, 1}, {2.5, 2.5, 2.5}, {0.89, 0.91, 0.9}, {1, 0, 1.1}} {
+		g := NewWithT(t)
+		u := usualOf(factors...)
+		g.Expect(u.Uneven).To(BeFalse(), "%v", factors)
+		for _, f := range factors {
+			if f > 0 {
+				g.Expect(u.Weight(classOf(f))).To(Equal(1.0), "%v", factors)
+			}
+		}
+	}
+}
+
+// Only the weights of slow endpoints may change while paces become known.
+func TestFastEndpointsKeepTheirWeightWhileLearning(t *testing.T) {
+	g := NewWithT(t)
+	for known := range 12 {
+		factors := []float64{1.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7, 0.7}
+		g.Expect(usualOf(factors[:known]...).Weight(classOf(0.7))).To(Equal(1.0))
+	}
+}
+
+func TestOneNonsensicalEndpointDoesNotChangeTheUsualPace(t *testing.T) {
+	g := NewWithT(t)
+	u := usualOf(0.1, 1, 1, 1, 1)
+	g.Expect(u.Uneven).To(BeFalse())
+}
+
+// A factor near the boundary of two classes must not move work with each reading.
+func TestClassHasHysteresis(t *testing.T) {
+	g := NewWithT(t)
+	var c classifier
+	c.update(0, 1.1)
+	changes := 0
+	for i := 1; i < 100; i++ {
+		if c.update(time.Duration(i)*100*time.Millisecond, 1.1+0.04*float64(i%2)) {
+			changes++
+		}
+	}
+	g.Expect(changes).To(BeZero())
+}
+
+// Routers whose earlier readings differ must agree after a while.
+func TestClassDoesNotDependOnEarlierPacesForLong(t *testing.T) {
+	g := NewWithT(t)
+	var c classifier
+	c.update(0, 1.75)
+	for i := range 50 {
+		c.update(time.Duration(i)*100*time.Millisecond, 1.7)
+	}
+	g.Expect(c.current).To(Equal(classOf(1.7)))
+}
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,164 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// spanLength and spanShare are the length of the spans in which other work slows an endpoint, and the
+// share of time that they take.
+const (
+	spanLength = 600
+	spanShare  = 0.15
+	spanFactor = 2.5
+)
+
+// stated returns what an endpoint states over time, by the base value that it has then.
+func stated(seed uint64, base func(ms int) float64) func(ms int) float64 {
+	return func(ms int) float64 {
+		rnd := rand.New(rand.NewPCG(seed, uint64(ms/spanLength)))
+		if rnd.Float64() < spanShare {
+			return spanFactor * base(ms)
+		}
+		return base(ms)
+	}
+}
+
+func constant(percent float64) func(int) float64 { return func(int) float64 { return percent } }
+
+// Guards against an estimate that follows spans of slower work, or takes longer than 3 s for a change.
+func TestPaceIsRecognizedWithin3sAndIgnoresShortSpans(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after float64
+	}{{"slower", 70, 170}, {"faster", 170, 70}} {
+		for _, interval := range []int{20, 100, 250, 700} {
+			t.Run(c.name, func(t *testing.T) {
+				g := NewWithT(t)
+				late := 0
+				for seed := range uint64(200) {
+					percent := stated(seed, func(ms int) float64 {
+						if ms < 10_000 {
+							return c.before
+						}
+						return c.after
+					})
+					var e Estimator
+					for ms := 0; ms <= 13_000; ms += interval {
+						e.Add(at(ms), percent(ms))
+					}
+					if e.At(at(13_000)).Factor != c.after/100 {
+						late++
+					}
+				}
+				g.Expect(late).To(BeNumerically("<=", 4), "of 200 at an interval of %d ms", interval)
+			})
+		}
+	}
+}
+
+func TestPaceOfAlikeEndpointsIsAlike(t *testing.T) {
+	for _, interval := range []int{50, 200, 700} {
+		g := NewWithT(t)
+		wrong, all := 0, 0
+		for seed := range uint64(50) {
+			percent := stated(seed, constant(70))
+			var e Estimator
+			for ms := 0; ms < 60_000; ms += interval {
+				e.Add(at(ms), percent(ms))
+				if factor := e.At(at(ms)).Factor; factor > 0 {
+					all++
+					if factor > 0.77 {
+						wrong++
+					}
+				}
+			}
+		}
+		t.Log(interval, wrong, all)
+		g.Expect(float64(wrong) / float64(all)).To(BeNumerically("<", 0.01))
+	}
+}
+
+// A single reading of 175 may be a fast endpoint in a slow span.
+func TestFewReadingsStateNothing(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	e.Add(at(0), 175)
+	e.Add(at(20), 175) // the same moment, received by another router
+	e.Add(at(200), 175)
+	e.Add(at(400), 175)
+	g.Expect(e.At(at(400))).To(Equal(Estimate{}))
+	e.Add(at(700), 70)
+	g.Expect(e.At(at(700)).Factor).To(BeNumerically("~", 0.7, 1e-6))
+}
+
+func TestMalformedReadingsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for ms := 0; ms < 3000; ms += 200 {
+		e.Add(at(ms), 100)
+		for _, percent := range []float64{0, -5, 1, 1e9} {
+			e.Add(at(ms+160), percent)
+		}
+	}
+	g.Expect(e.At(at(3000)).Factor).To(Equal(1.0))
+}
+
+// An endpoint that gets no work states nothing: its value holds for a bounded time.
+func TestPaceIsUnknownWithoutRecentReadings(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for ms := 0; ms <= 1000; ms += 200 {
+		e.Add(at(ms), 170)
+	}
+	g.Expect(e.At(at(30_000)).Factor).To(BeNumerically("~", 1.7, 1e-6))
+	g.Expect(e.At(at(31_100))).To(Equal(Estimate{}))
+}
+
+// An idle endpoint is asked every 5 s, and a busy one states its pace anew when it was idle.
+func TestSparseReadingsCount(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for _, ms := range []int{0, 5000, 10_000} {
+		e.Add(at(ms), 170)
+	}
+	g.Expect(e.At(at(10_000)).Factor).To(BeNumerically("~", 1.7, 1e-6))
+}
+
+// Readings of peers arrive late and out of order.
+func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
+	g := NewWithT(t)
+	percent := stated(3, constant(70))
+	var inOrder, shuffled Estimator
+	times := make([]int, 16)
+	for i := range times {
+		times[i] = 200 * i
+	}
+	for _, ms := range times {
+		inOrder.Add(at(ms), percent(ms))
+	}
+	for chunk := range slices.Chunk(times, 4) {
+		slices.Reverse(chunk)
+		for _, ms := range chunk {
+			shuffled.Add(at(ms), percent(ms))
+		}
+	}
+	g.Expect(shuffled.At(at(3200)).Factor).To(Equal(inOrder.At(at(3200)).Factor))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for ms := range 20_000 {
+		e.Add(at(ms), 70)
+	}
+	g.Expect(len(e.readings)).To(BeNumerically("<=", maxReadings))
+}
