--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -46,6 +46,9 @@
 	OnRefusals func(RefusalEvent)
 	// TrustStatedLoad ignores such refusals, for comparison.
 	TrustStatedLoad bool
+	// OnPace is called when an endpoint's pace changes from one class to another. It must not block.
+	// It may be nil.
+	OnPace func(PaceEvent)
 	// OnDomainEvent is called when a failure domain becomes unresponsive or responsive again. It
 	// must not block. It may be nil.
 	OnDomainEvent func(DomainEvent)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -254,7 +254,9 @@
 		st.speeds = p.speedsOf(st.group)
 	}
 	st.fillView(c, v)
-	speed := st.speeds.estimate(st.outputToken)
+	paceNow := st.pace.At(now)
+	v.Pace, v.PaceClass = paceNow.Factor, paceNow.Class
+	speed := st.speeds.estimate(st.outputToken, v.Pace)
 	v.SecondsPerOutputToken, v.SecondsPerPromptToken, v.PrefillOverhead = speed.SecondsPerOutputToken, speed.SecondsPerPromptToken, speed.PrefillOverhead
 	v.CachedTokens = st.cachedParts.cached(now, req.Prompt)
 	v.Full = st.full(now)
@@ -309,8 +311,11 @@
 func (p *Pool) Report(now time.Time, endpoint string, r load.Report) {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
-	sh.state(endpoint).recordReport(now, r, p.cfg.SeqHold)
+	st := sh.state(endpoint)
+	changed := st.recordReport(now, r, p.cfg.SeqHold)
+	estimate := st.pace.At(now)
 	sh.mu.Unlock()
+	p.notifyPace(changed, endpoint, estimate)
 	p.detectOutliers(now, false)
 }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -142,6 +142,7 @@
 	streams  *streamversion.Registry
 	// refusalLog bounds the lines about distrusted endpoints.
 	refusalLog *rate.Limiter
+	paceLog    paceLog
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
@@ -151,12 +152,13 @@
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{
 		Policy: policy, Seed: membership.SeedOf(cfg.VM), RateShare: d.endpointRateShare, OnLimit: d.logLimit,
-		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff, OnRefusals: d.logRefusals,
+		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff, OnRefusals: d.logRefusals, OnPace: d.logPace,
 	})
 	d.registerLimits()
 	d.registerBackoffs()
 	d.registerRefusals()
 	d.registerUnresponsiveDomains()
+	d.reg.MustRegister(newPaceCollector(d.pool))
 	d.members = newMembershipTracker(cfg.VM, d.pool, d.reg, log)
 	d.poison = newPoisonTable(cfg.VM, d.fleetSize, d.reg, log, d.checkCrashed)
 	source, err := d.newSource()
@@ -311,6 +313,7 @@
 	addLoop(&g, d.streams.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.updater.checkHealth).Run)
 	addLoop(&g, d.watchUnresponsive)
+	addLoop(&g, d.watchPaces)
 	addLoop(&g, d.followSettings)
 	d.ready.Open(gateServing)
 	return errors.CombineErrors(g.Run(), stopErr)
