--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"coveferry/internal/forecast"
 	"coveferry/internal/load"
 	"coveferry/internal/prompt"
 )
@@ -30,6 +31,8 @@
 	Stride int
 	// Objective is the target for the time to the first event of the response; 0 means none.
 	Objective time.Duration
+	// TimeLeft is the time until the caller's deadline; 0 means none.
+	TimeLeft time.Duration
 	// Retry marks a request that was already sent to an endpoint. It isn't sent to an endpoint
 	// known to be full, and is rejected if all are.
 	Retry bool
@@ -92,6 +95,10 @@
 	// Pace is how long work takes at the endpoint, apart from its load, relative to the usual
 	// time; 0 if the endpoint doesn't state it.
 	Pace float64
+	// forecast describes the endpoint for forecasts; forecasts is set if they apply to it. A policy
+	// that makes forecasts sets both.
+	forecast  forecast.Endpoint
+	forecasts bool
 	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
 	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
 	// among the views.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -137,8 +137,7 @@
 // promptCost returns the cost of sending the request to the endpoint, in milliseconds.
 func promptCost(req Request, v *View, preferred, tightGap bool) float64 {
 	perToken := 1000 * v.SecondsPerPromptToken
-	waiting := perToken*float64(v.prefillAhead(maxTiers)) + perQueuedCost*float64(v.Load.TotalQueued())
-	waiting *= waitWeight(req.Objective)
+	waiting := v.waitCost(req)
 	recompute := perToken * recomputeFactor * float64(recomputedTokens(req, v, preferred))
 	cost := waiting + recompute + perStreamCost*v.estimatedRequests()
 	if !tightGap {
@@ -150,6 +149,15 @@
 	return cost
 }
 
+// waitCost returns the cost of waiting for prompts that are prefilled first, in milliseconds.
+func (v *View) waitCost(req Request) float64 {
+	if v.forecasts {
+		return v.forecastWaitCost(req)
+	}
+	waiting := 1000*v.SecondsPerPromptToken*float64(v.prefillAhead(maxTiers)) + perQueuedCost*float64(v.Load.TotalQueued())
+	return waiting * waitWeight(req.Objective)
+}
+
 // shortObjective is the longest objective for which waiting time counts in full.
 const shortObjective = 500 * time.Millisecond
 
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -174,6 +174,8 @@
 	peerDemand func() PeerDemand
 	// isolations holds the most recent decision for each service.
 	isolations map[string]isolation
+	// serviceDemand holds the demand at all routers at that decision.
+	serviceDemand map[string]Demand
 	// ownShare is this router's share of all requests as last computed; 0 before.
 	ownShare float64
 }
@@ -266,9 +268,11 @@
 	all := d.totalDemand(now)
 	if d.isolations == nil || len(d.isolations) > maxKinds {
 		d.isolations = make(map[string]isolation)
+		d.serviceDemand = make(map[string]Demand)
 	}
-	next := d.isolations[service].next(all.forService(service), f)
-	d.isolations[service] = next
+	ofService := all.forService(service)
+	next := d.isolations[service].next(ofService, f)
+	d.isolations[service], d.serviceDemand[service] = next, ofService
 	return next
 }
 
@@ -356,6 +360,14 @@
 	return d.isolations[service]
 }
 
+// lastServiceDemand returns the demand for a service at all routers at the last decision. It must
+// not be changed.
+func (d *demand) lastServiceDemand(service string) Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.serviceDemand[service]
+}
+
 // own returns the demand that this router sees.
 func (d *demand) own(now time.Time) Demand {
 	d.mu.Lock()
--- a/internal/balance/expect.go
+++ b/internal/balance/expect.go
@@ -14,7 +14,12 @@
 	if e.TightGap {
 		reach = ranked // tight-gap streams overflow to other endpoints if the dedicated ones are full
 	}
-	e.Wait = max(prefillWait(req, views, group, chosen), p.slotWait(req, views, reach, chosen)) + e.PrefillTime
+	e.Forecast = views[chosen].forecasts
+	if e.Forecast {
+		e.Wait = views[chosen].answer(req).Start + e.PrefillTime
+	} else {
+		e.Wait = max(prefillWait(req, views, group, chosen), p.slotWait(req, views, reach, chosen)) + e.PrefillTime
+	}
 	e.FetchFrom = fetchSource(req, views, leaving, group, chosen)
 	e.CopyTo = copyTarget(req, views, e, group, ranked, chosen)
 	return e
--- /dev/null
+++ b/internal/balance/forecast.go
@@ -0,0 +1,131 @@
+package balance
+
+import (
+	"time"
+
+	"coveferry/internal/age"
+	"coveferry/internal/forecast"
+)
+
+// minPacedShare is the share of the endpoints that have to state their pace for forecasts to
+// apply: a router that has just started has heard of few, and the others are like them.
+const minPacedShare = 0.25
+
+// forecastApplies reports whether choices among these endpoints are made by forecast.
+func forecastApplies(views []View, group []int) bool {
+	stated := 0
+	for _, i := range group {
+		if statesForecastInputs(&views[i]) {
+			stated++
+		}
+	}
+	return stated > 0 && float64(stated) >= minPacedShare*float64(len(group))
+}
+
+// statesForecastInputs is the condition for one endpoint: it states its load and its pace.
+func statesForecastInputs(v *View) bool { return !v.ReportedAt.IsZero() && v.Pace > 0 }
+
+// describeForForecast sets View.forecast at the endpoints that a request may be sent to, if
+// forecasts apply to them. group are those of the request's kind, in rank order if it is isolated,
+// and reduced those with reduced capacity.
+func (p PromptAware) describeForForecast(now time.Time, req Request, views []View, group, reduced []int, tightGap bool, decision isolation) {
+	if !forecastApplies(views, group) {
+		return
+	}
+	demand := p.demand.lastServiceDemand(req.Service)
+	slotTime := p.demand.meanSlotTime(req.Service)
+	perToken := meanSecondsPerPromptToken(views, group)
+	isolated, others := demand.split(decision)
+	prompts := others.waitingPrompts(req, perToken)
+	isolatedPrompts := isolated.waitingPrompts(req, perToken)
+	for n, i := range group {
+		mix := prompts
+		if tightGap && n < decision.dedicated {
+			mix = isolatedPrompts
+		}
+		views[i].forecast = views[i].forecastEndpoint(now, mix, slotTime)
+		views[i].forecasts = true
+	}
+	for _, i := range reduced {
+		views[i].forecast = views[i].forecastEndpoint(now, prompts, slotTime)
+		// Few routers send to such an endpoint, and this one is among them.
+		views[i].forecast.Unreported = float64(views[i].OwnUnreported)
+		views[i].forecasts = true
+	}
+}
+
+// forecastEndpoint describes the endpoint for a forecast.
+func (v *View) forecastEndpoint(now time.Time, prompts forecast.Prompts, slotTime float64) forecast.Endpoint {
+	return forecast.Endpoint{
+		SecondsPerPromptToken: v.SecondsPerPromptToken, SecondsPerOutputToken: v.SecondsPerOutputToken,
+		PrefillOverhead: v.PrefillOverhead,
+		Running:         v.Load.TotalRunning(), Waiting: v.Load.TotalQueued(), ReportAge: age.Since(v.ReportedAt, now),
+		Slots: v.Load.Slots, OwnTokens: v.PendingPrefill,
+		Unreported: max(v.EstimatedUnreported, float64(v.OwnUnreported)),
+		Prompts:    prompts, SlotSeconds: slotTime,
+	}
+}
+
+// answer forecasts when the request would be answered at an endpoint described for it.
+func (v *View) answer(req Request) forecast.Answer {
+	return forecast.Input{Endpoint: v.forecast, Request: forecast.Request{
+		Tier: req.Tier, PrefillTokens: max(0, req.Prompt.Tokens-v.CachedTokens), OutputTokens: req.Prompt.ExpectedOutput,
+	}}.Answer()
+}
+
+// forecastWaitCost returns the cost of waiting at an endpoint described for the request, in
+// milliseconds.
+func (v *View) forecastWaitCost(req Request) float64 {
+	limits := forecast.Limits{Objective: req.Objective, Deadline: req.TimeLeft}
+	return 1000 * v.answer(req).Cost(limits).Seconds()
+}
+
+// meanSecondsPerPromptToken returns the mean prefill time of a token at the endpoints of a group.
+func meanSecondsPerPromptToken(views []View, group []int) float64 {
+	mean := 0.0
+	for _, i := range group {
+		mean += views[i].SecondsPerPromptToken / float64(len(group))
+	}
+	return mean
+}
+
+// split separates the kinds that are isolated from the others.
+func (d Demand) split(s isolation) (isolated, others Demand) {
+	for _, k := range d {
+		if s.isolates(time.Duration(k.GapMillis) * time.Millisecond) {
+			isolated = append(isolated, k)
+		} else {
+			others = append(others, k)
+		}
+	}
+	return isolated, others
+}
+
+// waitingPrompts describes the prompts that wait at an endpoint with this demand, by the mean time
+// that a token takes at the endpoints. Each kind counts by its prefill time rather than its
+// requests: short and urgent prompts wait for less time, so that fewer of them are waiting.
+// Without demand they are like the prompt of the request.
+func (d Demand) waitingPrompts(req Request, secondsPerToken float64) forecast.Prompts {
+	work, weighted := 0.0, 0.0
+	var prompts forecast.Prompts
+	for _, k := range d {
+		work += k.PrefillSeconds
+		weighted += k.PrefillSeconds * k.meanPrefillSeconds()
+		prompts.TierShare[k.nearestTier()] += k.PrefillSeconds
+	}
+	if work <= 0 || secondsPerToken <= 0 {
+		prompts = forecast.Prompts{Tokens: float64(req.Prompt.Tokens)}
+		prompts.TierShare[min(max(req.Tier, 0), maxTiers-1)] = 1
+		return prompts
+	}
+	for tier := range prompts.TierShare {
+		prompts.TierShare[tier] /= work
+	}
+	prompts.Tokens = weighted / work / secondsPerToken
+	return prompts
+}
+
+// nearestTier returns the kind's mean tier, rounded.
+func (k Kind) nearestTier() int {
+	return min(max(int(perRequest(k.TierSum, k.Requests)+0.5), 0), maxTiers-1)
+}
--- /dev/null
+++ b/internal/balance/forecast_sim_test.go
@@ -0,0 +1,169 @@
+package balance
+
+// This simulation guards against backlogs at slow endpoints in a burst of long prompts. The
+// endpoints are those of unequal_sim_test.go: one in three takes 2.43 times as long as the others.
+// Without forecasts, all of them are sent as many prompts, so that the slow ones stay backlogged
+// for seconds and their streams stop, while prompts are refused by the mean wait of a group.
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/bundle"
+)
+
+const (
+	unequalBurstStart    = 300 * time.Millisecond
+	unequalBurstEnd      = unequalBurstStart + 9*time.Second
+	unequalObservePeriod = 100 * time.Millisecond
+)
+
+// startRouters creates the pools of the routers with these policies.
+func (u *unequal) startRouters(policies []PromptAware) {
+	for i, p := range policies {
+		var policy Policy = p
+		if u.wrap != nil {
+			policy = u.wrap(p, u.engines)
+		}
+		u.pools = append(u.pools, NewPool(Config{Policy: policy, Seed: uint64(i + 1)}))
+	}
+}
+
+// addBurst adds the long prompts of the burst to those that arrive at the usual rate, which is a
+// share of the given rate of all requests.
+func (u *unequal) addBurst(rate float64, candidates []*bundle.Endpoint) {
+	if u.burst <= 1 {
+		return
+	}
+	k := u.kinds[0]
+	extra := (u.burst - 1) * rate * k.share
+	for at := unequalBurstStart; at < unequalBurstEnd; at += time.Duration(u.rnd.ExpFloat64() / extra * float64(time.Second)) {
+		u.runAt(epoch.Add(at), func(now time.Time) { u.sendRequest(now, k, candidates) })
+	}
+}
+
+func (u *unequal) addObservations() {
+	if u.observe == nil {
+		return
+	}
+	for at := unequalObservePeriod; at < unequalDuration; at += unequalObservePeriod {
+		u.runAt(epoch.Add(at), func(time.Time) { u.observe(at, u.engines) })
+	}
+}
+
+// backlog returns how long the engine takes to prefill what it has.
+func (e *unequalEngine) backlog() time.Duration {
+	tokens := 0
+	for _, r := range slices.Concat(e.queued, e.prefilling) {
+		if r.done {
+			continue
+		}
+		tokens += e.toPrefill(r)
+	}
+	return time.Duration(e.slowdown * float64(tokens) * float64(unequalPrefillToken))
+}
+
+// toPrefill returns the number of tokens of a prompt that the engine still has to prefill.
+func (e *unequalEngine) toPrefill(r *unequalStream) int {
+	if slices.Contains(e.prefilling, r) {
+		return r.unprefilled
+	}
+	tokens := r.prompt.Tokens
+	for _, part := range r.prompt.Parts[:2] {
+		if !e.cached[part.ID] {
+			break
+		}
+		tokens -= part.Tokens
+	}
+	return tokens
+}
+
+// statedPace is PromptAware with the true speeds of the engines, as a router knows them that
+// learned the pace of each endpoint. With states, the views say so, and forecasts apply.
+type statedPace struct {
+	PromptAware
+	slowdown map[string]float64
+	states   bool
+}
+
+// Choose implements Policy.
+func (s statedPace) Choose(now time.Time, req Request, views []View, rnd *rand.Rand) (int, bool) {
+	for i := range views {
+		pace := s.slowdown[views[i].Endpoint]
+		views[i].SecondsPerPromptToken = pace * unequalPrefillToken.Seconds()
+		if s.states {
+			views[i].Pace = pace
+		}
+	}
+	return s.PromptAware.Choose(now, req, views, rnd)
+}
+
+// withPace wraps the policies of routers that know the true speeds.
+func withPace(states bool) func(PromptAware, []*unequalEngine) Policy {
+	return func(p PromptAware, engines []*unequalEngine) Policy {
+		s := statedPace{PromptAware: p, slowdown: make(map[string]float64), states: states}
+		for _, e := range engines {
+			s.slowdown[e.Name] = e.slowdown
+		}
+		return s
+	}
+}
+
+// backlogs collects the backlogs of all engines in the first seconds of the burst.
+type backlogs struct {
+	worst         time.Duration // the longest
+	worstMedian   time.Duration // the median at that time
+	violations    int           // observations of an engine over the bound
+	observations  int
+	recordedUntil time.Duration
+}
+
+func (b *backlogs) observe(at time.Duration, engines []*unequalEngine) {
+	if at < unequalBurstStart || at > unequalBurstStart+3*time.Second {
+		return
+	}
+	var all []time.Duration
+	for _, e := range engines {
+		all = append(all, e.backlog())
+	}
+	slices.Sort(all)
+	median := all[len(all)/2]
+	for _, one := range all {
+		b.observations++
+		if one > 2*max(median, unequalSafeBacklog) {
+			b.violations++
+		}
+	}
+	if longest := all[len(all)-1]; longest > b.worst {
+		b.worst, b.worstMedian = longest, median
+	}
+}
+
+// unequalSafeBacklog is the backlog that makes no long prompt late, so that it needs no evening
+// out: a quarter of the objective of 2 s.
+const unequalSafeBacklog = 500 * time.Millisecond
+
+func TestNoEndpointIsBackloggedBeyondTheOthersInABurst(t *testing.T) {
+	g := NewWithT(t)
+	for _, routers := range []int{3, 27, 103} {
+		for _, mode := range []struct {
+			name string
+			wrap func(PromptAware, []*unequalEngine) Policy
+		}{{"today", nil}, {"speeds", withPace(false)}, {"forecast", withPace(true)}} {
+			var b backlogs
+			u := unequalOptions{routers: routers, utilization: 0.3, burst: 2.3, statesWaiting: true, wrap: mode.wrap, observe: b.observe}.simulate()
+			t.Logf("%d routers, %s: worst %v (median %v), %d of %d over", routers, mode.name, b.worst, b.worstMedian, b.violations, b.observations)
+			for _, k := range u.kinds {
+				t.Logf("   tier %d: %.3f in time, %.3f late, %.3f rejected, %.3f timed out",
+					k.tier, k.fraction(k.inTime), k.fraction(k.late), k.fraction(k.rejected), k.fraction(k.timedOut))
+			}
+			if mode.name == "never" {
+				g.Expect(b.violations).To(BeZero(), "%d routers", routers)
+			}
+		}
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -75,6 +75,8 @@
 	Wait time.Duration
 	// PrefillTime is the part of Wait for the prefill of the request's own prompt.
 	PrefillTime time.Duration
+	// Forecast is set if the endpoint was chosen, and Wait estimated, by a forecast of the answer.
+	Forecast bool
 	// FetchFrom probably has cached parts of the prompt that the endpoint lacks; nil if there is
 	// none.
 	FetchFrom *bundle.Endpoint
@@ -100,8 +102,9 @@
 // Estimates holds a policy's estimates for a choice. Indexes are those of the views, followed
 // by those of leaving endpoints; -1 means none.
 type Estimates struct {
-	// Wait, PrefillTime, TightGap and DedicatedEndpoints are as in Choice.
+	// Wait, PrefillTime, Forecast, TightGap and DedicatedEndpoints are as in Choice.
 	Wait, PrefillTime  time.Duration
+	Forecast           bool
 	TightGap           bool
 	DedicatedEndpoints int
 	// FetchFrom is the index of the endpoint to fetch missing cached parts from, and CopyTo that
@@ -131,6 +134,7 @@
 	}
 	expected := e.Estimate(req, s.views, s.leaving, i)
 	choice.Wait, choice.PrefillTime, choice.TightGap, choice.DedicatedEndpoints = expected.Wait, expected.PrefillTime, expected.TightGap, expected.DedicatedEndpoints
+	choice.Forecast = expected.Forecast
 	if expected.FetchFrom >= 0 {
 		choice.FetchFrom = candidates[append(s.candidateIndexes, s.leavingIndexes...)[expected.FetchFrom]]
 	}
--- a/internal/balance/unequal_sim_test.go
+++ b/internal/balance/unequal_sim_test.go
@@ -72,6 +72,7 @@
 	account     *TrackedRequest
 	router      int
 	sent        time.Time
+	expected    time.Duration // to the first event
 	unprefilled int
 	tokens      int
 	lastEventAt time.Time
@@ -81,6 +82,7 @@
 
 // unequal is a simulation of routers in front of engines of which every third is slower.
 type unequal struct {
+	unequalOptions
 	now     time.Time
 	events  eventQueue
 	rnd     *rand.Rand
@@ -109,20 +111,39 @@
 	unequalReportBy      = 100 * time.Millisecond // before it arrives
 )
 
+// unequalOptions are the parts of the simulation that differ between tests.
+type unequalOptions struct {
+	routers     int
+	utilization float64 // load relative to the capacity of the engines
+	// burst is the factor on the rate of long prompts from unequalBurstStart to unequalBurstEnd.
+	burst float64
+	// statesWaiting counts requests as queued until their prefill is done, as endpoints do that
+	// state their pace.
+	statesWaiting bool
+	// wrap replaces the policy of a router; nil leaves it.
+	wrap func(PromptAware, []*unequalEngine) Policy
+	// observe is called every unequalObservePeriod; nil if nothing is observed.
+	observe func(at time.Duration, engines []*unequalEngine)
+	// observeAnswer is called with the expected and actual time to the first event; it may be nil.
+	observeAnswer func(r *unequalStream, actual time.Duration)
+}
+
 // simulateUnequal runs the simulation at a load relative to the capacity of the engines.
 func simulateUnequal(routers int, utilization float64) *unequal {
-	u := &unequal{rnd: rand.New(rand.NewPCG(7, uint64(routers))), kinds: unequalKinds()}
+	return unequalOptions{routers: routers, utilization: utilization}.simulate()
+}
+
+func (o unequalOptions) simulate() *unequal {
+	routers, utilization := o.routers, o.utilization
+	u := &unequal{unequalOptions: o, rnd: rand.New(rand.NewPCG(7, uint64(routers))), kinds: unequalKinds()}
 	var demand Demand
-	var first PromptAware
-	for i := range routers {
+	var policies []PromptAware
+	for range routers {
 		policy := NewPromptAware()
-		if i == 0 {
-			first = policy
-		}
 		policy.SetPeerDemand(func() PeerDemand {
 			return PeerDemand{Demand: demand.Scale(float64(routers - 1)), Routers: routers - 1}
 		})
-		u.pools = append(u.pools, NewPool(Config{Policy: policy, Seed: uint64(i + 1)}))
+		policies = append(policies, policy)
 	}
 	var candidates []*bundle.Endpoint
 	capacity := 0.0 // prompt tokens a second
@@ -137,6 +158,7 @@
 		u.engines = append(u.engines, e)
 		candidates = append(candidates, &e.Endpoint)
 	}
+	u.startRouters(policies)
 	tokensPerRequest := 0.0 // average tokens to prefill per request with shared parts cached
 	for _, k := range u.kinds {
 		tokensPerRequest += k.share * float64(k.ownTokens)
@@ -148,10 +170,12 @@
 	}
 	for at := time.Duration(0); at < unequalDuration+10*time.Second; at += 250 * time.Millisecond {
 		u.runAt(epoch.Add(at), func(now time.Time) {
-			demand = first.Demand(now)
+			demand = policies[0].Demand(now)
 			u.exchangeReports(now)
 		})
 	}
+	u.addBurst(rate, candidates)
+	u.addObservations()
 	for len(u.events) > 0 {
 		ev := heap.Pop(&u.events).(simEvent)
 		u.now = ev.at
@@ -198,13 +222,13 @@
 		Parts:  []prompt.Part{{ID: common, Tokens: k.sharedTokens / 3}, {ID: subject, Tokens: k.sharedTokens - k.sharedTokens/3}, {ID: u.rnd.Uint64(), Tokens: k.ownTokens}},
 		Tokens: k.sharedTokens + k.ownTokens, ExpectedOutput: unequalStride * k.events,
 	}
-	req := Request{Service: "llm", Tier: k.tier, Prompt: requestPrompt, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective}
+	req := Request{Service: "llm", Tier: k.tier, Prompt: requestPrompt, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective, TimeLeft: unequalDeadline}
 	choice, err := u.pools[router].ChooseWithEstimates(now, req, candidates, nil)
 	if err != nil || choice.Wait-choice.PrefillTime > u.kinds[0].objective {
 		k.rejected++
 		return
 	}
-	r := &unequalStream{kind: k, prompt: requestPrompt, router: router, sent: now}
+	r := &unequalStream{kind: k, prompt: requestPrompt, router: router, sent: now, expected: choice.Wait}
 	r.account = u.pools[router].Track(now, choice.Endpoint.Name, Work{
 		Service: req.Service, Tier: k.tier, Prompt: requestPrompt, TightGap: choice.TightGap, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective,
 	})
@@ -322,6 +346,12 @@
 func (u *unequal) firstToken(now time.Time, e *unequalEngine, r *unequalStream) {
 	report := load.Report{Slots: unequalSlots}
 	report.Running[0], report.Queued[0] = len(e.prefilling)+len(e.running), len(e.queued)
+	if u.statesWaiting {
+		report.Running[0], report.Queued[0] = len(e.running), len(e.queued)+len(e.prefilling)
+	}
+	if u.observeAnswer != nil {
+		u.observeAnswer(r, now.Sub(r.sent))
+	}
 	u.pools[r.router].Report(now, e.Name, report)
 	if now.Sub(r.sent) > r.kind.objective {
 		r.longestGap = time.Hour // counts as late in any case
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -142,6 +142,7 @@
 		query.MaxGap, query.Stride, query.Objective = r.Route.MaxGap, r.TokensPerEvent, r.Route.Objective
 		query.Tier = r.Routes.Table.Rank(r.Tier, r.Route.Tier)
 		query.ColdRate = r.Routes.Table.Cold(r.Service).Rate
+		query.TimeLeft = timeLeft(r)
 	}
 	if r.Class != nil {
 		query.Class = r.Class.Name
@@ -162,6 +163,14 @@
 	return nil
 }
 
+// timeLeft returns the time until the caller's deadline, 0 if there is none or it is past.
+func timeLeft(r *request.Request) time.Duration {
+	if r.Deadline.IsZero() {
+		return 0
+	}
+	return max(0, time.Until(r.Deadline))
+}
+
 // errCopyRateLimited means that the endpoint with the KV cache copy is at its rate limit.
 var errCopyRateLimited = errors.New("the endpoint that has the copy takes no further request now")
 
@@ -211,7 +220,7 @@
 	}
 	c, err := f.pool.ChooseWithEstimates(time.Now(), query, r.Candidates, r.TriedEndpoint)
 	r.PrefillTime, r.ExpectedWait, r.FetchFrom, r.CopyTo, r.TightGap = c.PrefillTime, c.Wait, c.FetchFrom, nil, c.TightGap
-	r.TightGapEndpoints = c.DedicatedEndpoints
+	r.TightGapEndpoints, r.Forecast = c.DedicatedEndpoints, c.Forecast
 	r.BackingOff, r.Leaving = f.describeBackoffs(r, c.BackingOff), c.Leaving
 	if copiesKVCache(r) {
 		r.CopyTo = c.CopyTo
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -68,6 +68,8 @@
 	ExpectedWait time.Duration
 	// PrefillTime is the part of ExpectedWait for the prefill of the request's own prompt.
 	PrefillTime time.Duration
+	// Forecast says that ExpectedWait is a forecast for the endpoint of the latest attempt.
+	Forecast bool
 	// FetchFrom is an endpoint that has probably cached parts of the prompt that Endpoint
 	// lacks; nil if none is known.
 	FetchFrom *bundle.Endpoint
