--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -28,7 +28,7 @@
 // describeForForecast sets View.forecast at the endpoints that a request may be sent to, if
 // forecasts apply to them. group are those of the request's kind, in rank order if it is isolated,
 // and reduced those with reduced capacity.
-func (p PromptAware) describeForForecast(now time.Time, req Request, views []View, group, reduced []int, tightGap bool, decision isolation) {
+func (p PromptAware) describeForForecast(now time.Time, req Request, views []View, group, reduced []int, regular int, tightGap bool, decision isolation) {
 	if !forecastApplies(views, group) {
 		return
 	}
@@ -38,14 +38,21 @@
 	isolated, others := demand.split(decision)
 	prompts := others.waitingPrompts(req, perToken)
 	isolatedPrompts := isolated.waitingPrompts(req, perToken)
+	usable := len(group) // of the kinds that aren't isolated
+	if tightGap {
+		usable = max(1, regular-decision.dedicated)
+	}
+	busy, isolatedBusy := others.prefillShare(usable), isolated.prefillShare(decision.dedicated)
 	for n, i := range group {
-		mix := prompts
+		mix, inflow := prompts, busy
 		if tightGap && n < decision.dedicated {
-			mix = isolatedPrompts
+			mix, inflow = isolatedPrompts, isolatedBusy
 		}
 		views[i].forecast = views[i].forecastEndpoint(now, mix, slotTime)
+		views[i].forecast.Inflow = inflow
 		views[i].forecasts = true
 	}
+	shareInflow(views, group, p.demand.share())
 	for _, i := range reduced {
 		views[i].forecast = views[i].forecastEndpoint(now, prompts, slotTime)
 		// Few routers send to such an endpoint, and this one is among them.
@@ -54,6 +61,32 @@
 	}
 }
 
+// shareInflow estimates how many requests all routers sent to each endpoint since its report. All
+// of them see about the same reports, so that endpoints with longer backlogs than the mean get
+// less.
+func shareInflow(views []View, group []int, share float64) {
+	mean := 0.0
+	for _, i := range group {
+		mean += views[i].forecast.Reported().Seconds() / float64(len(group))
+	}
+	for _, i := range group {
+		e := &views[i].forecast
+		if e.ReportAge.Known() {
+			e.Unreported = e.Sent(seconds(mean), float64(views[i].OwnUnreported), share)
+		}
+	}
+}
+
+// prefillShare returns the share of the time of the given number of endpoints that the prefill of
+// this demand takes.
+func (d Demand) prefillShare(endpoints int) float64 {
+	busy := 0.0
+	for _, k := range d {
+		busy += k.rate() * k.meanPrefillSeconds()
+	}
+	return busy / float64(max(endpoints, 1))
+}
+
 // forecastEndpoint describes the endpoint for a forecast.
 func (v *View) forecastEndpoint(now time.Time, prompts forecast.Prompts, slotTime float64) forecast.Endpoint {
 	return forecast.Endpoint{
--- a/internal/balance/forecast_sim_test.go
+++ b/internal/balance/forecast_sim_test.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// demandPerRouter returns the mean demand over the routers that report it.
+func (u *unequal) demandPerRouter(now time.Time, policies []PromptAware) Demand {
+	if !u.statesWaiting {
+		return policies[0].Demand(now)
+	}
+	var sum Demand
+	for _, p := range policies {
+		sum = sum.Add(p.Demand(now))
+	}
+	return sum.Scale(1 / float64(len(policies)))
+}
+
 // addBurst adds the long prompts of the burst to those that arrive at the usual rate, which is a
 // share of the given rate of all requests.
 func (u *unequal) addBurst(rate float64, candidates []*bundle.Endpoint) {
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -51,7 +51,7 @@
 	preferred := preferredEndpoint(req, views, group)
 	sampled := sampleSize(len(group), share)
 	estimateOtherRouters(views, share, float64(sampled)/float64(len(group)))
-	p.describeForForecast(now, req, views, group, reduced, tightGap, decision)
+	p.describeForForecast(now, req, views, group, reduced, len(regular), tightGap, decision)
 	chosen := lowestCostEndpoint(req, views, group, preferred, sampled, tightGap, rnd)
 	chosen = cheaperReducedCapacity(req, views, reduced, chosen, preferred, tightGap)
 	prefillTokens := req.Prompt.UnsharedTokens() + recomputedTokens(req, &views[chosen], chosen == preferred && !p.demand.cold())
--- a/internal/balance/unequal_sim_test.go
+++ b/internal/balance/unequal_sim_test.go
@@ -64,6 +64,8 @@
 	prefilling []*unequalStream
 	running    []*unequalStream
 	cached     map[uint64]bool
+	// sharedPrefilled counts the tokens of shared parts that it prefilled.
+	sharedPrefilled int
 }
 
 type unequalStream struct {
@@ -170,7 +172,7 @@
 	}
 	for at := time.Duration(0); at < unequalDuration+10*time.Second; at += 250 * time.Millisecond {
 		u.runAt(epoch.Add(at), func(now time.Time) {
-			demand = policies[0].Demand(now)
+			demand = u.demandPerRouter(now, policies)
 			u.exchangeReports(now)
 		})
 	}
@@ -278,6 +280,7 @@
 			}
 			r.unprefilled -= part.Tokens
 		}
+		e.sharedPrefilled += r.unprefilled - r.kind.ownTokens
 		e.prefilling = append(e.prefilling, r)
 		slices.SortStableFunc(e.prefilling, func(a, b *unequalStream) int { return a.kind.tier - b.kind.tier })
 	}
--- a/internal/forecast/cost.go
+++ b/internal/forecast/cost.go
@@ -9,30 +9,30 @@
 	Objective, Deadline time.Duration
 }
 
-const (
+var (
 	// shortObjective is the longest objective for which waiting time counts in full.
 	shortObjective = 500 * time.Millisecond
 	// safeShare is the share of the objective within which waiting harms nobody. The rest of the
 	// objective is left for the prompt's own prefill and for what the forecast doesn't know.
-	safeShare = 0.5
+	SafeShare = 0.35
 	// lateWeight is the weight of waiting beyond that: a late answer has a third of the value of
 	// one in time, so that recomputing a long prompt's shared tokens costs less.
-	lateWeight = 4.0
+	LateWeight = 4.0
 	// UnservedCost is the cost of an answer that ends after the deadline, as a time. It is above
 	// that of any wait that leaves time for an answer.
 	UnservedCost = 60 * time.Second
 )
 
-// Cost returns the cost of the wait until prefill begins, as a time of delay to other requests.
+// Cost returns the cost of the time to the first event, as a time of delay to other requests.
 func (a Answer) Cost(l Limits) time.Duration {
 	if l.Deadline > 0 && a.End > l.Deadline {
 		return UnservedCost + a.End
 	}
 	if l.Objective <= 0 {
-		return a.Start
+		return a.First + a.Paused
 	}
 	weight := min(1, shortObjective.Seconds()/l.Objective.Seconds())
-	safe := time.Duration(safeShare * float64(l.Objective))
-	within, beyond := min(a.Start, safe), max(0, a.Start-safe)
-	return time.Duration(weight*float64(within) + lateWeight*float64(beyond))
+	safe := time.Duration(SafeShare * float64(l.Objective))
+	within, beyond := min(a.First, safe), max(0, a.First-safe)
+	return time.Duration(weight*float64(within+a.Paused) + LateWeight*float64(beyond))
 }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -30,6 +30,8 @@
 	OwnTokens [Tiers]int
 	// Unreported estimates the requests that all routers sent since the report.
 	Unreported float64
+	// Inflow is the work that an endpoint is sent on average, in seconds of prefill a second.
+	Inflow float64
 	// Prompts describes the prompts that wait there.
 	Prompts Prompts
 	// SlotSeconds is the mean time for which a request holds a slot.
@@ -64,6 +66,9 @@
 	Start, Prefill time.Duration
 	// First is when the first event arrives, and End the last one.
 	First, End time.Duration
+	// Paused is the part of the time between them during which the endpoint prefills less urgent
+	// prompts that it has now.
+	Paused time.Duration
 }
 
 // Answer forecasts the answer to the request.
@@ -78,13 +83,43 @@
 	prefill := e.SecondsPerPromptToken*float64(r.PrefillTokens) + e.PrefillOverhead
 	start := max(ahead, e.slotWait())
 	first := start + prefill + e.SecondsPerOutputToken
-	end := first + max(0, all-start) + e.SecondsPerOutputToken*float64(max(0, r.OutputTokens-1))
-	return Answer{Start: seconds(start), Prefill: seconds(prefill), First: seconds(first), End: seconds(end)}
+	paused := max(0, all-start)
+	end := first + paused + e.SecondsPerOutputToken*float64(max(0, r.OutputTokens-1))
+	return Answer{Start: seconds(start), Prefill: seconds(prefill), First: seconds(first), End: seconds(end), Paused: seconds(paused)}
 }
 
 // Backlog returns how long the endpoint takes to prefill the prompts that it has now.
 func (e *Endpoint) Backlog() time.Duration { return seconds(e.backlog(Tiers - 1)) }
 
+// Reported returns how long the prompts of the last report take to prefill.
+func (e *Endpoint) Reported() time.Duration {
+	return seconds(e.SecondsPerPromptToken * float64(e.Waiting) * e.Prompts.Tokens)
+}
+
+// Sent estimates how many requests all routers sent to the endpoint since its report, if the mean
+// of the reported backlogs at the endpoints is mean and this router, which sends the given share of
+// all requests, sent own of them.
+//
+// The mean inflow over the age of the report is corrected by the own requests: the result is the
+// posterior mean of a gamma distribution with a prior of one request. Routers see about the same
+// reports, so that an endpoint with a longer backlog than the others gets less.
+func (e *Endpoint) Sent(mean time.Duration, own, share float64) float64 {
+	reportAge, _ := e.ReportAge.Get()
+	perPrompt := e.SecondsPerPromptToken * e.Prompts.Tokens
+	if perPrompt <= 0 || share <= 0 {
+		return own
+	}
+	expected := e.Inflow * reportAge.Seconds() / perPrompt
+	if reported := e.Reported(); reported > mean {
+		expected *= float64(mean) / float64(reported)
+	}
+	if expected <= 0 {
+		return own
+	}
+	all := (own + 1) / (share + 1/expected)
+	return own + (1-share)*all
+}
+
 // backlog returns the time, in seconds, that the endpoint takes to prefill the prompts of the tier
 // and above: those of all routers as estimated, or this router's own if that is more.
 func (e *Endpoint) backlog(tier int) float64 {
