--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -49,7 +49,8 @@
 			mix, inflow = isolatedPrompts, isolatedBusy
 		}
 		views[i].forecast = views[i].forecastEndpoint(now, mix, slotTime)
-		views[i].forecast.Inflow = inflow
+		// Each endpoint is preferred for as many prompts as any other, whatever its speed.
+		views[i].forecast.Inflow = inflow * views[i].SecondsPerPromptToken / perToken
 		views[i].forecasts = true
 	}
 	shareInflow(views, group, p.demand.share())
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -34,10 +34,12 @@
 	endlessAnswers   *prometheus.CounterVec
 	tokens           *prometheus.CounterVec
 	firstToken       *prometheus.HistogramVec
+	forecasts        forecastMetrics
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
+		forecasts: newForecastMetrics(reg),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_requests_total",
 			Help: "Requests by class and by how they ended: complete, caller_gone, or the code of the error.",
@@ -95,6 +97,7 @@
 		rt.metrics.tokens.WithLabelValues(class).Add(float64(r.Delivered.Tokens))
 		rt.metrics.firstToken.WithLabelValues(class).Observe(r.Delivered.FirstToken.Sub(r.Arrived).Seconds())
 	}
+	rt.metrics.forecasts.record(r)
 	if r.Kind == wire.KindRouted {
 		rt.logRouted(r, err, result)
 		return
