Describe forecasts, and state the limit that a forecast wait exceeds

Cause: a refusal by a forecast named the whole objective, and its Retry-After was the minimum. Tests: internal/filters/choose and internal/router pass.

--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -26,42 +26,54 @@
 // statesForecastInputs is the condition for one endpoint: it states its load and its pace.
 func statesForecastInputs(v *View) bool { return !v.ReportedAt.IsZero() && v.Pace > 0 }
 
-// describeForForecast sets View.forecast at the endpoints that a request may be sent to, if
-// forecasts apply to them. group are those of the request's kind, in rank order if it is isolated,
-// and reduced those with reduced capacity.
-func (p PromptAware) describeForForecast(now time.Time, req Request, views []View, group, reduced []int, regular int, tightGap bool, decision isolation) {
+// forecastGroup holds the endpoints that a request may be sent to.
+type forecastGroup struct {
+	// endpoints are those of the request's kind, in rank order if it is isolated, and reduced
+	// those with reduced capacity.
+	endpoints, reduced []int
+	// regular is the number of endpoints of all kinds.
+	regular  int
+	tightGap bool
+	decision isolation
+}
+
+// describe sets View.forecast at the endpoints of the group, if forecasts apply to them.
+func (p PromptAware) describe(now time.Time, req Request, views []View, group forecastGroup) {
 	if !forecastApplies(views) {
 		return
 	}
-	demand := p.demand.lastServiceDemand(req.Service)
-	perToken := meanSecondsPerPromptToken(views, group)
-	isolated, others := demand.split(decision)
-	prompts := others.waitingPrompts(req, perToken)
-	isolatedPrompts := isolated.waitingPrompts(req, perToken)
-	usable := len(group) // of the kinds that aren't isolated
-	if tightGap {
-		usable = max(1, regular-decision.dedicated)
-	}
-	busy, isolatedBusy := others.prefillShare(usable), isolated.prefillShare(decision.dedicated)
-	for n, i := range group {
-		mix, inflow := prompts, busy
-		if tightGap && n < decision.dedicated {
-			mix, inflow = isolatedPrompts, isolatedBusy
+	perToken := meanSecondsPerPromptToken(views, group.endpoints)
+	isolated, others := p.demand.lastServiceDemand(req.Service).split(group.decision)
+	ofOthers := others.waitingPrompts(req, perToken)
+	ofIsolated := isolated.waitingPrompts(req, perToken)
+	busyOthers := others.prefillShare(group.othersEndpoints())
+	busyIsolated := isolated.prefillShare(group.decision.dedicated)
+	for n, i := range group.endpoints {
+		prompts, inflow := ofOthers, busyOthers
+		if group.tightGap && n < group.decision.dedicated {
+			prompts, inflow = ofIsolated, busyIsolated
 		}
-		views[i].forecast = views[i].forecastEndpoint(now, mix)
-		// Each endpoint is preferred for as many prompts as any other, whatever its speed.
+		views[i].describe(now, prompts)
+		// A slow endpoint is counted as preferred for as many prompts as a fast one, which is an
+		// upper bound.
 		views[i].forecast.Inflow = inflow * views[i].SecondsPerPromptToken / perToken
-		views[i].forecasts = true
 	}
-	shareInflow(views, group, p.demand.share())
-	for _, i := range reduced {
-		views[i].forecast = views[i].forecastEndpoint(now, prompts)
+	shareInflow(views, group.endpoints, p.demand.share())
+	for _, i := range group.reduced {
+		views[i].describe(now, ofOthers)
 		// Few routers send to such an endpoint, and this one is among them.
 		views[i].forecast.Unreported = float64(views[i].OwnUnreported)
-		views[i].forecasts = true
 	}
 }
 
+// othersEndpoints returns the number of endpoints of the kinds that aren't isolated.
+func (g forecastGroup) othersEndpoints() int {
+	if g.tightGap {
+		return max(1, g.regular-g.decision.dedicated)
+	}
+	return len(g.endpoints)
+}
+
 // shareInflow estimates how many requests all routers sent to each endpoint since its report. All
 // of them see about the same reports, so that endpoints with longer backlogs than the mean get
 // less.
@@ -88,9 +100,10 @@
 	return busy / float64(max(endpoints, 1))
 }
 
-// forecastEndpoint describes the endpoint for a forecast.
-func (v *View) forecastEndpoint(now time.Time, prompts forecast.Prompts) forecast.Endpoint {
-	return forecast.Endpoint{
+// describe describes the endpoint, at which such prompts wait, for forecasts.
+func (v *View) describe(now time.Time, prompts forecast.Prompts) {
+	v.forecasts = true
+	v.forecast = forecast.Endpoint{
 		SecondsPerPromptToken: v.SecondsPerPromptToken, SecondsPerOutputToken: v.SecondsPerOutputToken,
 		PrefillOverhead: v.PrefillOverhead,
 		Running:         v.Load.TotalRunning(), Waiting: v.Load.TotalQueued(), ReportAge: age.Since(v.ReportedAt, now),
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -51,7 +51,7 @@
 	preferred := preferredEndpoint(req, views, group)
 	sampled := sampleSize(len(group), share)
 	estimateOtherRouters(views, share, float64(sampled)/float64(len(group)))
-	p.describeForForecast(now, req, views, group, reduced, len(regular), tightGap, decision)
+	p.describe(now, req, views, forecastGroup{group, reduced, len(regular), tightGap, decision})
 	chosen := lowestCostEndpoint(req, views, group, preferred, sampled, tightGap, rnd)
 	chosen = earlierEndpoint(req, views, group, chosen, rnd)
 	chosen = cheaperReducedCapacity(req, views, reduced, chosen, preferred, tightGap)
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -17,7 +17,8 @@
 // LateError reports that the response would begin too late at any endpoint. The request
 // was not sent.
 type LateError struct {
-	// Wait is the expected wait. Objective is the latency objective that it exceeds.
+	// Wait is the expected wait. Objective is the latency objective that it exceeds, or the part
+	// of it within which a forecast wait has to be.
 	Wait, Objective time.Duration
 }
 
@@ -52,6 +53,7 @@
 	limit := time.Duration(f.refuseLateFactor * float64(objective))
 	if r.Forecast {
 		limit = forecast.WaitLimit(limit)
+		objective = limit
 	}
 	if r.StreamVersion != nil {
 		limit = max(limit, time.Until(r.Deadline))
