--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"coveferry/internal/forecast"
 	"coveferry/internal/load"
 	"coveferry/internal/pace"
 	"coveferry/internal/prompt"
@@ -31,6 +32,8 @@
 	Stride int
 	// Objective is the target for the time to the first event of the response; 0 means none.
 	Objective time.Duration
+	// TimeLeft is the time until the caller's deadline; 0 means none.
+	TimeLeft time.Duration
 	// Retry marks a request that was already sent to an endpoint. It isn't sent to an endpoint
 	// known to be full, and is rejected if all are.
 	Retry bool
@@ -95,6 +98,10 @@
 	Pace float64
 	// PaceClass is the class of Pace, by which endpoints are compared.
 	PaceClass pace.Class
+	// forecast describes the endpoint for forecasts; forecasts is set if they apply to it. A policy
+	// that makes forecasts sets both.
+	forecast  forecast.Endpoint
+	forecasts bool
 	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
 	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
 	// among the views.
