--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -46,6 +46,11 @@
 	if preferred >= 0 {
 		best, bestCost = preferred, promptCost(req, &views[preferred], true, tightGap)
 	}
+	for _, i := range alternatesFor(req, views, group, preferred) {
+		if cost := promptCost(req, &views[i], false, tightGap) - alternateSaving(req, &views[i]); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
 	for n := range sampled {
 		i := group[(start+n)%len(group)]
 		if sampled < len(group) {
@@ -58,6 +63,26 @@
 	return best
 }
 
+// alternatesFor returns the alternates of the preferred endpoint, if there is one and forecasts apply:
+// without them this router can't tell whether the preferred endpoint is backlogged.
+func alternatesFor(req Request, views []View, group []int, preferred int) []int {
+	if preferred < 0 || !views[preferred].forecasts {
+		return nil
+	}
+	return alternates(req, views, group, preferred)
+}
+
+// alternateCachedShare is the probability that an alternate has the shared parts cached: it has if
+// another router sent such a prompt there lately.
+const alternateCachedShare = 0.5
+
+// alternateSaving returns the part of promptCost, in milliseconds, that is saved at an alternate
+// because it may have the shared parts cached.
+func alternateSaving(req Request, v *View) float64 {
+	recompute := 1000 * v.SecondsPerPromptToken * v.recomputeFactor() * float64(recomputedTokens(req, v, false))
+	return alternateCachedShare * recompute
+}
+
 // ownInflightShare returns this router's share, from 0 to 1, of all requests at the endpoints.
 func ownInflightShare(views []View) float64 {
 	own, all := 1.0, 1.0
@@ -138,7 +163,7 @@
 func promptCost(req Request, v *View, preferred, tightGap bool) float64 {
 	perToken := 1000 * v.SecondsPerPromptToken
 	waiting := v.waitCost(req)
-	recompute := perToken * recomputeFactor * float64(recomputedTokens(req, v, preferred))
+	recompute := perToken * v.recomputeFactor() * float64(recomputedTokens(req, v, preferred))
 	cost := waiting + recompute + perStreamCost*v.estimatedRequests()
 	if !tightGap {
 		cost += pausePenalty * float64(v.TightGapStreams)
@@ -149,6 +174,15 @@
 	return cost
 }
 
+// recomputeFactor weights the prefill time of tokens that are cached elsewhere: where prompts wait,
+// it delays each of them.
+func (v *View) recomputeFactor() float64 {
+	if v.forecasts {
+		return recomputeFactor + v.forecast.Delayed()
+	}
+	return recomputeFactor
+}
+
 // waitCost returns the cost of waiting for prompts that are prefilled first, in milliseconds.
 func (v *View) waitCost(req Request) float64 {
 	if v.forecasts {
--- a/internal/balance/preferred.go
+++ b/internal/balance/preferred.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"coveferry/internal/pace"
 )
@@ -23,6 +24,31 @@
 	return preferred
 }
 
+// alternateCount is the number of endpoints next in rank after the preferred one at which requests
+// for the same parts meet when the preferred one is backlogged. More would spread a part over so many
+// endpoints that each prefills it for few requests.
+const alternateCount = 2
+
+// alternates returns the indexes of the endpoints that come after the preferred one for the prompt's
+// shared parts: the same at all routers, so that these parts are cached at few endpoints.
+func alternates(req Request, views []View, group []int, preferred int) []int {
+	key, usual := req.Prompt.SharedPrefixID(), usualPace(views)
+	found := make([]int, 0, alternateCount+1)
+	for _, i := range group {
+		if i == preferred {
+			continue
+		}
+		p := newPreference(key, &views[i], usual)
+		at := len(found)
+		for at > 0 && p.above(newPreference(key, &views[found[at-1]], usual)) {
+			at--
+		}
+		found = slices.Insert(found, at, i)
+		found = found[:min(len(found), alternateCount)]
+	}
+	return found
+}
+
 // usualPace returns the pace with which those of the views are compared.
 func usualPace(views []View) pace.Usual {
 	return pace.UsualOf(func(yield func(pace.Class) bool) {
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -120,6 +120,20 @@
 	return own + (1-share)*all
 }
 
+// maxBusy bounds the share of an endpoint's time spent on prefill by which Delayed estimates how long
+// a backlog lasts, so that the estimate stays finite.
+const maxBusy = 0.92
+
+// Delayed estimates how many prompts wait longer if the endpoint prefills more tokens now: those that
+// it has, and those that arrive until it has no backlog any more.
+func (e *Endpoint) Delayed() float64 {
+	perPrompt := e.SecondsPerPromptToken * e.Prompts.Tokens
+	if perPrompt <= 0 {
+		return 0
+	}
+	return e.backlog(Tiers-1) / perPrompt / (1 - min(e.Inflow, maxBusy))
+}
+
 // backlog returns the time, in seconds, that the endpoint takes to prefill the prompts of the tier
 // and above: those of all routers as estimated, or this router's own if that is more.
 func (e *Endpoint) backlog(tier int) float64 {
