--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"coveferry/internal/age"
@@ -127,30 +126,6 @@
 	return 1000 * v.answer(req).Cost(limits).Seconds()
 }
 
-// lateSamples is how many further endpoints are looked at before a request is late: with half of
-// the endpoints backlogged, 1 request in 256 finds none of the others.
-const lateSamples = 8
-
-// earlierEndpoint returns the chosen endpoint, or the earliest of a few others if prefill would
-// begin there after the objective only. A request is refused by what is expected at the chosen
-// endpoint, so that the others must not be better.
-func earlierEndpoint(req Request, views []View, group []int, chosen int, rnd *rand.Rand) int {
-	if !views[chosen].forecasts || req.Objective <= 0 {
-		return chosen
-	}
-	earliest := views[chosen].answer(req).Start
-	if earliest <= req.Objective {
-		return chosen
-	}
-	for range lateSamples {
-		i := group[rnd.IntN(len(group))]
-		if start := views[i].answer(req).Start; start < earliest {
-			chosen, earliest = i, start
-		}
-	}
-	return chosen
-}
-
 // meanSecondsPerPromptToken returns the mean prefill time of a token at the endpoints of a group.
 func meanSecondsPerPromptToken(views []View, group []int) float64 {
 	mean := 0.0
--- a/internal/balance/prompts.go
+++ b/internal/balance/prompts.go
@@ -53,7 +53,6 @@
 	estimateOtherRouters(views, share, float64(sampled)/float64(len(group)))
 	p.describe(now, req, views, forecastGroup{group, reduced, len(regular), tightGap, decision})
 	chosen := lowestCostEndpoint(req, views, group, preferred, sampled, tightGap, rnd)
-
 	chosen = cheaperReducedCapacity(req, views, reduced, chosen, preferred, tightGap)
 	prefillTokens := req.Prompt.UnsharedTokens() + recomputedTokens(req, &views[chosen], chosen == preferred && !p.demand.cold())
 	p.demand.add(now, req.kind(), req.Tier, seconds(views[chosen].PrefillOverhead+views[chosen].SecondsPerPromptToken*float64(prefillTokens)))
