--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -53,9 +53,8 @@
 			prompts, inflow = ofIsolated, busyIsolated
 		}
 		views[i].describe(now, prompts)
-		// A slow endpoint is counted as preferred for as many prompts as a fast one, which is an
-		// upper bound.
-		views[i].forecast.Inflow = inflow * views[i].SecondsPerPromptToken / perToken
+		// Endpoints are preferred for parts in proportion to their speeds.
+		views[i].forecast.Inflow = inflow
 	}
 	shareInflow(views, group.endpoints, p.demand.share())
 	for _, i := range group.reduced {
--- a/internal/forecast/cost.go
+++ b/internal/forecast/cost.go
@@ -22,16 +22,16 @@
 	lateWidth = 0.13
 	// lateCost is the cost of a late answer. All late answers have the same value: a longer wait
 	// beyond the objective is no reason to prefill the prompt's shared tokens again elsewhere.
-	lateCost = time.Second
-	// UnservedCost is the cost of an answer that ends after the deadline, as a time. It is above
-	// that of any wait that leaves time for an answer.
-	UnservedCost = 3 * time.Second
+	lateCost = 250 * time.Millisecond
+	// unservedCost is the cost of an answer that ends after the deadline, as a time: above that of
+	// any wait within the objective, and low enough for prompts to stay near their cached parts where
+	// no endpoint is better.
+	unservedCost = 3 * time.Second
 )
 
-// limitShare is the share of the objective from which a wait is too long. In a burst at nearly twice
-// the load of forecast_sim_test.go of package balance, 0.64 to 0.73 of the long prompts are in time
-// with 0.75, and 0.67 to 0.74 with 0.5. At 1.4 times that load 0.5 refuses up to 0.024 of them, and
-// 0.4 up to 0.039.
+// limitShare is the share of the objective from which a wait is too long: the rest is left for the
+// request's own prefill and for forecasts that are too short. A late answer still has a third of the
+// value, so that requests are refused only where most of them would be late.
 const limitShare = 0.75
 
 // WaitLimit returns the longest expected wait until prefill begins with which a request is served,
@@ -43,7 +43,7 @@
 // Cost returns the cost of the time to the first event, as a time of delay to other requests.
 func (a Answer) Cost(l Limits) time.Duration {
 	if l.Deadline > 0 && a.End > l.Deadline {
-		return UnservedCost + a.First
+		return unservedCost + a.First
 	}
 	if l.Objective <= 0 {
 		return a.First + a.Paused
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -121,7 +121,7 @@
 }
 
 // maxBusy bounds the share of an endpoint's time spent on prefill by which Delayed estimates how long
-// a backlog lasts, so that the estimate stays finite.
+// a backlog lasts: with 0.92 it lasts 12 times as long as the prompts that wait now take.
 const maxBusy = 0.92
 
 // Delayed estimates how many prompts wait longer if the endpoint prefills more tokens now: those that
