Probe distrusted endpoints that have a rate limit

Such an endpoint got no probes, and its distrust wasn't ended, while it was metered. Distrust is now updated for each request for which the endpoint is a candidate, and probes are taken from its rate limit.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -155,7 +155,7 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
-	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 {
+	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 && (!s.views[i].Metered || p.Take(now, candidates[s.candidateIndexes[i]], req)) {
 		p.recordDistrustedChoice(now, req, s.views[i], s.rnd)
 		return i, nil
 	}
@@ -249,8 +249,16 @@
 func (p *Pool) fillView(now time.Time, c *bundle.Endpoint, v *View, req Request) availability {
 	sh := p.shard(c.Name)
 	sh.mu.Lock()
-	defer sh.mu.Unlock()
 	st := sh.state(c.Name)
+	change := st.updateDistrust(now)
+	avail := p.fillViewOf(now, st, c, v, req)
+	sh.mu.Unlock()
+	p.notifyRefusals(RefusalEvent{Endpoint: c.Name}, change)
+	return avail
+}
+
+// fillViewOf is fillView for the state of the endpoint, whose shard is locked.
+func (p *Pool) fillViewOf(now time.Time, st *state, c *bundle.Endpoint, v *View, req Request) availability {
 	if st.group == "" {
 		st.group, st.domain = endpointGroup(c), c.FailureDomain
 	}
--- a/internal/balance/refusals.go
+++ b/internal/balance/refusals.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		v.Weight = 0
-		if req.Retry || v.Metered {
+		if req.Retry {
 			continue
 		}
 		draw -= p.distrustedShare(now, v.Endpoint, trusted+distrusted)
@@ -143,16 +143,21 @@
 func (p *Pool) distrustedShare(now time.Time, endpoint string, endpoints int) float64 {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
 	if !known || !st.refusals.Distrusted() {
-		sh.mu.Unlock()
 		return 0
 	}
-	change := st.refusals.Update(now)
-	share := st.refusals.Share(now, endpoints)
-	sh.mu.Unlock()
-	p.notifyRefusals(RefusalEvent{Endpoint: endpoint}, change)
-	return share
+	return st.refusals.Share(now, endpoints)
+}
+
+// updateDistrust ends distrust of the endpoint when it is over. It is called for each request for
+// which the endpoint is a candidate, also if the endpoint gets none of them.
+func (st *state) updateDistrust(now time.Time) refusals.Change {
+	if !st.refusals.Distrusted() {
+		return refusals.Unchanged
+	}
+	return st.refusals.Update(now)
 }
 
 // ownRefusals returns this router's outcomes at the endpoint, and drops old evidence.
--- a/internal/balance/refusals_test.go
+++ b/internal/balance/refusals_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"coveferry/internal/upstream"
 )
 
 // contradict has an endpoint refuse a request each 100 ms for two seconds, with one of its slots
@@ -124,3 +126,58 @@
 	t.Logf("%d bytes, %d more than without", with, with-without)
 	g.Expect(with).To(BeNumerically("<=", 80))
 }
+
+// limitedPool returns a pool in which e0 of the given endpoints is distrusted and limits all routers
+// to ten requests a second, and the time after that.
+func limitedPool(endpoints int, onRefusals func(RefusalEvent)) (*Pool, time.Time) {
+	p := NewPool(Config{Policy: NewPromptAware(), OnRefusals: onRefusals})
+	p.Views(epoch, newEndpoints(endpoints))
+	now := contradict(p, "e0", epoch)
+	p.ApplyLimit(now, now, "e0", upstream.RateLimit{Kind: upstream.LimitSet, PerSecond: 10})
+	return p, now
+}
+
+// Guards against an endpoint with a rate limit that never gets a probe while it is distrusted.
+func TestDistrustedEndpointWithRateLimitGetsProbesWithinItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	p, now := limitedPool(2, nil)
+	probes := 0
+	sent := p.Limits().Sent
+	for range 500 { // 100 a second
+		now = now.Add(10 * time.Millisecond)
+		e, err := p.Choose(now, Request{Service: "llm"}, newEndpoints(2), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		if e.Name == "e0" {
+			probes++
+			r := loadReport(1, 0)
+			a := p.Track(now, "e0", Work{Service: "llm"})
+			a.Release()
+			a.ContradictedLoad(now, &r, 0)
+			a.Done(now, ResultRefused)
+		}
+	}
+	g.Expect(probes).To(BeNumerically(">=", 2))
+	g.Expect(probes).To(BeNumerically("<=", 10), "about one a second")
+	g.Expect(p.Limits().Sent-sent).To(BeEquivalentTo(probes), "probes count against the limit")
+}
+
+// Guards against distrust that lasts for as long as an endpoint gets no request, because it has used
+// up its rate limit or because all requests are retries.
+func TestDistrustOfEndpointWithoutRequestsEnds(t *testing.T) {
+	for name, req := range map[string]Request{"at its rate limit": {Service: "llm"}, "retries only": {Service: "llm", Retry: true}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var events []RefusalEvent
+			p, now := limitedPool(2, func(e RefusalEvent) { events = append(events, e) })
+			for range 110 {
+				now = now.Add(100 * time.Millisecond)
+				for range 3 { // uses up the limit
+					p.Take(now, newEndpoints(1)[0], req)
+				}
+				_, err := p.Choose(now, req, newEndpoints(2), nil)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			g.Expect(events).To(Equal([]RefusalEvent{{"e0", true}, {"e0", false}}))
+		})
+	}
+}
