--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -80,18 +80,28 @@
 }
 
 // RecentFailures lists up to limit endpoints at which attempts of this router failed recently, that
-// it found unresponsive or that asked it to back off, those with the most failures first.
+// it found unresponsive, that asked it to back off or whose refusals contradict their load.
+// Unresponsive endpoints and those that asked for backoff come first, since peers can avoid them at
+// once, then those with the most failures.
 func (p *Pool) RecentFailures(now time.Time, limit int) []FailureSummary {
 	var failures []FailureSummary
 	for i := range p.shards {
 		failures = p.shards[i].appendFailures(failures, now)
 	}
 	slices.SortFunc(failures, func(a, b FailureSummary) int {
-		return cmp.Or(cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	return failures[:min(limit, len(failures))]
 }
 
+// rank orders the endpoints in the bounded report to peers, highest first.
+func (s FailureSummary) rank() int {
+	if s.Unresponsive > 0 || s.BackoffMillis > 0 {
+		return 1
+	}
+	return 0
+}
+
 func (sh *shard) appendFailures(failures []FailureSummary, now time.Time) []FailureSummary {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -114,3 +114,24 @@
 	}
 	g.Expect(isAvoided(p, now, 8)).To(BeTrue())
 }
+
+// Guards against unresponsive endpoints and those that asked for backoff being pushed out of the
+// bounded report by endpoints whose refusals contradict their load or at which attempts failed.
+func TestUnresponsiveAndBackingOffEndpointsStayInTheBoundedReport(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	viewOf(p, epoch, 8)
+	now := epoch
+	for i := range 6 {
+		now = contradict(p, newEndpoints(6)[i].Name, epoch)
+		attempt(p, now, newEndpoints(6)[i].Name, ResultFailed)
+	}
+	p.askForBackoff(now, "e8", time.Minute)
+	sh := p.shard("e7")
+	sh.states["e7"].foundUnresponsiveAt = now
+	reports := p.RecentFailures(now, 3)
+	g.Expect(reports).To(HaveLen(3))
+	g.Expect(reports[0].Endpoint).To(Equal("e7"))
+	g.Expect(reports[1].Endpoint).To(Equal("e8"))
+	g.Expect(reports[2].Contradicted).To(BeNumerically(">", 0))
+}
