Count served requests only while there is evidence of refusals

One ordinary 503 made every later request take another lock. The switch is now set after the checks, and ends some time after the last contradiction.

--- a/internal/balance/refusals.go
+++ b/internal/balance/refusals.go
@@ -13,11 +13,24 @@
 type refusalStats struct {
 	// contradictions counts the refusals that contradict the stated load.
 	contradictions atomic.Int64
-	// seen is set once this router saw a refusal that may be one, or a peer reported one. Until
-	// then served requests aren't counted.
-	seen atomic.Bool
+	// watchUntil is when there is no evidence of any endpoint any more, in Unix nanoseconds, unless
+	// this router sees another refusal that may contradict the load or a peer reports one. Served
+	// requests are counted until then.
+	watchUntil atomic.Int64
 }
 
+// watch has served requests counted while there may be evidence.
+func (s *refusalStats) watch(now time.Time) {
+	until := now.Add(refusals.Relevant).UnixNano()
+	for last := s.watchUntil.Load(); last < until; last = s.watchUntil.Load() {
+		if s.watchUntil.CompareAndSwap(last, until) {
+			return
+		}
+	}
+}
+
+func (s *refusalStats) watching(now time.Time) bool { return now.UnixNano() < s.watchUntil.Load() }
+
 // RefusalEvent says that an endpoint begins or ends to be distrusted for its refusals.
 type RefusalEvent struct {
 	Endpoint   string
@@ -34,11 +47,15 @@
 		return
 	}
 	p := t.pool
-	p.refusals.seen.Store(true)
 	event := RefusalEvent{Endpoint: t.endpoint}
 	change := refusals.Unchanged
 	t.update(func(st *state) {
-		if st.mayRefuse(now) || kind == refusals.Unstated && !st.refusesWhileOthersServe(now) {
+		if st.mayRefuse(now) || kind == refusals.Unstated && !st.reportedAt.IsZero() {
+			return
+		}
+		// Whether others of the group serve requests is known only once these are counted.
+		p.refusals.watch(now)
+		if kind == refusals.Unstated && !st.refusesWhileOthersServe(now) {
 			return
 		}
 		p.refusals.contradictions.Add(1)
@@ -71,7 +88,7 @@
 
 // recordServed records, once, that the endpoint served the request or began to.
 func (t *TrackedRequest) recordServed(now time.Time) {
-	if t.servedRecorded || !t.pool.refusals.seen.Load() {
+	if t.servedRecorded || !t.pool.refusals.watching(now) {
 		return
 	}
 	t.servedRecorded = true
@@ -218,8 +235,8 @@
 		sh.mu.Unlock()
 		return
 	}
+	p.refusals.watch(now)
 	if st.refusals == nil {
-		p.refusals.seen.Store(true)
 		st.refusals = refusals.New()
 	}
 	st.refusals.Report(now, c)
@@ -239,7 +256,7 @@
 // Refusals sums up the refusals that contradict the stated load.
 func (p *Pool) Refusals() RefusalTotals {
 	sum := RefusalTotals{Contradictions: p.refusals.contradictions.Load()}
-	if !p.refusals.seen.Load() {
+	if p.refusals.watchUntil.Load() == 0 {
 		return sum
 	}
 	for i := range p.shards {
--- a/internal/balance/refusals_test.go
+++ b/internal/balance/refusals_test.go
@@ -181,3 +181,47 @@
 		})
 	}
 }
+
+// Guards against a lock for each request after one ordinary refusal, or after all evidence is
+// forgotten.
+func TestServedRequestsAreCountedOnlyWhileThereIsEvidence(t *testing.T) {
+	refuse := func(p *Pool, now time.Time) {
+		a := p.Track(now, "e0", Work{})
+		a.ContradictedLoad(now, nil, 0) // states no load
+		r := loadReport(1, 0)
+		if p.states("e0").leaving {
+			a.ContradictedLoad(now, &r, 0)
+		}
+		a.Done(now, ResultRefused)
+	}
+	counted := func(p *Pool, now time.Time) bool {
+		a := p.Track(now, "e1", Work{})
+		a.Release()
+		a.Done(now, ResultOK)
+		return a.servedRecorded
+	}
+	for name, prepare := range map[string]func(*Pool){
+		"leaving":         func(p *Pool) { p.SetLeaving("e0", true) },
+		"stated its load": func(p *Pool) { p.Report(epoch, "e0", loadReport(1, 0)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := NewPool(Config{Policy: NewPromptAware()})
+			viewOf(p, epoch, 1)
+			prepare(p)
+			refuse(p, epoch)
+			g.Expect(counted(p, epoch)).To(BeFalse())
+		})
+	}
+	t.Run("forgotten", func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPool(Config{Policy: NewPromptAware()})
+		viewOf(p, epoch, 1)
+		now := contradict(p, "e0", epoch)
+		g.Expect(counted(p, now.Add(9*time.Second))).To(BeTrue())
+		g.Expect(counted(p, now.Add(16*time.Second))).To(BeFalse())
+	})
+}
+
+// states returns the state of an endpoint.
+func (p *Pool) states(endpoint string) *state { return p.shard(endpoint).states[endpoint] }
--- a/internal/refusals/refusals.go
+++ b/internal/refusals/refusals.go
@@ -43,6 +43,9 @@
 	// forgetAfter is when the endpoint competes again if no contradiction came, for lack of
 	// requests.
 	forgetAfter = 10 * time.Second
+	// Relevant is how long after the last contradiction, or report of peers, there may be
+	// evidence: until it is forgotten, and some time for that to be noticed.
+	Relevant = forgetAfter + 5*time.Second
 	// reportTTL is how long a peers' report counts: they come every 250 ms.
 	reportTTL = time.Second
 	// maxReportDelay is how old an outcome may be that peers report for the first time: reports
