End distrust for good where nothing new is reported

Distrust adopted from peers ended after 10 s and began again with the same reports, with a log line each time. It begins again only after these have changed. Refusals() counted endpoints without requests as distrusted for ever; it now ends distrust that is over.

--- a/internal/balance/refusals.go
+++ b/internal/balance/refusals.go
@@ -253,21 +253,34 @@
 	Contradictions int64
 }
 
-// Refusals sums up the refusals that contradict the stated load.
-func (p *Pool) Refusals() RefusalTotals {
+// Refusals sums up the refusals that contradict the stated load. It ends distrust that is over,
+// also of endpoints that are no longer candidates of any request.
+func (p *Pool) Refusals(now time.Time) RefusalTotals {
 	sum := RefusalTotals{Contradictions: p.refusals.contradictions.Load()}
 	if p.refusals.watchUntil.Load() == 0 {
 		return sum
 	}
 	for i := range p.shards {
-		sh := &p.shards[i]
-		sh.mu.Lock()
-		for _, st := range sh.states {
-			if st.refusals.Distrusted() {
-				sum.Endpoints++
-			}
+		distrusted, ended := p.shards[i].updateDistrust(now)
+		sum.Endpoints += distrusted
+		for _, endpoint := range ended {
+			p.notifyRefusals(RefusalEvent{Endpoint: endpoint}, refusals.Ends)
 		}
-		sh.mu.Unlock()
 	}
 	return sum
 }
+
+// updateDistrust counts the distrusted endpoints and returns those whose distrust ends.
+func (sh *shard) updateDistrust(now time.Time) (distrusted int, ended []string) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for name, st := range sh.states {
+		if st.updateDistrust(now) == refusals.Ends {
+			ended = append(ended, name)
+		}
+		if st.refusals.Distrusted() {
+			distrusted++
+		}
+	}
+	return distrusted, ended
+}
--- a/internal/balance/refusals_test.go
+++ b/internal/balance/refusals_test.go
@@ -39,16 +39,16 @@
 			p := NewPool(Config{Policy: NewPromptAware()})
 			old := p.Track(epoch, "e0", Work{})
 			now := contradict(p, "e0", epoch)
-			g.Expect(p.Refusals().Endpoints).To(Equal(1))
+			g.Expect(p.Refusals(now).Endpoints).To(Equal(1))
 			end(p, now)
-			g.Expect(p.Refusals().Endpoints).To(BeZero())
+			g.Expect(p.Refusals(now).Endpoints).To(BeZero())
 			r := loadReport(1, 0)
 			r.Slots = 64
 			old.ContradictedLoad(now, &r, 0)
 			g.Expect(p.RecentFailures(now, 32)).To(BeEmpty())
 			if name == "restart" {
 				p.ApplyPeerFailures(now, []FailureSummary{{Endpoint: "e0", Contradicted: 20, Distrusting: 5}})
-				g.Expect(p.Refusals().Endpoints).To(BeZero(), "peers' reports about the old process")
+				g.Expect(p.Refusals(now).Endpoints).To(BeZero(), "peers' reports about the old process")
 			}
 		})
 	}
@@ -94,7 +94,7 @@
 		a.ContradictedLoad(now, &r, 6)
 		a.Done(now, ResultRefused)
 	}
-	g.Expect(p.Refusals()).To(Equal(RefusalTotals{}))
+	g.Expect(p.Refusals(epoch.Add(3 * time.Second))).To(Equal(RefusalTotals{}))
 }
 
 // What a cold or leaving endpoint or one in the ramp after a backoff refuses isn't held against it,
@@ -109,7 +109,7 @@
 		p := NewPool(Config{Policy: NewPromptAware()})
 		set(p)
 		contradict(p, "e0", epoch)
-		g.Expect(p.Refusals()).To(Equal(RefusalTotals{}), name)
+		g.Expect(p.Refusals(epoch.Add(2*time.Second))).To(Equal(RefusalTotals{}), name)
 	}
 }
 
@@ -223,5 +223,16 @@
 	})
 }
 
+// Guards against an endpoint that counts as distrusted for ever because it gets no requests.
+func TestEndpointWithoutRequestsIsNotCountedAsDistrustedForEver(t *testing.T) {
+	g := NewWithT(t)
+	var events []RefusalEvent
+	p := NewPool(Config{Policy: NewPromptAware(), OnRefusals: func(e RefusalEvent) { events = append(events, e) }})
+	now := contradict(p, "e0", epoch)
+	g.Expect(p.Refusals(now).Endpoints).To(Equal(1))
+	g.Expect(p.Refusals(now.Add(11 * time.Second)).Endpoints).To(BeZero())
+	g.Expect(events).To(Equal([]RefusalEvent{{"e0", true}, {"e0", false}}))
+}
+
 // states returns the state of an endpoint.
 func (p *Pool) states(endpoint string) *state { return p.shard(endpoint).states[endpoint] }
--- a/internal/daemon/directrefusals.go
+++ b/internal/daemon/directrefusals.go
@@ -38,9 +38,9 @@
 	d.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "coveferry_distrusted_endpoints",
 		Help: "Endpoints that get probes or the share that they serve, since their refusals contradict their stated load.",
-	}, func() float64 { return float64(d.pool.Refusals().Endpoints) }))
+	}, func() float64 { return float64(d.pool.Refusals(time.Now()).Endpoints) }))
 	d.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "coveferry_contradicting_refusals_total",
 		Help: "Refusals for lack of room whose stated load leaves room.",
-	}, func() float64 { return float64(d.pool.Refusals().Contradictions) }))
+	}, func() float64 { return float64(d.pool.Refusals(time.Now()).Contradictions) }))
 }
--- a/internal/peers/refusals_test.go
+++ b/internal/peers/refusals_test.go
@@ -30,7 +30,7 @@
 			{Endpoint: "e0", Contradicted: 5 + i, Contradicting: 9, Distrusting: 9},
 		}, now)
 		pool.ApplyPeerFailures(now, f.sum(nil, now, ""))
-		g.Expect(pool.Refusals().Endpoints).To(BeZero())
+		g.Expect(pool.Refusals(now).Endpoints).To(BeZero())
 	}
 	sum := f.sum(nil, now, "")
 	g.Expect(sum).To(HaveLen(1))
--- a/internal/refusals/refusals.go
+++ b/internal/refusals/refusals.go
@@ -130,6 +130,9 @@
 	// adopted is set if the endpoint is distrusted only since peers distrust it. Such routers
 	// don't tell that they do, or they would keep each other from forgetting.
 	adopted bool
+	// adoptionOver is set once the distrust that was adopted from the peers' reports ended, until
+	// these change: the same reports must not begin it again.
+	adoptionOver bool
 	// requestGap is the mean time between two requests of this router that the endpoint could
 	// get, 0 if unknown, and lastRequest when the last one came.
 	requestGap  time.Duration
@@ -158,7 +161,7 @@
 		e.runEnd = earliest
 	}
 	e.lastContradiction = now
-	e.adopted = false
+	e.adopted, e.adoptionOver = false, false
 	e.run.Contradicted += n
 	e.servedInRow = 0
 }
@@ -189,6 +192,9 @@
 	}
 	e.reported = Counts{clamp(c.Contradicted), clamp(c.Served), clamp(c.Reporters), clamp(c.Routers)}
 	e.reportedAt = now
+	if e.reported.Routers < minDistrusting {
+		e.adoptionOver = false
+	}
 	if e.reported.Contradicted >= e.peak {
 		e.peak, e.peakAt = e.reported.Contradicted, now
 	}
@@ -235,11 +241,11 @@
 	case !e.distrusted && e.confirmed(now) && (e.run.contradict() || c.contradict()) && e.runEnd.Sub(e.runStart) >= minSpan:
 		e.distrusted = true
 		return Begins
-	case !e.distrusted && e.peersDistrust(now):
+	case !e.distrusted && !e.adoptionOver && e.peersDistrust(now):
 		e.distrusted, e.adopted, e.lastContradiction = true, true, now
 		return Begins
 	case e.distrusted && e.recovered(now, c):
-		e.distrusted, e.adopted, e.run = false, false, Counts{}
+		e.distrusted, e.adopted, e.adoptionOver, e.run = false, false, e.adopted, Counts{}
 		return Ends
 	}
 	return Unchanged
@@ -288,7 +294,7 @@
 
 // Over reports whether nothing is known of the endpoint any more.
 func (e *Evidence) Over(now time.Time) bool {
-	return !e.distrusted && now.Sub(e.lastContradiction) > forgetAfter
+	return !e.distrusted && now.Sub(e.lastContradiction) > forgetAfter && e.peers(now) == (Counts{})
 }
 
 // servedShare is the share of the recent requests that the endpoint served. Without a contradiction
--- a/internal/refusals/refusals_test.go
+++ b/internal/refusals/refusals_test.go
@@ -217,6 +217,28 @@
 	g.Expect(e.Own(at(100))).To(Equal(refusals.Counts{Contradicted: 1, Reporters: 1, Routers: 1}))
 }
 
+// Guards against distrust, with a log line each time, that begins again after each end while peers
+// report the same.
+func TestAdoptedDistrustDoesNotBeginAgainWithTheSameReports(t *testing.T) {
+	g := NewWithT(t)
+	e := refusals.New()
+	var changes []refusals.Change
+	report := func(from, to, routers int) {
+		for ms := from; ms < to; ms += 250 {
+			g.Expect(e.Over(at(ms))).To(Equal(ms == 0))
+			e.Report(at(ms), refusals.Counts{Routers: routers})
+			if c := e.Update(at(ms)); c != refusals.Unchanged {
+				changes = append(changes, c)
+			}
+		}
+	}
+	report(0, 60000, 2)
+	g.Expect(changes).To(Equal([]refusals.Change{refusals.Begins, refusals.Ends}))
+	report(60000, 61000, 1)
+	report(61000, 62000, 2)
+	g.Expect(changes).To(Equal([]refusals.Change{refusals.Begins, refusals.Ends, refusals.Begins}), "reports that changed")
+}
+
 func TestDistrustEndsWithoutOutcomes(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
--- a/internal/router/refusals_test.go
+++ b/internal/router/refusals_test.go
@@ -72,8 +72,8 @@
 				return
 			}
 			g.Expect(served).To(BeNumerically(">=", 0.98*refusalCallers))
-			g.Expect(w.pool.Refusals().Endpoints).To(Equal(3))
-			g.Expect(w.pool.Refusals().Contradictions).To(Equal(refused.Load()))
+			g.Expect(w.pool.Refusals(time.Now()).Endpoints).To(Equal(3))
+			g.Expect(w.pool.Refusals(time.Now()).Contradictions).To(Equal(refused.Load()))
 		})
 	}
 }
@@ -98,7 +98,7 @@
 				begun.Store(true)
 				callSteadily(g, client)
 				g.Expect(refused.Load()).NotTo(BeZero())
-				g.Expect(w.pool.Refusals()).To(Equal(balance.RefusalTotals{}))
+				g.Expect(w.pool.Refusals(time.Now())).To(Equal(balance.RefusalTotals{}))
 			})
 		})
 	}
