Estimate the wait of a probe with its endpoint among the others

A view chosen by what it serves kept weight 0, so that its wait was computed from a group without it, and a probe of an idle endpoint could be refused as late.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -155,7 +155,9 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
-	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 && (!s.views[i].Metered || p.Take(now, candidates[s.candidateIndexes[i]], req)) {
+	if i, weight := p.distrustedView(now, req, s.views, s.rnd); i >= 0 && (!s.views[i].Metered || p.Take(now, candidates[s.candidateIndexes[i]], req)) {
+		// Estimates for the choice are made as if the endpoint were chosen by load.
+		s.views[i].Weight = weight
 		p.recordDistrustedChoice(now, req, s.views[i], s.rnd)
 		return i, nil
 	}
--- a/internal/balance/refusals.go
+++ b/internal/balance/refusals.go
@@ -114,9 +114,9 @@
 }
 
 // distrustedView takes the distrusted endpoints out of the choice by load, and returns the index of
-// one that the request is sent to by what it serves, -1 if there is none. If no other endpoint can
-// take the request, it does nothing.
-func (p *Pool) distrustedView(now time.Time, req Request, views []View, rnd *rand.Rand) int {
+// one that the request is sent to by what it serves, with its weight; -1 if there is none. If no
+// other endpoint can take the request, it does nothing.
+func (p *Pool) distrustedView(now time.Time, req Request, views []View, rnd *rand.Rand) (chosen int, weight float64) {
 	trusted, distrusted := 0, 0
 	for i := range views {
 		switch v := &views[i]; {
@@ -128,24 +128,25 @@
 		}
 	}
 	if trusted == 0 || distrusted == 0 {
-		return -1
+		return -1, 0
 	}
-	chosen, draw := -1, rnd.Float64()
+	chosen, rest := -1, rnd.Float64()
 	for i := range views {
 		v := &views[i]
 		if !v.Distrusted || v.Weight <= 0 {
 			continue
 		}
+		usual := v.Weight
 		v.Weight = 0
 		if req.Retry {
 			continue
 		}
-		draw -= p.distrustedShare(now, v.Endpoint, trusted+distrusted)
-		if draw < 0 && chosen < 0 {
-			chosen = i
+		rest -= p.distrustedShare(now, v.Endpoint, trusted+distrusted)
+		if rest < 0 && chosen < 0 {
+			chosen, weight = i, usual
 		}
 	}
-	return chosen
+	return chosen, weight
 }
 
 // recordDistrustedChoice has the policy count the demand of a request that it didn't choose the
--- a/internal/balance/refusals_test.go
+++ b/internal/balance/refusals_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/prompt"
 	"coveferry/internal/upstream"
 )
 
@@ -234,5 +235,30 @@
 	g.Expect(events).To(Equal([]RefusalEvent{{"e0", true}, {"e0", false}}))
 }
 
+// Guards against a probe that is refused as late because its wait is estimated from the other, full
+// endpoints only.
+func TestProbeIsNotExpectedToWaitForOtherEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{Policy: NewPromptAware()})
+	req := Request{Service: "llm", Stride: 5, Objective: 300 * time.Millisecond, Prompt: prompt.Prompt{Tokens: 100, ExpectedOutput: 50}}
+	p.Views(epoch, newEndpoints(2))
+	now := contradict(p, "e0", epoch)
+	p.Report(now, "e0", loadReport(1, 0))
+	probes := 0
+	for range 500 {
+		p.Track(now, "e1", Work{Service: "llm", Prompt: req.Prompt, Stride: 5})
+		now = now.Add(10 * time.Millisecond)
+		p.Report(now, "e1", loadReport(64, 50))
+		c, err := p.ChooseWithEstimates(now, req, newEndpoints(2), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		if c.Endpoint.Name == "e0" {
+			probes++
+			g.Expect(c.Wait - c.PrefillTime).To(BeNumerically("<=", req.Objective))
+			break
+		}
+	}
+	g.Expect(probes).To(Equal(1))
+}
+
 // states returns the state of an endpoint.
 func (p *Pool) states(endpoint string) *state { return p.shard(endpoint).states[endpoint] }
