--- a/internal/balance/refusals_sim_test.go
+++ b/internal/balance/refusals_sim_test.go
@@ -51,32 +51,32 @@
 
 // refusalsSim is a running simulation.
 type refusalsSim struct {
-	rnd           *rand.Rand
-	now           time.Time
-	queue         eventQueue
-	pools         []*Pool
-	budget        *retry.Budget // the operator's bound for the fleet
-	engines       []*refusingEngine
-	candidates    []*bundle.Endpoint
-	silent, old   int                  // routers that tell nothing, and that tell nothing of such refusals
-	hops          int                  // exchanges by which reports of failures are late
-	reported      [][][]FailureSummary // by exchange and router
-	total, served int                  // requests sent while endpoints refuse
-	attempts      int
+	rnd              *rand.Rand
+	now              time.Time
+	queue            eventQueue
+	pools            []*Pool
+	budget           *retry.Budget // the operator's bound for the fleet
+	engines          []*refusingEngine
+	candidates       []*bundle.Endpoint
+	unreporting, old int                  // routers that report nothing, and that report nothing of such refusals
+	hops             int                  // exchanges by which reports of failures are late
+	reported         [][][]FailureSummary // by exchange and router
+	total, served    int                  // requests sent while endpoints refuse
+	attempts         int
 }
 
-type refusalsPlay struct {
+type refusalsCase struct {
 	routers, refusing int
 	share             float64
 	off, statesNone   bool
-	silent, old       int
+	unreporting, old  int
 	hops              int // as in refusalsSim
 	seed              uint64
 	times             float64 // the usual load; 0 means 1
 }
 
-func newRefusalsSim(c refusalsPlay) *refusalsSim {
-	n := &refusalsSim{rnd: rand.New(rand.NewPCG(3+c.seed, uint64(c.routers))), silent: c.silent, old: c.old, hops: c.hops}
+func newRefusalsSim(c refusalsCase) *refusalsSim {
+	n := &refusalsSim{rnd: rand.New(rand.NewPCG(3+c.seed, uint64(c.routers))), unreporting: c.unreporting, old: c.old, hops: c.hops}
 	n.budget = retry.NewBudget(retry.BudgetConfig{Ratio: 0.2, Floor: 9.4})
 	demands := make([]func() Demand, c.routers)
 	for i := range c.routers {
@@ -112,18 +112,18 @@
 
 func (n *refusalsSim) on(at time.Time, do func(time.Time)) { heap.Push(&n.queue, simEvent{at, do}) }
 
-// exchange tells each router the loads and failures of the others of its failure domain. The first
-// routers are silent, the next of the previous version.
+// exchange gives each router the loads and failures of the others of its failure domain. The first
+// routers report nothing, the next are of the previous version.
 func (n *refusalsSim) exchange(now time.Time) {
 	loads := make([][]LoadSummary, len(n.pools))
 	failures := make([][]FailureSummary, len(n.pools))
 	for i, p := range n.pools {
-		if i < n.silent {
+		if i < n.unreporting {
 			continue
 		}
 		loads[i], failures[i] = p.RecentLoads(now, 2*exchangeInterval, 64, true), p.RecentFailures(now, 32)
 		for j := range failures[i] {
-			if i < n.silent+n.old {
+			if i < n.unreporting+n.old {
 				failures[i][j] = failures[i][j].WithoutRefusals()
 			}
 		}
@@ -276,7 +276,7 @@
 // mostPerSecond is the bound of the requests a second at an endpoint that refuses: half more than
 // the share of probes, 0.4 of an even share, and half more than what it serves of an even share
 // otherwise.
-func (c refusalsPlay) mostPerSecond() float64 {
+func (c refusalsCase) mostPerSecond() float64 {
 	return max(0.6, 1.5*(1-c.share)) * evenPerSecond
 }
 
@@ -285,10 +285,10 @@
 // mean is 0.5 a second, half of what the bound leaves.
 const refusalSeeds = 16
 
-// refusalMeans are the means over refusalSeeds plays.
+// refusalMeans are the means over refusalSeeds simulation runs.
 type refusalMeans struct{ served, perSecond, back float64 }
 
-func playRefusals(c refusalsPlay) refusalMeans {
+func simulateRefusals(c refusalsCase) refusalMeans {
 	var m refusalMeans
 	for seed := range uint64(refusalSeeds) {
 		c.seed = seed
@@ -302,16 +302,18 @@
 	return m
 }
 
+// Guards against callers that are refused, or served at the cost of retries, because endpoints which
+// refuse all or half of their requests look idle.
 func TestCallersAreServedWhileEndpointsRefuseAgainstTheirLoad(t *testing.T) {
 	for _, routers := range []int{3, 27, 103} {
-		for _, c := range []refusalsPlay{{refusing: 1, share: 1}, {refusing: 3, share: 1}, {refusing: 5, share: 1}, {refusing: 3, share: 0.5}} {
+		for _, c := range []refusalsCase{{refusing: 1, share: 1}, {refusing: 3, share: 1}, {refusing: 5, share: 1}, {refusing: 3, share: 0.5}} {
 			c.routers = routers
 			t.Run(fmt.Sprintf("%d routers, %d refuse %.1f", routers, c.refusing, c.share), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				on := playRefusals(c)
+				on := simulateRefusals(c)
 				c.off = true
-				off := playRefusals(c)
+				off := simulateRefusals(c)
 				t.Logf("served %.3f (%.3f with the part off), %.2f (%.2f) requests a second at each that refuses, %.2f once it is back", on.served, off.served, on.perSecond, off.perSecond, on.back)
 				g.Expect(on.served).To(BeNumerically(">=", minServedDespiteRefusals))
 				g.Expect(on.perSecond).To(BeNumerically("<=", c.mostPerSecond()))
@@ -326,26 +328,27 @@
 	}
 }
 
-// A silent router, or one of the previous version, learns and tells nothing; what the others do must
-// not depend on it, and its own callers are served.
-func TestSilentAndOldPeersDoNotKeepCallersFromBeingServed(t *testing.T) {
-	for _, c := range []refusalsPlay{{routers: 9, refusing: 3, share: 1, silent: 3}, {routers: 9, refusing: 3, share: 1, old: 3}} {
+// Guards against callers that aren't served where some routers report nothing or are of the previous
+// version.
+func TestPeersThatDoNotReportRefusalsDoNotKeepCallersFromBeingServed(t *testing.T) {
+	for _, c := range []refusalsCase{{routers: 9, refusing: 3, share: 1, unreporting: 3}, {routers: 9, refusing: 3, share: 1, old: 3}} {
 		g := NewWithT(t)
-		m := playRefusals(c)
-		t.Logf("%d silent, %d old: served %.3f, %.2f requests a second at each that refuses, %.2f once it is back", c.silent, c.old, m.served, m.perSecond, m.back)
+		m := simulateRefusals(c)
+		t.Logf("%d report nothing, %d old: served %.3f, %.2f requests a second at each that refuses, %.2f once it is back", c.unreporting, c.old, m.served, m.perSecond, m.back)
 		g.Expect(m.served).To(BeNumerically(">=", minServedDespiteRefusals))
 		g.Expect(m.perSecond).To(BeNumerically("<=", c.mostPerSecond()))
 		g.Expect(m.back).To(BeNumerically(">=", 0.75*evenPerSecond))
 	}
 }
 
-// Endpoints that state no load are judged by what others of the service do.
+// Guards against refusals of endpoints that state no load being ignored while others of the service
+// serve requests.
 func TestEndpointsWithoutLoadThatRefuseWhileOthersServeGetProbes(t *testing.T) {
 	g := NewWithT(t)
-	c := refusalsPlay{routers: 3, refusing: 3, share: 1, statesNone: true}
-	on := playRefusals(c)
+	c := refusalsCase{routers: 3, refusing: 3, share: 1, statesNone: true}
+	on := simulateRefusals(c)
 	c.off = true
-	off := playRefusals(c)
+	off := simulateRefusals(c)
 	t.Logf("served %.3f (%.3f with the part off), %.2f (%.2f) requests a second at each that refuses, %.2f once it is back", on.served, off.served, on.perSecond, off.perSecond, on.back)
 	g.Expect(on.served).To(BeNumerically(">=", minServedDespiteRefusals))
 	g.Expect(on.perSecond).To(BeNumerically("<=", c.mostPerSecond()))
@@ -353,8 +356,8 @@
 	g.Expect(on.back).To(BeNumerically(">=", 0.75*evenPerSecond))
 }
 
-// An endpoint that refuses for a quarter of a second keeps its share, at a load at which it refuses
-// enough requests in that time, also where reports take two hops and are up to 500 ms old.
+// Guards against an endpoint that refuses for a quarter of a second losing its share, at a load at
+// which it refuses enough requests in that time, also where reports take two hops and are up to 500 ms old.
 func TestMomentarilyFullEndpointKeepsItsShare(t *testing.T) {
 	for _, routers := range []int{3, 27, 103} {
 		for _, hops := range []int{0, 2} {
@@ -362,7 +365,7 @@
 			after := func(off bool) int {
 				count := 0
 				for seed := range uint64(2) {
-					n := newRefusalsSim(refusalsPlay{routers: routers, refusing: 1, share: 1, off: off, seed: seed, times: 5, hops: hops})
+					n := newRefusalsSim(refusalsCase{routers: routers, refusing: 1, share: 1, off: off, seed: seed, times: 5, hops: hops})
 					n.engines[0].until = refusingStart + 250*time.Millisecond
 					n.run()
 					count += between(n.engines[0].arrived, refusingStart, refusingEnd)
@@ -376,10 +379,10 @@
 	}
 }
 
-// Where all endpoints refuse, requests still try them, as without this part.
+// Guards against requests that aren't sent at all where all endpoints refuse.
 func TestRequestsAreTriedWhereAllEndpointsRefuse(t *testing.T) {
 	g := NewWithT(t)
-	n := newRefusalsSim(refusalsPlay{routers: 3, refusing: 6, share: 1}).run()
+	n := newRefusalsSim(refusalsCase{routers: 3, refusing: 6, share: 1}).run()
 	arrived := 0
 	for _, e := range n.engines {
 		arrived += between(e.arrived, refusingStart+3*time.Second, refusingEnd)
--- a/internal/balance/refusals_test.go
+++ b/internal/balance/refusals_test.go
@@ -28,8 +28,7 @@
 	return now
 }
 
-// The state belongs to one life of an endpoint: a new process must not get probes for what the old
-// one refused.
+// Guards against a new process that gets only probes for what the previous one refused.
 func TestRefusalsOfOneProcessDoNotCountForTheNext(t *testing.T) {
 	for name, end := range map[string]func(*Pool, time.Time){
 		"restart": func(p *Pool, now time.Time) { p.Restart(now, "e0") },
@@ -55,6 +54,7 @@
 	}
 }
 
+// Guards against a log line for each refusal instead of each change.
 func TestRefusalEventsComeOncePerChange(t *testing.T) {
 	g := NewWithT(t)
 	var events []RefusalEvent
@@ -70,19 +70,19 @@
 	g.Expect(events).To(Equal([]RefusalEvent{{"e0", true}, {"e0", false}}))
 }
 
-// Without refusals that contradict a load, choices are the same with and without the part.
+// Guards against choices that change where no refusal contradicts a load.
 func TestChoicesWithoutContradictionsAreTheSame(t *testing.T) {
 	g := NewWithT(t)
 	for _, routers := range []int{3, 27} {
-		on := newRefusalsSim(refusalsPlay{routers: routers}).run()
-		off := newRefusalsSim(refusalsPlay{routers: routers, off: true}).run()
+		on := newRefusalsSim(refusalsCase{routers: routers}).run()
+		off := newRefusalsSim(refusalsCase{routers: routers, off: true}).run()
 		for i := range on.engines {
 			g.Expect(on.engines[i].arrived).To(Equal(off.engines[i].arrived))
 		}
 	}
 }
 
-// An endpoint that is full and says so keeps its share, however long it is.
+// Guards against an endpoint losing its share that is full, for however long, and states so.
 func TestEndpointThatStatesThatItIsFullIsNotDistrusted(t *testing.T) {
 	g := NewWithT(t)
 	p := NewPool(Config{Policy: NewPromptAware()})
@@ -98,8 +98,8 @@
 	g.Expect(p.Refusals(epoch.Add(3 * time.Second))).To(Equal(RefusalTotals{}))
 }
 
-// What a cold or leaving endpoint or one in the ramp after a backoff refuses isn't held against it,
-// also if only a health check said so.
+// Guards against distrust for refusals of a cold or leaving endpoint or one in the ramp after a
+// backoff, also if only a health check said so.
 func TestRefusalsOfColdAndLeavingEndpointsDoNotCount(t *testing.T) {
 	for name, set := range map[string]func(*Pool){
 		"cold":    func(p *Pool) { p.SetCold(epoch, "e0", time.Minute) },
@@ -114,7 +114,7 @@
 	}
 }
 
-// The report to peers must stay small: each of up to 32 endpoints takes a few bytes more.
+// Guards against reports to peers that exceed the bound of control traffic: each has up to 32 endpoints.
 func TestReportOfRefusalsIsSmall(t *testing.T) {
 	g := NewWithT(t)
 	size := func(s FailureSummary) int {
@@ -190,7 +190,7 @@
 		a := p.Track(now, "e0", Work{})
 		a.ContradictedLoad(now, nil, 0) // states no load
 		r := loadReport(1, 0)
-		if p.states("e0").leaving {
+		if stateOf(p, "e0").leaving {
 			a.ContradictedLoad(now, &r, 0)
 		}
 		a.Done(now, ResultRefused)
@@ -260,5 +260,5 @@
 	g.Expect(probes).To(Equal(1))
 }
 
-// states returns the state of an endpoint.
-func (p *Pool) states(endpoint string) *state { return p.shard(endpoint).states[endpoint] }
+// stateOf returns the pool's state of an endpoint.
+func stateOf(p *Pool, endpoint string) *state { return p.shard(endpoint).states[endpoint] }
--- a/internal/refusals/refusals.go
+++ b/internal/refusals/refusals.go
@@ -21,7 +21,7 @@
 	minContradictions    = 3
 	minContradictedShare = 0.3
 	// maxRunGap is long enough for endpoints that get a request a second from the routers that
-	// tell each other.
+	// exchange reports.
 	maxRunGap = 4 * time.Second
 	// minSpan is the shortest time from the first to the last of them: an endpoint that is full for
 	// a moment stops refusing within fractions of a second, and loses nothing.
@@ -30,11 +30,11 @@
 	// that probes stay a bounded part of the requests where these are few.
 	probeShare = 0.4
 	// probeInterval is the mean time between two probes of the routers of a failure domain, which
-	// tell each other of their outcomes.
+	// exchange reports of their outcomes.
 	probeInterval = time.Second
-	// minServed is how many requests have to be served in a row for the endpoint to compete by its
-	// load again: one that refuses half serves as many in 1 of 256 rows. Until then it gets no
-	// more than its even share.
+	// minServed is how many consecutive requests have to be served for the endpoint to compete by
+	// its load again: of one that refuses half, 1 in 256 sequences of this length is served. Until
+	// then it gets no more than its even share.
 	minServed = 8
 	// minDistrusting is how many peers must report contradictions at an endpoint, or distrust it,
 	// for a router without contradictions of its own to distrust it as well: a single one may
@@ -104,7 +104,7 @@
 	Ends
 )
 
-// Evidence is what a router knows of an endpoint's refusals, in one life of the endpoint. It isn't
+// Evidence is what a router knows of the refusals of an endpoint's process. It isn't
 // safe for concurrent use.
 type Evidence struct {
 	outcomes window.Ring // Total: all, Part: contradictions
@@ -124,11 +124,11 @@
 	ownInRun bool
 	// lastServed is when this router or a peer last had a request served there.
 	lastServed time.Time
-	// servedInRow counts the requests of this router served since the last contradiction.
-	servedInRow int
-	distrusted  bool
+	// consecutiveServed counts the requests of this router served since the last contradiction.
+	consecutiveServed int
+	distrusted        bool
 	// adopted is set if the endpoint is distrusted only since peers distrust it. Such routers
-	// don't tell that they do, or they would keep each other from forgetting.
+	// don't report that they do, or they would keep each other from forgetting.
 	adopted bool
 	// adoptionOver is set once the distrust that was adopted from the peers' reports ended, until
 	// these change: the same reports must not begin it again.
@@ -163,14 +163,14 @@
 	e.lastContradiction = now
 	e.adopted, e.adoptionOver = false, false
 	e.run.Contradicted += n
-	e.servedInRow = 0
+	e.consecutiveServed = 0
 }
 
 // Served records a served request.
 func (e *Evidence) Served(now time.Time) {
 	e.outcomes.Add(now, window.Counts{Total: 1})
 	e.lastServed = now
-	e.servedInRow++
+	e.consecutiveServed++
 	e.run.Served++
 }
 
@@ -285,8 +285,8 @@
 }
 
 func (e *Evidence) recovered(now time.Time, c Counts) bool {
-	inRow := max(e.servedInRow, c.Served)
-	return c.Contradicted == 0 && inRow >= minServed || now.Sub(e.lastContradiction) > forgetAfter
+	served := max(e.consecutiveServed, c.Served)
+	return c.Contradicted == 0 && served >= minServed || now.Sub(e.lastContradiction) > forgetAfter
 }
 
 // Distrusted reports whether the endpoint gets requests by what it serves instead of by its load.
--- a/internal/refusals/refusals_test.go
+++ b/internal/refusals/refusals_test.go
@@ -20,6 +20,8 @@
 	return r
 }
 
+// Guards against refusals of full endpoints, or of endpoints that state no load, being taken for
+// contradictions.
 func TestOnlyStatementsWithRoomContradictRefusals(t *testing.T) {
 	g := NewWithT(t)
 	for _, c := range []struct {
@@ -49,6 +51,7 @@
 	return e
 }
 
+// Guards against an endpoint that was full for half a second losing its share.
 func TestMomentarilyFullEndpointIsNotDistrusted(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
@@ -87,7 +90,8 @@
 	}
 }
 
-func TestRareContradictionsDoNotMatter(t *testing.T) {
+// Guards against distrust of an endpoint that serves most requests.
+func TestRareContradictionsDoNotCauseDistrust(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	for ms := 0; ms < 20000; ms += 100 {
@@ -100,6 +104,7 @@
 	}
 }
 
+// Guards against an endpoint that gets less than its share although it serves all requests again.
 func TestEndpointThatServesAgainIsBackWithinTwoSeconds(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -111,6 +116,7 @@
 	g.Expect(e.Update(at(3300))).To(Equal(refusals.Ends))
 }
 
+// Guards against an endpoint that refuses half of its requests getting only probes, or its full share.
 func TestShareFollowsWhatIsServed(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -125,9 +131,9 @@
 	g.Expect(e.Share(at(6000), 6)).To(BeNumerically("~", 0.5/6, 0.1/6))
 }
 
-// Routers that distrust an endpoint and tell each other send it about one probe a second in all. Each
-// has 10 requests a second.
-func TestProbesOfRoutersAddUp(t *testing.T) {
+// Guards against probes that grow with the number of routers: those that distrust an endpoint and
+// exchange reports send it about one probe a second in all. Each has 10 requests a second.
+func TestProbesDoNotGrowWithTheNumberOfRouters(t *testing.T) {
 	g := NewWithT(t)
 	for _, peers := range []int{0, 8, 25, 32} {
 		e := refusing(g)
@@ -148,7 +154,8 @@
 	}
 }
 
-func TestOnePeerAloneIsNotBelieved(t *testing.T) {
+// Guards against distrust adopted from a single peer.
+func TestDistrustOfOnePeerIsNotAdopted(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	e.Report(at(0), refusals.Counts{Routers: 1})
@@ -195,7 +202,7 @@
 	}
 }
 
-// A peer's counts are untrusted input.
+// Guards against shares out of range for counts of a peer, which are untrusted input.
 func TestNonsensicalReportsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -205,9 +212,9 @@
 	g.Expect(e.Share(at(1200), 6)).To(BeNumerically("<=", 1))
 }
 
-// Two routers that distrust an endpoint only since others did must not keep each other from
-// forgetting.
-func TestRoutersThatFollowPeersDoNotTellSo(t *testing.T) {
+// Guards against routers that distrust an endpoint only since others did, and keep each other from
+// forgetting it.
+func TestAdoptedDistrustIsNotReported(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	e.Report(at(0), refusals.Counts{Routers: 2})
@@ -239,6 +246,7 @@
 	g.Expect(changes).To(Equal([]refusals.Change{refusals.Begins, refusals.Ends, refusals.Begins}), "reports that changed")
 }
 
+// Guards against distrust that never ends for lack of requests.
 func TestDistrustEndsWithoutOutcomes(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
