--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -52,10 +52,12 @@
 	BackoffMillis    int64 `json:"b,omitempty"`
 	BackoffAgeMillis int64 `json:"g,omitempty"`
 	// Contradicted is how many requests the endpoint refused lately though its load left room,
-	// Served how many it served, and Distrusting how many routers distrust it for that.
-	Contradicted int `json:"c,omitempty"`
-	Served       int `json:"v,omitempty"`
-	Distrusting  int `json:"d,omitempty"`
+	// Served how many it served. Contradicting is how many routers had such refusals, and
+	// Distrusting how many distrust the endpoint for them.
+	Contradicted  int `json:"c,omitempty"`
+	Served        int `json:"v,omitempty"`
+	Contradicting int `json:"k,omitempty"`
+	Distrusting   int `json:"d,omitempty"`
 }
 
 // Add adds another router's summary of the same endpoint.
@@ -69,6 +71,7 @@
 	s.Unresponsive += o.Unresponsive
 	s.Contradicted += o.Contradicted
 	s.Served += o.Served
+	s.Contradicting += o.Contradicting
 	s.Distrusting += o.Distrusting
 	if o.BackoffMillis > s.BackoffMillis {
 		s.BackoffMillis, s.BackoffAgeMillis = o.BackoffMillis, o.BackoffAgeMillis
@@ -77,18 +80,28 @@
 }
 
 // RecentFailures lists up to limit endpoints at which attempts of this router failed recently, that
-// it found unresponsive or that asked it to back off, those with the most failures first.
+// it found unresponsive, that asked it to back off or whose refusals contradict their load.
+// Unresponsive endpoints and those that asked for backoff come first, since peers can avoid them at
+// once, then those with the most failures.
 func (p *Pool) RecentFailures(now time.Time, limit int) []FailureSummary {
 	var failures []FailureSummary
 	for i := range p.shards {
 		failures = p.shards[i].appendFailures(failures, now)
 	}
 	slices.SortFunc(failures, func(a, b FailureSummary) int {
-		return cmp.Or(cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(b.Failed, a.Failed), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	return failures[:min(limit, len(failures))]
 }
 
+// rank orders the endpoints in the bounded report to peers, highest first.
+func (s FailureSummary) rank() int {
+	if s.Unresponsive > 0 || s.BackoffMillis > 0 {
+		return 1
+	}
+	return 0
+}
+
 func (sh *shard) appendFailures(failures []FailureSummary, now time.Time) []FailureSummary {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/balance/refusals.go
+++ b/internal/balance/refusals.go
@@ -13,11 +13,24 @@
 type refusalStats struct {
 	// contradictions counts the refusals that contradict the stated load.
 	contradictions atomic.Int64
-	// seen is set once this router saw a refusal that may be one, or a peer reported one. Until
-	// then served requests aren't counted.
-	seen atomic.Bool
+	// watchUntil is when there is no evidence of any endpoint any more, in Unix nanoseconds, unless
+	// this router sees another refusal that may contradict the load or a peer reports one. Served
+	// requests are counted until then.
+	watchUntil atomic.Int64
 }
 
+// watch has served requests counted while there may be evidence.
+func (s *refusalStats) watch(now time.Time) {
+	until := now.Add(refusals.Relevant).UnixNano()
+	for last := s.watchUntil.Load(); last < until; last = s.watchUntil.Load() {
+		if s.watchUntil.CompareAndSwap(last, until) {
+			return
+		}
+	}
+}
+
+func (s *refusalStats) watching(now time.Time) bool { return now.UnixNano() < s.watchUntil.Load() }
+
 // RefusalEvent says that an endpoint begins or ends to be distrusted for its refusals.
 type RefusalEvent struct {
 	Endpoint   string
@@ -34,11 +47,15 @@
 		return
 	}
 	p := t.pool
-	p.refusals.seen.Store(true)
 	event := RefusalEvent{Endpoint: t.endpoint}
 	change := refusals.Unchanged
 	t.update(func(st *state) {
-		if st.mayRefuse(now) || kind == refusals.Unstated && !st.refusesWhileOthersServe(now) {
+		if st.mayRefuse(now) || kind == refusals.Unstated && !st.reportedAt.IsZero() {
+			return
+		}
+		// Whether others of the group serve requests is known only once these are counted.
+		p.refusals.watch(now)
+		if kind == refusals.Unstated && !st.refusesWhileOthersServe(now) {
 			return
 		}
 		p.refusals.contradictions.Add(1)
@@ -71,7 +88,7 @@
 
 // recordServed records, once, that the endpoint served the request or began to.
 func (t *TrackedRequest) recordServed(now time.Time) {
-	if t.servedRecorded || !t.pool.refusals.seen.Load() {
+	if t.servedRecorded || !t.pool.refusals.watching(now) {
 		return
 	}
 	t.servedRecorded = true
@@ -97,9 +114,9 @@
 }
 
 // distrustedView takes the distrusted endpoints out of the choice by load, and returns the index of
-// one that the request is sent to by what it serves, -1 if there is none. If no other endpoint can
-// take the request, it does nothing.
-func (p *Pool) distrustedView(now time.Time, req Request, views []View, rnd *rand.Rand) int {
+// one that the request is sent to by what it serves, with its weight; -1 if there is none. If no
+// other endpoint can take the request, it does nothing.
+func (p *Pool) distrustedView(now time.Time, req Request, views []View, rnd *rand.Rand) (chosen int, weight float64) {
 	trusted, distrusted := 0, 0
 	for i := range views {
 		switch v := &views[i]; {
@@ -111,24 +128,25 @@
 		}
 	}
 	if trusted == 0 || distrusted == 0 {
-		return -1
+		return -1, 0
 	}
-	chosen, draw := -1, rnd.Float64()
+	chosen, rest := -1, rnd.Float64()
 	for i := range views {
 		v := &views[i]
 		if !v.Distrusted || v.Weight <= 0 {
 			continue
 		}
+		usual := v.Weight
 		v.Weight = 0
-		if req.Retry || v.Metered {
+		if req.Retry {
 			continue
 		}
-		draw -= p.distrustedShare(now, v.Endpoint, trusted+distrusted)
-		if draw < 0 && chosen < 0 {
-			chosen = i
+		rest -= p.distrustedShare(now, v.Endpoint, trusted+distrusted)
+		if rest < 0 && chosen < 0 {
+			chosen, weight = i, usual
 		}
 	}
-	return chosen
+	return chosen, weight
 }
 
 // recordDistrustedChoice has the policy count the demand of a request that it didn't choose the
@@ -143,16 +161,21 @@
 func (p *Pool) distrustedShare(now time.Time, endpoint string, endpoints int) float64 {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
 	if !known || !st.refusals.Distrusted() {
-		sh.mu.Unlock()
 		return 0
 	}
-	change := st.refusals.Update(now)
-	share := st.refusals.Share(now, endpoints)
-	sh.mu.Unlock()
-	p.notifyRefusals(RefusalEvent{Endpoint: endpoint}, change)
-	return share
+	return st.refusals.Share(now, endpoints)
+}
+
+// updateDistrust ends distrust of the endpoint when it is over. It is called for each request for
+// which the endpoint is a candidate, also if the endpoint gets none of them.
+func (st *state) updateDistrust(now time.Time) refusals.Change {
+	if !st.refusals.Distrusted() {
+		return refusals.Unchanged
+	}
+	return st.refusals.Update(now)
 }
 
 // ownRefusals returns this router's outcomes at the endpoint, and drops old evidence.
@@ -169,7 +192,27 @@
 
 // addRefusals adds this router's outcomes at the endpoint to its report to peers.
 func (s *FailureSummary) addRefusals(c refusals.Counts) {
-	s.Contradicted, s.Served, s.Distrusting = c.Contradicted, c.Served, c.Routers
+	s.Contradicted, s.Served, s.Contradicting, s.Distrusting = c.Contradicted, c.Served, c.Reporters, c.Routers
+}
+
+// maxReportedOutcomes bounds the outcomes at an endpoint in the report of one router, as untrusted
+// input. A router that gets all 126 plain requests a second of deployment 1 (docs/hard-load.md)
+// sends each of its four endpoints 47 in the 1.5 s for which outcomes count.
+const maxReportedOutcomes = 64
+
+// ClampRefusals bounds the outcomes that a single router reports to what it can have seen.
+func (s FailureSummary) ClampRefusals() FailureSummary {
+	s.Contradicted = min(max(s.Contradicted, 0), maxReportedOutcomes)
+	s.Served = min(max(s.Served, 0), maxReportedOutcomes)
+	s.Contradicting = min(s.Contradicted, 1)
+	s.Distrusting = min(max(s.Distrusting, 0), 1)
+	return s
+}
+
+// WithoutRefusals returns the summary without outcomes of refusals.
+func (s FailureSummary) WithoutRefusals() FailureSummary {
+	s.Contradicted, s.Served, s.Contradicting, s.Distrusting = 0, 0, 0, 0
+	return s
 }
 
 // applyPeerRefusals applies the outcomes that peers report of endpoints whose refusals contradict
@@ -179,7 +222,7 @@
 		return
 	}
 	for _, w := range reports {
-		if c := (refusals.Counts{Contradicted: w.Contradicted, Served: w.Served, Routers: w.Distrusting}); c != (refusals.Counts{}) {
+		if c := (refusals.Counts{Contradicted: w.Contradicted, Served: w.Served, Reporters: w.Contradicting, Routers: w.Distrusting}); c != (refusals.Counts{}) {
 			p.applyPeerRefusal(now, w.Endpoint, c)
 		}
 	}
@@ -193,8 +236,8 @@
 		sh.mu.Unlock()
 		return
 	}
+	p.refusals.watch(now)
 	if st.refusals == nil {
-		p.refusals.seen.Store(true)
 		st.refusals = refusals.New()
 	}
 	st.refusals.Report(now, c)
@@ -211,21 +254,34 @@
 	Contradictions int64
 }
 
-// Refusals sums up the refusals that contradict the stated load.
-func (p *Pool) Refusals() RefusalTotals {
+// Refusals sums up the refusals that contradict the stated load. It ends distrust that is over,
+// also of endpoints that are no longer candidates of any request.
+func (p *Pool) Refusals(now time.Time) RefusalTotals {
 	sum := RefusalTotals{Contradictions: p.refusals.contradictions.Load()}
-	if !p.refusals.seen.Load() {
+	if p.refusals.watchUntil.Load() == 0 {
 		return sum
 	}
 	for i := range p.shards {
-		sh := &p.shards[i]
-		sh.mu.Lock()
-		for _, st := range sh.states {
-			if st.refusals.Distrusted() {
-				sum.Endpoints++
-			}
+		distrusted, ended := p.shards[i].updateDistrust(now)
+		sum.Endpoints += distrusted
+		for _, endpoint := range ended {
+			p.notifyRefusals(RefusalEvent{Endpoint: endpoint}, refusals.Ends)
 		}
-		sh.mu.Unlock()
 	}
 	return sum
 }
+
+// updateDistrust counts the distrusted endpoints and returns those whose distrust ends.
+func (sh *shard) updateDistrust(now time.Time) (distrusted int, ended []string) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for name, st := range sh.states {
+		if st.updateDistrust(now) == refusals.Ends {
+			ended = append(ended, name)
+		}
+		if st.refusals.Distrusted() {
+			distrusted++
+		}
+	}
+	return distrusted, ended
+}
--- a/internal/refusals/refusals.go
+++ b/internal/refusals/refusals.go
@@ -21,30 +21,39 @@
 	minContradictions    = 3
 	minContradictedShare = 0.3
 	// maxRunGap is long enough for endpoints that get a request a second from the routers that
-	// tell each other.
+	// exchange reports.
 	maxRunGap = 4 * time.Second
 	// minSpan is the shortest time from the first to the last of them: an endpoint that is full for
-	// a moment stops refusing within fractions of a second, and loses nothing. Peers hear of a
-	// refusal up to 250 ms late.
+	// a moment stops refusing within fractions of a second, and loses nothing.
 	minSpan = 600 * time.Millisecond
 	// probeShare is the share of its even share of the requests that an endpoint gets at least, so
 	// that probes stay a bounded part of the requests where these are few.
 	probeShare = 0.4
 	// probeInterval is the mean time between two probes of the routers of a failure domain, which
-	// tell each other of their outcomes.
+	// exchange reports of their outcomes.
 	probeInterval = time.Second
-	// minServed is how many requests have to be served in a row for the endpoint to compete by its
-	// load again: one that refuses half serves as many in 1 of 256 rows. Until then it gets no
-	// more than its even share.
+	// minServed is how many consecutive requests have to be served for the endpoint to compete by
+	// its load again: of one that refuses half, 1 in 256 sequences of this length is served. Until
+	// then it gets no more than its even share.
 	minServed = 8
-	// minDistrusting is how many peers must distrust an endpoint for a router without outcomes of
-	// its own to do so as well: a single one may itself be at fault.
+	// minDistrusting is how many peers must report contradictions at an endpoint, or distrust it,
+	// for a router without contradictions of its own to distrust it as well: a single one may
+	// itself be at fault.
 	minDistrusting = 2
 	// forgetAfter is when the endpoint competes again if no contradiction came, for lack of
 	// requests.
 	forgetAfter = 10 * time.Second
+	// Relevant is how long after the last contradiction, or report of peers, there may be
+	// evidence: until it is forgotten, and some time for that to be noticed.
+	Relevant = forgetAfter + 5*time.Second
 	// reportTTL is how long a peers' report counts: they come every 250 ms.
 	reportTTL = time.Second
+	// maxReportDelay is how old an outcome may be that peers report for the first time: reports
+	// take two polls of 250 ms, and an outcome may come up to 250 ms before a report is made.
+	maxReportDelay = 750 * time.Millisecond
+	// maxReportedAge is how old any reported outcome may be. A window keeps outcomes for up to a
+	// tenth longer than its length.
+	maxReportedAge = evidenceWindow + evidenceWindow/10 + maxReportDelay
 	// maxReported bounds the counts of a peers' report, which is untrusted input.
 	maxReported = 1 << 20
 )
@@ -81,8 +90,8 @@
 type Counts struct {
 	// Contradicted counts the refusals that contradict the load, and Served the requests served.
 	Contradicted, Served int
-	// Routers is how many routers distrust the endpoint.
-	Routers int
+	// Reporters is how many routers had such refusals, and Routers how many distrust the endpoint.
+	Reporters, Routers int
 }
 
 // Change says whether the endpoint began or ended to be distrusted.
@@ -95,25 +104,35 @@
 	Ends
 )
 
-// Evidence is what a router knows of an endpoint's refusals, in one life of the endpoint. It isn't
+// Evidence is what a router knows of the refusals of an endpoint's process. It isn't
 // safe for concurrent use.
 type Evidence struct {
 	outcomes window.Ring // Total: all, Part: contradictions
 	reported Counts
 	// reportedAt is when peers last reported outcomes.
 	reportedAt time.Time
+	// peak is the highest number of contradictions that peers reported within maxReportedAge
+	// before, and peakAt when they last did.
+	peak   int
+	peakAt time.Time
 	// run counts the outcomes since the contradiction at runStart, the first one after maxRunGap
-	// without any. Peers' outcomes count when they are reported.
-	run                         Counts
-	runStart, lastContradiction time.Time
+	// without any. The last one came at runEnd or later. The time of outcomes that peers report is
+	// known only roughly; the span from runStart to runEnd is a lower bound.
+	run                                 Counts
+	runStart, runEnd, lastContradiction time.Time
+	// ownInRun is set if one of the contradictions of the run came to this router.
+	ownInRun bool
 	// lastServed is when this router or a peer last had a request served there.
 	lastServed time.Time
-	// servedInRow counts the requests of this router served since the last contradiction.
-	servedInRow int
-	distrusted  bool
+	// consecutiveServed counts the requests of this router served since the last contradiction.
+	consecutiveServed int
+	distrusted        bool
 	// adopted is set if the endpoint is distrusted only since peers distrust it. Such routers
-	// don't tell that they do, or they would keep each other from forgetting.
+	// don't report that they do, or they would keep each other from forgetting.
 	adopted bool
+	// adoptionOver is set once the distrust that was adopted from the peers' reports ended, until
+	// these change: the same reports must not begin it again.
+	adoptionOver bool
 	// requestGap is the mean time between two requests of this router that the endpoint could
 	// get, 0 if unknown, and lastRequest when the last one came.
 	requestGap  time.Duration
@@ -129,37 +148,60 @@
 // Contradicted records a refusal that contradicts the load.
 func (e *Evidence) Contradicted(now time.Time) {
 	e.outcomes.Add(now, window.Counts{Total: 1, Part: 1})
-	e.contradictedAt(now, 1)
+	e.contradictedBetween(now, now, 1)
+	e.ownInRun = true
 }
 
-func (e *Evidence) contradictedAt(now time.Time, n int) {
+// contradictedBetween records n contradictions that came at the given time or later, until now.
+func (e *Evidence) contradictedBetween(earliest, now time.Time, n int) {
 	if now.Sub(e.lastContradiction) > maxRunGap {
-		e.runStart, e.run = now, Counts{}
+		e.runStart, e.runEnd, e.run, e.ownInRun = now, earliest, Counts{}, false
+	}
+	if earliest.After(e.runEnd) {
+		e.runEnd = earliest
 	}
 	e.lastContradiction = now
-	e.adopted = false
+	e.adopted, e.adoptionOver = false, false
 	e.run.Contradicted += n
-	e.servedInRow = 0
+	e.consecutiveServed = 0
 }
 
 // Served records a served request.
 func (e *Evidence) Served(now time.Time) {
 	e.outcomes.Add(now, window.Counts{Total: 1})
 	e.lastServed = now
-	e.servedInRow++
+	e.consecutiveServed++
 	e.run.Served++
 }
 
-// Report replaces the outcomes that peers report. Counts above those of the last report are new
-// outcomes.
+// Report replaces the outcomes that peers report. Counts above those of the last report are outcomes
+// that weren't known. They are recent ones only if there are more than at any time before for which
+// an outcome is reported: after a pause in the reports of one peer or all, old outcomes are reported
+// again.
 func (e *Evidence) Report(now time.Time, c Counts) {
-	last := e.peers(now)
-	e.reported = Counts{clamp(c.Contradicted), clamp(c.Served), clamp(c.Routers)}
+	last, earliest := e.reported.Contradicted, now.Add(-maxReportedAge)
+	if now.Sub(e.reportedAt) > maxReportedAge {
+		last = 0
+	}
+	lastServed := e.peers(now).Served
+	if now.Sub(e.peakAt) > maxReportedAge {
+		e.peak = 0
+	}
+	if now.Sub(e.reportedAt) <= reportTTL && c.Contradicted > e.peak {
+		earliest = now.Add(-maxReportDelay)
+	}
+	e.reported = Counts{clamp(c.Contradicted), clamp(c.Served), clamp(c.Reporters), clamp(c.Routers)}
 	e.reportedAt = now
-	if n := e.reported.Contradicted - last.Contradicted; n > 0 {
-		e.contradictedAt(now, n)
+	if e.reported.Routers < minDistrusting {
+		e.adoptionOver = false
+	}
+	if e.reported.Contradicted >= e.peak {
+		e.peak, e.peakAt = e.reported.Contradicted, now
 	}
-	if n := e.reported.Served - last.Served; n > 0 {
+	if n := e.reported.Contradicted - last; n > 0 {
+		e.contradictedBetween(earliest, now, n)
+	}
+	if n := e.reported.Served - lastServed; n > 0 {
 		e.lastServed = now
 		e.run.Served += n
 	}
@@ -178,7 +220,7 @@
 // Own returns the outcomes of this router.
 func (e *Evidence) Own(now time.Time) Counts {
 	n := e.outcomes.Sum(now)
-	c := Counts{Contradicted: n.Part, Served: n.Total - n.Part}
+	c := Counts{Contradicted: n.Part, Served: n.Total - n.Part, Reporters: min(n.Part, 1)}
 	if e.distrusted && !e.adopted {
 		c.Routers = 1
 	}
@@ -188,26 +230,39 @@
 // all returns the outcomes of this router and its peers.
 func (e *Evidence) all(now time.Time) Counts {
 	c, peers := e.Own(now), e.peers(now)
-	return Counts{c.Contradicted + peers.Contradicted, c.Served + peers.Served, c.Routers + peers.Routers}
+	return Counts{c.Contradicted + peers.Contradicted, c.Served + peers.Served, c.Reporters + peers.Reporters, c.Routers + peers.Routers}
 }
 
 // Update decides anew whether the endpoint is distrusted.
 func (e *Evidence) Update(now time.Time) Change {
 	c := e.all(now)
 	switch {
-	case !e.distrusted && (e.run.contradict() || c.contradict()) && e.lastContradiction.Sub(e.runStart) >= minSpan:
+	case !e.distrusted && e.ownOutcomesContradictPeers(now):
+	case !e.distrusted && e.confirmed(now) && (e.run.contradict() || c.contradict()) && e.runEnd.Sub(e.runStart) >= minSpan:
 		e.distrusted = true
 		return Begins
-	case !e.distrusted && e.peersDistrust(now):
+	case !e.distrusted && !e.adoptionOver && e.peersDistrust(now):
 		e.distrusted, e.adopted, e.lastContradiction = true, true, now
 		return Begins
 	case e.distrusted && e.recovered(now, c):
-		e.distrusted, e.adopted, e.run = false, false, Counts{}
+		e.distrusted, e.adopted, e.adoptionOver, e.run = false, false, e.adopted, Counts{}
 		return Ends
 	}
 	return Unchanged
 }
 
+// confirmed reports whether the contradictions are known from this router or from enough others.
+func (e *Evidence) confirmed(now time.Time) bool {
+	return e.ownInRun || e.peers(now).Reporters >= minDistrusting
+}
+
+// ownOutcomesContradictPeers reports whether the endpoint serves enough requests of this router to
+// disprove what peers report.
+func (e *Evidence) ownOutcomesContradictPeers(now time.Time) bool {
+	own := e.Own(now)
+	return own.Served >= minServed && !own.mostlyContradicted()
+}
+
 // peersDistrust reports whether peers distrust the endpoint for what it did lately, or, if they know
 // of no outcome, no request is known to be served there since it refused one.
 func (e *Evidence) peersDistrust(now time.Time) bool {
@@ -230,8 +285,8 @@
 }
 
 func (e *Evidence) recovered(now time.Time, c Counts) bool {
-	inRow := max(e.servedInRow, c.Served)
-	return c.Contradicted == 0 && inRow >= minServed || now.Sub(e.lastContradiction) > forgetAfter
+	served := max(e.consecutiveServed, c.Served)
+	return c.Contradicted == 0 && served >= minServed || now.Sub(e.lastContradiction) > forgetAfter
 }
 
 // Distrusted reports whether the endpoint gets requests by what it serves instead of by its load.
@@ -239,7 +294,7 @@
 
 // Over reports whether nothing is known of the endpoint any more.
 func (e *Evidence) Over(now time.Time) bool {
-	return !e.distrusted && now.Sub(e.lastContradiction) > forgetAfter
+	return !e.distrusted && now.Sub(e.lastContradiction) > forgetAfter && e.peers(now) == (Counts{})
 }
 
 // servedShare is the share of the recent requests that the endpoint served. Without a contradiction
--- a/internal/refusals/refusals_test.go
+++ b/internal/refusals/refusals_test.go
@@ -20,6 +20,8 @@
 	return r
 }
 
+// Guards against refusals of full endpoints, or of endpoints that state no load, being taken for
+// contradictions.
 func TestOnlyStatementsWithRoomContradictRefusals(t *testing.T) {
 	g := NewWithT(t)
 	for _, c := range []struct {
@@ -49,6 +51,7 @@
 	return e
 }
 
+// Guards against an endpoint that was full for half a second losing its share.
 func TestMomentarilyFullEndpointIsNotDistrusted(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
@@ -62,7 +65,33 @@
 	}
 }
 
-func TestRareContradictionsDoNotMatter(t *testing.T) {
+// Guards against distrust of an endpoint that was full for 250 ms, where peers report its refusals
+// late, or again after a pause.
+func TestMomentarilyFullEndpointIsNotDistrustedForLateReports(t *testing.T) {
+	for name, reported := range map[string][]int{
+		"500 ms late":                  {0, 0, 0, 6, 12, 12, 12, 12, 6, 0, 0},
+		"pause of all peers":           {0, 6, 12, -1, -1, -1, -1, -1, 12, 6, 0},
+		"pause of one peer":            {0, 6, 12, 12, 12, 12, 6, 12, 12, 6, 0},
+		"first report after a restart": {-1, -1, -1, -1, -1, -1, 12, 12, 6, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := refusals.New()
+			for ms := 0; ms <= 2500; ms += 50 {
+				if ms <= 250 {
+					e.Contradicted(at(ms))
+				}
+				if n := reported[ms/250]; ms%250 == 0 && n >= 0 {
+					e.Report(at(ms), refusals.Counts{Contradicted: n, Reporters: min(n, 3)})
+				}
+				g.Expect(e.Update(at(ms))).To(Equal(refusals.Unchanged), "at %d ms", ms)
+			}
+		})
+	}
+}
+
+// Guards against distrust of an endpoint that serves most requests.
+func TestRareContradictionsDoNotCauseDistrust(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	for ms := 0; ms < 20000; ms += 100 {
@@ -75,6 +104,7 @@
 	}
 }
 
+// Guards against an endpoint that gets less than its share although it serves all requests again.
 func TestEndpointThatServesAgainIsBackWithinTwoSeconds(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -86,6 +116,7 @@
 	g.Expect(e.Update(at(3300))).To(Equal(refusals.Ends))
 }
 
+// Guards against an endpoint that refuses half of its requests getting only probes, or its full share.
 func TestShareFollowsWhatIsServed(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -100,9 +131,9 @@
 	g.Expect(e.Share(at(6000), 6)).To(BeNumerically("~", 0.5/6, 0.1/6))
 }
 
-// Routers that distrust an endpoint and tell each other send it about one probe a second in all. Each
-// has 10 requests a second.
-func TestProbesOfRoutersAddUp(t *testing.T) {
+// Guards against probes that grow with the number of routers: those that distrust an endpoint and
+// exchange reports send it about one probe a second in all. Each has 10 requests a second.
+func TestProbesDoNotGrowWithTheNumberOfRouters(t *testing.T) {
 	g := NewWithT(t)
 	for _, peers := range []int{0, 8, 25, 32} {
 		e := refusing(g)
@@ -123,7 +154,8 @@
 	}
 }
 
-func TestOnePeerAloneIsNotBelieved(t *testing.T) {
+// Guards against distrust adopted from a single peer.
+func TestDistrustOfOnePeerIsNotAdopted(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	e.Report(at(0), refusals.Counts{Routers: 1})
@@ -132,7 +164,45 @@
 	g.Expect(e.Update(at(250))).To(Equal(refusals.Begins))
 }
 
-// A peer's counts are untrusted input.
+// Guards against distrust of an endpoint that serves everything because a single peer reports
+// contradictions there.
+func TestOnePeerThatReportsContradictionsIsNotBelievedBesideServedRequests(t *testing.T) {
+	for name, interval := range map[string]int{"many own requests": 50, "few own requests": 700} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := refusals.New()
+			for ms := 0; ms < 20000; ms += 50 {
+				if ms%interval == 0 {
+					e.Served(at(ms))
+				}
+				if ms%250 == 0 {
+					e.Report(at(ms), refusals.Counts{Contradicted: 40 + ms/250%20, Reporters: 1, Routers: 1})
+				}
+				g.Expect(e.Update(at(ms))).To(Equal(refusals.Unchanged))
+			}
+		})
+	}
+}
+
+// Guards against distrust after a single own contradiction, which may be a race, beside a peer
+// whose counts outweigh the requests served here.
+func TestOwnServedRequestsOutweighPeers(t *testing.T) {
+	g := NewWithT(t)
+	e := refusals.New()
+	for ms := 0; ms < 20000; ms += 50 {
+		if ms%2000 == 1000 {
+			e.Contradicted(at(ms))
+		} else {
+			e.Served(at(ms))
+		}
+		if ms >= 1000 && ms%250 == 0 {
+			e.Report(at(ms), refusals.Counts{Contradicted: 40 + ms/250%20, Reporters: 1, Routers: 3})
+		}
+		g.Expect(e.Update(at(ms))).To(Equal(refusals.Unchanged))
+	}
+}
+
+// Guards against shares out of range for counts of a peer, which are untrusted input.
 func TestNonsensicalReportsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
@@ -142,18 +212,41 @@
 	g.Expect(e.Share(at(1200), 6)).To(BeNumerically("<=", 1))
 }
 
-// Two routers that distrust an endpoint only since others did must not keep each other from
-// forgetting.
-func TestRoutersThatFollowPeersDoNotTellSo(t *testing.T) {
+// Guards against routers that distrust an endpoint only since others did, and keep each other from
+// forgetting it.
+func TestAdoptedDistrustIsNotReported(t *testing.T) {
 	g := NewWithT(t)
 	e := refusals.New()
 	e.Report(at(0), refusals.Counts{Routers: 2})
 	g.Expect(e.Update(at(0))).To(Equal(refusals.Begins))
 	g.Expect(e.Own(at(0))).To(Equal(refusals.Counts{}))
 	e.Contradicted(at(100))
-	g.Expect(e.Own(at(100))).To(Equal(refusals.Counts{Contradicted: 1, Routers: 1}))
+	g.Expect(e.Own(at(100))).To(Equal(refusals.Counts{Contradicted: 1, Reporters: 1, Routers: 1}))
+}
+
+// Guards against distrust, with a log line each time, that begins again after each end while peers
+// report the same.
+func TestAdoptedDistrustDoesNotBeginAgainWithTheSameReports(t *testing.T) {
+	g := NewWithT(t)
+	e := refusals.New()
+	var changes []refusals.Change
+	report := func(from, to, routers int) {
+		for ms := from; ms < to; ms += 250 {
+			g.Expect(e.Over(at(ms))).To(Equal(ms == 0))
+			e.Report(at(ms), refusals.Counts{Routers: routers})
+			if c := e.Update(at(ms)); c != refusals.Unchanged {
+				changes = append(changes, c)
+			}
+		}
+	}
+	report(0, 60000, 2)
+	g.Expect(changes).To(Equal([]refusals.Change{refusals.Begins, refusals.Ends}))
+	report(60000, 61000, 1)
+	report(61000, 62000, 2)
+	g.Expect(changes).To(Equal([]refusals.Change{refusals.Begins, refusals.Ends, refusals.Begins}), "reports that changed")
 }
 
+// Guards against distrust that never ends for lack of requests.
 func TestDistrustEndsWithoutOutcomes(t *testing.T) {
 	g := NewWithT(t)
 	e := refusing(g)
