Share short capacity between teams by max-min fairness: the ledger

Cause: one team that sends many times its usual load takes the capacity of the others; nothing knows whose requests bear the cost.

Change: package fairshare keeps decaying sums of requested work by service, rank and team, and refuses teams above the fair level in proportion to their excess. Routers report the sums with their demand.

--- /dev/null
+++ b/internal/fairshare/play_test.go
@@ -0,0 +1,230 @@
+package fairshare
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// play simulates routers before a service with a first-come-first-served queue. Routers report
+// their sums to the reader of their failure domain, and readers to each other, as internal/peers
+// does.
+type play struct {
+	routers  []*playRouter
+	rng      *rand.Rand
+	now      time.Time
+	teams    []playTeam
+	capacity float64 // seconds of work per second
+	backlog  float64 // seconds of work
+	gate     bool
+	onStep   func(p *play) // called before each step; may be nil
+	played   time.Duration
+}
+
+type playTeam struct {
+	rate    float64 // requests per second
+	factor  float64
+	routers []int
+	sent    float64 // work since the measurement began
+	served  float64
+}
+
+type playRouter struct {
+	ledger  *Ledger
+	domain  int
+	down    bool
+	cut     bool // sends and receives no reports
+	old     bool // of the previous version: no gate, no reports of sums
+	pollAt  time.Duration
+	reports map[int]playReport // by router, at readers
+	domains map[int]playReport // by domain, at readers
+	total   playReport         // the latest reply of a reader
+}
+
+type playReport struct {
+	sums Sums
+	at   time.Time
+}
+
+const (
+	playStep     = 5 * time.Millisecond
+	playPoll     = 250 * time.Millisecond
+	playExpiry   = 1500 * time.Millisecond
+	playWork     = 0.1 // mean work of a request in seconds
+	playLimit    = 2.0 // wait in seconds at which requests are refused
+	playRate     = 20.0
+	playTeams    = 24
+	playOverload = 1.2
+	hogFactor    = 8
+)
+
+// newPlay returns a play of 24 equal teams. A third of them reach one router, another third three and
+// the others all. With the hog at hogFactor they request 1.2 times what fits.
+func newPlay(routers int, gate bool) *play {
+	p := &play{rng: rand.New(rand.NewPCG(7, uint64(routers))), now: time.Unix(1e9, 0), gate: gate}
+	for i := range routers {
+		p.routers = append(p.routers, &playRouter{domain: i % min(routers, 4), pollAt: time.Duration(p.rng.Int64N(int64(playPoll)))})
+		p.start(i)
+	}
+	for t := range playTeams {
+		reach := []int{1, 3, routers}[t%3]
+		p.teams = append(p.teams, playTeam{rate: playRate, factor: 1, routers: p.rng.Perm(routers)[:min(reach, routers)]})
+	}
+	p.capacity = playRate * playWork * (playTeams - 1 + hogFactor) / playOverload
+	return p
+}
+
+// start starts a router without any state.
+func (p *play) start(i int) {
+	r := p.routers[i]
+	r.down, r.reports, r.domains, r.total = false, make(map[int]playReport), make(map[int]playReport), playReport{}
+	r.ledger = New(Config{Peers: func() (Sums, bool) { return p.peers(i), false }, Rand: p.rng.Float64})
+}
+
+// reader returns the first router of a domain that is up, which reads for the others.
+func (p *play) reader(domain int) int {
+	return slices.IndexFunc(p.routers, func(r *playRouter) bool { return r.domain == domain && !r.down && !r.cut && !r.old })
+}
+
+func (p *play) fresh(report playReport) Sums {
+	if p.now.Sub(report.at) > playExpiry {
+		return nil
+	}
+	return report.sums
+}
+
+// peers returns the sums that a router has of others.
+func (p *play) peers(i int) Sums {
+	r := p.routers[i]
+	if p.reader(r.domain) == i {
+		return p.known(i, -1)
+	}
+	return p.fresh(r.total)
+}
+
+// known adds up what a reader knows of others, except one router.
+func (p *play) known(i, except int) Sums {
+	var sums Sums
+	for from, report := range p.routers[i].reports {
+		if from != except {
+			sums = sums.Add(p.fresh(report))
+		}
+	}
+	for _, report := range p.routers[i].domains {
+		sums = sums.Add(p.fresh(report))
+	}
+	return sums
+}
+
+// transmit encodes and checks sums as a message.
+func transmit(sums Sums) Sums {
+	text, err := json.Marshal(sums.Trim())
+	if err != nil {
+		panic(err)
+	}
+	var out Sums
+	if err := json.Unmarshal(text, &out); err != nil {
+		panic(err)
+	}
+	return out.Checked()
+}
+
+// exchange has a router poll the reader of its domain, or a reader report to the other readers.
+func (p *play) exchange(i int) {
+	r := p.routers[i]
+	if r.down || r.cut || r.old {
+		return
+	}
+	reader := p.reader(r.domain)
+	if reader != i {
+		p.routers[reader].reports[i] = playReport{transmit(r.ledger.Report(p.now)), p.now}
+		r.total = playReport{transmit(p.known(reader, i).Add(p.routers[reader].ledger.Report(p.now))), p.now}
+		return
+	}
+	own := r.ledger.Report(p.now)
+	for _, report := range r.reports {
+		own = own.Add(p.fresh(report))
+	}
+	for domain := range 4 {
+		if other := p.reader(domain); domain != r.domain && other >= 0 {
+			p.routers[other].domains[r.domain] = playReport{transmit(own), p.now}
+		}
+	}
+}
+
+// run plays for the given time.
+func (p *play) run(duration time.Duration) {
+	for end := p.played + duration; p.played < end; p.played += playStep {
+		p.now = p.now.Add(playStep)
+		p.backlog = max(0, p.backlog-p.capacity*playStep.Seconds())
+		if p.onStep != nil {
+			p.onStep(p)
+		}
+		for i, r := range p.routers {
+			if (p.played+r.pollAt)%playPoll < playStep {
+				p.exchange(i)
+			}
+		}
+		for _, t := range p.rng.Perm(len(p.teams)) {
+			team := &p.teams[t]
+			for n := team.rate * team.factor * playStep.Seconds(); p.rng.Float64() < n; n-- {
+				p.request(t)
+			}
+		}
+	}
+}
+
+func (p *play) request(t int) {
+	team := &p.teams[t]
+	work := playWork * (0.5 + p.rng.Float64())
+	team.sent += work
+	r := p.routers[team.routers[p.rng.IntN(len(team.routers))]]
+	for r.down {
+		r = p.routers[p.rng.IntN(len(p.routers))]
+	}
+	pressure := p.backlog / p.capacity / playLimit
+	limit := 1.0
+	if p.gate && !r.old {
+		v := r.ledger.Admit(p.now, "s", 1, fmt.Sprint("team-", t), work, pressure)
+		if !v.Admitted {
+			return
+		}
+		if v.Limiting {
+			limit = WithinLevelFactor
+		}
+	}
+	if pressure > limit {
+		return
+	}
+	p.backlog += work
+	team.served += work
+}
+
+// measure resets the counts, plays on, and returns the part of each team's work that was served.
+func (p *play) measure(duration time.Duration) []float64 {
+	for t := range p.teams {
+		p.teams[t].sent, p.teams[t].served = 0, 0
+	}
+	p.run(duration)
+	var parts []float64
+	for _, team := range p.teams {
+		parts = append(parts, team.served/max(team.sent, 1e-9))
+	}
+	return parts
+}
+
+// worstTenth returns the mean of the lowest tenth, and mean that of all.
+func worstTenth(parts []float64) float64 {
+	sorted := slices.Sorted(slices.Values(parts))
+	return mean(sorted[:(len(sorted)+9)/10])
+}
+
+func mean(parts []float64) float64 {
+	sum := 0.0
+	for _, part := range parts {
+		sum += part
+	}
+	return sum / float64(len(parts))
+}
--- /dev/null
+++ b/internal/fairshare/sums.go
@@ -0,0 +1,180 @@
+package fairshare
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
+
+const (
+	// minSum is the sum below which a team isn't reported, in seconds of work.
+	minSum = 0.0005
+	// maxSum is the largest sum that is believed, in seconds of work: over three times what 3,700
+	// endpoints with 512 streams each do in a second.
+	maxSum = 1e7
+	// maxReportedTeams bounds the teams in a message, by service and rank. The others are
+	// reported as one sum. maxReportedGroups bounds the services and ranks, which share
+	// maxReportedTotal teams.
+	maxReportedTeams  = 32
+	maxReportedGroups = 8
+	maxReportedTotal  = 64
+	// maxRest bounds the number of teams in a rest that is believed.
+	maxRest = 10_000
+	// maxNameBytes and maxRank bound the names and ranks that are believed.
+	maxNameBytes = 256
+	maxRank      = 1000
+)
+
+// Group holds the sums of a service and rank at one or several routers, in seconds of work.
+type Group struct {
+	Service string             `json:"s"`
+	Rank    int                `json:"r,omitempty"`
+	Teams   map[string]float64 `json:"t,omitempty"`
+	// Rest is the sum of the teams that aren't listed, and RestTeams their number.
+	Rest      float64 `json:"rest,omitempty"`
+	RestTeams int     `json:"of,omitempty"`
+	// Short is set if one of the routers saw a pressure itself. Routers that hear of it report their
+	// sums as well.
+	Short bool `json:"short,omitempty"`
+}
+
+// of returns a team's sum. A team that isn't listed is assumed to have the mean of the rest.
+func (g Group) of(team string) float64 {
+	if sum, listed := g.Teams[team]; listed {
+		return sum
+	}
+	if g.RestTeams <= 0 {
+		return 0
+	}
+	return g.Rest / float64(g.RestTeams)
+}
+
+func (g Group) key() groupKey { return groupKey{g.Service, g.Rank} }
+
+// total returns the sum of all teams.
+func (g Group) total() float64 {
+	total := g.Rest
+	for _, sum := range g.Teams {
+		total += sum
+	}
+	return total
+}
+
+// Sums are the sums by service and rank that a router reports.
+type Sums []Group
+
+func (s Sums) find(key groupKey) Group {
+	for _, g := range s {
+		if g.key() == key {
+			return g
+		}
+	}
+	return Group{}
+}
+
+// Add returns the sums of two reports. It changes neither.
+func (s Sums) Add(o Sums) Sums {
+	if len(o) == 0 {
+		return s
+	}
+	sum := slices.Clone(s)
+	for _, g := range o {
+		i := slices.IndexFunc(sum, func(have Group) bool { return have.key() == g.key() })
+		if i < 0 {
+			if len(sum) < maxGroups {
+				sum = append(sum, g)
+			}
+			continue
+		}
+		sum[i] = sum[i].add(g)
+	}
+	return sum
+}
+
+func (g Group) add(o Group) Group {
+	teams := make(map[string]float64, max(len(g.Teams), len(o.Teams)))
+	maps.Copy(teams, g.Teams)
+	g.Teams = teams
+	g.Rest += o.Rest
+	// The rests of two routers are mostly the same teams.
+	g.RestTeams = max(g.RestTeams, o.RestTeams)
+	g.Short = g.Short || o.Short
+	for team, sum := range o.Teams {
+		if _, listed := teams[team]; listed || len(teams) < maxTeams {
+			teams[team] += sum
+			continue
+		}
+		g.Rest += sum
+		g.RestTeams = max(g.RestTeams, 1)
+	}
+	return g
+}
+
+// Trim returns the sums in the bounds of a message: the groups with the most work, and of each the
+// teams with the most work, rounded to milliseconds. The other teams become part of the rest.
+func (s Sums) Trim() Sums {
+	if len(s) == 0 {
+		return nil
+	}
+	out := slices.Clone(s)
+	slices.SortFunc(out, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(b.total(), a.total()), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
+	})
+	out = out[:min(len(out), maxReportedGroups)]
+	limit := min(maxReportedTeams, maxReportedTotal/len(out))
+	for i := range out {
+		out[i] = out[i].trim(limit)
+	}
+	return out
+}
+
+func (g Group) trim(limit int) Group {
+	names := slices.SortedFunc(maps.Keys(g.Teams), func(a, b string) int {
+		return cmp.Or(cmp.Compare(g.Teams[b], g.Teams[a]), cmp.Compare(a, b))
+	})
+	listed := make(map[string]float64, min(limit, len(names)))
+	for i, name := range names {
+		if i < limit {
+			listed[name] = roundMillis(g.Teams[name])
+			continue
+		}
+		g.Rest += g.Teams[name]
+	}
+	g.RestTeams += max(0, len(names)-limit)
+	g.Teams, g.Rest = listed, roundMillis(g.Rest)
+	return g
+}
+
+func roundMillis(seconds float64) float64 { return math.Round(seconds*1000) / 1000 }
+
+// Checked returns the believable part of a report from another router. Values that are negative, not
+// finite or too large are dropped.
+func (s Sums) Checked() Sums {
+	var out Sums
+	for _, g := range s {
+		if len(out) == maxReportedGroups {
+			return out
+		}
+		if g.Service != "" && len(g.Service) <= maxNameBytes && g.Rank >= 0 && g.Rank <= maxRank && out.find(g.key()).Service == "" {
+			out = append(out, g.checked())
+		}
+	}
+	return out
+}
+
+func (g Group) checked() Group {
+	teams := make(map[string]float64, min(len(g.Teams), maxReportedTeams))
+	for team, sum := range g.Teams {
+		if len(teams) < maxReportedTeams && len(team) <= maxNameBytes && believable(sum) {
+			teams[team] = sum
+		}
+	}
+	g.Teams = teams
+	if !believable(g.Rest) || g.RestTeams <= 0 || g.RestTeams > maxRest {
+		g.Rest, g.RestTeams = 0, 0
+	}
+	return g
+}
+
+func believable(sum float64) bool { return sum >= 0 && sum <= maxSum }
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coveferry/internal/balance"
+	"coveferry/internal/fairshare"
 )
 
 // demandTTL is how long a router's demand report counts: a little longer than the interval
@@ -16,7 +17,8 @@
 // demandTable holds the demand that other routers reported. It is safe for concurrent use.
 type demandTable struct {
 	mu       sync.Mutex
-	own      func() balance.Demand // nil until ShareDemand is called
+	own      func() balance.Demand              // nil until ShareDemand is called
+	ownSums  func(now time.Time) fairshare.Sums // nil until ShareTeamWork is called
 	byRouter map[string]receivedDemand
 	// byDomain holds the demand of other failure domains by the reader that reported it. With
 	// narrow links a domain has several readers, each of which receives the reports of some
@@ -29,6 +31,7 @@
 type receivedDemand struct {
 	domain string // of the reporting router
 	demand balance.Demand
+	work   fairshare.Sums
 	// routers is the number of routers included in demand.
 	routers int
 	at      time.Time
@@ -44,10 +47,11 @@
 // PeerDemand returns the demand at all other routers, based on their recent reports.
 func (s *Source) PeerDemand() balance.PeerDemand {
 	now := time.Now()
-	demand, routers, ok := s.demand.readerTotal(now)
+	total, ok := s.demand.readerTotal(now)
 	if !ok {
-		demand, routers = s.demand.sum(now, "")
+		total = s.demand.sum(now, "")
 	}
+	demand, routers := total.Demand, total.Routers
 	known := s.members.count(now)
 	if 0 < routers && 0 < known && routers != known {
 		// Some routers were not counted, or two readers counted the same one.
@@ -66,13 +70,26 @@
 	return own()
 }
 
-func (d *demandTable) record(from Member, demand balance.Demand, at time.Time) {
+// ownReport returns the demand of this router's own requests and, where teams share capacity, their
+// work.
+func (d *demandTable) ownReport(now time.Time) domainDemand {
+	d.mu.Lock()
+	sums := d.ownSums
+	d.mu.Unlock()
+	report := domainDemand{Demand: d.local(), Routers: 1}
+	if sums != nil {
+		report.TeamWork = sums(now)
+	}
+	return report
+}
+
+func (d *demandTable) record(from Member, demand balance.Demand, work fairshare.Sums, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.byRouter == nil {
 		d.byRouter = make(map[string]receivedDemand)
 	}
-	d.byRouter[from.VM] = receivedDemand{domain: from.FailureDomain, demand: demand, routers: 1, at: at}
+	d.byRouter[from.VM] = receivedDemand{domain: from.FailureDomain, demand: demand, work: work.Checked(), routers: 1, at: at}
 }
 
 // recordDomainDemand records the demand that a reader reported for its failure domain. Reports
@@ -87,7 +104,7 @@
 	if d.byDomain == nil {
 		d.byDomain = make(map[string]receivedDemand)
 	}
-	d.byDomain[from.VM] = receivedDemand{domain: from.FailureDomain, demand: report.Demand, routers: report.Routers, at: at}
+	d.byDomain[from.VM] = receivedDemand{domain: from.FailureDomain, demand: report.Demand, work: report.TeamWork.Checked(), routers: report.Routers, at: at}
 }
 
 // domainDemand returns the demand of this router's failure domain as far as it is known,
@@ -96,56 +113,64 @@
 	if !s.members.isReader(now) {
 		return domainDemand{}
 	}
-	total, routers := s.demand.sumDomain(now, s.cfg.Self.FailureDomain)
-	return domainDemand{Demand: total.Add(s.demand.local()), Routers: routers + 1}
+	total := s.demand.sumDomain(now, s.cfg.Self.FailureDomain).add(s.demand.ownReport(now))
+	total.TeamWork = total.TeamWork.Trim()
+	return total
 }
 
 // recordTotal records the demand of all other routers as a reader reported it.
-func (d *demandTable) recordTotal(demand balance.Demand, routers int, at time.Time) {
+func (d *demandTable) recordTotal(total domainDemand, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.total = receivedDemand{demand: demand, routers: routers, at: at}
+	d.total = receivedDemand{demand: total.Demand, work: total.TeamWork.Checked(), routers: total.Routers, at: at}
 }
 
-func (d *demandTable) readerTotal(now time.Time) (demand balance.Demand, routers int, ok bool) {
+func (d *demandTable) readerTotal(now time.Time) (total domainDemand, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.total.demand, d.total.routers, now.Sub(d.total.at) < time.Second
+	return d.total.report(), now.Sub(d.total.at) < time.Second
+}
+
+// report returns the received report.
+func (r receivedDemand) report() domainDemand {
+	return domainDemand{Demand: r.demand, Routers: r.routers, TeamWork: r.work}
+}
+
+// add returns the sum of two reports on different routers.
+func (d domainDemand) add(o domainDemand) domainDemand {
+	return domainDemand{Demand: d.Demand.Add(o.Demand), Routers: d.Routers + o.Routers, TeamWork: d.TeamWork.Add(o.TeamWork)}
 }
 
-// sum adds up the recent reports except those of one router, and returns how many routers they
-// cover. Where a domain's reader has reported for its domain, only that report counts.
-func (d *demandTable) sum(now time.Time, except string) (total balance.Demand, routers int) {
+// sum adds up the recent reports except those of one router. Where a domain's reader has reported
+// for its domain, only that report counts.
+func (d *demandTable) sum(now time.Time, except string) (total domainDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
 	reported := make(map[string]bool)
 	for _, report := range d.byDomain {
-		total = total.Add(report.demand)
-		routers += report.routers
+		total = total.add(report.report())
 		reported[report.domain] = true
 	}
 	for vm, report := range d.byRouter {
 		if vm != except && !reported[report.domain] {
-			total = total.Add(report.demand)
-			routers++
+			total = total.add(report.report())
 		}
 	}
-	return total, routers
+	return total
 }
 
 // sumDomain adds up the recent reports of the other routers of a failure domain.
-func (d *demandTable) sumDomain(now time.Time, domain string) (total balance.Demand, routers int) {
+func (d *demandTable) sumDomain(now time.Time, domain string) (total domainDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
 	for _, report := range d.byRouter {
 		if report.domain == domain {
-			total = total.Add(report.demand)
-			routers++
+			total = total.add(report.report())
 		}
 	}
-	return total, routers
+	return total
 }
 
 // maxMissedDomainReports is how many reports of a domain's reader may be missed before its last
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -68,8 +68,9 @@
 // sendHello announces this router to another one, and records the members that it returns.
 func (s *Source) sendHello(ctx context.Context, seed string) {
 	sent, sentClock := time.Now(), s.cfg.Clock()
+	own := s.demand.ownReport(sent)
 	req := helloRequest{
-		From: s.cfg.Self, Demand: s.demand.local(), Domain: s.domainDemand(sent),
+		From: s.cfg.Self, Demand: own.Demand, TeamWork: own.TeamWork, Domain: s.domainDemand(sent),
 		Poison: s.poison.request(helloUpdateWindow), OriginUptime: s.uptime.report(sentClock), Limits: s.limits.request(helloUpdateWindow),
 	}
 	reply, err := control.Call(ctx, s.client(seed), methodHello, req)
@@ -78,7 +79,7 @@
 		return
 	}
 	s.members.recordSeen(reply.From, sent)
-	s.demand.record(reply.From, reply.Demand, sent)
+	s.demand.record(reply.From, reply.Demand, reply.TeamWork, sent)
 	s.poison.applyReply(sentClock, reply.Poison)
 	s.limits.applyReply(sentClock, reply.Limits)
 	s.uptime.apply(sentClock, reply.OriginUptime)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -6,6 +6,7 @@
 	"coveferry/internal/balance"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/identity"
 	"coveferry/internal/poison"
 )
@@ -50,11 +51,15 @@
 type domainDemand struct {
 	Demand  balance.Demand `json:"demand"`
 	Routers int            `json:"of"`
+	// TeamWork is the work of teams where capacity is short.
+	TeamWork fairshare.Sums `json:"teams,omitempty"`
 }
 
 type helloRequest struct {
 	From   Member         `json:"from"`
 	Demand balance.Demand `json:"demand"`
+	// TeamWork is the work of teams at the sender where capacity is short.
+	TeamWork fairshare.Sums `json:"teams,omitempty"`
 	// Domain is the demand of the sender's failure domain if the sender is a reader.
 	Domain       domainDemand   `json:"domain,omitzero"`
 	Poison       poison.Message `json:"poison,omitzero"`
@@ -71,8 +76,9 @@
 	Known   int            `json:"known"`
 	// Starting reports that the sender may not yet know all routers that started with it.
 	Starting bool `json:"new,omitempty"`
-	// Demand is that of this router's own requests, and Domain is as in the request.
+	// Demand and TeamWork are those of this router's own requests, and Domain is as in the request.
 	Demand       balance.Demand `json:"demand"`
+	TeamWork     fairshare.Sums `json:"teams,omitempty"`
 	Domain       domainDemand   `json:"domain,omitzero"`
 	Poison       poison.Message `json:"poison,omitzero"`
 	OriginUptime uptimeReport   `json:"steady,omitzero"`
@@ -105,6 +111,8 @@
 	UnversionedDigest uint64         `json:"digest"`
 	Digest            uint64         `json:"list_digest,omitempty"`
 	Demand            balance.Demand `json:"demand"`
+	// TeamWork is the work of teams at the requester where capacity is short.
+	TeamWork fairshare.Sums `json:"teams,omitempty"`
 	// Loads are the load reports that the requester received recently.
 	Loads []balance.LoadSummary `json:"loads,omitempty"`
 	// Failures are the failed attempts that the requester observed itself.
@@ -145,10 +153,11 @@
 	// ConfigPending reports that the reader has received a part of a configuration, the rest of
 	// which may never arrive.
 	ConfigPending bool `json:"pending,omitempty"`
-	// Demand is the total demand that the reader knows of except the requester's, and
-	// DemandRouters the number of routers that it covers.
+	// Demand and TeamWork are the totals that the reader knows of except the requester's, and
+	// DemandRouters is the number of routers that they cover.
 	Demand        balance.Demand `json:"demand"`
 	DemandRouters int            `json:"demand_of"`
+	TeamWork      fairshare.Sums `json:"teams,omitempty"`
 	// Loads are the newest load reports that the reader knows of.
 	Loads []balance.LoadSummary `json:"loads,omitempty"`
 	// Failures are those of all routers that the reader knows of, except the requester's.
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -23,13 +23,14 @@
 func (s *Source) serveHello(_ context.Context, _ identity.Peer, req helloRequest) (helloReply, error) {
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
-	s.demand.record(req.From, req.Demand, now)
+	s.demand.record(req.From, req.Demand, req.TeamWork, now)
 	s.recordDomainDemand(req.From, req.Domain, now)
 	at := s.cfg.Clock()
 	s.uptime.apply(at, req.OriginUptime)
+	own := s.demand.ownReport(now)
 	return helloReply{
 		From: s.cfg.Self, Members: s.members.membersFor(req.From, now), Known: s.members.countSeen(now), Starting: s.isStarting(now),
-		Demand: s.demand.local(), Domain: s.domainDemand(now),
+		Demand: own.Demand, TeamWork: own.TeamWork, Domain: s.domainDemand(now),
 		Poison: s.poison.serve(at, req.Poison, helloUpdateWindow), OriginUptime: s.uptime.report(at),
 		Limits: s.limits.serve(at, req.Limits, helloUpdateWindow),
 	}, nil
@@ -55,7 +56,7 @@
 func (s *Source) serveUpdate(_ context.Context, _ identity.Peer, req updateRequest) (updateReply, error) {
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
-	s.demand.record(req.From, req.Demand, now)
+	s.demand.record(req.From, req.Demand, req.TeamWork, now)
 	// Applied even if this router has no state to send yet.
 	at := s.cfg.Clock()
 	poison := s.poison.serve(at, req.Poison, s.pollUpdateWindow())
@@ -66,8 +67,8 @@
 		return updateReply{}, err
 	}
 	reply := updateReply{AgeMillis: state.Age.OptionalMillis(), OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
-	others, routers := s.demand.sum(now, req.From.VM)
-	reply.Demand, reply.DemandRouters = s.demand.local().Add(others), routers+1
+	total := s.demand.ownReport(now).add(s.demand.sum(now, req.From.VM))
+	reply.Demand, reply.DemandRouters, reply.TeamWork = total.Demand, total.Routers, total.TeamWork.Trim()
 	s.loads.apply(now.Add(-loadReportDelay), req.Loads)
 	reply.Loads = s.loads.latest(now)
 	s.failures.record(req.From.VM, req.Failures, now)
