Refuse requests of teams above their share while capacity is short

Cause: the team of a routed request was not known when it was placed or refused, so that all teams bore the excess of one.

Change: choose asks the ledger of fairshare once the expected wait is known; attempts and router treat the refusal as final and not run. Routers report the sums of teams with their demand. In force where the configuration lists teams and routers report to each other.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -75,6 +75,8 @@
 	Wait time.Duration
 	// PrefillTime is the part of Wait for the prefill of the request's own prompt.
 	PrefillTime time.Duration
+	// SecondsPerOutputToken is the expected time between two tokens of the answer, 0 if unknown.
+	SecondsPerOutputToken float64
 	// FetchFrom probably has cached parts of the prompt that the endpoint lacks; nil if there is
 	// none.
 	FetchFrom *bundle.Endpoint
@@ -125,6 +127,7 @@
 		return Choice{}, err
 	}
 	choice := Choice{Endpoint: candidates[s.candidateIndexes[i]], BackingOff: s.excluded.backingOff, Leaving: s.excluded.leaving}
+	choice.SecondsPerOutputToken = s.views[i].SecondsPerOutputToken
 	e, ok := p.cfg.Policy.(ChoiceEstimator)
 	if !ok {
 		return choice, nil
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
 	"coveferry/internal/endpointrate"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/follow"
 	"coveferry/internal/logging"
 	"coveferry/internal/membership"
@@ -136,6 +138,7 @@
 	poison   *poison.Table
 	peers    *peers.Source // nil where each router reads for itself
 	control  *control.Server
+	shares   *fairshare.Ledger  // nil without peers
 	share    endpointrate.Share // this router's share of endpoints' rate limits
 	retries  *retry.Budget
 	streams  *streamversion.Registry
@@ -174,6 +177,8 @@
 		d.peers.SharePoison(d.poison)
 		d.peers.ShareLimits(d.pool)
 		d.peers.ServeStreams(d.streams)
+		d.shares = fairshare.New(fairshare.Config{Peers: d.peers.PeerTeamWork, Rand: rand.Float64})
+		d.peers.ShareTeamWork(d.shares.Report)
 	}
 	d.updater = newDirectoryUpdater(d)
 	d.router = d.newRouter()
@@ -214,6 +219,7 @@
 			Client:                 d.client,
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
+			Shares:                 d.shares,
 			ShouldCloseConnections: func() bool { return !d.isReady() },
 		},
 	})
--- a/internal/filters/attempts/attempts_test.go
+++ b/internal/filters/attempts/attempts_test.go
@@ -213,3 +213,13 @@
 		})
 	}
 }
+
+// Guards against retries of requests whose team is above its share, which no other endpoint changes.
+func TestRequestRefusedForItsShareIsNotRetried(t *testing.T) {
+	g := NewWithT(t)
+	shareRefused := func(*request.Request) error { return &choose.ShareError{} }
+	made, _, err := run(&request.Request{}, shareRefused, complete)
+	g.Expect(made).To(Equal(1))
+	var share *choose.ShareError
+	g.Expect(errors.As(err, &share)).To(BeTrue())
+}
--- a/internal/filters/attempts/classify.go
+++ b/internal/filters/attempts/classify.go
@@ -44,13 +44,14 @@
 	var expired *dispatch.ExpiredError
 	var pinned *choose.PinnedError
 	var late *choose.LateError
+	var share *choose.ShareError
 	var quarantined *quarantine.QuarantinedError
 	switch {
 	case err == nil:
 		return classification{outcome: retry.OutcomeCompleted}
 	case errors.As(err, &pinned):
 		return classification{outcome: outcomeForRun(pinned.Run()), final: true, reason: reasonFinal}
-	case errors.As(err, &late):
+	case errors.As(err, &late), errors.As(err, &share):
 		return classification{outcome: retry.OutcomeNotRun, final: true, reason: retry.ReasonOverload}
 	case errors.As(err, &quarantined):
 		return classification{outcome: retry.OutcomeNotRun, final: true, reason: reasonQuarantined}
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/api"
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
@@ -78,6 +80,8 @@
 	lateBinding  bool
 	// refuseLateFactor is Config.RefuseLateFactor.
 	refuseLateFactor float64
+	shares           *fairshare.Ledger // nil shares nothing
+	refusals         *refusalMetrics
 }
 
 // Latest lists the endpoints that may serve a request at the time of the call.
@@ -100,11 +104,19 @@
 	// requests wait in an overload, all of them miss the objective. Refusing some early
 	// keeps the others on time.
 	RefuseLateFactor float64
+	// Shares decides which teams' requests are refused while capacity is short, where the route
+	// table lists teams; nil refuses none.
+	Shares *fairshare.Ledger
+	// Metrics may be nil.
+	Metrics prometheus.Registerer
 }
 
 // New returns a filter that selects endpoints from the pool.
 func New(cfg Config) *Filter {
-	f := &Filter{pool: cfg.Pool, latest: cfg.Latest, lateBinding: cfg.LateBinding, refuseLateFactor: cfg.RefuseLateFactor}
+	f := &Filter{pool: cfg.Pool, latest: cfg.Latest, lateBinding: cfg.LateBinding, refuseLateFactor: cfg.RefuseLateFactor, shares: cfg.Shares}
+	if cfg.Shares != nil {
+		f.refusals = newRefusalMetrics(cfg.Metrics)
+	}
 	if !cfg.IgnoreKeys {
 		f.homeResolver = &homeResolver{}
 	}
@@ -150,7 +162,7 @@
 	if err != nil {
 		return &Error{Cause: err}
 	}
-	if err := f.checkWait(r, r.ExpectedWait-r.PrefillTime); err != nil {
+	if err := f.checkOverload(r, query.Tier); err != nil {
 		return err
 	}
 	r.Endpoint, r.SecondEndpoint = pair.First, pair.Second
@@ -211,7 +223,7 @@
 	}
 	c, err := f.pool.ChooseWithEstimates(time.Now(), query, r.Candidates, r.TriedEndpoint)
 	r.PrefillTime, r.ExpectedWait, r.FetchFrom, r.CopyTo, r.TightGap = c.PrefillTime, c.Wait, c.FetchFrom, nil, c.TightGap
-	r.TightGapEndpoints = c.DedicatedEndpoints
+	r.TightGapEndpoints, r.SecondsPerOutputToken = c.DedicatedEndpoints, c.SecondsPerOutputToken
 	r.BackingOff, r.Leaving = f.describeBackoffs(r, c.BackingOff), c.Leaving
 	if copiesKVCache(r) {
 		r.CopyTo = c.CopyTo
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coveferry/internal/api"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
 )
@@ -34,6 +35,11 @@
 	}
 }
 
+// waitLimit returns the expected wait from which a routed request is refused; 0 means none.
+func (f *Filter) waitLimit(r *request.Request) time.Duration {
+	return time.Duration(f.refuseLateFactor * float64(r.Routes.Table.LongestObjective(r.Service)))
+}
+
 // checkWait refuses a routed request if its expected wait for other requests exceeds the
 // limit. The time to prefill its own prompt doesn't count: refusing long prompts would
 // starve their callers and help others little.
@@ -42,13 +48,17 @@
 // requests with a short objective would be refused while less urgent ones with a long
 // objective are admitted. A request that was already sent to an endpoint is not refused, and a
 // resumed stream only if it would wait beyond its deadline: it can't go on at endpoints of other
-// versions, which have room for new streams.
+// versions, which have room for new streams. A request that was admitted while teams above their
+// level are refused may wait longer (fairshare.WithinLevelFactor).
 func (f *Filter) checkWait(r *request.Request, wait time.Duration) error {
 	if f.refuseLateFactor <= 0 || r.Route == nil || len(r.Tried) > 0 {
 		return nil
 	}
 	objective := r.Routes.Table.LongestObjective(r.Service)
-	limit := time.Duration(f.refuseLateFactor * float64(objective))
+	limit := f.waitLimit(r)
+	if r.Share.Limiting {
+		limit = time.Duration(fairshare.WithinLevelFactor * float64(limit))
+	}
 	if r.StreamVersion != nil {
 		limit = max(limit, time.Until(r.Deadline))
 	}
--- /dev/null
+++ b/internal/filters/choose/share.go
@@ -0,0 +1,171 @@
+package choose
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/api"
+	"coveferry/internal/fairshare"
+	"coveferry/internal/pipeline"
+	"coveferry/internal/request"
+	"coveferry/internal/wire"
+)
+
+// ShareError reports that the request's team is above its fair share of a capacity that doesn't
+// suffice for all. The request was not sent.
+type ShareError struct {
+	// Load is the team's work and Level the fair level, in seconds of work per second over all routers.
+	Load, Level float64
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *ShareError) Error() string {
+	return fmt.Sprintf("choose: the team requests %.3g s of work a second, over the fair level of %.3g", e.Load, e.Level)
+}
+
+// API implements api.Convertible.
+func (e *ShareError) API() *api.Error {
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Type: api.TypeOverloaded, Code: "share",
+		Message: "overloaded: the team has its share of the capacity", Run: wire.RunNot, RetryAfter: e.RetryAfter,
+	}
+}
+
+// maxRetryShare is the share of the time to the deadline within which callers honour Retry-After.
+const maxRetryShare = 3
+
+// plainWork is the work of a request without a prompt, in units of slot time. Work is compared
+// only within a service.
+const plainWork = 1.0
+
+// checkOverload refuses a request that would wait too long, or whose team is above its share of the
+// capacity. rank is the request's rank among those for the service.
+func (f *Filter) checkOverload(r *request.Request, rank int) error {
+	wait := r.ExpectedWait - r.PrefillTime
+	shared := f.sharesCapacity(r)
+	if shared {
+		if err := f.checkShare(r, rank, wait); err != nil {
+			f.refusals.count(reasonShare, rank)
+			return err
+		}
+	}
+	err := f.checkWait(r, wait)
+	if err != nil && shared {
+		f.refusals.count(reasonLate, rank)
+	}
+	return err
+}
+
+// sharesCapacity reports whether the request's team shares capacity with others.
+func (f *Filter) sharesCapacity(r *request.Request) bool {
+	return f.shares != nil && r.Route != nil && r.TeamName != "" && r.Routes.Table.NeedsKeys()
+}
+
+// checkShare charges the request to its team, once, and refuses it if the team is above its share. A
+// request that was sent before and a resumed stream are charged and never refused.
+func (f *Filter) checkShare(r *request.Request, rank int, wait time.Duration) error {
+	if r.Share.Charge != nil {
+		return nil
+	}
+	now := time.Now()
+	if len(r.Tried) > 0 || r.StreamVersion != nil || r.Resumes != "" {
+		r.Share = fairshare.Verdict{Admitted: true, Charge: f.shares.Charge(now, r.Service, rank, r.TeamName, statedWork(r))}
+		return nil
+	}
+	pressure := 0.0
+	if limit := f.waitLimit(r); limit > 0 {
+		pressure = float64(wait) / float64(limit)
+	}
+	r.Share = f.shares.Admit(now, r.Service, rank, r.TeamName, statedWork(r), pressure)
+	f.refusals.setLevel(rank, r.Share.Level)
+	if r.Share.Admitted {
+		return nil
+	}
+	retryAfter := r.Share.RetryAfter
+	if !r.Deadline.IsZero() {
+		retryAfter = max(minRetryAfter, min(retryAfter, r.Deadline.Sub(now)/maxRetryShare))
+	}
+	return &ShareError{Load: r.Share.Load, Level: r.Share.Level, RetryAfter: retryAfter}
+}
+
+// statedWork returns the work of a request by what it states, in seconds.
+func statedWork(r *request.Request) float64 {
+	if r.Prompt.Tokens == 0 {
+		return plainWork
+	}
+	return r.PrefillTime.Seconds() + float64(r.Prompt.ExpectedOutput)*r.SecondsPerOutputToken
+}
+
+// actualWork returns the work that a request took until it ended with err, in seconds. An answer that
+// isn't a stream counts as stated unless it didn't run, since its length isn't known.
+func actualWork(r *request.Request, err error) float64 {
+	switch {
+	case err != nil && r.Delivered.Tokens == 0 && api.From(err).Run == wire.RunNot:
+		return 0
+	case r.Prompt.Tokens == 0 || !r.Route.Stream:
+		return statedWork(r)
+	}
+	tokens := r.Delivered.Tokens * max(r.TokensPerEvent, 1)
+	return r.PrefillTime.Seconds() + float64(tokens)*r.SecondsPerOutputToken
+}
+
+// Settle is a filter that corrects what a team was charged for a request to the work that the
+// request took, once it has ended with all of its attempts. Put it before the attempts filter.
+type Settle struct{}
+
+// Name implements pipeline.Filter.
+func (Settle) Name() string { return "settle" }
+
+// Do implements pipeline.Filter.
+func (Settle) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
+	err := next(ctx, r)
+	if r.Share.Charge != nil && len(r.Tried) > 0 {
+		// A request that was refused as late keeps its charge: the sums are those of the requested work.
+		r.Share.Charge.Settle(time.Now(), actualWork(r, err))
+	}
+	return err
+}
+
+// Values of the label "reason" of the counter of refused requests.
+const (
+	reasonShare = "share"
+	reasonLate  = "late"
+)
+
+// refusalMetrics counts refused requests of teams.
+type refusalMetrics struct {
+	refused *prometheus.CounterVec
+	level   *prometheus.GaugeVec
+}
+
+func newRefusalMetrics(reg prometheus.Registerer) *refusalMetrics {
+	m := &refusalMetrics{
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coveferry_team_requests_refused_total",
+			Help: "Requests of teams refused for lack of capacity: share (the team is above its share) or late (the expected wait is too long), by rank.",
+		}, []string{"reason", "tier"}),
+		level: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coveferry_team_fair_level",
+			Help: "Work up to which a team's requests are served, in seconds per second over all routers, as of the latest request of the rank; 0 while no team is refused.",
+		}, []string{"tier"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.refused, m.level)
+	}
+	return m
+}
+
+func (m *refusalMetrics) count(reason string, rank int) {
+	m.refused.WithLabelValues(reason, strconv.Itoa(rank)).Inc()
+}
+
+func (m *refusalMetrics) setLevel(rank int, level float64) {
+	m.level.WithLabelValues(strconv.Itoa(rank)).Set(level)
+}
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -144,20 +144,31 @@
 // sum adds up the recent reports except those of one router. Where a domain's reader has reported
 // for its domain, only that report counts.
 func (d *demandTable) sum(now time.Time, except string) (total domainDemand) {
+	d.forEach(now, except, func(r receivedDemand) { total = total.add(r.report()) })
+	return total
+}
+
+// sumTeamWork is like sum for the work of teams only, which most reports don't have.
+func (d *demandTable) sumTeamWork(now time.Time) (total fairshare.Sums) {
+	d.forEach(now, "", func(r receivedDemand) { total = total.Add(r.work) })
+	return total
+}
+
+// forEach calls do for the reports that sum adds up.
+func (d *demandTable) forEach(now time.Time, except string, do func(receivedDemand)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
 	reported := make(map[string]bool)
 	for _, report := range d.byDomain {
-		total = total.add(report.report())
+		do(report)
 		reported[report.domain] = true
 	}
 	for vm, report := range d.byRouter {
 		if vm != except && !reported[report.domain] {
-			total = total.add(report.report())
+			do(report)
 		}
 	}
-	return total
 }
 
 // sumDomain adds up the recent reports of the other routers of a failure domain.
--- a/internal/peers/teamwork.go
+++ b/internal/peers/teamwork.go
@@ -19,9 +19,9 @@
 // team may reach only some of the routers.
 func (s *Source) PeerTeamWork() (work fairshare.Sums, alone bool) {
 	now := time.Now()
-	total, ok := s.demand.readerTotal(now)
-	if !ok {
-		total = s.demand.sum(now, "")
+	alone = s.PeerCount() == 0
+	if total, ok := s.demand.readerTotal(now); ok {
+		return total.TeamWork, alone
 	}
-	return total.TeamWork, s.PeerCount() == 0
+	return s.demand.sumTeamWork(now), alone
 }
--- /dev/null
+++ b/internal/peers/teamwork_test.go
@@ -0,0 +1,100 @@
+package peers
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/fairshare"
+)
+
+// teamWorkAt returns the work of a team as a router knows it from others.
+func teamWorkAt(n *node, team string) float64 {
+	work, _ := n.source.PeerTeamWork()
+	if len(work) == 0 {
+		return 0
+	}
+	return work[0].Teams[team]
+}
+
+// Guards against work of a team that is counted twice or not at all, depending on which failure domains
+// its requests reach, and against work of a router that has stopped.
+func TestWorkOfTeamsIsAddedUpOverTheFleet(t *testing.T) {
+	for _, routers := range []int{3, 9} {
+		runFleet(t, routers, func(g *WithT, f *fleet) {
+			for _, n := range f.nodes {
+				n.source.ShareTeamWork(func(time.Time) fairshare.Sums {
+					return fairshare.Sums{{Service: "s", Rank: 1, Short: true, Teams: map[string]float64{"all": 1, n.vm: 2}}}
+				})
+			}
+			time.Sleep(2 * time.Second)
+			for _, n := range f.nodes {
+				g.Expect(teamWorkAt(n, "all")).To(BeNumerically("~", routers-1, 1e-9), n.vm)
+				g.Expect(teamWorkAt(n, n.vm)).To(BeZero(), "a router's own work isn't reported to itself")
+				for _, o := range f.nodes {
+					if o != n {
+						g.Expect(teamWorkAt(n, o.vm)).To(BeNumerically("~", 2, 1e-9), "%s at %s", o.vm, n.vm)
+					}
+				}
+			}
+			stopped := f.nodes[routers-1]
+			stopped.shutDown()
+			time.Sleep(demandTTL + time.Second)
+			g.Expect(teamWorkAt(f.nodes[0], stopped.vm)).To(BeZero())
+			g.Expect(teamWorkAt(f.nodes[1], stopped.vm)).To(BeZero())
+		})
+	}
+}
+
+// Guards against work of routers that are silent, from whose last reports a router would refuse requests.
+func TestWorkOfSilentRoutersExpires(t *testing.T) {
+	runFleet(t, 4, func(g *WithT, f *fleet) {
+		for _, n := range f.nodes {
+			n.source.ShareTeamWork(func(time.Time) fairshare.Sums {
+				return fairshare.Sums{{Service: "s", Short: true, Teams: map[string]float64{"a": 1}}}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(teamWorkAt(f.nodes[3], "a")).To(BeNumerically("~", 3, 1e-9))
+		for _, n := range f.nodes[:3] {
+			n.shutDown()
+		}
+		time.Sleep(demandTTL + 100*time.Millisecond)
+		work, alone := f.nodes[3].source.PeerTeamWork()
+		g.Expect(work).To(BeEmpty())
+		g.Expect(alone).To(BeFalse(), "it may be cut off")
+	})
+}
+
+// Guards against a router that doesn't understand messages of routers of the previous version, and against
+// messages that those don't understand while nothing is short.
+func TestMessagesWithoutWorkOfTeamsAreThoseOfThePreviousVersion(t *testing.T) {
+	g := NewWithT(t)
+	for _, message := range []any{updateRequest{}, updateReply{}, helloRequest{}, helloReply{}, domainDemand{}} {
+		text, err := json.Marshal(message)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(text)).NotTo(ContainSubstring(`"teams"`))
+	}
+	var d demandTable
+	now := time.Now()
+	d.record(Member{VM: "old"}, balance.Demand{{Service: "s", Requests: 3}}, nil, now)
+	g.Expect(d.sum(now, "").TeamWork).To(BeEmpty())
+	g.Expect(d.sum(now, "").Routers).To(Equal(1))
+}
+
+// Guards against values of another router that are negative or too large.
+func TestWorkOfTeamsFromAnotherRouterIsChecked(t *testing.T) {
+	g := NewWithT(t)
+	bad := fairshare.Sums{{Service: "s", Teams: map[string]float64{"negative": -1, "huge": 1e300, "ok": 1}}}
+	s := &Source{cfg: Config{Self: Member{VM: "self", FailureDomain: "d"}}}
+	now := time.Now()
+	s.demand.record(Member{VM: "a", FailureDomain: "d"}, nil, bad, now)
+	s.recordDomainDemand(Member{VM: "b", FailureDomain: "e"}, domainDemand{Routers: 1, TeamWork: bad}, now)
+	g.Expect(s.demand.sumTeamWork(now)[0].Teams).To(Equal(map[string]float64{"ok": 2}))
+	s.demand.recordTotal(domainDemand{TeamWork: bad, Routers: 1}, now)
+	total, _ := s.demand.readerTotal(now)
+	g.Expect(total.TeamWork[0].Teams).To(Equal(map[string]float64{"ok": 1}))
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -10,6 +10,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/completion"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/once"
 	"coveferry/internal/poison"
 	"coveferry/internal/prompt"
@@ -68,6 +69,10 @@
 	ExpectedWait time.Duration
 	// PrefillTime is the part of ExpectedWait for the prefill of the request's own prompt.
 	PrefillTime time.Duration
+	// SecondsPerOutputToken is the expected time between two tokens of the answer; 0 if unknown.
+	SecondsPerOutputToken float64
+	// Share is the decision on the team's share of the capacity; the zero value if there was none.
+	Share fairshare.Verdict
 	// FetchFrom is an endpoint that has probably cached parts of the prompt that Endpoint
 	// lacks; nil if none is known.
 	FetchFrom *bundle.Endpoint
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -9,6 +9,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/bundle"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/filters/admit"
 	"coveferry/internal/filters/attempts"
 	"coveferry/internal/filters/choose"
@@ -45,6 +46,8 @@
 	// because this one will soon have to refuse their keys. Their connections close after the
 	// next answer. nil means never.
 	ShouldCloseConnections func() bool
+	// Shares shares capacity between teams where it is short; nil shares nothing.
+	Shares *fairshare.Ledger
 }
 
 // routedRetryAfter is the Retry-After of refused routed requests. Within 100 ms a queue of a
@@ -80,11 +83,12 @@
 		match.New(c.Protocol, c.Endpoints, c.MaxKeyAge, rt.cfg.Rand), // selects the route
 		admit.New(c.MaxKeyAge),                             // checks the API key
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
-		regions, // applies residency
+		regions,         // applies residency
+		choose.Settle{}, // corrects what teams were charged
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
 		rt.quarantine(), // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
-			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor,
+			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor, Shares: c.Shares, Metrics: rt.cfg.Metrics,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return regions.Allowed(r, c.Endpoints(r.Service)) },
 		}),
 		rt.directDispatch, // sends the request
@@ -161,13 +165,14 @@
 // routedRetryAfter.
 func hasOwnRetryAfter(err error) bool {
 	var late *choose.LateError
+	var share *choose.ShareError
 	var quarantined *quarantine.QuarantinedError
 	var noEndpoint *choose.Error
 	if errors.As(err, &noEndpoint) {
 		_, known := noEndpoint.AvailableIn()
 		return known
 	}
-	return errors.As(err, &late) || errors.As(err, &quarantined)
+	return errors.As(err, &late) || errors.As(err, &share) || errors.As(err, &quarantined)
 }
 
 // safeStatus replaces statuses that callers take as a guarantee that the request didn't run,
@@ -214,6 +219,9 @@
 	addLostEndpoints(log, r)
 	addWithheld(log, r)
 	addResumption(log, r)
+	if r.Share.Limiting {
+		log.Float64("team_load", r.Share.Load).Float64("fair_level", r.Share.Level)
+	}
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.SharedPrefixID()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.TightGap).Int("kept", r.TightGapEndpoints).
 			Dur("expected", r.ExpectedWait).Dur("max_gap", r.Delivered.MaxGap).Int("output", r.Prompt.ExpectedOutput)
