--- a/internal/fairshare/sums.go
+++ b/internal/fairshare/sums.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 )
@@ -73,44 +72,6 @@
 	return Group{}
 }
 
-// Add returns the sums of two reports. It changes neither.
-func (s Sums) Add(o Sums) Sums {
-	if len(o) == 0 {
-		return s
-	}
-	sum := slices.Clone(s)
-	for _, g := range o {
-		i := slices.IndexFunc(sum, func(have Group) bool { return have.key() == g.key() })
-		if i < 0 {
-			if len(sum) < maxGroups {
-				sum = append(sum, g)
-			}
-			continue
-		}
-		sum[i] = sum[i].add(g)
-	}
-	return sum
-}
-
-func (g Group) add(o Group) Group {
-	teams := make(map[string]float64, max(len(g.Teams), len(o.Teams)))
-	maps.Copy(teams, g.Teams)
-	g.Teams = teams
-	g.Rest += o.Rest
-	// The rests of two routers are mostly the same teams.
-	g.RestTeams = max(g.RestTeams, o.RestTeams)
-	g.Short = g.Short || o.Short
-	for team, sum := range o.Teams {
-		if _, listed := teams[team]; listed || len(teams) < maxTeams {
-			teams[team] += sum
-			continue
-		}
-		g.Rest += sum
-		g.RestTeams = max(g.RestTeams, 1)
-	}
-	return g
-}
-
 // Trim returns the sums in the bounds of a message: the groups with the most work, and of each the
 // teams with the most work, rounded to milliseconds. The other teams become part of the rest.
 func (s Sums) Trim() Sums {
@@ -130,22 +91,32 @@
 }
 
 func (g Group) trim(limit int) Group {
-	names := slices.SortedFunc(maps.Keys(g.Teams), func(a, b string) int {
-		return cmp.Or(cmp.Compare(g.Teams[b], g.Teams[a]), cmp.Compare(a, b))
-	})
-	listed := make(map[string]float64, min(limit, len(names)))
-	for i, name := range names {
+	teams := make([]teamSum, 0, len(g.Teams))
+	for name, sum := range g.Teams {
+		teams = append(teams, teamSum{name, sum})
+	}
+	if len(teams) > limit {
+		slices.SortFunc(teams, func(a, b teamSum) int { return cmp.Or(cmp.Compare(b.sum, a.sum), cmp.Compare(a.name, b.name)) })
+	}
+	listed := make(map[string]float64, min(limit, len(teams)))
+	for i, team := range teams {
 		if i < limit {
-			listed[name] = roundMillis(g.Teams[name])
+			listed[team.name] = roundMillis(team.sum)
 			continue
 		}
-		g.Rest += g.Teams[name]
+		g.Rest += team.sum
 	}
-	g.RestTeams += max(0, len(names)-limit)
+	g.RestTeams += max(0, len(teams)-limit)
 	g.Teams, g.Rest = listed, roundMillis(g.Rest)
 	return g
 }
 
+// teamSum is the sum of a team.
+type teamSum struct {
+	name string
+	sum  float64
+}
+
 func roundMillis(seconds float64) float64 { return math.Round(seconds*1000) / 1000 }
 
 // Checked returns the believable part of a report from another router. Values that are negative, not
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -17,8 +17,8 @@
 // demandTable holds the demand that other routers reported. It is safe for concurrent use.
 type demandTable struct {
 	mu       sync.Mutex
-	own      func() balance.Demand              // nil until ShareDemand is called
-	ownSums  func(now time.Time) fairshare.Sums // nil until ShareTeamWork is called
+	own      func() balance.Demand // nil until ShareDemand is called
+	work     teamWork
 	byRouter map[string]receivedDemand
 	// byDomain holds the demand of other failure domains by the reader that reported it. With
 	// narrow links a domain has several readers, each of which receives the reports of some
@@ -70,19 +70,6 @@
 	return own()
 }
 
-// ownReport returns the demand of this router's own requests and, where teams share capacity, their
-// work.
-func (d *demandTable) ownReport(now time.Time) domainDemand {
-	d.mu.Lock()
-	sums := d.ownSums
-	d.mu.Unlock()
-	report := domainDemand{Demand: d.local(), Routers: 1}
-	if sums != nil {
-		report.TeamWork = sums(now)
-	}
-	return report
-}
-
 func (d *demandTable) record(from Member, demand balance.Demand, work fairshare.Sums, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -128,12 +115,8 @@
 func (d *demandTable) readerTotal(now time.Time) (total domainDemand, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.total.report(), now.Sub(d.total.at) < time.Second
-}
-
-// report returns the received report.
-func (r receivedDemand) report() domainDemand {
-	return domainDemand{Demand: r.demand, Routers: r.routers, TeamWork: r.work}
+	total = domainDemand{Demand: d.total.demand, Routers: d.total.routers, TeamWork: d.total.work}
+	return total, now.Sub(d.total.at) < time.Second
 }
 
 // add returns the sum of two reports on different routers.
@@ -144,29 +127,29 @@
 // sum adds up the recent reports except those of one router. Where a domain's reader has reported
 // for its domain, only that report counts.
 func (d *demandTable) sum(now time.Time, except string) (total domainDemand) {
-	d.forEach(now, except, func(r receivedDemand) { total = total.add(r.report()) })
-	return total
-}
-
-// sumTeamWork is like sum for the work of teams only, which most reports don't have.
-func (d *demandTable) sumTeamWork(now time.Time) (total fairshare.Sums) {
-	d.forEach(now, "", func(r receivedDemand) { total = total.Add(r.work) })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forEach(now, func(vm string, r receivedDemand) {
+		if vm != except {
+			total.Demand, total.Routers = total.Demand.Add(r.demand), total.Routers+r.routers
+		}
+	})
+	total.TeamWork = d.teamWork(now, except)
 	return total
 }
 
-// forEach calls do for the reports that sum adds up.
-func (d *demandTable) forEach(now time.Time, except string, do func(receivedDemand)) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// forEach calls do for the recent reports of routers and domains; vm is empty for those of domains.
+// d.mu is held.
+func (d *demandTable) forEach(now time.Time, do func(vm string, r receivedDemand)) {
 	d.expire(now)
 	reported := make(map[string]bool)
 	for _, report := range d.byDomain {
-		do(report)
+		do("", report)
 		reported[report.domain] = true
 	}
 	for vm, report := range d.byRouter {
-		if vm != except && !reported[report.domain] {
-			do(report)
+		if !reported[report.domain] {
+			do(vm, report)
 		}
 	}
 }
@@ -176,11 +159,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
+	var work fairshare.Total
 	for _, report := range d.byRouter {
 		if report.domain == domain {
-			total = total.add(report.report())
+			total.Demand, total.Routers = total.Demand.Add(report.demand), total.Routers+1
+			work.Add(report.work)
 		}
 	}
+	total.TeamWork = work.Without(nil)
 	return total
 }
 
