--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -211,3 +212,29 @@
 		g.Expect(v.Load).To(BeNumerically("~", ratePerSecond(1), 0.01), team)
 	}
 }
+
+// Guards against data races, under the race detector.
+func TestLedgerIsSafeForConcurrentUse(t *testing.T) {
+	g := NewWithT(t)
+	var reports, handlers sync.WaitGroup
+	var other *Ledger
+	l := New(Config{Rand: always(0.5), Peers: func() (Sums, bool) { return other.Report(start), false }})
+	other = New(Config{Rand: always(0.5)})
+	for i := range 4 {
+		handlers.Go(func() {
+			for n := range 200 {
+				now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+				l.Admit(now, "s", i%2, fmt.Sprint("team-", n%7), 1, 1).Charge.Settle(now, 0.5)
+				other.Admit(now, "s", i%2, fmt.Sprint("team-", n%5), 1, 1)
+			}
+		})
+		reports.Go(func() {
+			for n := range 50 {
+				l.Report(start.Add(time.Duration(n) * 10 * time.Millisecond))
+			}
+		})
+	}
+	handlers.Wait()
+	reports.Wait()
+	g.Expect(l.Report(start.Add(2 * time.Second))).NotTo(BeEmpty())
+}
