Count the demand of other failure domains again

Cause: sum excluded the reports of domains, which have no router name, where no router was excluded. TestDemandOfEachPeerCountsOnce and TestAllFailureDomainsKnowSameDemand failed in the run of the whole package.

Change: only a router's own report is excluded.

Tests: both pass, with the other tests of demand, domains and team work; the whole package is run next.

--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -130,7 +130,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forEach(now, func(vm string, r receivedDemand) {
-		if vm != except {
+		if vm == "" || vm != except {
 			total.Demand, total.Routers = total.Demand.Add(r.demand), total.Routers+r.routers
 		}
 	})
