--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"time"
 
+	"coveferry/internal/forecast"
 	"coveferry/internal/load"
+	"coveferry/internal/pace"
 	"coveferry/internal/prompt"
 )
 
@@ -30,6 +32,8 @@
 	Stride int
 	// Objective is the target for the time to the first event of the response; 0 means none.
 	Objective time.Duration
+	// TimeLeft is the time until the caller's deadline; 0 means none.
+	TimeLeft time.Duration
 	// Retry marks a request that was already sent to an endpoint. It isn't sent to an endpoint
 	// known to be full, and is rejected if all are.
 	Retry bool
@@ -92,6 +96,12 @@
 	// Pace is how long work takes at the endpoint, apart from its load, relative to the usual
 	// time; 0 if the endpoint doesn't state it.
 	Pace float64
+	// PaceClass is the class of Pace, by which endpoints are compared.
+	PaceClass pace.Class
+	// forecast describes the endpoint for forecasts; forecasts is set if they apply to it. A policy
+	// that makes forecasts sets both.
+	forecast  forecast.Endpoint
+	forecasts bool
 	// Metered is set if the endpoint counts requests: it has a rate limit over all routers, or is
 	// in the ramp after a backoff, and still admits this request. Endpoints that don't aren't
 	// among the views.
@@ -105,6 +115,8 @@
 	ReducedCapacity bool
 	// Full is set if the endpoint recently refused a request for lack of capacity.
 	Full bool
+	// Distrusted is set if the endpoint's refusals contradict its load.
+	Distrusted bool
 	// Weight is 1 for a healthy endpoint, less for one that ramps up after it was slow, failing
 	// or gone, and 0 for one that is ejected or suspect.
 	Weight float64
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -26,6 +26,7 @@
 	limits       limitStats
 	backoffs     backoffStats
 	domains      domainMonitor
+	refusals     refusalStats
 }
 
 // scratch holds the reusable buffers of one call of Choose.
@@ -77,6 +78,8 @@
 	PrefillTime time.Duration
 	// SecondsPerOutputToken is the expected time between two tokens of the answer, 0 if unknown.
 	SecondsPerOutputToken float64
+	// Forecast is set if the endpoint was chosen, and Wait estimated, by a forecast of the answer.
+	Forecast bool
 	// FetchFrom probably has cached parts of the prompt that the endpoint lacks; nil if there is
 	// none.
 	FetchFrom *bundle.Endpoint
@@ -102,8 +105,9 @@
 // Estimates holds a policy's estimates for a choice. Indexes are those of the views, followed
 // by those of leaving endpoints; -1 means none.
 type Estimates struct {
-	// Wait, PrefillTime, TightGap and DedicatedEndpoints are as in Choice.
+	// Wait, PrefillTime, Forecast, TightGap and DedicatedEndpoints are as in Choice.
 	Wait, PrefillTime  time.Duration
+	Forecast           bool
 	TightGap           bool
 	DedicatedEndpoints int
 	// FetchFrom is the index of the endpoint to fetch missing cached parts from, and CopyTo that
@@ -134,6 +138,7 @@
 	}
 	expected := e.Estimate(req, s.views, s.leaving, i)
 	choice.Wait, choice.PrefillTime, choice.TightGap, choice.DedicatedEndpoints = expected.Wait, expected.PrefillTime, expected.TightGap, expected.DedicatedEndpoints
+	choice.Forecast = expected.Forecast
 	if expected.FetchFrom >= 0 {
 		choice.FetchFrom = candidates[append(s.candidateIndexes, s.leavingIndexes...)[expected.FetchFrom]]
 	}
@@ -153,6 +158,10 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
+	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 {
+		p.recordDistrustedChoice(now, req, s.views[i], s.rnd)
+		return i, nil
+	}
 	restoreIfAllEjected(s.views)
 	for {
 		i, ok := p.cfg.Policy.Choose(now, req, s.views, s.rnd)
@@ -252,7 +261,9 @@
 		st.speeds = p.speedsOf(st.group)
 	}
 	st.fillView(c, v)
-	speed := st.speeds.estimate(st.outputToken)
+	paceNow := st.pace.At(now)
+	v.Pace, v.PaceClass = paceNow.Factor, paceNow.Class
+	speed := st.speeds.estimate(st.outputToken, v.Pace)
 	v.SecondsPerOutputToken, v.SecondsPerPromptToken, v.PrefillOverhead = speed.SecondsPerOutputToken, speed.SecondsPerPromptToken, speed.PrefillOverhead
 	v.CachedTokens = st.cachedParts.cached(now, req.Prompt)
 	v.Full = st.full(now)
@@ -267,6 +278,7 @@
 	v.Metered = limited || st.backoff.ramping(now)
 	v.ReducedCapacity = st.rateState.reducedCapacity(now, req.ColdRate)
 	v.Suspect = st.rateState.suspect
+	v.Distrusted = st.refusals.Distrusted()
 	switch {
 	case st.leaving:
 		return draining
@@ -306,8 +318,11 @@
 func (p *Pool) Report(now time.Time, endpoint string, r load.Report) {
 	sh := p.shard(endpoint)
 	sh.mu.Lock()
-	sh.state(endpoint).recordReport(now, r, p.cfg.SeqHold)
+	st := sh.state(endpoint)
+	changed := st.recordReport(now, r, p.cfg.SeqHold)
+	estimate := st.pace.At(now)
 	sh.mu.Unlock()
+	p.notifyPace(changed, endpoint, estimate)
 	p.detectOutliers(now, false)
 }
 
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -8,6 +8,8 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/load"
+	"coveferry/internal/pace"
+	"coveferry/internal/refusals"
 	"coveferry/internal/throttle/window"
 )
 
@@ -68,7 +70,10 @@
 	// estimates of its group.
 	outputToken quantile
 	speeds      *engineSpeeds
-	avoidUntil  time.Time
+	pace        pace.Estimator // of the endpoint's stated percentages
+	// paceCheckedAt is when this router last asked the endpoint for its pace.
+	paceCheckedAt time.Time
+	avoidUntil    time.Time
 	// refusedAt is when the endpoint last refused a request of this router for lack of capacity,
 	// and requestsAtRefusal the number of requests it had then.
 	refusedAt         time.Time
@@ -79,6 +84,8 @@
 	// restartedAt is when this router learned that the endpoint's process was replaced; zero if
 	// it hasn't been.
 	restartedAt time.Time
+	servedAt    time.Time          // when it last served a request of this router or began to
+	refusals    *refusals.Evidence // nil unless its refusals contradicted its load lately
 }
 
 func (st *state) fillView(c *bundle.Endpoint, v *View) {
@@ -109,18 +116,21 @@
 	st.recordSend(now)
 }
 
-func (st *state) recordReport(now time.Time, r load.Report, hold time.Duration) {
+// recordReport records a load report and reports whether it changed the class of the endpoint's pace.
+func (st *state) recordReport(now time.Time, r load.Report, hold time.Duration) (paceChanged bool) {
 	stale := !st.reportedAt.IsZero() && r.Seq <= st.load.Seq
 	if stale && now.Sub(st.reportedAt) < hold {
-		return
+		return false
 	}
 	st.updateAverages(r)
+	paceChanged = st.pace.Add(now, r.WorkPercent)
 	st.health.recordSample(now)
 	st.load = r
 	st.reportedAt = now
 	st.reportFromPeer = false
 	st.unreportedSends = st.unreportedSends[:0]
 	st.leaving = st.leaving || r.Leaving
+	return paceChanged
 }
 
 func (st *state) recordDone(now time.Time, res Result, firstToken time.Duration, smoothing float64) {
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -6,6 +6,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/fairshare"
+	"coveferry/internal/forecast"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
 )
@@ -17,7 +18,8 @@
 // LateError reports that the response would begin too late at any endpoint. The request
 // was not sent.
 type LateError struct {
-	// Wait is the expected wait. Objective is the latency objective that it exceeds.
+	// Wait is the expected wait. Objective is the latency objective that it exceeds, or the part
+	// of it within which a forecast wait has to be.
 	Wait, Objective time.Duration
 }
 
@@ -37,7 +39,11 @@
 
 // waitLimit returns the expected wait from which a routed request is refused; 0 means none.
 func (f *Filter) waitLimit(r *request.Request) time.Duration {
-	return time.Duration(f.refuseLateFactor * float64(r.Routes.Table.LongestObjective(r.Service)))
+	limit := time.Duration(f.refuseLateFactor * float64(r.Routes.Table.LongestObjective(r.Service)))
+	if r.Forecast {
+		limit = forecast.WaitLimit(limit)
+	}
+	return limit
 }
 
 // checkWait refuses a routed request if its expected wait for other requests exceeds the
@@ -48,14 +54,16 @@
 // requests with a short objective would be refused while less urgent ones with a long
 // objective are admitted. A request that was already sent to an endpoint is not refused, and a
 // resumed stream only if it would wait beyond its deadline: it can't go on at endpoints of other
-// versions, which have room for new streams. A request that was admitted while teams above their
-// level are refused may wait longer (fairshare.WithinLevelFactor).
+// versions, which have room for new streams.
 func (f *Filter) checkWait(r *request.Request, wait time.Duration) error {
 	if f.refuseLateFactor <= 0 || r.Route == nil || len(r.Tried) > 0 {
 		return nil
 	}
 	objective := r.Routes.Table.LongestObjective(r.Service)
 	limit := f.waitLimit(r)
+	if r.Forecast {
+		objective = limit
+	}
 	if r.Share.Limiting {
 		limit = time.Duration(fairshare.WithinLevelFactor * float64(limit))
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -73,6 +73,8 @@
 	SecondsPerOutputToken float64
 	// Share is the decision on the team's share of the capacity; the zero value if there was none.
 	Share fairshare.Verdict
+	// Forecast says that ExpectedWait is a forecast for the endpoint of the latest attempt.
+	Forecast bool
 	// FetchFrom is an endpoint that has probably cached parts of the prompt that Endpoint
 	// lacks; nil if none is known.
 	FetchFrom *bundle.Endpoint
