--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -22,7 +22,7 @@
 	refreshInterval = 100 * time.Millisecond
 	// reportPressure is the pressure from which sums are reported to other routers, and
 	// reportPeriod how long they are reported after that. It lies below thinningStart, so that
-	// the sums of all routers are known when the gate begins to refuse.
+	// the sums of all routers are known when requests begin to be refused.
 	reportPressure = 0.4
 	reportPeriod   = 3 * time.Second
 )
@@ -101,7 +101,7 @@
 	return v
 }
 
-// Charge counts the work of a request that the gate doesn't decide on, such as a resumed stream.
+// Charge counts the work of a request that isn't decided on, such as a resumed stream.
 func (l *Ledger) Charge(now time.Time, service string, rank int, team string, work float64) *Charge {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -28,7 +28,7 @@
 }
 
 // Guards against refusals while there is capacity for all.
-func TestIdleFleetRefusesNoOne(t *testing.T) {
+func TestNothingIsRefusedBelowTheThinningPressure(t *testing.T) {
 	g := NewWithT(t)
 	l := New(Config{Rand: always(0.999)})
 	for i := range 1000 {
@@ -39,7 +39,7 @@
 }
 
 // Guards against credit for idle time: a team that returns is above the level like any other.
-func TestIdleTeamHasSavedNothing(t *testing.T) {
+func TestIdleTeamIsNotAdmittedAboveTheLevelWhenItReturns(t *testing.T) {
 	g := NewWithT(t)
 	l := New(Config{Rand: always(0.999)})
 	now := fill(l, 1, 1.1, map[string]float64{"a": 0.01, "b": 0.01})
@@ -65,7 +65,7 @@
 	g.Expect(l.Admit(now, "s", 0, "a", 1, 0.2).Admitted).To(BeTrue())
 }
 
-// Guards against a gate that takes teams which reach only this router for large ones.
+// Guards against an admission that takes teams which reach only this router for large ones.
 func TestNothingIsRefusedWhileOthersAreSilent(t *testing.T) {
 	g := NewWithT(t)
 	told, alone := Sums(nil), false
--- a/internal/fairshare/group.go
+++ b/internal/fairshare/group.go
@@ -21,7 +21,7 @@
 	// known reports that other routers report their sums, or that there are none. Otherwise teams that
 	// reach only this router would appear larger than those that reach all, and be refused in
 	// their place: with 27 routers that know nothing of each other one such team got 0.73 of its
-	// work, and 0.88 is the mean without the gate.
+	// work, and 0.88 is the mean without shares.
 	known bool
 }
 
--- a/internal/fairshare/sim_test.go
+++ b/internal/fairshare/sim_test.go
@@ -9,30 +9,30 @@
 	. "github.com/onsi/gomega"
 )
 
-// hogged plays a burst of one team and returns what each of the other teams gets of its work, and
+// servedBesideLargeTeam simulates a burst of one team and returns what each of the other teams gets of its work, and
 // what it gets without the burst.
-func hogged(routers, hog int, gate bool, disturb func(p *play)) (with, without []float64) {
+func servedBesideLargeTeam(routers, large int, sharing bool, disturb func(p *simulation)) (with, without []float64) {
 	const warmUp, burst = 2 * time.Second, 30 * time.Second
-	play := func(factor float64) []float64 {
-		p := newPlay(routers, gate)
+	run := func(factor float64) []float64 {
+		p := newSimulation(routers, sharing)
 		p.run(warmUp)
-		p.teams[hog].factor = factor
+		p.teams[large].factor = factor
 		if disturb != nil {
 			disturb(p)
 		}
-		return slices.Delete(p.measure(burst), hog, hog+1)
+		return slices.Delete(p.measure(burst), large, large+1)
 	}
-	return play(hogFactor), play(0)
+	return run(largeFactor), run(0)
 }
 
 // Guards against a team that takes the capacity of the others, also if it reaches one router only
 // (team 0) or the others do.
 func TestOtherTeamsKeepTheirSharesBesideALargeTeam(t *testing.T) {
 	for _, routers := range []int{3, 27, 103} {
-		for hog, reach := range []string{"one router", "three routers", "all routers"} {
+		for large, reach := range []string{"one router", "three routers", "all routers"} {
 			t.Run(fmt.Sprintf("%d routers, large team at %s", routers, reach), func(t *testing.T) {
 				g := NewWithT(t)
-				with, without := hogged(routers, hog, true, nil)
+				with, without := servedBesideLargeTeam(routers, large, true, nil)
 				t.Logf("lowest %.3f, worst tenth %.3f, mean %.3f", slices.Min(with), worstTenth(with), mean(with))
 				for i := range with {
 					g.Expect(with[i]).To(BeNumerically(">=", 0.95*without[i]))
@@ -43,10 +43,10 @@
 	}
 }
 
-// Shows that the play tells a fair gate from none.
-func TestOtherTeamsLoseTheirSharesWithoutTheGate(t *testing.T) {
+// Guards against a simulation in which the other teams keep their shares without shares, so that it shows nothing.
+func TestSimulationShowsTheLossOfOtherTeamsWithoutShares(t *testing.T) {
 	for _, routers := range []int{3, 27, 103} {
-		with, without := hogged(routers, 0, false, nil)
+		with, without := servedBesideLargeTeam(routers, 0, false, nil)
 		NewWithT(t).Expect(mean(with)).To(BeNumerically("<", 0.95*mean(without)), "%d routers", routers)
 	}
 }
@@ -58,8 +58,8 @@
 		for _, overload := range []float64{1.2, 2} {
 			t.Run(fmt.Sprintf("%d routers, %g times", routers, overload), func(t *testing.T) {
 				g := NewWithT(t)
-				p := newPlay(routers, true)
-				p.capacity = playRate * playWork * playTeams / overload
+				p := newSimulation(routers, true)
+				p.capacity = simRate * simWork * simTeams / overload
 				p.run(2 * time.Second)
 				parts := p.measure(60 * time.Second)
 				t.Logf("worst tenth %.3f, mean %.3f", worstTenth(parts), mean(parts))
@@ -71,10 +71,10 @@
 }
 
 // during calls do once, the given time after the start of the burst.
-func during(p *play, after time.Duration, do func()) {
+func during(p *simulation, after time.Duration, do func()) {
 	done := false
-	p.onStep = func(p *play) {
-		if !done && p.played >= 2*time.Second+after {
+	p.onStep = func(p *simulation) {
+		if !done && p.elapsed >= 2*time.Second+after {
 			done = true
 			do()
 		}
@@ -84,16 +84,16 @@
 // Guards against sums of routers that are gone, and against a router without state that treats all
 // teams alike.
 func TestSharesHoldWhileRoutersAreKilledOrRestarted(t *testing.T) {
-	for name, disturb := range map[string]func(p *play){
-		"killed": func(p *play) {
+	for name, disturb := range map[string]func(p *simulation){
+		"killed": func(p *simulation) {
 			// A router that loses all others doesn't know whether it is cut off, see below.
 			during(p, 5*time.Second, func() { p.routers[0].down, p.routers[1].down = true, len(p.routers) > 3 })
 		},
-		"restarted": func(p *play) { during(p, 5*time.Second, func() { p.start(0); p.start(1); p.start(2) }) },
+		"restarted": func(p *simulation) { during(p, 5*time.Second, func() { p.start(0); p.start(1); p.start(2) }) },
 	} {
 		for _, routers := range []int{3, 27} {
 			t.Run(fmt.Sprintf("%s, %d routers", name, routers), func(t *testing.T) {
-				with, without := hogged(routers, 2, true, disturb)
+				with, without := servedBesideLargeTeam(routers, 2, true, disturb)
 				t.Logf("lowest %.3f, mean %.3f", slices.Min(with), mean(with))
 				for i := range with {
 					NewWithT(t).Expect(with[i]).To(BeNumerically(">=", 0.95*without[i]))
@@ -103,19 +103,19 @@
 	}
 }
 
-// Guards against a gate that does harm where routers know too little of others: no team may get less
-// than without the gate, within the 0.05 that the requirements allow.
-func TestGateDoesNoHarmWhereRoutersKnowNothingOfOthers(t *testing.T) {
-	for name, disturb := range map[string]func(p *play){
-		"one cut off": func(p *play) { during(p, 5*time.Second, func() { p.routers[1].cut = true }) },
-		"all silent": func(p *play) {
+// Guards against shares that do harm where routers know too little of others: no team may get less
+// than without shares, within the 0.05 that the requirements allow.
+func TestTeamsLoseNothingWhereRoutersKnowNothingOfOthers(t *testing.T) {
+	for name, disturb := range map[string]func(p *simulation){
+		"one cut off": func(p *simulation) { during(p, 5*time.Second, func() { p.routers[1].cut = true }) },
+		"all silent": func(p *simulation) {
 			during(p, 5*time.Second, func() {
 				for _, r := range p.routers {
 					r.cut = true
 				}
 			})
 		},
-		"a third of the previous version": func(p *play) {
+		"a third of the previous version": func(p *simulation) {
 			for i, r := range p.routers {
 				r.old = i%3 == 1
 			}
@@ -124,9 +124,9 @@
 		for _, routers := range []int{3, 27} {
 			t.Run(fmt.Sprintf("%s, %d routers", name, routers), func(t *testing.T) {
 				g := NewWithT(t)
-				with, _ := hogged(routers, 2, true, disturb)
-				off, _ := hogged(routers, 2, false, disturb)
-				t.Logf("lowest %.3f, mean %.3f, without the gate %.3f", slices.Min(with), mean(with), mean(off))
+				with, _ := servedBesideLargeTeam(routers, 2, true, disturb)
+				off, _ := servedBesideLargeTeam(routers, 2, false, disturb)
+				t.Logf("lowest %.3f, mean %.3f, without shares %.3f", slices.Min(with), mean(with), mean(off))
 				g.Expect(mean(with)).To(BeNumerically(">=", 0.99*mean(off)))
 				for i := range with {
 					g.Expect(with[i]).To(BeNumerically(">=", off[i]-0.05))
@@ -139,8 +139,8 @@
 // Guards against refusals that outlast the shortage, and against unused shares that stay unused.
 func TestUnusedSharesGoToOthersAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	p := newPlay(27, true)
-	p.teams[2].factor = hogFactor
+	p := newSimulation(27, true)
+	p.teams[2].factor = largeFactor
 	p.run(10 * time.Second)
 	for i := range p.teams {
 		if i != 2 && i%2 == 0 {
--- a/internal/fairshare/play_test.go
+++ b/internal/fairshare/simulation_test.go
@@ -8,22 +8,22 @@
 	"time"
 )
 
-// play simulates routers before a service with a first-come-first-served queue. Routers report
+// simulation simulates routers before a service with a first-come-first-served queue. Routers report
 // their sums to the reader of their failure domain, and readers to each other, as internal/peers
 // does.
-type play struct {
-	routers  []*playRouter
+type simulation struct {
+	routers  []*simRouter
 	rng      *rand.Rand
 	now      time.Time
-	teams    []playTeam
+	teams    []simTeam
 	capacity float64 // seconds of work per second
 	backlog  float64 // seconds of work
-	gate     bool
-	onStep   func(p *play) // called before each step; may be nil
-	played   time.Duration
+	sharing  bool
+	onStep   func(p *simulation) // called before each step; may be nil
+	elapsed  time.Duration
 }
 
-type playTeam struct {
+type simTeam struct {
 	rate    float64 // requests per second
 	factor  float64
 	routers []int
@@ -31,72 +31,72 @@
 	served  float64
 }
 
-type playRouter struct {
+type simRouter struct {
 	ledger  *Ledger
 	domain  int
 	down    bool
 	cut     bool // sends and receives no reports
-	old     bool // of the previous version: no gate, no reports of sums
+	old     bool // of the previous version: no shares, no reports of sums
 	pollAt  time.Duration
-	reports map[int]playReport // by router, at readers
-	domains map[int]playReport // by domain, at readers
-	total   playReport         // the latest reply of a reader
+	reports map[int]simReport // by router, at readers
+	domains map[int]simReport // by domain, at readers
+	total   simReport         // the latest reply of a reader
 }
 
-type playReport struct {
+type simReport struct {
 	sums Sums
 	at   time.Time
 }
 
 const (
-	playStep     = 5 * time.Millisecond
-	playPoll     = 250 * time.Millisecond
-	playExpiry   = 1500 * time.Millisecond
-	playWork     = 0.1 // mean work of a request in seconds
-	playLimit    = 2.0 // wait in seconds at which requests are refused
-	playRate     = 20.0
-	playTeams    = 24
-	playOverload = 1.2
-	hogFactor    = 8
+	simStep     = 5 * time.Millisecond
+	simPoll     = 250 * time.Millisecond
+	simExpiry   = 1500 * time.Millisecond
+	simWork     = 0.1 // mean work of a request in seconds
+	simLimit    = 2.0 // wait in seconds at which requests are refused
+	simRate     = 20.0
+	simTeams    = 24
+	simOverload = 1.2
+	largeFactor = 8
 )
 
-// newPlay returns a play of 24 equal teams. A third of them reach one router, another third three and
-// the others all. With the hog at hogFactor they request 1.2 times what fits.
-func newPlay(routers int, gate bool) *play {
-	p := &play{rng: rand.New(rand.NewPCG(7, uint64(routers))), now: time.Unix(1e9, 0), gate: gate}
+// newSimulation returns a simulation of 24 equal teams. A third of them reach one router, another third three and
+// the others all. With the large team at largeFactor they request 1.2 times what fits.
+func newSimulation(routers int, sharing bool) *simulation {
+	p := &simulation{rng: rand.New(rand.NewPCG(7, uint64(routers))), now: time.Unix(1e9, 0), sharing: sharing}
 	for i := range routers {
-		p.routers = append(p.routers, &playRouter{domain: i % min(routers, 4), pollAt: time.Duration(p.rng.Int64N(int64(playPoll)))})
+		p.routers = append(p.routers, &simRouter{domain: i % min(routers, 4), pollAt: time.Duration(p.rng.Int64N(int64(simPoll)))})
 		p.start(i)
 	}
-	for t := range playTeams {
+	for t := range simTeams {
 		reach := []int{1, 3, routers}[t%3]
-		p.teams = append(p.teams, playTeam{rate: playRate, factor: 1, routers: p.rng.Perm(routers)[:min(reach, routers)]})
+		p.teams = append(p.teams, simTeam{rate: simRate, factor: 1, routers: p.rng.Perm(routers)[:min(reach, routers)]})
 	}
-	p.capacity = playRate * playWork * (playTeams - 1 + hogFactor) / playOverload
+	p.capacity = simRate * simWork * (simTeams - 1 + largeFactor) / simOverload
 	return p
 }
 
 // start starts a router without any state.
-func (p *play) start(i int) {
+func (p *simulation) start(i int) {
 	r := p.routers[i]
-	r.down, r.reports, r.domains, r.total = false, make(map[int]playReport), make(map[int]playReport), playReport{}
+	r.down, r.reports, r.domains, r.total = false, make(map[int]simReport), make(map[int]simReport), simReport{}
 	r.ledger = New(Config{Peers: func() (Sums, bool) { return p.peers(i), false }, Rand: p.rng.Float64})
 }
 
 // reader returns the first router of a domain that is up, which reads for the others.
-func (p *play) reader(domain int) int {
-	return slices.IndexFunc(p.routers, func(r *playRouter) bool { return r.domain == domain && !r.down && !r.cut && !r.old })
+func (p *simulation) reader(domain int) int {
+	return slices.IndexFunc(p.routers, func(r *simRouter) bool { return r.domain == domain && !r.down && !r.cut && !r.old })
 }
 
-func (p *play) fresh(report playReport) Sums {
-	if p.now.Sub(report.at) > playExpiry {
+func (p *simulation) fresh(report simReport) Sums {
+	if p.now.Sub(report.at) > simExpiry {
 		return nil
 	}
 	return report.sums
 }
 
 // peers returns the sums that a router has of others.
-func (p *play) peers(i int) Sums {
+func (p *simulation) peers(i int) Sums {
 	r := p.routers[i]
 	if p.reader(r.domain) == i {
 		return p.known(i, -1)
@@ -105,7 +105,7 @@
 }
 
 // known adds up what a reader knows of others, except one router.
-func (p *play) known(i, except int) Sums {
+func (p *simulation) known(i, except int) Sums {
 	var sums Sums
 	for from, report := range p.routers[i].reports {
 		if from != except {
@@ -132,15 +132,15 @@
 }
 
 // exchange has a router poll the reader of its domain, or a reader report to the other readers.
-func (p *play) exchange(i int) {
+func (p *simulation) exchange(i int) {
 	r := p.routers[i]
 	if r.down || r.cut || r.old {
 		return
 	}
 	reader := p.reader(r.domain)
 	if reader != i {
-		p.routers[reader].reports[i] = playReport{transmit(r.ledger.Report(p.now)), p.now}
-		r.total = playReport{transmit(p.known(reader, i).Add(p.routers[reader].ledger.Report(p.now))), p.now}
+		p.routers[reader].reports[i] = simReport{transmit(r.ledger.Report(p.now)), p.now}
+		r.total = simReport{transmit(p.known(reader, i).Add(p.routers[reader].ledger.Report(p.now))), p.now}
 		return
 	}
 	own := r.ledger.Report(p.now)
@@ -149,44 +149,44 @@
 	}
 	for domain := range 4 {
 		if other := p.reader(domain); domain != r.domain && other >= 0 {
-			p.routers[other].domains[r.domain] = playReport{transmit(own), p.now}
+			p.routers[other].domains[r.domain] = simReport{transmit(own), p.now}
 		}
 	}
 }
 
-// run plays for the given time.
-func (p *play) run(duration time.Duration) {
-	for end := p.played + duration; p.played < end; p.played += playStep {
-		p.now = p.now.Add(playStep)
-		p.backlog = max(0, p.backlog-p.capacity*playStep.Seconds())
+// run simulates the given time.
+func (p *simulation) run(duration time.Duration) {
+	for end := p.elapsed + duration; p.elapsed < end; p.elapsed += simStep {
+		p.now = p.now.Add(simStep)
+		p.backlog = max(0, p.backlog-p.capacity*simStep.Seconds())
 		if p.onStep != nil {
 			p.onStep(p)
 		}
 		for i, r := range p.routers {
-			if (p.played+r.pollAt)%playPoll < playStep {
+			if (p.elapsed+r.pollAt)%simPoll < simStep {
 				p.exchange(i)
 			}
 		}
 		for _, t := range p.rng.Perm(len(p.teams)) {
 			team := &p.teams[t]
-			for n := team.rate * team.factor * playStep.Seconds(); p.rng.Float64() < n; n-- {
+			for n := team.rate * team.factor * simStep.Seconds(); p.rng.Float64() < n; n-- {
 				p.request(t)
 			}
 		}
 	}
 }
 
-func (p *play) request(t int) {
+func (p *simulation) request(t int) {
 	team := &p.teams[t]
-	work := playWork * (0.5 + p.rng.Float64())
+	work := simWork * (0.5 + p.rng.Float64())
 	team.sent += work
 	r := p.routers[team.routers[p.rng.IntN(len(team.routers))]]
 	for r.down {
 		r = p.routers[p.rng.IntN(len(p.routers))]
 	}
-	pressure := p.backlog / p.capacity / playLimit
+	pressure := p.backlog / p.capacity / simLimit
 	limit := 1.0
-	if p.gate && !r.old {
+	if p.sharing && !r.old {
 		v := r.ledger.Admit(p.now, "s", 1, fmt.Sprint("team-", t), work, pressure)
 		if !v.Admitted {
 			return
@@ -202,8 +202,8 @@
 	team.served += work
 }
 
-// measure resets the counts, plays on, and returns the part of each team's work that was served.
-func (p *play) measure(duration time.Duration) []float64 {
+// measure resets the counts, continues, and returns the part of each team's work that was served.
+func (p *simulation) measure(duration time.Duration) []float64 {
 	for t := range p.teams {
 		p.teams[t].sent, p.teams[t].served = 0, 0
 	}
--- a/internal/filters/choose/share_test.go
+++ b/internal/filters/choose/share_test.go
@@ -165,16 +165,16 @@
 // Guards against any effect where the configuration lists no teams or capacity suffices: the decisions
 // are those without the part.
 func TestDecisionsAreTheSameWhereCapacityIsNotShared(t *testing.T) {
-	for name, play := range map[string]struct {
+	for name, tc := range map[string]struct {
 		teams   bool
 		prompts int
 	}{"no teams": {false, 20}, "enough capacity": {true, 3}} {
 		t.Run(name, func(t *testing.T) {
 			decisions := func(ledger *fairshare.Ledger) (all []string) {
-				f := newShareFixture(t, play.teams, ledger)
+				f := newShareFixture(t, tc.teams, ledger)
 				for i := range 200 {
 					r := f.request([]string{"large", "small"}[i%10/9])
-					if !play.teams {
+					if !tc.teams {
 						r.TeamName = ""
 					}
 					r.Candidates = nil
@@ -185,7 +185,7 @@
 					decision := fmt.Sprint(err != nil)
 					if r.Endpoint != nil {
 						decision = r.Endpoint.Name
-						if i < 5*play.prompts {
+						if i < 5*tc.prompts {
 							f.pool.Track(time.Now(), r.Endpoint.Name, dispatch.WorkOf(r))
 						}
 					}
