--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -23,7 +23,7 @@
 	// reportPressure is the pressure from which sums are reported to other routers, and
 	// reportPeriod how long they are reported after that. It lies below thinningStart, so that
 	// the sums of all routers are known when requests begin to be refused.
-	reportPressure = 0.4
+	reportPressure = 0.25
 	reportPeriod   = 3 * time.Second
 )
 
--- a/internal/fairshare/level.go
+++ b/internal/fairshare/level.go
@@ -8,19 +8,13 @@
 
 const (
 	// thinningStart is the pressure from which work is refused. Below it requests are in time with
-	// a quarter of the limit to spare.
-	thinningStart = 0.75
-	// thinningEnd is the pressure at which all work is refused. Half of the limit lies between both,
-	// so that the wait settles within the limit while twice the work that fits is requested.
-	thinningEnd = 1.25
+	// half of the limit to spare.
+	thinningStart = 0.5
+	// thinningEnd is the pressure at which all work is refused: the limit itself, so that the wait
+	// settles below it whatever the load. At three times what fits it settles at 0.83.
+	thinningEnd = 1.0
 )
 
-// WithinLevelFactor is the pressure up to which a request that the gate admits is served while the
-// gate refuses others. It is where the gate's fair level reaches 0: up to there the gate decides
-// who bears the shortage, and a second limit below it would refuse teams without regard to their
-// shares.
-const WithinLevelFactor = thinningEnd
-
 // AdmittedPart returns the part of the requested work that is admitted at a pressure. It is a
 // function of the pressure alone, so that routers that see the same pressure agree without a
 // message, and a router that starts has nothing to learn.
--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"coveferry/internal/api"
-	"coveferry/internal/fairshare"
 	"coveferry/internal/forecast"
 	"coveferry/internal/request"
 	"coveferry/internal/wire"
@@ -64,9 +63,6 @@
 	if r.Forecast {
 		objective = limit
 	}
-	if r.Share.Limiting {
-		limit = time.Duration(fairshare.WithinLevelFactor * float64(limit))
-	}
 	if r.StreamVersion != nil {
 		limit = max(limit, time.Until(r.Deadline))
 	}
