Decide on shares only if most of the known routers report

A team that reaches one router counts in full, and one that reaches all only with the routers that report: with 2 of 27 reporting a team at one of them got 0.20 of its work instead of 0.88 in the simulation.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -10,6 +10,11 @@
 	"time"
 )
 
+// minCoverage is the part of the known routers whose reports are needed for a decision. A team that reaches
+// one router counts in full, and one that reaches all counts only with the routers that report. With a
+// quarter missing, the first appears a third larger.
+const minCoverage = 0.8
+
 const (
 	// halfLife is that of the sums. A longer one lags behind bursts, which last seconds; a shorter
 	// one is mostly chance at some ten requests a second.
@@ -29,9 +34,9 @@
 
 // Config configures a Ledger.
 type Config struct {
-	// Peers returns the sums that other routers report, and whether this router is the only one.
-	// nil means that it is.
-	Peers func() (sums Sums, alone bool)
+	// Peers returns the sums that other routers report, and how many other routers are known. nil means
+	// that there are none.
+	Peers func() (sums Sums, known int)
 	// Rand returns random numbers from [0, 1).
 	Rand func() float64
 }
@@ -66,7 +71,7 @@
 // New returns an empty ledger.
 func New(cfg Config) *Ledger {
 	if cfg.Peers == nil {
-		cfg.Peers = func() (Sums, bool) { return nil, true }
+		cfg.Peers = func() (Sums, int) { return nil, 0 }
 	}
 	return &Ledger{cfg: cfg, groups: make(map[groupKey]*group)}
 }
@@ -88,7 +93,7 @@
 	if part >= 1 {
 		return Verdict{Admitted: true, Charge: charge}
 	}
-	if l.refresh(now, groupKey{service, rank}, g); !g.known {
+	if l.refresh(now, groupKey{service, rank}, g); !g.covered {
 		return Verdict{Admitted: true, Charge: charge}
 	}
 	load, level := own+g.peers.of(team), fairLevel(g.loads, part)
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -68,15 +68,15 @@
 // Guards against an admission that takes teams which reach only this router for large ones.
 func TestNothingIsRefusedWhileOthersAreSilent(t *testing.T) {
 	g := NewWithT(t)
-	told, alone := Sums(nil), false
-	l := New(Config{Rand: always(0.999), Peers: func() (Sums, bool) { return told, alone }})
+	told, known := Sums(nil), 2
+	l := New(Config{Rand: always(0.999), Peers: func() (Sums, int) { return told, known }})
 	now := fill(l, 1, 0.85, map[string]float64{"large": 1, "b": 0.01})
 	v := l.Admit(now, "s", 1, "large", 1, 0.85)
 	g.Expect(v.Admitted).To(BeTrue())
 	g.Expect(v.Limiting).To(BeFalse())
-	alone = true
+	known = 0
 	g.Expect(l.Admit(now.Add(time.Second), "s", 1, "large", 1, 0.85).Admitted).To(BeFalse())
-	told, alone = Sums{{Service: "s", Rank: 1}}, false
+	told, known = Sums{{Service: "s", Rank: 1, Routers: 2}}, 2
 	g.Expect(l.Admit(now.Add(1500*time.Millisecond), "s", 1, "large", 1, 0.85).Admitted).To(BeFalse())
 }
 
@@ -182,7 +182,7 @@
 func TestNothingIsReportedWithoutPressure(t *testing.T) {
 	g := NewWithT(t)
 	var told Sums
-	l := New(Config{Rand: always(0), Peers: func() (Sums, bool) { return told, false }})
+	l := New(Config{Rand: always(0), Peers: func() (Sums, int) { return told, 1 }})
 	l.Admit(start, "s", 1, "a", 1, 0.2)
 	g.Expect(l.Report(start)).To(BeEmpty())
 	told = Sums{{Service: "s", Rank: 1, Short: true}}
@@ -192,7 +192,7 @@
 	told = report
 	g.Expect(l.Report(start)).To(BeEmpty())
 	told = Sums{{Service: "t", Rank: 1, Short: true}}
-	g.Expect(l.Report(start).find(groupKey{"t", 1})).To(Equal(Group{Service: "t", Rank: 1, Teams: map[string]float64{}}), "that there is no work here is told too")
+	g.Expect(l.Report(start).find(groupKey{"t", 1})).To(Equal(Group{Service: "t", Rank: 1, Routers: 1, Teams: map[string]float64{}}), "that there is no work here is told too")
 }
 
 // Guards against a rest of many small teams that counts as nothing, which would leave the listed teams
@@ -203,9 +203,9 @@
 	for i := range 290 {
 		many[fmt.Sprintf("team-%03d", i)] = 1
 	}
-	told := Sums{{Service: "s", Rank: 1, Teams: many, Short: true}}.Trim()
+	told := Sums{{Service: "s", Rank: 1, Teams: many, Short: true, Routers: 1}}.Trim()
 	g.Expect(told[0].total()).To(BeNumerically("~", 290, 1e-6))
-	l := New(Config{Rand: always(0.999), Peers: func() (Sums, bool) { return told, false }})
+	l := New(Config{Rand: always(0.999), Peers: func() (Sums, int) { return told, 1 }})
 	for _, team := range []string{"team-000", "team-289"} {
 		v := l.Admit(start, "s", 1, team, 0.001, 0.75)
 		g.Expect(v.Level).To(BeNumerically("~", ratePerSecond(0.5), 0.01))
@@ -218,7 +218,7 @@
 	g := NewWithT(t)
 	var reports, handlers sync.WaitGroup
 	var other *Ledger
-	l := New(Config{Rand: always(0.5), Peers: func() (Sums, bool) { return other.Report(start), false }})
+	l := New(Config{Rand: always(0.5), Peers: func() (Sums, int) { return other.Report(start), 1 }})
 	other = New(Config{Rand: always(0.5)})
 	for i := range 4 {
 		handlers.Go(func() {
--- a/internal/fairshare/group.go
+++ b/internal/fairshare/group.go
@@ -18,11 +18,11 @@
 	peers       Group
 	loads       []load
 	refreshedAt time.Time
-	// known reports that other routers report their sums, or that there are none. Otherwise teams that
-	// reach only this router would appear larger than those that reach all, and be refused in
-	// their place: with 27 routers that know nothing of each other one such team got 0.73 of its
-	// work, and 0.88 is the mean without shares.
-	known bool
+	// covered reports that minCoverage of the other routers report their sums, or that there are none.
+	// Otherwise teams that reach only this router would appear larger than those that reach all, and be
+	// refused in their place: with 27 routers that know nothing of each other one such team got
+	// 0.73 of its work, and 0.88 is the mean without shares.
+	covered bool
 }
 
 // account is a team's sum as of a time.
@@ -121,9 +121,9 @@
 		return
 	}
 	g.refreshedAt = now
-	sums, alone := l.cfg.Peers()
+	sums, known := l.cfg.Peers()
 	g.peers = sums.find(key)
-	g.known = alone || g.peers.Service != ""
+	g.covered = float64(g.peers.Routers) >= minCoverage*float64(known)
 	g.loads = g.allLoads(now)
 }
 
@@ -167,14 +167,14 @@
 	}
 	for _, g := range peers {
 		if g.Short && l.groups[g.key()] == nil {
-			sums = append(sums, Group{Service: g.Service, Rank: g.Rank}) // shows that there is no work here
+			sums = append(sums, Group{Service: g.Service, Rank: g.Rank, Routers: 1}) // shows that there is no work here
 		}
 	}
 	return sums.Trim()
 }
 
 func (g *group) report(now time.Time, key groupKey, short bool) Group {
-	out := Group{Service: key.service, Rank: key.rank, Short: short, Teams: make(map[string]float64, len(g.teams))}
+	out := Group{Service: key.service, Rank: key.rank, Short: short, Routers: 1, Teams: make(map[string]float64, len(g.teams))}
 	for team := range g.teams {
 		if sum := g.value(now, team); sum >= minSum {
 			out.Teams[team] = sum
--- a/internal/fairshare/sim_test.go
+++ b/internal/fairshare/sim_test.go
@@ -150,3 +150,27 @@
 	p.run(time.Second)
 	g.Expect(p.measure(5 * time.Second)[2]).To(BeNumerically(">=", 0.97))
 }
+
+// Guards against refusals of teams that reach one router while few routers report: such a team counts in
+// full, and teams that reach all routers count only with those that report.
+func TestFewReportingRoutersRefuseNoOneForAShare(t *testing.T) {
+	for _, reporting := range []int{2, 25} {
+		t.Run(fmt.Sprintf("%d of 27", reporting), func(t *testing.T) {
+			g := NewWithT(t)
+			served := func(sharing bool) []float64 {
+				p := newSimulation(27, sharing)
+				for i, r := range p.routers {
+					r.old = i >= reporting
+				}
+				p.teams[0].routers = []int{0} // reaches a router that reports
+				p.capacity = simRate * simWork * simTeams / simOverload
+				p.run(2 * time.Second)
+				return p.measure(30 * time.Second)
+			}
+			with, without := served(true), served(false)
+			t.Logf("team at one router %.3f, without shares %.3f; mean %.3f, without %.3f", with[0], without[0], mean(with), mean(without))
+			g.Expect(with[0]).To(BeNumerically(">=", without[0]-0.05))
+			g.Expect(mean(with)).To(BeNumerically(">=", 0.99/simOverload), "the capacity is used")
+		})
+	}
+}
--- a/internal/fairshare/simulation_test.go
+++ b/internal/fairshare/simulation_test.go
@@ -82,7 +82,17 @@
 func (p *simulation) start(i int) {
 	r := p.routers[i]
 	r.down, r.reports, r.domains, r.total = false, make(map[int]simReport), make(map[int]simReport), simReport{}
-	r.ledger = New(Config{Peers: func() (Sums, bool) { return p.peers(i), false }, Rand: p.rng.Float64})
+	r.ledger = New(Config{Peers: func() (Sums, int) { return p.peers(i), p.up() - 1 }, Rand: p.rng.Float64})
+}
+
+// up returns the number of routers that are up.
+func (p *simulation) up() (n int) {
+	for _, r := range p.routers {
+		if !r.down {
+			n++
+		}
+	}
+	return n
 }
 
 // reader returns the first router of a domain that is up, which reads for the others.
--- a/internal/fairshare/sums.go
+++ b/internal/fairshare/sums.go
@@ -33,6 +33,8 @@
 	// Rest is the sum of the teams that aren't listed, and RestTeams their number.
 	Rest      float64 `json:"rest,omitempty"`
 	RestTeams int     `json:"of,omitempty"`
+	// Routers is the number of routers that report, including those without work.
+	Routers int `json:"n,omitempty"`
 	// Short is set if one of the routers saw a pressure itself. Routers that hear of it report their
 	// sums as well.
 	Short bool `json:"short,omitempty"`
--- a/internal/fairshare/total.go
+++ b/internal/fairshare/total.go
@@ -43,6 +43,7 @@
 	// The rests of two routers are mostly the same teams.
 	g.RestTeams = max(g.RestTeams, o.RestTeams)
 	g.Short = g.Short || o.Short
+	g.Routers += o.Routers
 	for team, sum := range o.Teams {
 		if _, listed := g.Teams[team]; listed || len(g.Teams) < maxTeams {
 			g.Teams[team] += sum
@@ -53,12 +54,16 @@
 	}
 }
 
-// Without returns the total less one of the reports in it, which may be empty.
+// Without returns the total less one of the reports in it, which may be empty. Groups that no other
+// router reports are left out.
 func (t *Total) Without(report Sums) Sums {
 	out := slices.Clone(t.sums)
 	for i := range out {
-		out[i].Teams = maps.Clone(out[i].Teams)
 		less := report.find(out[i].key())
+		if out[i].Routers -= less.Routers; out[i].Routers <= 0 {
+			continue
+		}
+		out[i].Teams = maps.Clone(out[i].Teams)
 		out[i].Rest = max(0, out[i].Rest-less.Rest)
 		for team, sum := range less.Teams {
 			if out[i].Teams[team] -= sum; out[i].Teams[team] < minSum {
@@ -66,5 +71,5 @@
 			}
 		}
 	}
-	return out
+	return slices.DeleteFunc(out, func(g Group) bool { return g.Routers <= 0 })
 }
--- a/internal/peers/teamwork.go
+++ b/internal/peers/teamwork.go
@@ -30,18 +30,22 @@
 	s.demand.work.own = own
 }
 
-// PeerTeamWork returns the work of teams at all other routers, based on their recent reports, and
-// whether this router is the only one. The work is not scaled to routers that report nothing: a
+// PeerTeamWork returns the work of teams at all other routers, based on their recent reports, and how
+// many other routers are known. If this router sees at most half of the fleet, it may be partitioned, so
+// those that are no longer seen count too. The work is not scaled to routers that report nothing: a
 // team may reach only some of the routers.
-func (s *Source) PeerTeamWork() (work fairshare.Sums, alone bool) {
+func (s *Source) PeerTeamWork() (work fairshare.Sums, known int) {
 	now := time.Now()
-	alone = s.PeerCount() == 0
+	known = s.members.count(now)
+	if total := s.PeerCount(); 2*(known+1) <= total+1 {
+		known = total
+	}
 	if total, ok := s.demand.readerTotal(now); ok {
-		return total.TeamWork, alone
+		return total.TeamWork, known
 	}
 	s.demand.mu.Lock()
 	defer s.demand.mu.Unlock()
-	return s.demand.teamWork(now, ""), alone
+	return s.demand.teamWork(now, ""), known
 }
 
 // ownReport returns the demand of this router's own requests and, where teams share capacity, their
--- a/internal/peers/teamwork_test.go
+++ b/internal/peers/teamwork_test.go
@@ -27,7 +27,7 @@
 		runFleet(t, routers, func(g *WithT, f *fleet) {
 			for _, n := range f.nodes {
 				n.source.ShareTeamWork(func(time.Time) fairshare.Sums {
-					return fairshare.Sums{{Service: "s", Rank: 1, Short: true, Teams: map[string]float64{"all": 1, n.vm: 2}}}
+					return fairshare.Sums{{Service: "s", Rank: 1, Short: true, Routers: 1, Teams: map[string]float64{"all": 1, n.vm: 2}}}
 				})
 			}
 			time.Sleep(2 * time.Second)
@@ -56,7 +56,7 @@
 	runFleet(t, 4, func(g *WithT, f *fleet) {
 		for _, n := range f.nodes {
 			n.source.ShareTeamWork(func(time.Time) fairshare.Sums {
-				return fairshare.Sums{{Service: "s", Short: true, Teams: map[string]float64{"a": 1}}}
+				return fairshare.Sums{{Service: "s", Short: true, Routers: 1, Teams: map[string]float64{"a": 1}}}
 			})
 		}
 		time.Sleep(2 * time.Second)
@@ -65,9 +65,9 @@
 			n.shutDown()
 		}
 		time.Sleep(demandTTL + 100*time.Millisecond)
-		work, alone := f.nodes[3].source.PeerTeamWork()
+		work, known := f.nodes[3].source.PeerTeamWork()
 		g.Expect(work).To(BeEmpty())
-		g.Expect(alone).To(BeFalse(), "it may be cut off")
+		g.Expect(known).To(Equal(3), "it may be cut off")
 	})
 }
 
@@ -90,7 +90,7 @@
 // Guards against values of another router that are negative or too large.
 func TestWorkOfTeamsFromAnotherRouterIsChecked(t *testing.T) {
 	g := NewWithT(t)
-	bad := fairshare.Sums{{Service: "s", Teams: map[string]float64{"negative": -1, "huge": 1e300, "ok": 1}}}
+	bad := fairshare.Sums{{Service: "s", Routers: 1, Teams: map[string]float64{"negative": -1, "huge": 1e300, "ok": 1}}}
 	s := &Source{cfg: Config{Self: Member{VM: "self", FailureDomain: "d"}}}
 	now := time.Now()
 	s.demand.record(Member{VM: "a", FailureDomain: "d"}, nil, bad, now)
