Report the work of teams of a router only through its poll, and add it up by reader

Where a failure domain had several readers, a router was counted at each reader that it sent messages to, and readers that other domains don't know were left out. The demand is added up without copying teams.

--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"coveferry/internal/balance"
-	"coveferry/internal/fairshare"
 )
 
 // demandTTL is how long a router's demand report counts: a little longer than the interval
@@ -18,7 +17,6 @@
 type demandTable struct {
 	mu       sync.Mutex
 	own      func() balance.Demand // nil until ShareDemand is called
-	work     teamWork
 	byRouter map[string]receivedDemand
 	// byDomain holds the demand of other failure domains by the reader that reported it. With
 	// narrow links a domain has several readers, each of which receives the reports of some
@@ -31,7 +29,6 @@
 type receivedDemand struct {
 	domain string // of the reporting router
 	demand balance.Demand
-	work   fairshare.Sums
 	// routers is the number of routers included in demand.
 	routers int
 	at      time.Time
@@ -70,13 +67,16 @@
 	return own()
 }
 
-func (d *demandTable) record(from Member, demand balance.Demand, work fairshare.Sums, at time.Time) {
+// ownReport returns the demand of this router's own requests.
+func (d *demandTable) ownReport() domainDemand { return domainDemand{Demand: d.local(), Routers: 1} }
+
+func (d *demandTable) record(from Member, demand balance.Demand, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.byRouter == nil {
 		d.byRouter = make(map[string]receivedDemand)
 	}
-	d.byRouter[from.VM] = receivedDemand{domain: from.FailureDomain, demand: demand, work: work.Checked(), routers: 1, at: at}
+	d.byRouter[from.VM] = receivedDemand{domain: from.FailureDomain, demand: demand, routers: 1, at: at}
 }
 
 // recordDomainDemand records the demand that a reader reported for its failure domain. Reports
@@ -91,7 +91,7 @@
 	if d.byDomain == nil {
 		d.byDomain = make(map[string]receivedDemand)
 	}
-	d.byDomain[from.VM] = receivedDemand{domain: from.FailureDomain, demand: report.Demand, work: report.TeamWork.Checked(), routers: report.Routers, at: at}
+	d.byDomain[from.VM] = receivedDemand{domain: from.FailureDomain, demand: report.Demand, routers: report.Routers, at: at}
 }
 
 // domainDemand returns the demand of this router's failure domain as far as it is known,
@@ -100,28 +100,26 @@
 	if !s.members.isReader(now) {
 		return domainDemand{}
 	}
-	total := s.demand.sumDomain(now, s.cfg.Self.FailureDomain).add(s.demand.ownReport(now))
-	total.TeamWork = total.TeamWork.Trim()
-	return total
+	return s.demand.sumDomain(now, s.cfg.Self.FailureDomain).add(s.demand.ownReport())
 }
 
 // recordTotal records the demand of all other routers as a reader reported it.
 func (d *demandTable) recordTotal(total domainDemand, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.total = receivedDemand{demand: total.Demand, work: total.TeamWork.Checked(), routers: total.Routers, at: at}
+	d.total = receivedDemand{demand: total.Demand, routers: total.Routers, at: at}
 }
 
 func (d *demandTable) readerTotal(now time.Time) (total domainDemand, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	total = domainDemand{Demand: d.total.demand, Routers: d.total.routers, TeamWork: d.total.work}
+	total = domainDemand{Demand: d.total.demand, Routers: d.total.routers}
 	return total, now.Sub(d.total.at) < time.Second
 }
 
 // add returns the sum of two reports on different routers.
 func (d domainDemand) add(o domainDemand) domainDemand {
-	return domainDemand{Demand: d.Demand.Add(o.Demand), Routers: d.Routers + o.Routers, TeamWork: d.TeamWork.Add(o.TeamWork)}
+	return domainDemand{Demand: d.Demand.Add(o.Demand), Routers: d.Routers + o.Routers}
 }
 
 // sum adds up the recent reports except those of one router. Where a domain's reader has reported
@@ -134,7 +132,6 @@
 			total.Demand, total.Routers = total.Demand.Add(r.demand), total.Routers+r.routers
 		}
 	})
-	total.TeamWork = d.teamWork(now, except)
 	return total
 }
 
@@ -159,14 +156,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	var work fairshare.Total
 	for _, report := range d.byRouter {
 		if report.domain == domain {
 			total.Demand, total.Routers = total.Demand.Add(report.demand), total.Routers+1
-			work.Add(report.work)
 		}
 	}
-	total.TeamWork = work.Without(nil)
 	return total
 }
 
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -7,6 +7,7 @@
 
 	"coveferry/internal/clock"
 	"coveferry/internal/control"
+	"coveferry/internal/fairshare"
 )
 
 // helloInterval is the time between two hellos.
@@ -59,18 +60,18 @@
 	for i, seed := range s.cfg.Seeds {
 		selected := s.helloCount%len(s.cfg.Seeds) == i || s.members.count(time.Now()) < smallFleet
 		if selected && seed != s.cfg.Self.Address {
-			s.sendHello(ctx, seed)
+			s.sendHello(ctx, seed, nil, nil)
 		}
 	}
 	s.helloCount++
 }
 
-// sendHello announces this router to another one, and records the members that it returns.
-func (s *Source) sendHello(ctx context.Context, seed string) {
+// sendHello announces this router to another one, and records the members that it returns. work and rest
+// are TeamWork and RestTeamWork of the request.
+func (s *Source) sendHello(ctx context.Context, seed string, work, rest fairshare.Sums) {
 	sent, sentClock := time.Now(), s.cfg.Clock()
-	own := s.demand.ownReport(sent)
 	req := helloRequest{
-		From: s.cfg.Self, Demand: own.Demand, TeamWork: own.TeamWork, Domain: s.domainDemand(sent),
+		From: s.cfg.Self, Demand: s.demand.local(), TeamWork: work, RestTeamWork: rest, Domain: s.domainDemand(sent),
 		Poison: s.poison.request(helloUpdateWindow), OriginUptime: s.uptime.report(sentClock), Limits: s.limits.request(helloUpdateWindow),
 	}
 	reply, err := control.Call(ctx, s.client(seed), methodHello, req)
@@ -79,7 +80,7 @@
 		return
 	}
 	s.members.recordSeen(reply.From, sent)
-	s.demand.record(reply.From, reply.Demand, reply.TeamWork, sent)
+	s.demand.record(reply.From, reply.Demand, sent)
 	s.poison.applyReply(sentClock, reply.Poison)
 	s.limits.applyReply(sentClock, reply.Limits)
 	s.uptime.apply(sentClock, reply.OriginUptime)
@@ -122,12 +123,27 @@
 	}
 }
 
-// sendHelloToReaders sends a hello to one reader of each other failure domain.
+// sendHelloToReaders sends a hello to one reader of each other failure domain. While there is work of teams
+// to report, it goes to the other readers of the same domain as well: from the first of them to the others, and
+// from the others to the first.
 func (s *Source) sendHelloToReaders(ctx context.Context, domains []string) {
+	now := time.Now()
+	own := s.members.readers(now, s.cfg.Self.FailureDomain)
+	s.work.setRole(len(own) > 0 && own[0] == s.cfg.Self, len(domains))
+	ownWork := s.work.ownRouters(now)
 	for _, domain := range domains {
 		readers := s.members.readers(time.Now(), domain)
 		if domain != s.cfg.Self.FailureDomain && len(readers) > 0 {
-			s.sendHello(ctx, readers[0].Address)
+			work, rest := s.helloWork(readers[0], ownWork, now)
+			s.sendHello(ctx, readers[0].Address, work, rest)
+		}
+	}
+	for i, reader := range own {
+		if reader == s.cfg.Self || i > 0 && own[0] != s.cfg.Self {
+			continue
+		}
+		if work, rest := s.helloWork(reader, ownWork, now); len(work)+len(rest) > 0 {
+			s.sendHello(ctx, reader.Address, work, rest)
 		}
 	}
 }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -51,15 +51,15 @@
 type domainDemand struct {
 	Demand  balance.Demand `json:"demand"`
 	Routers int            `json:"of"`
-	// TeamWork is the work of teams where capacity is short.
-	TeamWork fairshare.Sums `json:"teams,omitempty"`
 }
 
 type helloRequest struct {
 	From   Member         `json:"from"`
 	Demand balance.Demand `json:"demand"`
-	// TeamWork is the work of teams at the sender where capacity is short.
-	TeamWork fairshare.Sums `json:"teams,omitempty"`
+	// TeamWork is the work of teams at the sender and the routers that poll it, where capacity is short
+	// and the sender is a reader, and RestTeamWork that at all routers which the receiver doesn't cover.
+	TeamWork     fairshare.Sums `json:"teams,omitempty"`
+	RestTeamWork fairshare.Sums `json:"rest_teams,omitempty"`
 	// Domain is the demand of the sender's failure domain if the sender is a reader.
 	Domain       domainDemand   `json:"domain,omitzero"`
 	Poison       poison.Message `json:"poison,omitzero"`
@@ -76,9 +76,8 @@
 	Known   int            `json:"known"`
 	// Starting reports that the sender may not yet know all routers that started with it.
 	Starting bool `json:"new,omitempty"`
-	// Demand and TeamWork are those of this router's own requests, and Domain is as in the request.
+	// Demand is that of this router's own requests, and Domain is as in the request.
 	Demand       balance.Demand `json:"demand"`
-	TeamWork     fairshare.Sums `json:"teams,omitempty"`
 	Domain       domainDemand   `json:"domain,omitzero"`
 	Poison       poison.Message `json:"poison,omitzero"`
 	OriginUptime uptimeReport   `json:"steady,omitzero"`
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -72,6 +72,7 @@
 	cfg      Config
 	members  *members
 	demand   demandTable
+	work     teamWorkTable
 	loads    loadReports
 	failures failureReports
 	poison   exchange[poison.Message]
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -72,8 +72,7 @@
 	}
 	known := state.Snapshot()
 	list := known.Directory.Listed()
-	own := s.demand.ownReport(time.Now())
-	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: own.Demand, TeamWork: own.TeamWork}
+	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local(), TeamWork: s.work.ownWork(time.Now()).Trim()}
 	// A poll may be late, so the window covers two; applying a report twice is harmless.
 	req.Loads = s.loads.local(time.Now(), 2*s.cfg.PollInterval)
 	req.Failures = s.failures.local(time.Now())
@@ -87,7 +86,8 @@
 	if err := s.recordCall(peer, sent, err); err != nil {
 		return peerReading{}, err
 	}
-	s.demand.recordTotal(domainDemand{Demand: reply.Demand, Routers: reply.DemandRouters, TeamWork: reply.TeamWork}, sent)
+	s.demand.recordTotal(domainDemand{Demand: reply.Demand, Routers: reply.DemandRouters}, sent)
+	s.work.recordReply(reply.TeamWork, sent)
 	s.loads.apply(sent, reply.Loads)
 	s.applyFailures(time.Now(), reply.Failures)
 	s.recordPending(sent, reply.ConfigPending)
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -23,14 +23,14 @@
 func (s *Source) serveHello(_ context.Context, _ identity.Peer, req helloRequest) (helloReply, error) {
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
-	s.demand.record(req.From, req.Demand, req.TeamWork, now)
+	s.demand.record(req.From, req.Demand, now)
 	s.recordDomainDemand(req.From, req.Domain, now)
+	s.recordHelloWork(&req, now)
 	at := s.cfg.Clock()
 	s.uptime.apply(at, req.OriginUptime)
-	own := s.demand.ownReport(now)
 	return helloReply{
 		From: s.cfg.Self, Members: s.members.membersFor(req.From, now), Known: s.members.countSeen(now), Starting: s.isStarting(now),
-		Demand: own.Demand, TeamWork: own.TeamWork, Domain: s.domainDemand(now),
+		Demand: s.demand.local(), Domain: s.domainDemand(now),
 		Poison: s.poison.serve(at, req.Poison, helloUpdateWindow), OriginUptime: s.uptime.report(at),
 		Limits: s.limits.serve(at, req.Limits, helloUpdateWindow),
 	}, nil
@@ -56,7 +56,8 @@
 func (s *Source) serveUpdate(_ context.Context, _ identity.Peer, req updateRequest) (updateReply, error) {
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
-	s.demand.record(req.From, req.Demand, req.TeamWork, now)
+	s.demand.record(req.From, req.Demand, now)
+	s.work.recordPoll(req.From.VM, req.TeamWork, now)
 	// Applied even if this router has no state to send yet.
 	at := s.cfg.Clock()
 	poison := s.poison.serve(at, req.Poison, s.pollUpdateWindow())
@@ -67,8 +68,9 @@
 		return updateReply{}, err
 	}
 	reply := updateReply{AgeMillis: state.Age.OptionalMillis(), OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
-	total := s.demand.ownReport(now).add(s.demand.sum(now, req.From.VM))
-	reply.Demand, reply.DemandRouters, reply.TeamWork = total.Demand, total.Routers, total.TeamWork.Trim()
+	total := s.demand.ownReport().add(s.demand.sum(now, req.From.VM))
+	reply.Demand, reply.DemandRouters = total.Demand, total.Routers
+	reply.TeamWork = s.work.replyTo(req.From.VM, now)
 	s.loads.apply(now.Add(-loadReportDelay), req.Loads)
 	reply.Loads = s.loads.latest(now)
 	s.failures.record(req.From.VM, req.Failures, now)
--- a/internal/peers/teamwork.go
+++ b/internal/peers/teamwork.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"coveferry/internal/fairshare"
@@ -10,24 +12,46 @@
 // second, and adding up the reports for each would take a tenth of a core.
 const teamWorkInterval = 100 * time.Millisecond
 
-// teamWork holds sums of the work of teams. demandTable.mu guards it.
-type teamWork struct {
+// receivedWork is the work of teams at one or several routers as another router reported it.
+type receivedWork struct {
+	work fairshare.Sums
+	at   time.Time
+}
+
+// teamWorkTable holds the work of teams at other routers. Each router reports its own work to the reader
+// that it polls and nowhere else. A reader adds up the work of itself and the routers that poll it. The
+// first reader of a failure domain adds the sums of the domain's other readers, exchanges the total
+// with the first readers of other domains, which know no others, and reports the rest of the fleet to the
+// other readers of its domain. So each router counts once, whatever the number of readers, and no sum
+// returns to where it came from. It is safe for concurrent use.
+type teamWorkTable struct {
+	mu  sync.Mutex
 	own func(now time.Time) fairshare.Sums // nil until ShareTeamWork is called
 	// latestOwn is the result of own as of ownAt.
 	latestOwn fairshare.Sums
 	ownAt     time.Time
-	// total is the sum of the reports as of totalAt, and byRouter those of routers in it.
+	// polled holds the reports of routers that poll this one, sameDomain those of the other readers of its
+	// domain, and otherDomains those of the first readers of other domains.
+	polled, sameDomain, otherDomains map[string]receivedWork
+	// rest is the work at the routers that the other readers cover, as the domain's first reader reported
+	// it, and first reports that this router is that reader.
+	rest  receivedWork
+	first bool
+	// readerTTL is how long a report of another reader counts.
+	readerTTL time.Duration
+	// reply is the work at all other routers as a reader last reported it.
+	reply receivedWork
+	// total is the sum of the reports as of totalAt, and byRouter the reports in it.
 	total    fairshare.Total
 	byRouter map[string]fairshare.Sums
 	totalAt  time.Time
 }
 
-// ShareTeamWork sets the function whose result this router reports as the work of teams, with its
-// demand.
+// ShareTeamWork sets the function whose result this router reports as the work of teams.
 func (s *Source) ShareTeamWork(own func(now time.Time) fairshare.Sums) {
-	s.demand.mu.Lock()
-	defer s.demand.mu.Unlock()
-	s.demand.work.own = own
+	s.work.mu.Lock()
+	defer s.work.mu.Unlock()
+	s.work.own = own
 }
 
 // PeerTeamWork returns the work of teams at all other routers, based on their recent reports, and how
@@ -40,46 +64,166 @@
 	if total := s.PeerCount(); 2*(known+1) <= total+1 {
 		known = total
 	}
-	if total, ok := s.demand.readerTotal(now); ok {
-		return total.TeamWork, known
+	s.work.mu.Lock()
+	defer s.work.mu.Unlock()
+	if now.Sub(s.work.reply.at) < demandTTL && !s.work.receivesReports(now) {
+		return s.work.reply.work, known
 	}
-	s.demand.mu.Lock()
-	defer s.demand.mu.Unlock()
-	return s.demand.teamWork(now, ""), known
+	return s.work.others(now, ""), known
 }
 
-// ownReport returns the demand of this router's own requests and, where teams share capacity, their
-// work.
-func (d *demandTable) ownReport(now time.Time) domainDemand {
-	return domainDemand{Demand: d.local(), Routers: 1, TeamWork: d.ownTeamWork(now)}
+// receivesReports reports whether other routers report to this one as to a reader. w.mu is held.
+func (w *teamWorkTable) receivesReports(now time.Time) bool {
+	w.expire(now)
+	return len(w.polled)+len(w.sameDomain)+len(w.otherDomains) > 0
 }
 
-func (d *demandTable) ownTeamWork(now time.Time) fairshare.Sums {
-	d.mu.Lock()
-	own, latest := d.work.own, d.work.latestOwn
-	due := now.Sub(d.work.ownAt) >= teamWorkInterval
-	d.mu.Unlock()
+// ownWork returns the work of teams at this router.
+func (w *teamWorkTable) ownWork(now time.Time) fairshare.Sums {
+	w.mu.Lock()
+	own, latest := w.own, w.latestOwn
+	due := now.Sub(w.ownAt) >= teamWorkInterval
+	w.mu.Unlock()
 	if own == nil || !due {
 		return latest
 	}
 	latest = own(now) // may call PeerTeamWork
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.work.latestOwn, d.work.ownAt = latest, now
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.latestOwn, w.ownAt = latest, now
 	return latest
 }
 
-// teamWork returns the work of teams at the routers that sum covers. d.mu is held.
-func (d *demandTable) teamWork(now time.Time, except string) fairshare.Sums {
-	w := &d.work
+// recordPoll records the work that a router reported with its poll. A poll without work leaves the
+// previous report, which expires.
+func (w *teamWorkTable) recordPoll(vm string, work fairshare.Sums, now time.Time) {
+	w.record(&w.polled, vm, work, now)
+}
+
+// recordHelloWork records the work that another reader reported.
+func (s *Source) recordHelloWork(req *helloRequest, now time.Time) {
+	w := &s.work
+	if req.From.FailureDomain != s.cfg.Self.FailureDomain {
+		w.record(&w.otherDomains, req.From.VM, req.TeamWork, now)
+		return
+	}
+	w.record(&w.sameDomain, req.From.VM, req.TeamWork, now)
+	if len(req.RestTeamWork) > 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.rest = receivedWork{work: req.RestTeamWork.Checked(), at: now}
+	}
+}
+
+func (w *teamWorkTable) record(reports *map[string]receivedWork, vm string, work fairshare.Sums, now time.Time) {
+	if len(work) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if *reports == nil {
+		*reports = make(map[string]receivedWork)
+	}
+	(*reports)[vm] = receivedWork{work: work.Checked(), at: now}
+}
+
+// recordReply records the work at all other routers as a reader reported it.
+func (w *teamWorkTable) recordReply(work fairshare.Sums, now time.Time) {
+	if len(work) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reply = receivedWork{work: work.Checked(), at: now}
+}
+
+// others returns the work at all other routers but one. w.mu is held.
+func (w *teamWorkTable) others(now time.Time, except string) fairshare.Sums {
 	if now.Sub(w.totalAt) >= teamWorkInterval {
+		w.expire(now)
 		w.total, w.totalAt, w.byRouter = fairshare.Total{}, now, make(map[string]fairshare.Sums)
-		d.forEach(now, func(vm string, r receivedDemand) {
-			w.total.Add(r.work)
-			if vm != "" {
-				w.byRouter[vm] = r.work
-			}
-		})
+		maps.Copy(w.byRouter, worksOf(w.polled))
+		if !w.first && now.Sub(w.rest.at) <= demandTTL {
+			w.total.Add(w.rest.work)
+		} else {
+			// A reader polls another one while its own calls to the origin fail. Its report as a reader counts.
+			maps.Copy(w.byRouter, worksOf(w.sameDomain))
+			maps.Copy(w.byRouter, worksOf(w.otherDomains))
+		}
+		for _, work := range w.byRouter {
+			w.total.Add(work)
+		}
 	}
 	return w.total.Without(w.byRouter[except])
 }
+
+func worksOf(reports map[string]receivedWork) map[string]fairshare.Sums {
+	works := make(map[string]fairshare.Sums, len(reports))
+	for vm, r := range reports {
+		works[vm] = r.work
+	}
+	return works
+}
+
+// replyTo returns the work at all routers but the requester.
+func (w *teamWorkTable) replyTo(vm string, now time.Time) fairshare.Sums {
+	own := w.ownWork(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.others(now, vm).Add(own).Trim()
+}
+
+// ownRouters returns the work of this router and of those that poll it. The first reader of a domain adds
+// that of the domain's other readers.
+func (w *teamWorkTable) ownRouters(now time.Time) fairshare.Sums {
+	own := w.ownWork(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(now)
+	works := worksOf(w.polled)
+	for vm := range w.otherDomains {
+		delete(works, vm)
+	}
+	if w.first {
+		maps.Copy(works, worksOf(w.sameDomain))
+	}
+	var total fairshare.Total
+	total.Add(own)
+	for _, work := range works {
+		total.Add(work)
+	}
+	return total.Without(nil).Trim()
+}
+
+// helloWork returns what this router reports to a reader: the work of its own routers, and the rest of the
+// fleet.
+func (s *Source) helloWork(to Member, own fairshare.Sums, now time.Time) (work, rest fairshare.Sums) {
+	s.work.mu.Lock()
+	first := s.work.first
+	s.work.mu.Unlock()
+	switch sameDomain := to.FailureDomain == s.cfg.Self.FailureDomain; {
+	case first && sameDomain:
+		return nil, s.work.replyTo(to.VM, now)
+	case first || sameDomain:
+		return own, nil
+	}
+	return nil, nil
+}
+
+// expire drops old reports. w.mu is held.
+func (w *teamWorkTable) expire(now time.Time) {
+	old := func(ttl time.Duration) func(string, receivedWork) bool {
+		return func(_ string, r receivedWork) bool { return now.Sub(r.at) > ttl }
+	}
+	maps.DeleteFunc(w.polled, old(demandTTL))
+	maps.DeleteFunc(w.sameDomain, old(demandTTL))
+	maps.DeleteFunc(w.otherDomains, old(max(demandTTL, w.readerTTL)))
+}
+
+// setRole sets whether this router is the first reader of its failure domain, and the number of domains, by
+// which reports of other readers arrive less often.
+func (w *teamWorkTable) setRole(first bool, domains int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.first, w.readerTTL = first, maxMissedDomainReports*domainHelloInterval(domains)
+}
--- a/internal/peers/teamwork_bench_test.go
+++ b/internal/peers/teamwork_bench_test.go
@@ -14,7 +14,7 @@
 	teams := func(offset int) fairshare.Sums {
 		var sums fairshare.Sums
 		for rank := range 2 {
-			g := fairshare.Group{Service: "s", Rank: rank, Short: true, Teams: make(map[string]float64)}
+			g := fairshare.Group{Service: "s", Rank: rank, Short: true, Routers: 1, Teams: make(map[string]float64)}
 			for i := range 32 {
 				g.Teams[fmt.Sprintf("team-%03d", (offset+i)%290)] = 1
 			}
@@ -22,27 +22,23 @@
 		}
 		return sums
 	}
-	var d demandTable
+	var w teamWorkTable
 	now := time.Now()
 	for i := range 33 {
-		d.record(Member{VM: fmt.Sprint("vm", i), FailureDomain: "own"}, nil, teams(i), now)
+		w.recordPoll(fmt.Sprint("vm", i), teams(i), now)
 	}
-	s := &Source{cfg: Config{Self: Member{VM: "self", FailureDomain: "own"}}}
 	for i := range 26 {
-		s.recordDomainDemand(Member{VM: fmt.Sprint("r", i), FailureDomain: fmt.Sprint("d", i)}, domainDemand{Routers: 33, TeamWork: teams(i)}, now)
+		w.record(&w.otherDomains, fmt.Sprint("r", i), teams(i), now)
 	}
-	s.demand.byRouter, d.byDomain = d.byRouter, s.demand.byDomain
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(7 * time.Millisecond)
-		d.sum(now, "vm1").TeamWork.Trim()
-		for vm, report := range d.byRouter {
-			report.at = now
-			d.byRouter[vm] = report
-		}
-		for vm, report := range d.byDomain {
-			report.at = now
-			d.byDomain[vm] = report
+		w.replyTo("vm1", now)
+		for _, reports := range []map[string]receivedWork{w.polled, w.otherDomains} {
+			for vm, report := range reports {
+				report.at = now
+				reports[vm] = report
+			}
 		}
 	}
 }
--- a/internal/peers/teamwork_test.go
+++ b/internal/peers/teamwork_test.go
@@ -81,9 +81,11 @@
 		g.Expect(string(text)).NotTo(ContainSubstring(`"teams"`))
 	}
 	var d demandTable
+	var w teamWorkTable
 	now := time.Now()
-	d.record(Member{VM: "old"}, balance.Demand{{Service: "s", Requests: 3}}, nil, now)
-	g.Expect(d.sum(now, "").TeamWork).To(BeEmpty())
+	d.record(Member{VM: "old"}, balance.Demand{{Service: "s", Requests: 3}}, now)
+	w.recordPoll("old", nil, now)
+	g.Expect(w.others(now, "")).To(BeEmpty())
 	g.Expect(d.sum(now, "").Routers).To(Equal(1))
 }
 
@@ -92,11 +94,36 @@
 	g := NewWithT(t)
 	bad := fairshare.Sums{{Service: "s", Routers: 1, Teams: map[string]float64{"negative": -1, "huge": 1e300, "ok": 1}}}
 	s := &Source{cfg: Config{Self: Member{VM: "self", FailureDomain: "d"}}}
+	w := &s.work
 	now := time.Now()
-	s.demand.record(Member{VM: "a", FailureDomain: "d"}, nil, bad, now)
-	s.recordDomainDemand(Member{VM: "b", FailureDomain: "e"}, domainDemand{Routers: 1, TeamWork: bad}, now)
-	g.Expect(s.demand.teamWork(now, "")[0].Teams).To(Equal(map[string]float64{"ok": 2}))
-	s.demand.recordTotal(domainDemand{TeamWork: bad, Routers: 1}, now)
-	total, _ := s.demand.readerTotal(now)
-	g.Expect(total.TeamWork[0].Teams).To(Equal(map[string]float64{"ok": 1}))
+	w.recordPoll("a", bad, now)
+	s.recordHelloWork(&helloRequest{From: Member{VM: "b", FailureDomain: "e"}, TeamWork: bad}, now)
+	g.Expect(w.others(now, "")[0].Teams).To(Equal(map[string]float64{"ok": 2}))
+	w.recordReply(bad, now)
+	g.Expect(w.reply.work[0].Teams).To(Equal(map[string]float64{"ok": 1}))
+}
+
+// Guards against a router that is counted twice where its failure domain has several readers, because it
+// polls one and sends a hello to another, and against one that is lost because only some readers learn of it.
+func TestRouterCountsOnceWhereADomainHasSeveralReaders(t *testing.T) {
+	const routers, domains, mbps = 14, 2, 5
+	runFleetShape(t, routers, domains, mbps, func(g *WithT, f *fleet) {
+		g.Expect(len(f.readers())).To(Equal(2*domains), "two readers of each domain")
+		for _, n := range f.nodes {
+			n.source.ShareTeamWork(func(time.Time) fairshare.Sums {
+				return fairshare.Sums{{Service: "s", Rank: 1, Short: true, Routers: 1, Teams: map[string]float64{"all": 1}}}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		for range 20 {
+			time.Sleep(170 * time.Millisecond)
+			for _, n := range f.nodes {
+				work, known := n.source.PeerTeamWork()
+				g.Expect(known).To(Equal(routers - 1))
+				g.Expect(work).To(HaveLen(1))
+				g.Expect(work[0].Routers).To(Equal(routers-1), n.vm)
+				g.Expect(work[0].Teams["all"]).To(BeNumerically("~", routers-1, 1e-9), n.vm)
+			}
+		}
+	})
 }
