--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -171,10 +171,15 @@
 				l.Admit(start, "service-name", rank, fmt.Sprintf("team-%04d", i), 1+float64(i)/7, 1)
 			}
 		}
-		text, err := json.Marshal(l.Report(start))
+		text, err := json.Marshal(l.Report(start).Trim(1024))
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Logf("%d teams at 3 ranks: %d bytes", teams, len(text))
-		g.Expect(len(text)).To(BeNumerically("<", 1536))
+		g.Expect(len(text)).To(BeNumerically("<=", 1024))
+		if teams == 24 {
+			for _, group := range l.Report(start).Trim(1024) {
+				g.Expect(group.Teams).To(HaveLen(24), "all fit")
+			}
+		}
 	}
 }
 
@@ -203,7 +208,7 @@
 	for i := range 290 {
 		many[fmt.Sprintf("team-%03d", i)] = 1
 	}
-	told := Sums{{Service: "s", Rank: 1, Teams: many, Short: true, Routers: 1}}.Trim()
+	told := Sums{{Service: "s", Rank: 1, Teams: many, Short: true, Routers: 1}}.Trim(1024)
 	g.Expect(told[0].total()).To(BeNumerically("~", 290, 1e-6))
 	l := New(Config{Rand: always(0.999), Peers: func() (Sums, int) { return told, 1 }})
 	for _, team := range []string{"team-000", "team-289"} {
--- a/internal/fairshare/group.go
+++ b/internal/fairshare/group.go
@@ -7,8 +7,10 @@
 
 // group holds the sums of a service and rank.
 type group struct {
-	teams  map[string]*account
-	usedAt time.Time
+	teams map[string]*account
+	// meanWork is the mean work of recent requests that state it.
+	meanWork float64
+	usedAt   time.Time
 	// pressure is smoothed over pressureHalfLife, and pressureAt the time of its latest sample.
 	pressure   float64
 	pressureAt time.Time
@@ -167,10 +169,10 @@
 	}
 	for _, g := range peers {
 		if g.Short && l.groups[g.key()] == nil {
-			sums = append(sums, Group{Service: g.Service, Rank: g.Rank, Routers: 1}) // shows that there is no work here
+			sums = append(sums, Group{Service: g.Service, Rank: g.Rank, Routers: 1, Teams: map[string]float64{}}) // shows that there is no work here
 		}
 	}
-	return sums.Trim()
+	return sums
 }
 
 func (g *group) report(now time.Time, key groupKey, short bool) Group {
--- a/internal/fairshare/simulation_test.go
+++ b/internal/fairshare/simulation_test.go
@@ -49,12 +49,14 @@
 }
 
 const (
-	simStep   = 5 * time.Millisecond
-	simPoll   = 250 * time.Millisecond
-	simExpiry = 1500 * time.Millisecond
-	simWork   = 0.1 // mean work of a request in seconds
-	simLimit  = 2.0 // wait in seconds at which requests are refused
-	simRate   = 20.0
+	simStep    = 5 * time.Millisecond
+	simPoll    = 500 * time.Millisecond // every second poll of internal/peers
+	pollBytes  = 1024
+	replyBytes = 2048
+	simExpiry  = 1500 * time.Millisecond
+	simWork    = 0.1 // mean work of a request in seconds
+	simLimit   = 2.0 // wait in seconds at which requests are refused
+	simRate    = 20.0
 	// simWaitError is the largest error of a router's estimate of the wait, as a fraction of it.
 	simWaitError = 0.2
 	simTeams     = 24
@@ -132,7 +134,7 @@
 
 // transmit encodes and checks sums as a message.
 func transmit(sums Sums) Sums {
-	text, err := json.Marshal(sums.Trim())
+	text, err := json.Marshal(sums)
 	if err != nil {
 		panic(err)
 	}
@@ -151,8 +153,8 @@
 	}
 	reader := p.reader(r.domain)
 	if reader != i {
-		p.routers[reader].reports[i] = simReport{transmit(r.ledger.Report(p.now)), p.now}
-		r.total = simReport{transmit(p.known(reader, i).Add(p.routers[reader].ledger.Report(p.now))), p.now}
+		p.routers[reader].reports[i] = simReport{transmit(r.ledger.Report(p.now).Trim(pollBytes)), p.now}
+		r.total = simReport{transmit(p.known(reader, i).Add(p.routers[reader].ledger.Report(p.now)).TrimTotal(replyBytes)), p.now}
 		return
 	}
 	own := r.ledger.Report(p.now)
@@ -161,7 +163,7 @@
 	}
 	for domain := range 4 {
 		if other := p.reader(domain); domain != r.domain && other >= 0 {
-			p.routers[other].domains[r.domain] = simReport{transmit(own), p.now}
+			p.routers[other].domains[r.domain] = simReport{transmit(own.Trim(pollBytes)), p.now}
 		}
 	}
 }
--- a/internal/fairshare/sums.go
+++ b/internal/fairshare/sums.go
@@ -1,23 +1,14 @@
 package fairshare
 
-import (
-	"cmp"
-	"math"
-	"slices"
-)
-
 const (
 	// minSum is the sum below which a team isn't reported, in seconds of work.
 	minSum = 0.0005
 	// maxSum is the largest sum that is believed, in seconds of work: over three times what 3,700
 	// endpoints with 512 streams each do in a second.
 	maxSum = 1e7
-	// maxReportedTeams bounds the teams in a message, by service and rank. The others are
-	// reported as one sum. maxReportedGroups bounds the services and ranks, which share
-	// maxReportedTotal teams.
-	maxReportedTeams  = 32
+	// maxReportedTeams bounds the teams in a message, and maxReportedGroups the services and ranks.
+	maxReportedTeams  = 128
 	maxReportedGroups = 8
-	maxReportedTotal  = 64
 	// maxRest bounds the number of teams in a rest that is believed.
 	maxRest = 10_000
 	// maxNameBytes and maxRank bound the names and ranks that are believed.
@@ -27,17 +18,17 @@
 
 // Group holds the sums of a service and rank at one or several routers, in seconds of work.
 type Group struct {
-	Service string             `json:"s"`
-	Rank    int                `json:"r,omitempty"`
-	Teams   map[string]float64 `json:"t,omitempty"`
+	Service string
+	Rank    int
+	Teams   map[string]float64
 	// Rest is the sum of the teams that aren't listed, and RestTeams their number.
-	Rest      float64 `json:"rest,omitempty"`
-	RestTeams int     `json:"of,omitempty"`
+	Rest      float64
+	RestTeams int
 	// Routers is the number of routers that report, including those without work.
-	Routers int `json:"n,omitempty"`
+	Routers int
 	// Short is set if one of the routers saw a pressure itself. Routers that hear of it report their
 	// sums as well.
-	Short bool `json:"short,omitempty"`
+	Short bool
 }
 
 // of returns a team's sum. A team that isn't listed is assumed to have the mean of the rest.
@@ -74,53 +65,6 @@
 	return Group{}
 }
 
-// Trim returns the sums in the bounds of a message: the groups with the most work, and of each the
-// teams with the most work, rounded to milliseconds. The other teams become part of the rest.
-func (s Sums) Trim() Sums {
-	if len(s) == 0 {
-		return nil
-	}
-	out := slices.Clone(s)
-	slices.SortFunc(out, func(a, b Group) int {
-		return cmp.Or(cmp.Compare(b.total(), a.total()), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
-	})
-	out = out[:min(len(out), maxReportedGroups)]
-	limit := min(maxReportedTeams, maxReportedTotal/len(out))
-	for i := range out {
-		out[i] = out[i].trim(limit)
-	}
-	return out
-}
-
-func (g Group) trim(limit int) Group {
-	teams := make([]teamSum, 0, len(g.Teams))
-	for name, sum := range g.Teams {
-		teams = append(teams, teamSum{name, sum})
-	}
-	if len(teams) > limit {
-		slices.SortFunc(teams, func(a, b teamSum) int { return cmp.Or(cmp.Compare(b.sum, a.sum), cmp.Compare(a.name, b.name)) })
-	}
-	listed := make(map[string]float64, min(limit, len(teams)))
-	for i, team := range teams {
-		if i < limit {
-			listed[team.name] = roundMillis(team.sum)
-			continue
-		}
-		g.Rest += team.sum
-	}
-	g.RestTeams += max(0, len(teams)-limit)
-	g.Teams, g.Rest = listed, roundMillis(g.Rest)
-	return g
-}
-
-// teamSum is the sum of a team.
-type teamSum struct {
-	name string
-	sum  float64
-}
-
-func roundMillis(seconds float64) float64 { return math.Round(seconds*1000) / 1000 }
-
 // Checked returns the believable part of a report from another router. Values that are negative, not
 // finite or too large are dropped.
 func (s Sums) Checked() Sums {
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -72,7 +72,7 @@
 	}
 	known := state.Snapshot()
 	list := known.Directory.Listed()
-	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local(), TeamWork: s.work.ownWork(time.Now()).Trim()}
+	req := updateRequest{From: s.cfg.Self, listRevision: toListRevision(list.Revision()), Digest: list.Digest(), UnversionedDigest: list.UnversionedDigest(), Demand: s.demand.local(), TeamWork: s.pollWork(peer, time.Now())}
 	// A poll may be late, so the window covers two; applying a report twice is harmless.
 	req.Loads = s.loads.local(time.Now(), 2*s.cfg.PollInterval)
 	req.Failures = s.failures.local(time.Now())
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -70,7 +70,7 @@
 	reply := updateReply{AgeMillis: state.Age.OptionalMillis(), OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
 	total := s.demand.ownReport().add(s.demand.sum(now, req.From.VM))
 	reply.Demand, reply.DemandRouters = total.Demand, total.Routers
-	reply.TeamWork = s.work.replyTo(req.From.VM, now)
+	reply.TeamWork = s.replyWork(req.From, now)
 	s.loads.apply(now.Add(-loadReportDelay), req.Loads)
 	reply.Loads = s.loads.latest(now)
 	s.failures.record(req.From.VM, req.Failures, now)
--- a/internal/peers/teamwork.go
+++ b/internal/peers/teamwork.go
@@ -12,6 +12,33 @@
 // second, and adding up the reports for each would take a tenth of a core.
 const teamWorkInterval = 100 * time.Millisecond
 
+const (
+	// teamWorkPolls is the number of polls after which the work of teams is sent again: its half-life is a
+	// second, and the message is larger than all others of a poll.
+	teamWorkPolls = 2
+	// Bounds of the bytes of the work of teams in polls, replies and hellos. 24 teams at 3 ranks fit.
+	maxPollWorkBytes  = 1024
+	maxReplyWorkBytes = 2048
+	maxHelloWorkBytes = 1024
+)
+
+// sendTimes limits how often the work of teams is sent to a router.
+type sendTimes map[string]time.Time
+
+// due reports whether the work is to be sent to a router, and if so records that it is. It is due half a poll
+// early, since polls aren't exactly an interval apart.
+func (t *sendTimes) due(to string, now time.Time, pollInterval time.Duration) bool {
+	if now.Sub((*t)[to]) < teamWorkPolls*pollInterval-pollInterval/2 {
+		return false
+	}
+	if *t == nil {
+		*t = make(sendTimes)
+	}
+	maps.DeleteFunc(*t, func(_ string, at time.Time) bool { return now.Sub(at) > demandTTL })
+	(*t)[to] = now
+	return true
+}
+
 // receivedWork is the work of teams at one or several routers as another router reported it.
 type receivedWork struct {
 	work fairshare.Sums
@@ -41,6 +68,8 @@
 	readerTTL time.Duration
 	// reply is the work at all other routers as a reader last reported it.
 	reply receivedWork
+	// pollsSent, repliesSent and hellosSent are when work was last sent, by router.
+	pollsSent, repliesSent, hellosSent sendTimes
 	// total is the sum of the reports as of totalAt, and byRouter the reports in it.
 	total    fairshare.Total
 	byRouter map[string]fairshare.Sums
@@ -165,12 +194,35 @@
 	return works
 }
 
-// replyTo returns the work at all routers but the requester.
-func (w *teamWorkTable) replyTo(vm string, now time.Time) fairshare.Sums {
+// pollWork returns the work that this router reports with a poll; nil if it did so with the last one.
+func (s *Source) pollWork(to Member, now time.Time) fairshare.Sums {
+	own := s.work.ownWork(now)
+	s.work.mu.Lock()
+	defer s.work.mu.Unlock()
+	if len(own) == 0 || !s.work.pollsSent.due(to.VM, now, s.cfg.PollInterval) {
+		return nil
+	}
+	return own.Trim(maxPollWorkBytes)
+}
+
+// replyWork returns the work at all routers but the requester for the reply to its poll; nil if the last reply
+// had it.
+func (s *Source) replyWork(to Member, now time.Time) fairshare.Sums {
+	work := s.work.allBut(to.VM, now)
+	s.work.mu.Lock()
+	defer s.work.mu.Unlock()
+	if len(work) == 0 || !s.work.repliesSent.due(to.VM, now, s.cfg.PollInterval) {
+		return nil
+	}
+	return work.TrimTotal(maxReplyWorkBytes)
+}
+
+// allBut returns the work at all routers but one.
+func (w *teamWorkTable) allBut(vm string, now time.Time) fairshare.Sums {
 	own := w.ownWork(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.others(now, vm).Add(own).Trim()
+	return w.others(now, vm).Add(own)
 }
 
 // ownRouters returns the work of this router and of those that poll it. The first reader of a domain adds
@@ -192,7 +244,7 @@
 	for _, work := range works {
 		total.Add(work)
 	}
-	return total.Without(nil).Trim()
+	return total.Without(nil)
 }
 
 // helloWork returns what this router reports to a reader: the work of its own routers, and the rest of the
@@ -200,12 +252,16 @@
 func (s *Source) helloWork(to Member, own fairshare.Sums, now time.Time) (work, rest fairshare.Sums) {
 	s.work.mu.Lock()
 	first := s.work.first
+	due := len(own) > 0 && s.work.hellosSent.due(to.VM, now, s.cfg.PollInterval)
 	s.work.mu.Unlock()
+	if !due {
+		return nil, nil
+	}
 	switch sameDomain := to.FailureDomain == s.cfg.Self.FailureDomain; {
 	case first && sameDomain:
-		return nil, s.work.replyTo(to.VM, now)
+		return nil, s.work.allBut(to.VM, now).Trim(maxHelloWorkBytes)
 	case first || sameDomain:
-		return own, nil
+		return own.Trim(maxHelloWorkBytes), nil
 	}
 	return nil, nil
 }
--- a/internal/peers/teamwork_bench_test.go
+++ b/internal/peers/teamwork_bench_test.go
@@ -33,7 +33,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(7 * time.Millisecond)
-		w.replyTo("vm1", now)
+		w.allBut("vm1", now).TrimTotal(maxReplyWorkBytes)
 		for _, reports := range []map[string]receivedWork{w.polled, w.otherDomains} {
 			for vm, report := range reports {
 				report.at = now
--- a/internal/peers/teamwork_test.go
+++ b/internal/peers/teamwork_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,3 +128,47 @@
 		}
 	})
 }
+
+// Guards against messages whose size grows with the number of teams, against work in each poll, and against
+// work in messages while nothing is short.
+func TestTeamWorkInMessagesIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := &Source{cfg: Config{Self: Member{VM: "self", FailureDomain: "d"}, PollInterval: 250 * time.Millisecond}}
+	now := time.Now()
+	peer := Member{VM: "peer", FailureDomain: "d"}
+	g.Expect(s.pollWork(peer, now)).To(BeNil())
+	g.Expect(s.replyWork(peer, now)).To(BeNil())
+	size := func(work fairshare.Sums) int {
+		text, err := json.Marshal(work)
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(text)
+	}
+	for _, teams := range []int{24, 290, 1000} {
+		s.ShareTeamWork(func(time.Time) fairshare.Sums {
+			var sums fairshare.Sums
+			for rank := range 3 {
+				group := fairshare.Group{Service: "service-name", Rank: rank, Short: true, Routers: 27, Teams: make(map[string]float64)}
+				for i := range teams {
+					group.Teams[fmt.Sprintf("team-%04d", i)] = 10 + float64(i)/7
+				}
+				sums = append(sums, group)
+			}
+			return sums
+		})
+		now = now.Add(time.Minute)
+		poll, reply := s.pollWork(peer, now), s.replyWork(peer, now)
+		s.work.first = false
+		hello := s.work.ownRouters(now).Trim(maxHelloWorkBytes)
+		t.Logf("%d teams at 3 ranks: poll %d, reply %d, hello %d bytes", teams, size(poll), size(reply), size(hello))
+		g.Expect(size(poll)).To(BeNumerically("<=", maxPollWorkBytes))
+		g.Expect(size(reply)).To(BeNumerically("<=", maxReplyWorkBytes))
+		g.Expect(size(hello)).To(BeNumerically("<=", maxHelloWorkBytes))
+		g.Expect(reply[0].Teams).NotTo(BeEmpty())
+		if teams == 24 {
+			g.Expect(poll[2].Teams).To(HaveLen(24), "all fit")
+		}
+		g.Expect(s.pollWork(peer, now.Add(250*time.Millisecond))).To(BeNil(), "at every second poll")
+		g.Expect(s.replyWork(peer, now.Add(250*time.Millisecond))).To(BeNil(), "at every second poll")
+		g.Expect(s.pollWork(peer, now.Add(500*time.Millisecond))).NotTo(BeNil())
+	}
+}
