Leave plain services out of shares, and bound what requests and peers state

Retry-After of a share is within a third of the time left, also below the minimum. A request without a parsed prompt counts as the mean of its service and rank. Sums are bounded by what the reporting routers can admit, and services that the route table doesn't have are dropped.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -88,7 +88,7 @@
 	// The request itself doesn't count in the decision. Otherwise a team that sends a request now and
 	// then would be above the level with each of them.
 	own := g.value(now, team)
-	charge := &Charge{ledger: l, key: groupKey{service, rank}, team: team, work: clampWork(work), at: now}
+	charge := &Charge{ledger: l, key: groupKey{service, rank}, team: team, work: g.knownWork(work), at: now}
 	g.add(now, team, charge.work)
 	if part >= 1 {
 		return Verdict{Admitted: true, Charge: charge}
@@ -97,6 +97,9 @@
 		return Verdict{Admitted: true, Charge: charge}
 	}
 	load, level := own+g.peers.of(team), fairLevel(g.loads, part)
+	if math.IsInf(level, 1) {
+		return Verdict{Admitted: true, Charge: charge} // no work is known
+	}
 	v := Verdict{Limiting: true, Load: ratePerSecond(load), Level: ratePerSecond(level)}
 	if load <= level || l.cfg.Rand() < level/load {
 		v.Admitted, v.Charge = true, charge
@@ -111,8 +114,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := groupKey{service, rank}
-	charge := &Charge{ledger: l, key: key, team: team, work: clampWork(work), at: now}
-	l.group(now, key).add(now, team, charge.work)
+	g := l.group(now, key)
+	charge := &Charge{ledger: l, key: key, team: team, work: g.knownWork(work), at: now}
+	g.add(now, team, charge.work)
 	return charge
 }
 
@@ -143,7 +147,7 @@
 	if !known || g.teams[c.team] == nil {
 		return // dropped since
 	}
-	g.add(now, c.team, (clampWork(actual)-c.work)*remaining(now.Sub(c.at)))
+	g.add(now, c.team, (g.settledWork(actual, c.work)-c.work)*remaining(now.Sub(c.at)))
 }
 
 const (
@@ -163,6 +167,34 @@
 // maxWork is the largest work of a request that is believed, in seconds: an hour.
 const maxWork = 3600.0
 
+// UnknownWork is the work of a request that states nothing of it. It counts as the mean of the requests of its
+// service and rank.
+const UnknownWork = -1.0
+
+// meanWeight is the weight of a request's work in the mean.
+const meanWeight = 0.05
+
+// knownWork returns the work to charge for stated work, which may be UnknownWork.
+func (g *group) knownWork(stated float64) float64 {
+	if stated == UnknownWork {
+		return g.meanWork
+	}
+	work := clampWork(stated)
+	if g.meanWork == 0 {
+		g.meanWork = work
+	}
+	g.meanWork += meanWeight * (work - g.meanWork)
+	return work
+}
+
+// settledWork returns the work that a request took; what was charged if that is unknown.
+func (g *group) settledWork(actual, charged float64) float64 {
+	if actual == UnknownWork {
+		return charged
+	}
+	return clampWork(actual)
+}
+
 func clampWork(work float64) float64 {
 	if math.IsNaN(work) {
 		return 0
--- a/internal/fairshare/sums.go
+++ b/internal/fairshare/sums.go
@@ -3,9 +3,9 @@
 const (
 	// minSum is the sum below which a team isn't reported, in seconds of work.
 	minSum = 0.0005
-	// maxSum is the largest sum that is believed, in seconds of work: over three times what 3,700
-	// endpoints with 512 streams each do in a second.
-	maxSum = 1e7
+	// maxRouterSum is the largest sum that is believed of one router, in seconds of work: 1,000 requests a
+	// second of 7 s each.
+	maxRouterSum = 1e4
 	// maxReportedTeams bounds the teams in a message, and maxReportedGroups the services and ranks.
 	maxReportedTeams  = 128
 	maxReportedGroups = 8
@@ -65,33 +65,39 @@
 	return Group{}
 }
 
-// Checked returns the believable part of a report from another router. Values that are negative, not
-// finite or too large are dropped.
-func (s Sums) Checked() Sums {
+// Checked returns the believable part of a report that covers at most so many routers. Values that are
+// negative, not finite or larger than so many routers can admit are dropped, as are services that known
+// doesn't accept.
+func (s Sums) Checked(routers int, known func(service string) bool) Sums {
 	var out Sums
 	for _, g := range s {
 		if len(out) == maxReportedGroups {
 			return out
 		}
-		if g.Service != "" && len(g.Service) <= maxNameBytes && g.Rank >= 0 && g.Rank <= maxRank && out.find(g.key()).Service == "" {
-			out = append(out, g.checked())
+		if g.Service == "" || len(g.Service) > maxNameBytes || g.Rank < 0 || g.Rank > maxRank || out.find(g.key()).Service != "" || !known(g.Service) {
+			continue
+		}
+		g.Routers = min(max(g.Routers, 0), routers)
+		limit := maxRouterSum * float64(max(g.Routers, 1))
+		if g = g.checked(limit); g.total() <= limit {
+			out = append(out, g)
 		}
 	}
 	return out
 }
 
-func (g Group) checked() Group {
+func (g Group) checked(maxSum float64) Group {
 	teams := make(map[string]float64, min(len(g.Teams), maxReportedTeams))
 	for team, sum := range g.Teams {
-		if len(teams) < maxReportedTeams && len(team) <= maxNameBytes && believable(sum) {
+		if len(teams) < maxReportedTeams && len(team) <= maxNameBytes && believable(sum, maxSum) {
 			teams[team] = sum
 		}
 	}
 	g.Teams = teams
-	if !believable(g.Rest) || g.RestTeams <= 0 || g.RestTeams > maxRest {
+	if !believable(g.Rest, maxSum) || g.RestTeams <= 0 || g.RestTeams > maxRest {
 		g.Rest, g.RestTeams = 0, 0
 	}
 	return g
 }
 
-func believable(sum float64) bool { return sum >= 0 && sum <= maxSum }
+func believable(sum, maxSum float64) bool { return sum >= 0 && sum <= maxSum }
--- a/internal/filters/choose/share.go
+++ b/internal/filters/choose/share.go
@@ -38,12 +38,16 @@
 	}
 }
 
-// maxRetryShare is the share of the time to the deadline within which callers honour Retry-After.
-const maxRetryShare = 3
+// maxRetryPart is the part of the time to the deadline within which callers honour Retry-After.
+const maxRetryPart = 1.0 / 3
 
-// plainWork is the work of a request without a prompt, in units of slot time. Work is compared
-// only within a service.
-const plainWork = 1.0
+// limitRetryAfter bounds a Retry-After by the time within which the caller honours it.
+func limitRetryAfter(retryAfter time.Duration, deadline, now time.Time) time.Duration {
+	if deadline.IsZero() {
+		return retryAfter
+	}
+	return max(0, min(retryAfter, time.Duration(maxRetryPart*float64(deadline.Sub(now)))))
+}
 
 // checkOverload refuses a request that would wait too long, or whose team is above its share of the
 // capacity. rank is the request's rank among those for the service.
@@ -63,9 +67,14 @@
 	return err
 }
 
-// sharesCapacity reports whether the request's team shares capacity with others.
+// sharesCapacity reports whether the request's team shares capacity with others. Services without an engine
+// aren't shared: the expected wait says nothing of their capacity.
 func (f *Filter) sharesCapacity(r *request.Request) bool {
-	return f.shares != nil && r.Route != nil && r.TeamName != "" && r.Routes.Table.NeedsKeys()
+	if f.shares == nil || r.Route == nil || r.TeamName == "" || !r.Routes.Table.NeedsKeys() {
+		return false
+	}
+	s := r.Routes.Table.Service(r.Service)
+	return s != nil && s.Engine != nil
 }
 
 // checkShare charges the request to its team, once, and refuses it if the team is above its share. A
@@ -84,21 +93,17 @@
 		pressure = float64(wait) / float64(limit)
 	}
 	r.Share = f.shares.Admit(now, r.Service, rank, r.TeamName, statedWork(r), pressure)
-	f.refusals.setLevel(rank, r.Share.Level)
 	if r.Share.Admitted {
 		return nil
 	}
-	retryAfter := r.Share.RetryAfter
-	if !r.Deadline.IsZero() {
-		retryAfter = max(minRetryAfter, min(retryAfter, r.Deadline.Sub(now)/maxRetryShare))
-	}
-	return &ShareError{Load: r.Share.Load, Level: r.Share.Level, RetryAfter: retryAfter}
+	return &ShareError{Load: r.Share.Load, Level: r.Share.Level, RetryAfter: limitRetryAfter(r.Share.RetryAfter, r.Deadline, now)}
 }
 
-// statedWork returns the work of a request by what it states, in seconds.
+// statedWork returns the work of a request by what it states, in seconds. That of a request whose prompt
+// could not be parsed is unknown.
 func statedWork(r *request.Request) float64 {
 	if r.Prompt.Tokens == 0 {
-		return plainWork
+		return fairshare.UnknownWork
 	}
 	return r.PrefillTime.Seconds() + float64(r.Prompt.ExpectedOutput)*r.SecondsPerOutputToken
 }
@@ -142,7 +147,6 @@
 // refusalMetrics counts refused requests of teams.
 type refusalMetrics struct {
 	refused *prometheus.CounterVec
-	level   *prometheus.GaugeVec
 }
 
 func newRefusalMetrics(reg prometheus.Registerer) *refusalMetrics {
@@ -151,13 +155,9 @@
 			Name: "coveferry_team_requests_refused_total",
 			Help: "Requests of teams refused for lack of capacity: share (the team is above its share) or late (the expected wait is too long), by rank.",
 		}, []string{"reason", "tier"}),
-		level: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "coveferry_team_fair_level",
-			Help: "Work up to which a team's requests are served, in seconds per second over all routers, as of the latest request of the rank; 0 while no team is refused.",
-		}, []string{"tier"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.refused, m.level)
+		reg.MustRegister(m.refused)
 	}
 	return m
 }
@@ -165,7 +165,3 @@
 func (m *refusalMetrics) count(reason string, rank int) {
 	m.refused.WithLabelValues(reason, strconv.Itoa(rank)).Inc()
 }
-
-func (m *refusalMetrics) setLevel(rank int, level float64) {
-	m.level.WithLabelValues(strconv.Itoa(rank)).Set(level)
-}
--- a/internal/peers/query.go
+++ b/internal/peers/query.go
@@ -87,7 +87,7 @@
 		return peerReading{}, err
 	}
 	s.demand.recordTotal(domainDemand{Demand: reply.Demand, Routers: reply.DemandRouters}, sent)
-	s.work.recordReply(reply.TeamWork, sent)
+	s.recordReplyWork(reply.TeamWork, sent)
 	s.loads.apply(sent, reply.Loads)
 	s.applyFailures(time.Now(), reply.Failures)
 	s.recordPending(sent, reply.ConfigPending)
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -57,7 +57,7 @@
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
 	s.demand.record(req.From, req.Demand, now)
-	s.work.recordPoll(req.From.VM, req.TeamWork, now)
+	s.recordPollWork(req.From.VM, req.TeamWork, now)
 	// Applied even if this router has no state to send yet.
 	at := s.cfg.Clock()
 	poison := s.poison.serve(at, req.Poison, s.pollUpdateWindow())
--- a/internal/peers/teamwork.go
+++ b/internal/peers/teamwork.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"coveferry/internal/fairshare"
+	"coveferry/internal/route"
 )
 
 // teamWorkInterval is how long a sum of the work of teams is used. A reader answers some 130 polls a
@@ -123,24 +125,37 @@
 	return latest
 }
 
-// recordPoll records the work that a router reported with its poll. A poll without work leaves the
+// recordPollWork records the work that a router reported with its poll. A poll without work leaves the
 // previous report, which expires.
-func (w *teamWorkTable) recordPoll(vm string, work fairshare.Sums, now time.Time) {
-	w.record(&w.polled, vm, work, now)
+func (s *Source) recordPollWork(vm string, work fairshare.Sums, now time.Time) {
+	s.work.record(&s.work.polled, vm, work.Checked(1, s.hasService), now)
+}
+
+// maxRouters returns the number of routers that a report can cover.
+func (s *Source) maxRouters(now time.Time) int { return s.members.count(now) + 1 }
+
+// hasService reports whether this router has a service. One without a configuration accepts all.
+func (s *Source) hasService(service string) bool {
+	c := s.config()
+	return c == nil || len(c.Services) == 0 || slices.ContainsFunc(c.Services, func(o route.Service) bool { return o.Name == service })
 }
 
 // recordHelloWork records the work that another reader reported.
 func (s *Source) recordHelloWork(req *helloRequest, now time.Time) {
 	w := &s.work
+	if len(req.TeamWork)+len(req.RestTeamWork) == 0 {
+		return
+	}
+	work, rest := req.TeamWork.Checked(s.maxRouters(now), s.hasService), req.RestTeamWork.Checked(s.maxRouters(now), s.hasService)
 	if req.From.FailureDomain != s.cfg.Self.FailureDomain {
-		w.record(&w.otherDomains, req.From.VM, req.TeamWork, now)
+		w.record(&w.otherDomains, req.From.VM, work, now)
 		return
 	}
-	w.record(&w.sameDomain, req.From.VM, req.TeamWork, now)
-	if len(req.RestTeamWork) > 0 {
+	w.record(&w.sameDomain, req.From.VM, work, now)
+	if len(rest) > 0 {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.rest = receivedWork{work: req.RestTeamWork.Checked(), at: now}
+		w.rest = receivedWork{work: rest, at: now}
 	}
 }
 
@@ -153,17 +168,18 @@
 	if *reports == nil {
 		*reports = make(map[string]receivedWork)
 	}
-	(*reports)[vm] = receivedWork{work: work.Checked(), at: now}
+	(*reports)[vm] = receivedWork{work: work, at: now}
 }
 
-// recordReply records the work at all other routers as a reader reported it.
-func (w *teamWorkTable) recordReply(work fairshare.Sums, now time.Time) {
+// recordReplyWork records the work at all other routers as a reader reported it.
+func (s *Source) recordReplyWork(work fairshare.Sums, now time.Time) {
 	if len(work) == 0 {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.reply = receivedWork{work: work.Checked(), at: now}
+	work = work.Checked(s.maxRouters(now), s.hasService)
+	s.work.mu.Lock()
+	defer s.work.mu.Unlock()
+	s.work.reply = receivedWork{work: work, at: now}
 }
 
 // others returns the work at all other routers but one. w.mu is held.
