--- a/internal/filters/choose/late.go
+++ b/internal/filters/choose/late.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// waitLimit returns the expected wait from which a routed request is refused; 0 means none.
+func (f *Filter) waitLimit(r *request.Request) time.Duration {
+	limit := time.Duration(f.refuseLateFactor * float64(r.Routes.Table.LongestObjective(r.Service)))
+	if r.Forecast {
+		limit = forecast.WaitLimit(limit)
+	}
+	return limit
+}
+
 // checkWait refuses a routed request if its expected wait for other requests exceeds the
 // limit. The time to prefill its own prompt doesn't count: refusing long prompts would
 // starve their callers and help others little.
@@ -50,9 +59,8 @@
 		return nil
 	}
 	objective := r.Routes.Table.LongestObjective(r.Service)
-	limit := time.Duration(f.refuseLateFactor * float64(objective))
+	limit := f.waitLimit(r)
 	if r.Forecast {
-		limit = forecast.WaitLimit(limit)
 		objective = limit
 	}
 	if r.StreamVersion != nil {
--- a/internal/peers/demand.go
+++ b/internal/peers/demand.go
@@ -44,10 +44,11 @@
 // PeerDemand returns the demand at all other routers, based on their recent reports.
 func (s *Source) PeerDemand() balance.PeerDemand {
 	now := time.Now()
-	demand, routers, ok := s.demand.readerTotal(now)
+	total, ok := s.demand.readerTotal(now)
 	if !ok {
-		demand, routers = s.demand.sum(now, "")
+		total = s.demand.sum(now, "")
 	}
+	demand, routers := total.Demand, total.Routers
 	known := s.members.count(now)
 	if 0 < routers && 0 < known && routers != known {
 		// Some routers were not counted, or two readers counted the same one.
@@ -66,6 +67,9 @@
 	return own()
 }
 
+// ownReport returns the demand of this router's own requests.
+func (d *demandTable) ownReport() domainDemand { return domainDemand{Demand: d.local(), Routers: 1} }
+
 func (d *demandTable) record(from Member, demand balance.Demand, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,56 +100,68 @@
 	if !s.members.isReader(now) {
 		return domainDemand{}
 	}
-	total, routers := s.demand.sumDomain(now, s.cfg.Self.FailureDomain)
-	return domainDemand{Demand: total.Add(s.demand.local()), Routers: routers + 1}
+	return s.demand.sumDomain(now, s.cfg.Self.FailureDomain).add(s.demand.ownReport())
 }
 
 // recordTotal records the demand of all other routers as a reader reported it.
-func (d *demandTable) recordTotal(demand balance.Demand, routers int, at time.Time) {
+func (d *demandTable) recordTotal(total domainDemand, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.total = receivedDemand{demand: demand, routers: routers, at: at}
+	d.total = receivedDemand{demand: total.Demand, routers: total.Routers, at: at}
 }
 
-func (d *demandTable) readerTotal(now time.Time) (demand balance.Demand, routers int, ok bool) {
+func (d *demandTable) readerTotal(now time.Time) (total domainDemand, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.total.demand, d.total.routers, now.Sub(d.total.at) < time.Second
+	total = domainDemand{Demand: d.total.demand, Routers: d.total.routers}
+	return total, now.Sub(d.total.at) < time.Second
+}
+
+// add returns the sum of two reports on different routers.
+func (d domainDemand) add(o domainDemand) domainDemand {
+	return domainDemand{Demand: d.Demand.Add(o.Demand), Routers: d.Routers + o.Routers}
 }
 
-// sum adds up the recent reports except those of one router, and returns how many routers they
-// cover. Where a domain's reader has reported for its domain, only that report counts.
-func (d *demandTable) sum(now time.Time, except string) (total balance.Demand, routers int) {
+// sum adds up the recent reports except those of one router. Where a domain's reader has reported
+// for its domain, only that report counts.
+func (d *demandTable) sum(now time.Time, except string) (total domainDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.forEach(now, func(vm string, r receivedDemand) {
+		if vm == "" || vm != except {
+			total.Demand, total.Routers = total.Demand.Add(r.demand), total.Routers+r.routers
+		}
+	})
+	return total
+}
+
+// forEach calls do for the recent reports of routers and domains; vm is empty for those of domains.
+// d.mu is held.
+func (d *demandTable) forEach(now time.Time, do func(vm string, r receivedDemand)) {
 	d.expire(now)
 	reported := make(map[string]bool)
 	for _, report := range d.byDomain {
-		total = total.Add(report.demand)
-		routers += report.routers
+		do("", report)
 		reported[report.domain] = true
 	}
 	for vm, report := range d.byRouter {
-		if vm != except && !reported[report.domain] {
-			total = total.Add(report.demand)
-			routers++
+		if !reported[report.domain] {
+			do(vm, report)
 		}
 	}
-	return total, routers
 }
 
 // sumDomain adds up the recent reports of the other routers of a failure domain.
-func (d *demandTable) sumDomain(now time.Time, domain string) (total balance.Demand, routers int) {
+func (d *demandTable) sumDomain(now time.Time, domain string) (total domainDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
 	for _, report := range d.byRouter {
 		if report.domain == domain {
-			total = total.Add(report.demand)
-			routers++
+			total.Demand, total.Routers = total.Demand.Add(report.demand), total.Routers+1
 		}
 	}
-	return total, routers
+	return total
 }
 
 // maxMissedDomainReports is how many reports of a domain's reader may be missed before its last
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -6,6 +6,7 @@
 	"coveferry/internal/balance"
 	"coveferry/internal/control"
 	"coveferry/internal/directory"
+	"coveferry/internal/fairshare"
 	"coveferry/internal/identity"
 	"coveferry/internal/poison"
 )
@@ -55,6 +56,10 @@
 type helloRequest struct {
 	From   Member         `json:"from"`
 	Demand balance.Demand `json:"demand"`
+	// TeamWork is the work of teams at the sender and the routers that poll it, where capacity is short
+	// and the sender is a reader, and RestTeamWork that at all routers which the receiver doesn't cover.
+	TeamWork     fairshare.Sums `json:"teams,omitempty"`
+	RestTeamWork fairshare.Sums `json:"rest_teams,omitempty"`
 	// Domain is the demand of the sender's failure domain if the sender is a reader.
 	Domain       domainDemand   `json:"domain,omitzero"`
 	Poison       poison.Message `json:"poison,omitzero"`
@@ -105,6 +110,8 @@
 	UnversionedDigest uint64         `json:"digest"`
 	Digest            uint64         `json:"list_digest,omitempty"`
 	Demand            balance.Demand `json:"demand"`
+	// TeamWork is the work of teams at the requester where capacity is short.
+	TeamWork fairshare.Sums `json:"teams,omitempty"`
 	// Loads are the load reports that the requester received recently.
 	Loads []balance.LoadSummary `json:"loads,omitempty"`
 	// Failures are the failed attempts that the requester observed itself.
@@ -145,10 +152,11 @@
 	// ConfigPending reports that the reader has received a part of a configuration, the rest of
 	// which may never arrive.
 	ConfigPending bool `json:"pending,omitempty"`
-	// Demand is the total demand that the reader knows of except the requester's, and
-	// DemandRouters the number of routers that it covers.
+	// Demand and TeamWork are the totals that the reader knows of except the requester's, and
+	// DemandRouters is the number of routers that they cover.
 	Demand        balance.Demand `json:"demand"`
 	DemandRouters int            `json:"demand_of"`
+	TeamWork      fairshare.Sums `json:"teams,omitempty"`
 	// Loads are the newest load reports that the reader knows of.
 	Loads []balance.LoadSummary `json:"loads,omitempty"`
 	// Failures are those of all routers that the reader knows of, except the requester's.
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -25,6 +25,7 @@
 	s.members.recordSeen(req.From, now)
 	s.demand.record(req.From, req.Demand, now)
 	s.recordDomainDemand(req.From, req.Domain, now)
+	s.recordHelloWork(&req, now)
 	at := s.cfg.Clock()
 	s.uptime.apply(at, req.OriginUptime)
 	return helloReply{
@@ -56,6 +57,7 @@
 	now := time.Now()
 	s.members.recordSeen(req.From, now)
 	s.demand.record(req.From, req.Demand, now)
+	s.recordPollWork(req.From.VM, req.TeamWork, now)
 	// Applied even if this router has no state to send yet.
 	at := s.cfg.Clock()
 	poison := s.poison.serve(at, req.Poison, s.pollUpdateWindow())
@@ -66,8 +68,9 @@
 		return updateReply{}, err
 	}
 	reply := updateReply{AgeMillis: state.Age.OptionalMillis(), OriginUnavailable: s.origin.unavailableFor() > 0, ConfigPending: s.origin.isConfigPending(), Poison: poison, OriginUptime: s.uptime.report(at), Limits: limits}
-	others, routers := s.demand.sum(now, req.From.VM)
-	reply.Demand, reply.DemandRouters = s.demand.local().Add(others), routers+1
+	total := s.demand.ownReport().add(s.demand.sum(now, req.From.VM))
+	reply.Demand, reply.DemandRouters = total.Demand, total.Routers
+	reply.TeamWork = s.replyWork(req.From, now)
 	s.loads.apply(now.Add(-loadReportDelay), req.Loads)
 	reply.Loads = s.loads.latest(now)
 	s.failures.record(req.From.VM, req.Failures, now)
