Add the decisions on requests that wait at a router

Cause: routers send requests to plain endpoints that have no capacity left, and most are refused there. Change: package waiting has an adaptive limit on the requests in flight, an ordered bounded queue and a schedule for Retry-After. Nothing uses it yet.

--- /dev/null
+++ b/internal/waiting/waiting.go
@@ -0,0 +1,145 @@
+// Package waiting decides which requests a router sends to a service, which it holds in a queue
+// and which it refuses, where the service's endpoints have no capacity left. The decisions are
+// pure: time, randomness and what is known of the endpoints are passed in.
+package waiting
+
+import "time"
+
+// minBoundShare is the least share of the objective for which a request may wait. Otherwise all
+// requests that have to wait would be refused while answers take as long as the objective.
+const minBoundShare = 0.25
+
+// Capacity is what is known of the endpoints of a service.
+type Capacity struct {
+	// Slots is the number of requests that the endpoints run at the same time; 0 if they don't
+	// state it, so that nothing waits.
+	Slots int
+	// Free is the number of slots that recent load reports leave free.
+	Free int
+	// Queued says that requests wait at endpoints.
+	Queued bool
+}
+
+// Need is what a request needs.
+type Need struct {
+	Order     Order
+	Objective time.Duration
+}
+
+// Assessment is the outlook of a request that arrives.
+type Assessment struct {
+	// MustWait says that the request can't be sent now.
+	MustWait bool
+	// Position is the number of requests ahead of it, and Wait the time until it would be sent;
+	// 0 if unknown.
+	Position int
+	Wait     time.Duration
+	// Bound is the wait above which the request is refused.
+	Bound time.Duration
+	// LatestStart is when the request must be sent to be answered before its deadline.
+	LatestStart time.Time
+}
+
+// Late reports whether the request would wait too long.
+func (a Assessment) Late() bool { return a.Bound <= 0 || a.Wait > a.Bound }
+
+// Pressure returns the expected wait relative to the wait at which the request is refused.
+func (a Assessment) Pressure() float64 {
+	if a.Bound <= 0 {
+		return 1
+	}
+	return float64(a.Wait) / float64(a.Bound)
+}
+
+// Result is how an attempt ended as far as it concerns the limit.
+type Result struct {
+	// Full says that the endpoint refused the request for lack of capacity.
+	Full bool
+	// Took is the time to the answer; 0 if there was none.
+	Took time.Duration
+	// Objective is the target for Took; 0 if there is none.
+	Objective time.Duration
+}
+
+// Service is the state of one router at one service. It isn't safe for concurrent use.
+type Service struct {
+	Limit    Limit
+	Queue    Queue
+	Promises Promises
+	// Inflight is the number of requests that were sent and haven't ended.
+	Inflight int
+	// demandAt is when the limit was last reached.
+	demandAt time.Time
+}
+
+// NewService returns the state of a service of which this router is one of several.
+func NewService(slots, routers int) *Service {
+	return &Service{Limit: NewLimit(slots, routers)}
+}
+
+// HasRoom reports whether a request can be sent: the limit isn't reached, or an endpoint reports a
+// free slot.
+func (s *Service) HasRoom(c Capacity) bool {
+	return c.Slots == 0 || s.Inflight < int(s.Limit.Value()) || c.Free > 0
+}
+
+// Assess returns the outlook of a request that arrives now.
+func (s *Service) Assess(now time.Time, n Need, c Capacity) Assessment {
+	if s.HasRoom(c) && s.Queue.Len() == 0 {
+		return Assessment{}
+	}
+	answer := s.Limit.AnswerTime()
+	a := Assessment{MustWait: true, Position: s.Queue.Position(n.Order), LatestStart: n.Order.Deadline.Add(-answer)}
+	a.Bound = a.LatestStart.Sub(now)
+	if n.Objective > 0 {
+		a.Bound = min(a.Bound, max(n.Objective-answer, time.Duration(minBoundShare*float64(n.Objective))))
+	}
+	a.Wait = s.waitBehind(a.Position)
+	return a
+}
+
+// waitBehind returns how long a request waits behind others; 0 if unknown.
+func (s *Service) waitBehind(position int) time.Duration {
+	rate := s.Limit.DrainRate()
+	if rate <= 0 {
+		return 0
+	}
+	return seconds(float64(position+1) / rate)
+}
+
+// Refuse returns when a refused request should come back.
+func (s *Service) Refuse(now time.Time, n Need, random float64) Return {
+	wait := s.waitBehind(s.Queue.Position(n.Order))
+	return s.Promises.Add(now, wait, n.Order.Deadline.Sub(now), s.Limit.DrainRate(), random)
+}
+
+// Sent records that a request is sent.
+func (s *Service) Sent(now time.Time) {
+	s.Inflight++
+	if s.Inflight >= int(s.Limit.Value()) {
+		s.demandAt = now
+	}
+}
+
+// Ended records that a request ended. sent is when it was sent. Failures other than refusals for
+// lack of capacity don't change the limit.
+func (s *Service) Ended(now, sent time.Time, r Result, c Capacity) {
+	switch {
+	case r.Full:
+		s.Limit.Refused(now, s.Inflight)
+	case r.Took > 0:
+		demand := s.Queue.Len() > 0 || !s.demandAt.Before(sent)
+		s.Limit.Served(now, r.Took, r.Objective, demand, c.Queued)
+	}
+	s.Inflight = max(0, s.Inflight-1)
+}
+
+// Next returns the next waiting request to send, or one that can't be answered in time any more,
+// and removes it from the queue. It returns nil if the others have to wait.
+func (s *Service) Next(now time.Time, c Capacity) (next *Item, late bool) {
+	if s.Queue.Len() == 0 || !s.HasRoom(c) {
+		return nil, false
+	}
+	next = s.Queue.Pop()
+	return next, now.After(next.LatestStart)
+}
