Hold routed requests back while plain endpoints have no capacity

Cause: a router sends each request at once, and small plain services refuse most of them under overload. Change: filter wait applies package waiting to routed requests of services without an engine whose endpoints state slots; a request that was never sent is answered as not run when the router stops.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -214,6 +214,7 @@
 			Client:                 d.client,
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
+			FleetSize:              d.fleetSize,
 			ShouldCloseConnections: func() bool { return !d.isReady() },
 		},
 	})
--- a/internal/filters/attempts/classify.go
+++ b/internal/filters/attempts/classify.go
@@ -7,6 +7,7 @@
 	"coveferry/internal/filters/dispatch"
 	"coveferry/internal/filters/quarantine"
 	"coveferry/internal/filters/relay"
+	"coveferry/internal/filters/wait"
 	"coveferry/internal/retry"
 	"coveferry/internal/sched"
 	"coveferry/internal/wire"
@@ -44,13 +45,14 @@
 	var expired *dispatch.ExpiredError
 	var pinned *choose.PinnedError
 	var late *choose.LateError
+	var noCapacity *wait.RefusedError
 	var quarantined *quarantine.QuarantinedError
 	switch {
 	case err == nil:
 		return classification{outcome: retry.OutcomeCompleted}
 	case errors.As(err, &pinned):
 		return classification{outcome: outcomeForRun(pinned.Run()), final: true, reason: reasonFinal}
-	case errors.As(err, &late):
+	case errors.As(err, &late), errors.As(err, &noCapacity):
 		return classification{outcome: retry.OutcomeNotRun, final: true, reason: retry.ReasonOverload}
 	case errors.As(err, &quarantined):
 		return classification{outcome: retry.OutcomeNotRun, final: true, reason: reasonQuarantined}
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -116,7 +116,7 @@
 
 // Do sets the request's endpoint.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) error {
-	if r.Epoch > 1 {
+	if r.Epoch > 1 || r.Wait.Waited > 0 {
 		f.refresh(r)
 	}
 	if f.homeResolver != nil && !r.KeyIssued.IsZero() {
--- /dev/null
+++ b/internal/filters/wait/service.go
@@ -0,0 +1,208 @@
+package wait
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coveferry/internal/balance"
+	"coveferry/internal/bundle"
+	"coveferry/internal/waiting"
+)
+
+const (
+	// capacityAge is how long a reading of the endpoints' state is used. It bounds the cost of
+	// reading it under load.
+	capacityAge = 10 * time.Millisecond
+	// maxReportAge is the age above which a load report no longer shows that a slot is free:
+	// twice the interval at which routers exchange reports.
+	maxReportAge = 500 * time.Millisecond
+	// recheckInterval is how often the endpoints' state is read while requests wait. Reports of
+	// other routers may show a free slot although none of this router's requests ended.
+	recheckInterval = 25 * time.Millisecond
+)
+
+// service is the state of one service. It is safe for concurrent use.
+type service struct {
+	filter *Filter
+	name   string
+	usedAt time.Time // guarded by filter.mu
+
+	mu         sync.Mutex
+	state      *waiting.Service
+	capacity   waiting.Capacity
+	capacityAt time.Time
+	recheck    *time.Timer // nil if nothing waits
+}
+
+// waiter is a request in the queue. verdict receives the reason for refusing it, empty if it may
+// be sent.
+type waiter struct {
+	item    waiting.Item
+	verdict chan Reason
+}
+
+// refresh reads the endpoints' state if the last reading is too old. s.mu is held.
+func (s *service) refresh(now time.Time) {
+	if s.capacityAt.IsZero() || now.Sub(s.capacityAt) >= capacityAge {
+		s.capacity, s.capacityAt = readCapacity(now, s.filter.cfg.Pool, s.filter.cfg.Endpoints(s.name)), now
+	}
+}
+
+// sent records that a request is sent. s.mu is held.
+func (s *service) sent(now time.Time) {
+	s.state.Sent(now)
+	s.capacity.Free = max(0, s.capacity.Free-1)
+}
+
+func (s *service) sendNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent(time.Now())
+}
+
+// sendOrAssess records a request as sent if it needn't wait.
+func (s *service) sendOrAssess(need waiting.Need) waiting.Assessment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.refresh(now)
+	a := s.state.Assess(now, need, s.capacity)
+	if !a.MustWait {
+		s.sent(now)
+	}
+	return a
+}
+
+func (s *service) assess(need waiting.Need) waiting.Assessment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.AssessWaiting(time.Now(), need)
+}
+
+// wait queues a request until it may be sent, has to be refused or ctx ends.
+func (s *service) wait(ctx context.Context, need waiting.Need, outlook waiting.Assessment, bytes int) (Reason, error) {
+	w := &waiter{verdict: make(chan Reason, 1)}
+	w.item = waiting.Item{Order: need.Order, LatestStart: outlook.LatestStart, Bytes: bytes, Value: w}
+	s.push(w)
+	tooLate := time.NewTimer(time.Until(outlook.LatestStart))
+	defer tooLate.Stop()
+	select {
+	case verdict := <-w.verdict:
+		return verdict, nil
+	case <-tooLate.C:
+		if s.leave(w) {
+			return ReasonLate, nil
+		}
+		return <-w.verdict, nil // it may be sent since just now
+	case <-ctx.Done():
+		if !s.leave(w) && <-w.verdict == "" {
+			s.end(time.Now(), waiting.Result{}) // gives back the place that it isn't going to use
+		}
+		return "", ctx.Err()
+	}
+}
+
+func (s *service) push(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, evicted := range s.state.Queue.Push(&w.item) {
+		evicted.Value.(*waiter).verdict <- ReasonFull
+	}
+	s.sendWaiting(time.Now()) // a place may have become free since the request was assessed
+}
+
+// leave takes a request out of the queue and reports whether it was still there.
+func (s *service) leave(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Queue.Remove(&w.item)
+}
+
+// end records the end of an attempt and sends the next requests.
+func (s *service) end(sent time.Time, r waiting.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.refresh(now)
+	s.state.Ended(now, sent, r, s.capacity)
+	s.sendWaiting(now)
+}
+
+// sendWaiting lets waiting requests be sent while there is room. s.mu is held.
+func (s *service) sendWaiting(now time.Time) {
+	s.refresh(now)
+	for {
+		next, late := s.state.Next(now, s.capacity)
+		if next == nil {
+			break
+		}
+		if late {
+			next.Value.(*waiter).verdict <- ReasonLate
+			continue
+		}
+		s.sent(now)
+		next.Value.(*waiter).verdict <- ""
+	}
+	if s.state.Queue.Len() > 0 && s.recheck == nil {
+		s.recheck = time.AfterFunc(recheckInterval, s.checkAgain)
+	}
+}
+
+func (s *service) checkAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recheck = nil
+	s.sendWaiting(time.Now())
+}
+
+func (s *service) refuse(need waiting.Need, random float64) waiting.Return {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Refuse(time.Now(), need, random)
+}
+
+func (s *service) remember(identity uint64, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.state.Promises.Remember(now, identity, now.Add(after))
+}
+
+func (s *service) recognizesReturns() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Promises.Remembered() > 0
+}
+
+func (s *service) returned(identity uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Promises.Returned(time.Now(), identity)
+}
+
+func (s *service) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Inflight == 0 && s.state.Queue.Len() == 0
+}
+
+// readCapacity sums up what is known of the endpoints that may get requests.
+func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint) waiting.Capacity {
+	var c waiting.Capacity
+	for _, v := range pool.Views(now, endpoints) {
+		if v.Weight <= 0 || v.Suspect || v.Load.Leaving || !pool.InService(v.Endpoint) {
+			continue
+		}
+		c.Slots += v.Load.Slots
+		if v.ReportedAt.IsZero() || now.Sub(v.ReportedAt) > maxReportAge {
+			continue
+		}
+		queued := v.Load.TotalQueued()
+		c.Queued = c.Queued || queued > 0
+		if !v.Full {
+			c.Free += max(0, v.Load.Slots-v.Load.TotalRunning()-queued-v.OwnUnreported)
+		}
+	}
+	return c
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -56,6 +56,8 @@
 	// StreamVersion is the software version of the endpoint that sent the first event of the
 	// stream; only endpoints of that version can go on with it. nil before the first event.
 	StreamVersion *string
+	// Wait describes how the request waited at this router for capacity. Set by wait.
+	Wait Wait
 	// Resumption is set for a resumed stream whose version is known. Set by resume.
 	Resumption Resumption
 	// ResumedAfter is the ID of the last event that the caller had when it sent the request; empty
@@ -188,6 +190,15 @@
 	Age time.Duration
 }
 
+// Wait describes how a request waited for capacity; zero if it didn't have to.
+type Wait struct {
+	Waited time.Duration
+	// Limit is the limit on the requests in flight at the service and Position the number of
+	// waiting requests that were ahead, both on arrival.
+	Limit    float64
+	Position int
+}
+
 // Step records one attempt and its result.
 type Step struct {
 	Epoch    int
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -80,12 +80,19 @@
 
 // abortError is returned for a request that the router's stop aborted. It doesn't unwrap to
 // its cause, because a canceled context looks like a caller that disconnected.
-type abortError struct{ cause error }
+type abortError struct {
+	cause error
+	// notSent says that the request was never sent to an endpoint, so that it didn't run.
+	notSent bool
+}
 
 func (e *abortError) Error() string { return "router: ended by the router's stop: " + e.cause.Error() }
 
 // API implements api.Convertible.
 func (e *abortError) API() *api.Error {
+	if e.notSent {
+		return stoppingError{}.API()
+	}
 	return &api.Error{
 		Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "router_stopping",
 		Message: "the router stopped before the answer was whole; the request may have run",
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -17,6 +17,7 @@
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/reside"
 	"coveferry/internal/filters/resume"
+	"coveferry/internal/filters/wait"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -41,6 +42,11 @@
 	MaxKeyAge func() time.Duration
 	// Streams knows where streams began; nil if endpoints have no software versions.
 	Streams resume.Streams
+	// FleetSize returns the number of routers that send requests to the same endpoints; nil means
+	// only this one.
+	FleetSize func() int
+	// AdmitWaiting is wait.Config.Admit.
+	AdmitWaiting func(r *request.Request, pressure float64) error
 	// ShouldCloseConnections reports whether callers are better served by other routers, for example
 	// because this one will soon have to refuse their keys. Their connections close after the
 	// next answer. nil means never.
@@ -82,6 +88,7 @@
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions, // applies residency
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
+		rt.wait(),       // holds requests back while their service has no capacity
 		rt.quarantine(), // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor,
@@ -92,6 +99,14 @@
 	)
 }
 
+func (rt *Router) wait() *wait.Filter {
+	c := rt.cfg.Routing
+	return wait.New(wait.Config{
+		Pool: rt.cfg.Pool, Endpoints: c.Endpoints, FleetSize: c.FleetSize, Admit: c.AdmitWaiting,
+		Rand: rt.cfg.Rand, Metrics: rt.cfg.Metrics,
+	})
+}
+
 func (rt *Router) acceptsWork(endpoint string) bool {
 	return rt.cfg.Pool.AcceptsWork(time.Now(), endpoint)
 }
@@ -162,12 +177,13 @@
 func hasOwnRetryAfter(err error) bool {
 	var late *choose.LateError
 	var quarantined *quarantine.QuarantinedError
+	var noCapacity *wait.RefusedError
 	var noEndpoint *choose.Error
 	if errors.As(err, &noEndpoint) {
 		_, known := noEndpoint.AvailableIn()
 		return known
 	}
-	return errors.As(err, &late) || errors.As(err, &quarantined)
+	return errors.As(err, &late) || errors.As(err, &noCapacity) || errors.As(err, &quarantined)
 }
 
 // safeStatus replaces statuses that callers take as a guarantee that the request didn't run,
@@ -213,6 +229,7 @@
 		Dur("left", time.Until(r.Deadline)).Dur("first", timeToFirstPart(r))
 	addLostEndpoints(log, r)
 	addWithheld(log, r)
+	addWait(log, r)
 	addResumption(log, r)
 	if r.Prompt.Tokens > 0 {
 		log.Uint64("home", r.Prompt.SharedPrefixID()).Int("prompt", r.Prompt.Tokens).Bool("tight", r.TightGap).Int("kept", r.TightGapEndpoints).
@@ -223,6 +240,13 @@
 	}
 }
 
+// addWait logs how the request waited for capacity.
+func addWait(log *zerolog.Event, r *request.Request) {
+	if r.Wait != (request.Wait{}) {
+		log.Dur("waited", r.Wait.Waited).Float64("limit", r.Wait.Limit).Int("position", r.Wait.Position)
+	}
+}
+
 // addResumption logs which stream a request resumes, and after which event.
 func addResumption(log *zerolog.Event, r *request.Request) {
 	if r.Resumes != "" {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -82,7 +82,7 @@
 	defer stop()
 	err = rt.runFilters(ctx, r)
 	if err != nil && errors.Is(context.Cause(ctx), errAborted) {
-		return &abortError{cause: err}
+		return &abortError{cause: err, notSent: len(r.Tried) == 0}
 	}
 	return err
 }
--- a/internal/waiting/promises.go
+++ b/internal/waiting/promises.go
@@ -63,6 +63,9 @@
 	return Return{After: after, Promised: true}
 }
 
+// Remembered returns the number of promises that are remembered.
+func (p *Promises) Remembered() int { return len(p.returns) }
+
 // Remember records that a request was told to return at a time.
 func (p *Promises) Remember(now time.Time, identity uint64, at time.Time) {
 	if len(p.returns) >= maxPromises {
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -38,6 +38,8 @@
 	Bound time.Duration
 	// LatestStart is when the request must be sent to be answered before its deadline.
 	LatestStart time.Time
+	// Limit is the limit on the requests in flight.
+	Limit float64
 }
 
 // Late reports whether the request would wait too long.
@@ -88,8 +90,13 @@
 	if s.HasRoom(c) && s.Queue.Len() == 0 {
 		return Assessment{}
 	}
+	return s.AssessWaiting(now, n)
+}
+
+// AssessWaiting is Assess for a request that is known to have to wait.
+func (s *Service) AssessWaiting(now time.Time, n Need) Assessment {
 	answer := s.Limit.AnswerTime()
-	a := Assessment{MustWait: true, Position: s.Queue.Position(n.Order), LatestStart: n.Order.Deadline.Add(-answer)}
+	a := Assessment{MustWait: true, Position: s.Queue.Position(n.Order), LatestStart: n.Order.Deadline.Add(-answer), Limit: s.Limit.Value()}
 	a.Bound = a.LatestStart.Sub(now)
 	if n.Objective > 0 {
 		a.Bound = min(a.Bound, max(n.Objective-answer, time.Duration(minBoundShare*float64(n.Objective))))
