--- a/internal/waiting/limit.go
+++ b/internal/waiting/limit.go
@@ -35,8 +35,9 @@
 	// usualDeviations is the number of mean deviations above the mean that an answer may take: 19
 	// in 20 answers are faster if they are distributed normally.
 	usualDeviations = 2
-	// smoothing is the weight of a new answer in the mean answer time and its deviation.
-	smoothing = 0.1
+	// smoothing is the weight of a new answer in the mean answer time and its deviation. A router
+	// of many gets few answers, and with 0.1 it refused requests for a second after an overload.
+	smoothing = 0.2
 	// minRoundTrip is the least time between two reductions. The answers to requests sent before
 	// a reduction say nothing about it.
 	minRoundTrip = 20 * time.Millisecond
--- a/internal/waiting/promises.go
+++ b/internal/waiting/promises.go
@@ -13,7 +13,7 @@
 	minJitterShare = 0.5
 	// promisedShare is the share of the places becoming free that is promised to returning callers.
 	// The rest is for new requests, which come in the meantime.
-	promisedShare = 0.5
+	promisedShare = 0.3
 	// minRetryAfter keeps callers from returning at once if little is known.
 	minRetryAfter = 20 * time.Millisecond
 	// maxPromises bounds the promises that are remembered for recognizing returned requests.
