Bound how often the endpoints' state is read, and the memory of a full queue

Cause: reading thousands of endpoints every 10 ms would take a tenth of a core. Change: the interval grows with the endpoints.

--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,10 +26,41 @@
 	return results
 }
 
-// Guards against a queue without a bound.
+// memoryInUse returns the bytes of the heap and of stacks that are in use.
+func memoryInUse() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc + m.StackInuse)
+}
+
+// maxMemory is what a full queue may take beyond the open requests, which router.Config.MaxOpen and
+// MaxBodyBytes bound already: a router's allowance for control (docs/DEVELOPING.md).
+const maxMemory = 32 << 20
+
+// sendAll sends requests without the filter.
+func (s *station) sendAll(n int) {
+	for range n {
+		r := s.request("/b/", time.Minute)
+		go func() { s.ended <- s.next(context.Background(), r) }()
+	}
+	synctest.Wait()
+}
+
+// Guards against a queue without a bound in number or memory.
 func TestQueueIsBounded(t *testing.T) {
 	inStation(t, nil, func(g *WithT, s *station) {
+		before := memoryInUse()
+		s.sendAll(bound)
+		sent := memoryInUse() - before
+		s.end(bound, nil)
+		s.collect(bound)
+		s.entered = nil
+		before = memoryInUse()
 		s.startAll(places+bound+100, "/b/")
+		waiting := memoryInUse() - before
+		t.Logf("an open request takes %d bytes, one that waits %d", sent/bound, waiting/(places+bound))
+		g.Expect(waiting - sent).To(BeNumerically("<", maxMemory))
 		for _, err := range s.collect(100) {
 			var refused *wait.RefusedError
 			g.Expect(errors.As(err, &refused)).To(BeTrue())
--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// capacityAge is how long a reading of the endpoints' state is used. It bounds the cost of
-	// reading it under load.
-	capacityAge = 10 * time.Millisecond
+	// capacityAge is how long a reading of the endpoints' state is used for each endpointsPerAge of
+	// them. It bounds the time that reading takes to less than a hundredth of a core: an endpoint
+	// takes below 1 µs.
+	capacityAge     = 10 * time.Millisecond
+	endpointsPerAge = 100
 	// maxReportAge is the age above which a load report no longer shows that a slot is free:
 	// twice the interval at which routers exchange reports.
 	maxReportAge = 500 * time.Millisecond
@@ -28,11 +30,11 @@
 	name   string
 	usedAt time.Time // guarded by filter.mu
 
-	mu         sync.Mutex
-	state      *waiting.Service
-	capacity   waiting.Capacity
-	capacityAt time.Time
-	recheck    *time.Timer // nil if nothing waits
+	mu          sync.Mutex
+	state       *waiting.Service
+	capacity    waiting.Capacity
+	readAgainAt time.Time   // when capacity is too old
+	recheck     *time.Timer // nil if nothing waits
 }
 
 // waiter is a request in the queue. verdict receives the reason for refusing it, empty if it may
@@ -44,10 +46,13 @@
 
 // refresh reads the endpoints' state if the last reading is too old. s.mu is held.
 func (s *service) refresh(now time.Time) {
-	if s.capacityAt.IsZero() || now.Sub(s.capacityAt) >= capacityAge {
-		others := s.state.ArrivalRate(now) * float64(s.filter.cfg.FleetSize()-1)
-		s.capacity, s.capacityAt = readCapacity(now, s.filter.cfg.Pool, s.filter.cfg.Endpoints(s.name), others), now
+	if now.Before(s.readAgainAt) {
+		return
 	}
+	endpoints := s.filter.cfg.Endpoints(s.name)
+	others := s.state.ArrivalRate(now) * float64(s.filter.cfg.FleetSize()-1)
+	s.capacity = readCapacity(now, s.filter.cfg.Pool, endpoints, others)
+	s.readAgainAt = now.Add(capacityAge * time.Duration(1+len(endpoints)/endpointsPerAge))
 }
 
 // sent records that a request is sent. s.mu is held.
