--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -96,6 +96,11 @@
 	defer tooLate.Stop()
 	select {
 	case verdict := <-w.verdict:
+		if verdict == "" && s.filter.cfg.Stopping() {
+			<-ctx.Done()
+			s.end(waiting.Result{})
+			return "", ctx.Err()
+		}
 		return verdict, nil
 	case <-tooLate.C:
 		if s.leave(w) {
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -32,6 +32,9 @@
 	// wait relative to the wait at which the request is refused. An error refuses the request
 	// and is returned as it is. nil admits all.
 	Admit func(r *request.Request, pressure float64) error
+	// Stopping reports whether all open requests are being aborted: their contexts end now, one
+	// after the other, and places that become free are not used any more. nil means never.
+	Stopping func() bool
 	// Rand returns random numbers from [0, 1).
 	Rand    func() float64
 	Metrics prometheus.Registerer
@@ -50,6 +53,9 @@
 	if cfg.FleetSize == nil {
 		cfg.FleetSize = func() int { return 1 }
 	}
+	if cfg.Stopping == nil {
+		cfg.Stopping = func() bool { return false }
+	}
 	f := &Filter{cfg: cfg, services: make(map[string]*service)}
 	f.metrics = newMetrics(cfg.Metrics, f)
 	return f
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -103,7 +103,8 @@
 	c := rt.cfg.Routing
 	return wait.New(wait.Config{
 		Pool: rt.cfg.Pool, Endpoints: c.Endpoints, FleetSize: c.FleetSize, Admit: c.AdmitWaiting,
-		Rand: rt.cfg.Rand, Metrics: rt.cfg.Metrics,
+		Stopping: func() bool { return rt.drain.abortCtx.Err() != nil },
+		Rand:     rt.cfg.Rand, Metrics: rt.cfg.Metrics,
 	})
 }
 
