--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -140,7 +140,7 @@
 		inStation(t, nil, func(g *WithT, s *station) {
 			s.startAll(places+bound, "/b/")
 			g.Expect(s.entered).To(HaveLen(places))
-			s.candidates = endpoints
+			s.count(func() { s.candidates = endpoints })
 			time.Sleep(50 * time.Millisecond)
 			synctest.Wait()
 			g.Expect(s.entered).To(HaveLen(places + bound))
--- a/internal/filters/wait/overload_test.go
+++ b/internal/filters/wait/overload_test.go
@@ -24,11 +24,12 @@
 		defer stop()
 		f.exchange(ctx)
 		f.measureAt = time.Now().Add(warmUp)
-		var use float64
-		time.AfterFunc(playFor, func() { use = f.use(playFor - warmUp) })
+		used := make(chan float64, 1)
+		time.AfterFunc(playFor, func() { used <- f.use(playFor - warmUp) })
 		var group sync.WaitGroup
 		f.play(2, playFor, rand.New(rand.NewPCG(uint64(routers), 3)), &group)
 		group.Wait()
+		use := <-used
 		t.Logf("%s, slots in use %.3f", f, use)
 		check(t, f, use)
 	})
--- a/internal/filters/wait/wait_test.go
+++ b/internal/filters/wait/wait_test.go
@@ -57,7 +57,7 @@
 	s := &station{simFleet: newSimFleet(1, false), ended: make(chan error, 10_000)}
 	s.gate.release = make(chan error)
 	cfg := wait.Config{
-		Pool: s.routers[0].pool, Endpoints: func(string) []*bundle.Endpoint { return s.candidates },
+		Pool: s.routers[0].pool, Endpoints: func(string) []*bundle.Endpoint { return s.listed() },
 		Rand: func() float64 { return 0.5 },
 	}
 	if configure != nil {
@@ -74,6 +74,12 @@
 	return r
 }
 
+// listed returns the endpoints that the configuration has now.
+func (s *station) listed() (endpoints []*bundle.Endpoint) {
+	s.simFleet.count(func() { endpoints = s.candidates })
+	return endpoints
+}
+
 func (s *station) startAll(n int, path string) {
 	for range n {
 		r := s.request(path, time.Minute)
