--- a/internal/balance/unequal_sim_test.go
+++ b/internal/balance/unequal_sim_test.go
@@ -64,6 +64,8 @@
 	prefilling []*unequalStream
 	running    []*unequalStream
 	cached     map[uint64]bool
+	// sharedPrefilled counts the tokens of shared parts that it prefilled.
+	sharedPrefilled int
 }
 
 type unequalStream struct {
@@ -72,6 +74,7 @@
 	account     *TrackedRequest
 	router      int
 	sent        time.Time
+	expected    time.Duration // to the first event
 	unprefilled int
 	tokens      int
 	lastEventAt time.Time
@@ -81,12 +84,14 @@
 
 // unequal is a simulation of routers in front of engines of which every third is slower.
 type unequal struct {
+	unequalOptions
 	now     time.Time
 	events  eventQueue
 	rnd     *rand.Rand
 	pools   []*Pool
 	engines []*unequalEngine
 	kinds   []*unequalKind
+	reports uint64 // that routers received; numbers them as the routers do
 }
 
 // unequalDeadline is the deadline of all callers.
@@ -109,20 +114,44 @@
 	unequalReportBy      = 100 * time.Millisecond // before it arrives
 )
 
+// unequalOptions are the parts of the simulation that differ between tests.
+type unequalOptions struct {
+	routers     int
+	utilization float64 // load relative to the capacity of the engines
+	// burst is the factor on the rate of long prompts from unequalBurstStart to unequalBurstEnd.
+	burst float64
+	// statesWaiting counts requests as queued until their prefill is done, as endpoints do that
+	// state their pace.
+	statesWaiting bool
+	// wrap replaces the policy of a router; nil leaves it.
+	wrap func(PromptAware, []*unequalEngine) Policy
+	// observe is called every unequalObservePeriod; nil if nothing is observed.
+	observe func(at time.Duration, engines []*unequalEngine)
+	// observeAnswer is called with the expected and actual time to the first event; it may be nil.
+	observeAnswer func(r *unequalStream, actual time.Duration)
+	statesPace    bool // engines state how long work takes
+	spans         bool // other work slows engines 2.5 times in spans of 600 ms, for 15% of the time
+	// prepare is called before the simulation runs; it may be nil.
+	prepare func(*unequal)
+}
+
 // simulateUnequal runs the simulation at a load relative to the capacity of the engines.
-func simulateUnequal(routers int, utilization float64) *unequal {
-	u := &unequal{rnd: rand.New(rand.NewPCG(7, uint64(routers))), kinds: unequalKinds()}
+func simulateUnequal(routers int, utilization float64, options unequalOptions) *unequal {
+	options.routers, options.utilization = routers, utilization
+	return options.simulate()
+}
+
+func (o unequalOptions) simulate() *unequal {
+	routers, utilization := o.routers, o.utilization
+	u := &unequal{unequalOptions: o, rnd: rand.New(rand.NewPCG(7, uint64(routers))), kinds: unequalKinds()}
 	var demand Demand
-	var first PromptAware
-	for i := range routers {
+	var policies []PromptAware
+	for range routers {
 		policy := NewPromptAware()
-		if i == 0 {
-			first = policy
-		}
 		policy.SetPeerDemand(func() PeerDemand {
 			return PeerDemand{Demand: demand.Scale(float64(routers - 1)), Routers: routers - 1}
 		})
-		u.pools = append(u.pools, NewPool(Config{Policy: policy, Seed: uint64(i + 1)}))
+		policies = append(policies, policy)
 	}
 	var candidates []*bundle.Endpoint
 	capacity := 0.0 // prompt tokens a second
@@ -137,6 +166,7 @@
 		u.engines = append(u.engines, e)
 		candidates = append(candidates, &e.Endpoint)
 	}
+	u.startRouters(policies)
 	tokensPerRequest := 0.0 // average tokens to prefill per request with shared parts cached
 	for _, k := range u.kinds {
 		tokensPerRequest += k.share * float64(k.ownTokens)
@@ -148,10 +178,15 @@
 	}
 	for at := time.Duration(0); at < unequalDuration+10*time.Second; at += 250 * time.Millisecond {
 		u.runAt(epoch.Add(at), func(now time.Time) {
-			demand = first.Demand(now)
+			demand = u.demandPerRouter(now, policies)
 			u.exchangeReports(now)
 		})
 	}
+	if u.prepare != nil {
+		u.prepare(u)
+	}
+	u.addBurst(rate, candidates)
+	u.addObservations()
 	for len(u.events) > 0 {
 		ev := heap.Pop(&u.events).(simEvent)
 		u.now = ev.at
@@ -198,13 +233,13 @@
 		Parts:  []prompt.Part{{ID: common, Tokens: k.sharedTokens / 3}, {ID: subject, Tokens: k.sharedTokens - k.sharedTokens/3}, {ID: u.rnd.Uint64(), Tokens: k.ownTokens}},
 		Tokens: k.sharedTokens + k.ownTokens, ExpectedOutput: unequalStride * k.events,
 	}
-	req := Request{Service: "llm", Tier: k.tier, Prompt: requestPrompt, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective}
+	req := Request{Service: "llm", Tier: k.tier, Prompt: requestPrompt, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective, TimeLeft: unequalDeadline}
 	choice, err := u.pools[router].ChooseWithEstimates(now, req, candidates, nil)
-	if err != nil || choice.Wait-choice.PrefillTime > u.kinds[0].objective {
+	if err != nil || choice.Wait-choice.PrefillTime > choice.WaitLimit(u.kinds[0].objective) {
 		k.rejected++
 		return
 	}
-	r := &unequalStream{kind: k, prompt: requestPrompt, router: router, sent: now}
+	r := &unequalStream{kind: k, prompt: requestPrompt, router: router, sent: now, expected: choice.Wait}
 	r.account = u.pools[router].Track(now, choice.Endpoint.Name, Work{
 		Service: req.Service, Tier: k.tier, Prompt: requestPrompt, TightGap: choice.TightGap, MaxGap: k.gap, Stride: unequalStride, Objective: k.objective,
 	})
@@ -254,6 +289,7 @@
 			}
 			r.unprefilled -= part.Tokens
 		}
+		e.sharedPrefilled += r.unprefilled - r.kind.ownTokens
 		e.prefilling = append(e.prefilling, r)
 		slices.SortStableFunc(e.prefilling, func(a, b *unequalStream) int { return a.kind.tier - b.kind.tier })
 	}
@@ -276,7 +312,7 @@
 		budget -= tokens
 		duration += float64(unequalPrefillToken) * float64(tokens)
 	}
-	u.runAt(now.Add(time.Duration(e.slowdown*duration)), func(now time.Time) {
+	u.runAt(now.Add(time.Duration(u.slowdownOf(now, e)*duration)), func(now time.Time) {
 		e.busy = false
 		u.finishStep(now, e)
 		u.step(now, e)
@@ -320,8 +356,19 @@
 // firstToken delivers the load report in the response head to the router, and marks a stream as
 // late that starts after its objective.
 func (u *unequal) firstToken(now time.Time, e *unequalEngine, r *unequalStream) {
-	report := load.Report{Slots: unequalSlots}
+	u.reports++
+	report := load.Report{Slots: unequalSlots, Seq: u.reports}
+	if u.statesPace {
+		report.WorkPercent = 100 * u.slowdownOf(now, e)
+	}
 	report.Running[0], report.Queued[0] = len(e.prefilling)+len(e.running), len(e.queued)
+	if u.statesWaiting {
+		report.Seq = uint64(now.Sub(epoch))
+		report.Running[0], report.Queued[0] = len(e.running), len(e.queued)+len(e.prefilling)
+	}
+	if u.observeAnswer != nil {
+		u.observeAnswer(r, now.Sub(r.sent))
+	}
 	u.pools[r.router].Report(now, e.Name, report)
 	if now.Sub(r.sent) > r.kind.objective {
 		r.longestGap = time.Hour // counts as late in any case
@@ -347,7 +394,7 @@
 	)
 	for _, routers := range []int{3, 27, 103} {
 		for _, utilization := range []float64{0.25, 0.5, 0.75, 1} {
-			u := simulateUnequal(routers, utilization)
+			u := simulateUnequal(routers, utilization, unequalOptions{})
 			for _, k := range u.kinds {
 				t.Logf("%d routers, utilization %.2f, tier %d: %.2f in time, %.2f late, %.2f rejected, %.2f timed out",
 					routers, utilization, k.tier, k.fraction(k.inTime), k.fraction(k.late), k.fraction(k.rejected), k.fraction(k.timedOut))
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -47,9 +47,10 @@
 	// statedLimit is set if the endpoint stated a rate limit when the request was sent. Such an
 	// endpoint is overloaded: that it is slow and fails requests says nothing about its speed and
 	// health within the limit.
-	statedLimit bool
-	prefillOnce sync.Once
-	releaseOnce sync.Once
+	statedLimit    bool
+	servedRecorded bool
+	prefillOnce    sync.Once
+	releaseOnce    sync.Once
 }
 
 // Track is Sent for a request with known work, and returns the TrackedRequest.
@@ -119,16 +120,27 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 		t.PrefillDone()
+		t.recordServed(now)
 		if t.measuresPrefill && t.speeds != nil {
-			t.speeds.recordFirstToken(now.Sub(t.sent).Seconds(), t.promptTokens)
+			t.speeds.recordFirstToken(now.Sub(t.sent).Seconds(), t.promptTokens, t.endpointPace(now))
 		}
 	}
 	perToken := t.pace.record(now)
 	if perToken == 0 || t.speeds == nil {
 		return // no sample
 	}
-	t.update(func(st *state) { st.outputToken.add(perToken, outputTokenQuantile) })
-	t.speeds.recordOutputToken(perToken)
+	paceFactor := 0.0
+	t.update(func(st *state) {
+		st.outputToken.add(perToken, outputTokenQuantile)
+		paceFactor = st.pace.At(now).Factor
+	})
+	t.speeds.recordOutputToken(perToken, paceFactor)
+}
+
+// endpointPace returns the endpoint's pace, 0 if it is unknown.
+func (t *TrackedRequest) endpointPace(now time.Time) (factor float64) {
+	t.update(func(st *state) { factor = st.pace.At(now).Factor })
+	return factor
 }
 
 // PrefillDone records that the prompt is prefilled or no longer needs to be. Further calls have
@@ -173,6 +185,9 @@
 // Done records the outcome of the request. Times to first token depend on the prompts rather than
 // the endpoints, so that they aren't compared between endpoints.
 func (t *TrackedRequest) Done(now time.Time, res Result) {
+	if res == ResultOK {
+		t.recordServed(now)
+	}
 	if t.statedLimit {
 		res = ResultCancelled // doesn't affect the endpoint's health
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
@@ -139,20 +140,25 @@
 	share    endpointrate.Share // this router's share of endpoints' rate limits
 	retries  *retry.Budget
 	streams  *streamversion.Registry
+	// refusalLog bounds the lines about distrusted endpoints.
+	refusalLog *rate.Limiter
+	paceLog    paceLog
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
-	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient()}
+	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient(), refusalLog: newRefusalLogLimit()}
 	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
 	policy := balance.NewPromptAware()
 	d.pool = balance.NewPool(balance.Config{
 		Policy: policy, Seed: membership.SeedOf(cfg.VM), RateShare: d.endpointRateShare, OnLimit: d.logLimit,
-		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff,
+		OnDomainEvent: d.logDomainEvent, OnBackoff: d.logBackoff, OnRefusals: d.logRefusals, OnPace: d.logPace,
 	})
 	d.registerLimits()
 	d.registerBackoffs()
+	d.registerRefusals()
 	d.registerUnresponsiveDomains()
+	d.reg.MustRegister(newPaceCollector(d.pool))
 	d.members = newMembershipTracker(cfg.VM, d.pool, d.reg, log)
 	d.poison = newPoisonTable(cfg.VM, d.fleetSize, d.reg, log, d.checkCrashed)
 	source, err := d.newSource()
@@ -308,6 +314,7 @@
 	addLoop(&g, d.streams.Run)
 	addLoop(&g, membership.NewHealthProber(d.members, d.updater.checkHealth).Run)
 	addLoop(&g, d.watchUnresponsive)
+	addLoop(&g, d.watchPaces)
 	addLoop(&g, d.followSettings)
 	d.ready.Open(gateServing)
 	return errors.CombineErrors(g.Run(), stopErr)
