Enforce the limit on requests in flight only after evidence of a shortage

An endpoint without a report of the last 500 ms counted as having no free slot, so that an idle service limited the first burst of a router to 8. The limit now holds for 3 s after an endpoint refused a request as full or reported queued requests.

--- a/internal/waiting/limit_test.go
+++ b/internal/waiting/limit_test.go
@@ -102,7 +102,10 @@
 		s.Sent(now)
 	}
 	need := Need{Order: Order{Deadline: now.Add(time.Second)}}
+	g.Expect(s.Assess(now, need, Capacity{Slots: 24}).MustWait).To(BeFalse(), "no endpoint lacks capacity")
+	g.Expect(s.Assess(now, need, Capacity{Slots: 24, Free: 1, Queued: true, Reported: true}).MustWait).To(BeFalse())
 	g.Expect(s.Assess(now, need, Capacity{Slots: 24}).MustWait).To(BeTrue())
 	g.Expect(s.Assess(now, need, Capacity{Slots: 24, Free: 1}).MustWait).To(BeFalse(), "while an endpoint has a free slot")
 	g.Expect(s.Assess(now, need, Capacity{}).MustWait).To(BeFalse(), "without stated slots")
+	g.Expect(s.Assess(now.Add(shortageMemory), need, Capacity{Slots: 24}).MustWait).To(BeFalse(), "long after the shortage")
 }
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -88,6 +88,9 @@
 	// shortAt is when a request last had to wait, queuedAt when endpoints last reported queued
 	// requests, or nothing, and sentAt when a request was last sent.
 	shortAt, queuedAt, sentAt time.Time
+	// fullAt is when an endpoint last showed that it had no free slot: it refused a request as full,
+	// or reported queued requests. Zero if none did.
+	fullAt time.Time
 	// arrivals is a decaying sum of the requests that arrived, as of decayedAt.
 	arrivals  float64
 	decayedAt time.Time
@@ -104,6 +107,9 @@
 	// idleAfter is the same for the time in which no endpoint reports queued requests: the interval
 	// at which routers exchange reports.
 	idleAfter = 250 * time.Millisecond
+	// shortageMemory is how long the limit is enforced after endpoints last showed that they had no
+	// free slot. Most answers of plain services, which show it again, take less.
+	shortageMemory = 3 * time.Second
 )
 
 // restore raises a reduced limit once the shortage is over.
@@ -116,10 +122,25 @@
 	}
 }
 
-// HasRoom reports whether a request can be sent: the limit isn't reached, or an endpoint reports a
-// free slot.
+// observe records whether endpoints report queued requests.
+func (s *Service) observe(now time.Time, c Capacity) {
+	if c.Queued {
+		s.fullAt = now
+	}
+}
+
+// short reports whether endpoints showed within shortageMemory that they had no free slot. Old or
+// missing reports don't show it: with a limit of 8, an idle service made 12 of the first 20 requests
+// wait.
+func (s *Service) short(now time.Time) bool {
+	return !s.fullAt.IsZero() && now.Sub(s.fullAt) < shortageMemory
+}
+
+// HasRoom reports whether a request can be sent: no endpoint lacks capacity, the limit isn't
+// reached, or an endpoint reports a free slot.
 func (s *Service) HasRoom(now time.Time, c Capacity) bool {
-	return c.Slots == 0 || c.Free > 0 ||
+	s.observe(now, c)
+	return c.Slots == 0 || c.Free > 0 || !s.short(now) ||
 		s.Inflight < int(s.Limit.Value()) && now.Sub(s.sentAt) >= s.Limit.Spacing()
 }
 
@@ -191,6 +212,7 @@
 func (s *Service) Ended(now time.Time, r Result, c Capacity) {
 	switch {
 	case r.Full:
+		s.fullAt = now
 		s.Limit.Refused(now, s.Inflight)
 	case r.Took > 0:
 		demand := s.Queue.Len() > 0 || s.Inflight >= int(s.Limit.Value())
