Read endpoints outside the filter's lock, also for services without slots only once an interval

Nothing was kept for services whose requests never wait, so that each of their requests read all endpoints under the lock of all services. The state is now kept for each plain service. Each reading also passes the slots and the number of routers to the limit, which kept those that were known when the first request came.

--- a/internal/filters/wait/metrics.go
+++ b/internal/filters/wait/metrics.go
@@ -48,8 +48,11 @@
 	defer c.f.mu.Unlock()
 	for name, s := range c.f.services {
 		s.mu.Lock()
-		queued, limit := s.state.Queue.Len(), s.state.Limit.Value()
+		queued, limit, slots := s.state.Queue.Len(), s.state.Limit.Value(), s.capacity.Slots
 		s.mu.Unlock()
+		if slots == 0 && queued == 0 {
+			continue // its requests never wait
+		}
 		ch <- prometheus.MustNewConstMetric(waitingDesc, prometheus.GaugeValue, float64(queued), name)
 		ch <- prometheus.MustNewConstMetric(limitDesc, prometheus.GaugeValue, limit, name)
 	}
--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -30,6 +30,8 @@
 	name   string
 	usedAt time.Time // guarded by filter.mu
 
+	reading sync.Mutex // held while the endpoints' state is read; locked before mu
+
 	mu          sync.Mutex
 	state       *waiting.Service
 	capacity    waiting.Capacity
@@ -44,15 +46,46 @@
 	verdict chan Reason
 }
 
-// refresh reads the endpoints' state if the last reading is too old. s.mu is held.
+// refresh reads the endpoints' state if the last reading is too old. It reads without s.mu: other
+// requests use the last reading meanwhile, and only the first reading makes them wait for it.
 func (s *service) refresh(now time.Time) {
-	if now.Before(s.readAgainAt) {
+	_, first, due := s.readingDue(now)
+	switch {
+	case !due:
+		return
+	case first:
+		s.reading.Lock()
+	case !s.reading.TryLock():
 		return
 	}
-	endpoints := s.filter.cfg.Endpoints(s.name)
-	others := s.state.ArrivalRate(now) * float64(s.filter.cfg.FleetSize()-1)
-	s.capacity = readCapacity(now, s.filter.cfg.Pool, endpoints, others)
-	s.readAgainAt = now.Add(capacityAge * time.Duration(1+len(endpoints)/endpointsPerAge))
+	defer s.reading.Unlock()
+	rate, _, due := s.readingDue(now)
+	if !due {
+		return // another request has read it
+	}
+	endpoints, routers := s.filter.cfg.Endpoints(s.name), s.filter.cfg.FleetSize()
+	capacity := readCapacity(now, s.filter.cfg.Pool, endpoints, rate*float64(routers-1))
+	age := capacityAge * time.Duration(1+len(endpoints)/endpointsPerAge)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capacity, s.readAgainAt = capacity, now.Add(age)
+	s.state.Resize(capacity.Slots, routers)
+}
+
+// readingDue reports whether the last reading is too old or this is the first one, and returns the
+// rate of arrivals.
+func (s *service) readingDue(now time.Time) (rate float64, first, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.ArrivalRate(now), s.readAgainAt.IsZero(), !now.Before(s.readAgainAt)
+}
+
+// active reports whether requests of the service may have to wait.
+func (s *service) active(now time.Time) bool {
+	s.refresh(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.capacity.Slots > 0 || s.state.Queue.Len() > 0
 }
 
 // sent records that a request is sent. s.mu is held.
@@ -73,7 +106,6 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.state.Arrived(now)
-	s.refresh(now)
 	a := s.state.Assess(now, need, s.capacity)
 	if !a.MustWait {
 		s.sent(now)
@@ -116,6 +148,7 @@
 }
 
 func (s *service) push(w *waiter) {
+	s.refresh(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, evicted := range s.state.Queue.Push(&w.item) {
@@ -133,17 +166,16 @@
 
 // end records the end of an attempt and sends the next requests.
 func (s *service) end(r waiting.Result) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := time.Now()
 	s.refresh(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.state.Ended(now, r, s.capacity)
 	s.sendWaiting(now)
 }
 
 // sendWaiting lets waiting requests be sent while there is room. s.mu is held.
 func (s *service) sendWaiting(now time.Time) {
-	s.refresh(now)
 	for {
 		next, late := s.state.Next(now, s.capacity)
 		if next == nil {
@@ -162,10 +194,12 @@
 }
 
 func (s *service) checkAgain() {
+	now := time.Now()
+	s.refresh(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recheck = nil
-	s.sendWaiting(time.Now())
+	s.sendWaiting(now)
 }
 
 func (s *service) refuse(need waiting.Need, random float64) waiting.Return {
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -88,17 +88,23 @@
 		return nil
 	}
 	now := time.Now()
+	s := f.stateOf(now, r.Service)
+	if !s.active(now) {
+		return nil
+	}
+	return s
+}
+
+// stateOf returns the state of a service, also of one whose requests never wait, so that its
+// endpoints aren't read for each request.
+func (f *Filter) stateOf(now time.Time, name string) *service {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[r.Service]
+	s := f.services[name]
 	if s == nil {
-		c := readCapacity(now, f.cfg.Pool, f.cfg.Endpoints(r.Service), 0)
-		if c.Slots == 0 {
-			return nil
-		}
 		f.dropUnused(now)
-		s = &service{filter: f, name: r.Service, state: waiting.NewService(c.Slots, f.cfg.FleetSize())}
-		f.services[r.Service] = s
+		s = &service{filter: f, name: name, state: waiting.NewService(0, f.cfg.FleetSize())}
+		f.services[name] = s
 	}
 	s.usedAt = now
 	return s
--- a/internal/waiting/limit.go
+++ b/internal/waiting/limit.go
@@ -56,10 +56,28 @@
 
 // NewLimit returns a limit that starts with the router's share of the slots.
 func NewLimit(slots, routers int) Limit {
-	initial := max(minInitialLimit, initialPerSlot*float64(slots)/float64(max(routers, 1)))
+	initial := initialLimit(slots, routers)
 	return Limit{value: initial, initial: initial}
 }
 
+func initialLimit(slots, routers int) float64 {
+	return max(minInitialLimit, initialPerSlot*float64(slots)/float64(max(routers, 1)))
+}
+
+// Resize updates the router's share of the slots: a router may know none of its peers and few
+// endpoints when it starts. A limit that has grown or was reduced keeps its value, unless
+// the new share is above a limit that was not reduced.
+func (l *Limit) Resize(slots, routers int) {
+	initial := initialLimit(slots, routers)
+	switch {
+	case l.value == l.initial:
+		l.value = initial
+	case l.value > l.initial:
+		l.value = max(l.value, initial)
+	}
+	l.initial = initial
+}
+
 // Value returns the limit, at least 1.
 func (l *Limit) Value() float64 { return max(minLimit, l.value) }
 
--- a/internal/waiting/limit_test.go
+++ b/internal/waiting/limit_test.go
@@ -23,6 +23,21 @@
 	g.Expect(l.Value()).To(BeNumerically("==", minInitialLimit))
 }
 
+// Guards against a limit for the endpoints and routers that were known at the start.
+func TestLimitFollowsTheNumberOfSlotsAndRouters(t *testing.T) {
+	g := NewWithT(t)
+	s := NewService(6, 1)
+	s.Resize(96, 2)
+	g.Expect(s.Limit.Value()).To(BeNumerically("==", 96))
+	s.Resize(96, 12)
+	g.Expect(s.Limit.Value()).To(BeNumerically("==", 16))
+	s.Limit.Refused(epoch, 10)
+	s.Resize(96, 2)
+	g.Expect(s.Limit.Value()).To(BeNumerically("==", 7), "reduced")
+	s.Limit.Restore()
+	g.Expect(s.Limit.Value()).To(BeNumerically("==", 96))
+}
+
 // Guards against a limit that stays low after an overload, or grows without demand.
 func TestLimitGrowsByOneForEachRoundOfAnswersWhileThereIsDemand(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -101,6 +101,9 @@
 	return &Service{Limit: NewLimit(slots, routers)}
 }
 
+// Resize updates the router's share of the slots.
+func (s *Service) Resize(slots, routers int) { s.Limit.Resize(slots, routers) }
+
 const (
 	// restoreAfter is the time without waiting requests after which a reduced limit no longer holds.
 	restoreAfter = time.Second
