--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -235,7 +235,8 @@
 
 // readCapacity sums up what is known of the endpoints that may get requests. others is the rate at
 // which other routers send requests to the service; they see the same free slots, so that a slot
-// that was free some time ago isn't any more.
+// that was free some time ago isn't any more. If a usable endpoint states no slots, it isn't known
+// whether there is capacity, and nothing waits.
 func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint, others float64) waiting.Capacity {
 	var c waiting.Capacity
 	free := 0.0
@@ -244,6 +245,9 @@
 		if v.Weight <= 0 || v.Suspect || v.Load.Leaving || !pool.InService(v.Endpoint) {
 			continue
 		}
+		if v.Load.Slots == 0 {
+			return waiting.Capacity{}
+		}
 		c.Slots += v.Load.Slots
 		if v.ReportedAt.IsZero() || now.Sub(v.ReportedAt) > maxReportAge {
 			continue
--- a/internal/filters/wait/wait_test.go
+++ b/internal/filters/wait/wait_test.go
@@ -165,10 +165,13 @@
 }
 
 // Guards against holding back requests of services with an engine, of services whose endpoints
-// state no slots, and of other kinds.
+// state no slots or do so only in part, and of other kinds.
 func TestOtherRequestsPassOn(t *testing.T) {
 	for name, change := range map[string]func(s *singleRouter, r *request.Request){
 		"engine":   func(_ *singleRouter, r *request.Request) { r.Routes.Table = newSimTable(&route.Engine{Stride: 1}) },
+		"one without slots": func(s *singleRouter, _ *request.Request) {
+			s.candidates = []*bundle.Endpoint{{Name: "e0", Slots: simSlots}, {Name: "x"}}
+		},
 		"no slots": func(s *singleRouter, _ *request.Request) { s.candidates = []*bundle.Endpoint{{Name: "x"}} },
 		"kind":     func(_ *singleRouter, r *request.Request) { r.Kind = wire.KindChat },
 		"unknown":  func(_ *singleRouter, r *request.Request) { r.Service = "other" },
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -14,8 +14,8 @@
 
 // Capacity is what is known of the endpoints of a service.
 type Capacity struct {
-	// Slots is the number of requests that the endpoints run at the same time; 0 if they don't
-	// state it, so that nothing waits.
+	// Slots is the number of requests that the endpoints run at the same time; 0 if one of them
+	// doesn't state it, so that nothing waits.
 	Slots int
 	// Free is the number of slots that recent load reports leave free.
 	Free int
