Evict waiting requests only for one that goes before them and then fits

A request larger than the bound in bytes emptied the queue before it was refused itself. The test of the bound expected that requests are evicted for one that comes after a request which alone uses all bytes; it now expects that this one is refused and the others stay.

--- a/internal/waiting/queue.go
+++ b/internal/waiting/queue.go
@@ -73,18 +73,27 @@
 	return at
 }
 
-// Push adds an item and returns those that no longer fit, the last in order first. They may
-// include the item itself.
+// Push adds an item and returns those that it evicts, the last in order first. It evicts only items
+// that come after the new one. If that isn't enough, it returns the new item alone.
 func (q *Queue) Push(i *Item) (evicted []*Item) {
-	q.seq++
-	i.seq = q.seq
-	q.items = slices.Insert(q.items, q.Position(i.Order), i)
-	q.bytes += i.Bytes
-	for len(q.items) > MaxWaiting || q.bytes > MaxWaitingBytes {
+	at := q.Position(i.Order)
+	kept, bytes := len(q.items), q.bytes+i.Bytes
+	for kept > at && (kept >= MaxWaiting || bytes > MaxWaitingBytes) {
+		kept--
+		bytes -= q.items[kept].Bytes
+	}
+	if kept >= MaxWaiting || bytes > MaxWaitingBytes {
+		return []*Item{i}
+	}
+	for len(q.items) > kept {
 		last := q.items[len(q.items)-1]
 		q.Remove(last)
 		evicted = append(evicted, last)
 	}
+	q.seq++
+	i.seq = q.seq
+	q.items = slices.Insert(q.items, at, i)
+	q.bytes += i.Bytes
 	return evicted
 }
 
