Check the quarantine before a request waits

Quarantined requests waited and were charged to their teams before they were refused. The wait filter stays before the quarantine filter, which takes the time when a request is sent and has to refuse what was quarantined meanwhile; it asks the quarantine before a request waits, by a check that spends no trial.

--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -139,6 +139,18 @@
 	return nil
 }
 
+// CheckBeforeWaiting returns a *QuarantinedError for a request that must not wait for capacity because
+// it is quarantined. Do checks it again once it may be sent.
+func (f *Filter) CheckBeforeWaiting(r *request.Request) error {
+	if f.table.Empty() {
+		return nil
+	}
+	if verdict := f.table.CheckBeforeWaiting(r.Poison()); verdict.Refused {
+		return &QuarantinedError{Evidence: verdict.Evidence, RetryAfter: verdict.RetryAfter}
+	}
+	return nil
+}
+
 func (f *Filter) logTrial(r *request.Request, e poison.Evidence) {
 	line := f.log.Warn().Str(logging.FieldRequest, r.CallerID).Stringer(logging.FieldIdentity, e.Identity).Int("lost", e.LossCount)
 	if e.Part != 0 {
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -28,6 +28,10 @@
 	Endpoints func(service string) []*bundle.Endpoint
 	// FleetSize returns how many routers send requests to the services; nil means only this one.
 	FleetSize func() int
+	// CheckBeforeWaiting is called when a request would have to wait. An error refuses the request
+	// and is returned as it is: a request that must not be sent doesn't take a place in the queue.
+	// nil lets all wait.
+	CheckBeforeWaiting func(r *request.Request) error
 	// Admit is called when a request would have to wait or be refused. pressure is the expected
 	// wait relative to the wait at which the request is refused. An error refuses the request
 	// and is returned as it is. nil admits all.
@@ -65,7 +69,7 @@
 func (*Filter) Name() string { return "wait" }
 
 // Do calls next as soon as an endpoint is expected to have capacity for the request. Its error is
-// a *RefusedError, a *relay.CallerError, that of Config.Admit or that of next.
+// a *RefusedError, a *relay.CallerError, that of Config.CheckBeforeWaiting, Config.Admit or next.
 func (f *Filter) Do(ctx context.Context, r *request.Request, next pipeline.Next) (err error) {
 	s := f.serviceOf(r)
 	if s == nil {
@@ -137,6 +141,11 @@
 	if !outlook.MustWait {
 		return nil
 	}
+	if f.cfg.CheckBeforeWaiting != nil {
+		if err := f.cfg.CheckBeforeWaiting(r); err != nil {
+			return err
+		}
+	}
 	if s.recognizesReturns() {
 		need.Order.Returned = s.returned(uint64(r.Identity()))
 		outlook = s.assess(need)
--- a/internal/filters/wait/wait_test.go
+++ b/internal/filters/wait/wait_test.go
@@ -168,7 +168,7 @@
 // state no slots or do so only in part, and of other kinds.
 func TestOtherRequestsPassOn(t *testing.T) {
 	for name, change := range map[string]func(s *singleRouter, r *request.Request){
-		"engine":   func(_ *singleRouter, r *request.Request) { r.Routes.Table = newSimTable(&route.Engine{Stride: 1}) },
+		"engine": func(_ *singleRouter, r *request.Request) { r.Routes.Table = newSimTable(&route.Engine{Stride: 1}) },
 		"one without slots": func(s *singleRouter, _ *request.Request) {
 			s.candidates = []*bundle.Endpoint{{Name: "e0", Slots: simSlots}, {Name: "x"}}
 		},
@@ -290,6 +290,29 @@
 	})
 }
 
+var errQuarantined = errors.New("quarantined")
+
+// Guards against a request that takes a place in the queue although it must not be sent.
+func TestQuarantinedRequestDoesNotWait(t *testing.T) {
+	quarantined := func(r *request.Request) error {
+		if r.CallerID == "quarantined" {
+			return errQuarantined
+		}
+		return nil
+	}
+	admitted := 0
+	admit := func(*request.Request, float64) error { admitted++; return nil }
+	inSingleRouter(t, func(c *wait.Config) { c.CheckBeforeWaiting, c.Admit = quarantined, admit }, func(g *WithT, s *singleRouter) {
+		s.startAll(places, "/b/")
+		r := s.request("/b/", time.Minute)
+		r.CallerID = "quarantined"
+		s.start(context.Background(), r)
+		g.Expect(s.ended).To(Receive(MatchError(errQuarantined)))
+		g.Expect(admitted).To(BeZero(), "its team is not charged")
+		g.Expect(s.start(context.Background(), s.request("/b/", time.Minute)).Wait.Position).To(BeZero())
+	})
+}
+
 // bound is the number of requests that the queue holds.
 const bound = waiting.MaxWaiting
 
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -104,7 +104,13 @@
 
 // Check returns how to handle a request that is about to be sent to an endpoint. If it
 // lets a quarantined request through, it records that as a trial.
-func (t *Table) Check(req Request) Verdict {
+func (t *Table) Check(req Request) Verdict { return t.check(req, true) }
+
+// CheckBeforeWaiting is Check for a request that is checked again before it is sent: it records no
+// trial, and its verdict is never Trial.
+func (t *Table) CheckBeforeWaiting(req Request) Verdict { return t.check(req, false) }
+
+func (t *Table) check(req Request, sends bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock()
@@ -118,6 +124,9 @@
 		latest.record.refusals++
 		return Verdict{Refused: true, RetryAfter: latest.until.Sub(now), Evidence: evidence}
 	}
+	if !sends {
+		return Verdict{}
+	}
 	for _, h := range quarantined {
 		h.record.addTrial(now)
 		h.record.changedAt = now
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -110,6 +110,21 @@
 	g.Expect(w.events[1]).To(HaveField("Quarantined", BeFalse()))
 }
 
+// Guards against a trial that is spent on a request which only begins to wait for capacity.
+func TestCheckBeforeWaitingRecordsNoTrial(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestFleet()
+	table := w.table("a")
+	for i := range 6 {
+		table.RecordLoss(request(id), Loss{Endpoint: fmt.Sprint("e", i), Sent: w.now, At: w.now.Add(timeToLoss)})
+	}
+	g.Expect(table.CheckBeforeWaiting(request(id)).Refused).To(BeTrue())
+	w.now = w.now.Add(timeToLoss + initialHold + initialHold/staggerDivisor)
+	g.Expect(table.CheckBeforeWaiting(request(id))).To(Equal(Verdict{}))
+	g.Expect(table.Check(request(id)).Trial).To(BeTrue())
+	g.Expect(table.CheckBeforeWaiting(request(id)).Refused).To(BeTrue(), "one trial at a time")
+}
+
 // Counts the endpoints lost in a day to a request that crashes every endpoint and is sent
 // twice a second. Without trials, a request that is harmless by now would never be served
 // again; with one trial a minute it would cost 1,440 endpoints.
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -82,14 +82,15 @@
 	c := rt.cfg.Routing
 	rt.directDispatch = rt.dispatch(rt.cfg.Client)
 	regions := reside.New(c.regionOf())
+	quarantined := rt.quarantine()
 	return pipeline.Compose(
 		match.New(c.Protocol, c.Endpoints, c.MaxKeyAge, rt.cfg.Rand), // selects the route
 		admit.New(c.MaxKeyAge),                             // checks the API key
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions, // applies residency
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
-		rt.wait(),       // holds requests back while their service has no capacity
-		rt.quarantine(), // refuses quarantined requests
+		rt.wait(quarantined), // holds requests back while their service has no capacity
+		quarantined,          // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return regions.Allowed(r, c.Endpoints(r.Service)) },
@@ -99,12 +100,16 @@
 	)
 }
 
-func (rt *Router) wait() *wait.Filter {
+// wait returns the filter that holds requests back. It comes before the quarantine filter, which takes
+// the time when a request is sent and has to know of crashes while the request waited, and asks it
+// before a request waits.
+func (rt *Router) wait(quarantined *quarantine.Filter) *wait.Filter {
 	c := rt.cfg.Routing
 	return wait.New(wait.Config{
 		Pool: rt.cfg.Pool, Endpoints: c.Endpoints, FleetSize: c.FleetSize, Admit: c.AdmitWaiting,
-		Stopping: func() bool { return rt.drain.abortCtx.Err() != nil },
-		Rand:     rt.cfg.Rand, Metrics: rt.cfg.Metrics,
+		CheckBeforeWaiting: quarantined.CheckBeforeWaiting,
+		Stopping:           func() bool { return rt.drain.abortCtx.Err() != nil },
+		Rand:               rt.cfg.Rand, Metrics: rt.cfg.Metrics,
 	})
 }
 
