Decide in one place how a waiting request ends, and answer all that were never sent as not run

At a stop, a request whose place became free waited for its context, and one that became too late at the same moment was still sent. A deadline that ended the wait was answered as 504, which leaves open whether the request ran. The test of a stop now sets Stopping; what it did before, callers that leave, is a test of its own.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/clock"
 	"coveferry/internal/filters/choose"
 	"coveferry/internal/filters/relay"
+	"coveferry/internal/filters/wait"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/retry"
@@ -95,9 +96,12 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(deadlineGraceFor(r)))
 	defer cancel()
 	err := f.retryLoop(ctx, r, next)
+	var neverSent *wait.RefusedError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &neverSent):
+		return err // the request didn't run, also if its deadline has passed
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &DeadlineError{Cause: err}
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/filters/wait/errors.go
+++ b/internal/filters/wait/errors.go
@@ -18,10 +18,15 @@
 	ReasonLate Reason = "late"
 	// ReasonFull means that the queue reached its bound and others go first.
 	ReasonFull Reason = "full"
+	// ReasonStopping means that the router stops and sends nothing any more.
+	ReasonStopping Reason = "stopping"
 	// reasonShare counts what Config.Admit refused.
 	reasonShare = "share"
 )
 
+// retryAfterStop is what callers are told at a stop: other routers serve on, and need no time.
+const retryAfterStop = 100 * time.Millisecond
+
 // RefusedError is a request that was not sent because its service has no capacity for it in time.
 type RefusedError struct {
 	Reason Reason
@@ -41,6 +46,12 @@
 
 // API implements api.Convertible.
 func (e *RefusedError) API() *api.Error {
+	if e.Reason == ReasonStopping {
+		return &api.Error{
+			Status: http.StatusServiceUnavailable, Type: api.TypeUnavailable, Code: "router_stopping",
+			Message: "this router is stopping; others serve on", Run: wire.RunNot, RetryAfter: e.Return.After,
+		}
+	}
 	return &api.Error{
 		Status: http.StatusServiceUnavailable, Type: api.TypeOverloaded, Code: "waiting_" + string(e.Reason),
 		Message: "overloaded: no endpoint has capacity for the request in time", Run: wire.RunNot,
--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 	"coveferry/internal/bundle"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/wait"
+	"coveferry/internal/wire"
 )
 
 // collect returns the results of so many requests.
@@ -71,17 +73,62 @@
 	})
 }
 
-// Guards against waiting requests without an answer when the process stops.
+// Guards against requests that are sent at a stop, get no answer until their contexts end, or are
+// answered as if they may have run.
 func TestEachWaitingRequestIsAnsweredAtAStop(t *testing.T) {
+	var stopping atomic.Bool
+	inSingleRouter(t, func(c *wait.Config) { c.Stopping = stopping.Load }, func(g *WithT, s *singleRouter) {
+		s.startAll(places+bound, "/b/")
+		stopping.Store(true)
+		s.end(1, nil)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(s.entered).To(HaveLen(places))
+		g.Expect(s.ended).To(HaveLen(1 + bound))
+		stopped := 0
+		for _, err := range s.collect(1 + bound) {
+			var refused *wait.RefusedError
+			if errors.As(err, &refused) && refused.Reason == wait.ReasonStopping {
+				stopped++
+			}
+		}
+		g.Expect(stopped).To(Equal(bound))
+		s.start(context.Background(), s.request("/b/", time.Minute))
+		stopping.Store(false)
+		g.Expect(s.entered).To(HaveLen(places+1), "places that were not used are free")
+	})
+}
+
+// Guards against an answer that leaves open whether a request ran which was never sent.
+func TestRequestThatWasNeverSentIsAnsweredAsNotRun(t *testing.T) {
+	for _, reason := range []wait.Reason{wait.ReasonLate, wait.ReasonFull, wait.ReasonStopping} {
+		e := (&wait.RefusedError{Reason: reason}).API()
+		NewWithT(t).Expect(e.Status).To(Equal(503))
+		NewWithT(t).Expect(e.Run).To(Equal(wire.RunNot))
+	}
 	inSingleRouter(t, nil, func(g *WithT, s *singleRouter) {
-		ctx, stop := context.WithCancel(context.Background())
+		s.startAll(places, "/b/")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s.start(ctx, s.request("/b/", time.Minute))
+		var refused *wait.RefusedError
+		err := <-s.ended
+		g.Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+		g.Expect(refused.Reason).To(Equal(wait.ReasonLate))
+	})
+}
+
+// Guards against places that stay taken by requests whose callers left.
+func TestPlacesOfCallersThatLeftAreFree(t *testing.T) {
+	inSingleRouter(t, nil, func(g *WithT, s *singleRouter) {
+		ctx, leave := context.WithCancel(context.Background())
 		for range places + bound {
 			r := s.request("/b/", time.Minute)
 			go func() { s.ended <- s.filter.Do(ctx, r, s.next) }()
 		}
 		synctest.Wait()
 		began := time.Now()
-		stop()
+		leave()
 		synctest.Wait()
 		gone := 0
 		for _, err := range s.collect(places + bound) {
@@ -94,7 +141,7 @@
 		g.Expect(time.Since(began)).To(BeZero())
 		s.startAll(places, "/b/")
 		g.Expect(s.ended).To(BeEmpty())
-		g.Expect(len(s.entered)).To(BeNumerically(">=", 2*places), "all places were given back")
+		g.Expect(len(s.entered)).To(BeNumerically(">=", 2*places))
 	})
 }
 
--- a/internal/filters/wait/metrics.go
+++ b/internal/filters/wait/metrics.go
@@ -19,7 +19,7 @@
 		}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_waiting_refused_total",
-			Help: "Requests refused for lack of capacity at their service: late (not in time any more), full (the queue is full), share (by the shares of teams).",
+			Help: "Requests refused for lack of capacity at their service: late (not in time any more), full (the queue is full), share (by the shares of teams), stopping (the router stops).",
 		}, []string{"reason"}),
 	}
 	if reg != nil {
--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
 	"coveferry/internal/waiting"
@@ -126,25 +128,42 @@
 	s.push(w)
 	tooLate := time.NewTimer(time.Until(outlook.LatestStart))
 	defer tooLate.Stop()
+	var verdict Reason
 	select {
-	case verdict := <-w.verdict:
-		if verdict == "" && s.filter.cfg.Stopping() {
-			<-ctx.Done()
-			s.end(waiting.Result{})
-			return "", ctx.Err()
-		}
-		return verdict, nil
+	case verdict = <-w.verdict:
 	case <-tooLate.C:
-		if s.leave(w) {
-			return ReasonLate, nil
-		}
-		return <-w.verdict, nil // it may be sent since just now
+		verdict = s.withdraw(w)
 	case <-ctx.Done():
-		if !s.leave(w) && <-w.verdict == "" {
-			s.end(waiting.Result{}) // gives back the place that it isn't going to use
-		}
+		verdict = s.withdraw(w)
+	}
+	reason, err := s.conclude(ctx, verdict)
+	if verdict == "" && (reason != "" || err != nil) {
+		s.end(waiting.Result{}) // it was counted as sent
+	}
+	return reason, err
+}
+
+// withdraw takes a request out of the queue as late and returns its verdict. It may have got another
+// one at the same moment.
+func (s *service) withdraw(w *waiter) Reason {
+	if s.leave(w) {
+		return ReasonLate
+	}
+	return <-w.verdict
+}
+
+// conclude returns why a request isn't sent, the error of a caller that left, or neither if the
+// request is to be sent.
+func (s *service) conclude(ctx context.Context, verdict Reason) (Reason, error) {
+	switch {
+	case s.filter.cfg.Stopping():
+		return ReasonStopping, nil
+	case errors.Is(ctx.Err(), context.Canceled):
 		return "", ctx.Err()
+	case ctx.Err() != nil && verdict == "":
+		return ReasonLate, nil
 	}
+	return verdict, nil
 }
 
 func (s *service) push(w *waiter) {
@@ -174,8 +193,12 @@
 	s.sendWaiting(now)
 }
 
-// sendWaiting lets waiting requests be sent while there is room. s.mu is held.
+// sendWaiting lets waiting requests be sent while there is room, and refuses all at a stop. s.mu is
+// held.
 func (s *service) sendWaiting(now time.Time) {
+	for s.filter.cfg.Stopping() && s.state.Queue.Len() > 0 {
+		s.state.Queue.Pop().Value.(*waiter).verdict <- ReasonStopping
+	}
 	for {
 		next, late := s.state.Next(now, s.capacity)
 		if next == nil {
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -36,8 +36,8 @@
 	// wait relative to the wait at which the request is refused. An error refuses the request
 	// and is returned as it is. nil admits all.
 	Admit func(r *request.Request, pressure float64) error
-	// Stopping reports whether all open requests are being aborted: their contexts end now, one
-	// after the other, and places that become free are not used any more. nil means never.
+	// Stopping reports whether all open requests are being aborted. Waiting requests are refused
+	// then, without waiting for their contexts to end. nil means never.
 	Stopping func() bool
 	// Rand returns random numbers from [0, 1).
 	Rand    func() float64
@@ -175,6 +175,10 @@
 
 // refuse returns the error of a request that isn't sent.
 func (f *Filter) refuse(s *service, r *request.Request, need waiting.Need, outlook waiting.Assessment, reason Reason) error {
+	if reason == ReasonStopping {
+		f.metrics.refused.WithLabelValues(string(reason)).Inc()
+		return &RefusedError{Reason: reason, Return: waiting.Return{After: retryAfterStop}}
+	}
 	back := s.refuse(need, f.cfg.Rand())
 	if back.Promised {
 		s.remember(uint64(r.Identity()), back.After)
