Shrink the limit only on refusals for lack of capacity

Rate limits, pauses and refusals by an endpoint that contradicts its load shrank it too, so that one such endpoint held requests back from the others. A refusal now counts if no other endpoint is believed to have a free slot, and slots stated by distrusted endpoints don't count as free.

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -171,16 +171,20 @@
 	return errors.As(err, &refused) && refused.Reason == string(sched.ReasonQueueFull)
 }
 
-// recordContradiction records a refusal for lack of room whose answer names no other reason: a pause,
-// a rate limit, a cold engine or a release.
+// recordContradiction records a refusal for lack of room that may contradict the endpoint's load.
 func recordContradiction(account *balance.TrackedRequest, r *request.Request, err error) {
+	if RefusedForLackOfRoom(r, err) {
+		account.ContradictedLoad(time.Now(), r.Signals.Load, r.Endpoint.Slots)
+	}
+}
+
+// RefusedForLackOfRoom reports whether an endpoint without an agent refused the attempt for lack of
+// room and its answer names no other reason: a pause, a rate limit, a cold engine or a release.
+func RefusedForLackOfRoom(r *request.Request, err error) bool {
 	var refused *RefusedError
 	s := r.Signals
 	otherReason := s.Leaving || s.Backoff > 0 || s.Cold > 0 || s.RateLimit.Kind != upstream.LimitNone
-	if otherReason || !errors.As(err, &refused) || !refused.lacksRoom {
-		return
-	}
-	account.ContradictedLoad(time.Now(), s.Load, r.Endpoint.Slots)
+	return !otherReason && errors.As(err, &refused) && refused.LacksRoom
 }
 
 func directRefusal(status int, reply upstream.Reply) error {
@@ -194,7 +198,7 @@
 		refusal.Reason = string(sched.ReasonQueueFull)
 	}
 	lacksRoom := refusal.Reason == string(sched.ReasonQueueFull) && status == http.StatusServiceUnavailable
-	return &RefusedError{Refusal: refusal, lacksRoom: lacksRoom}
+	return &RefusedError{Refusal: refusal, LacksRoom: lacksRoom}
 }
 
 // directRequest returns the caller's request with the headers of the protocol added.
--- a/internal/filters/dispatch/errors.go
+++ b/internal/filters/dispatch/errors.go
@@ -17,8 +17,8 @@
 // RefusedError is an agent's refusal of an attempt.
 type RefusedError struct {
 	wire.Refusal
-	// lacksRoom is set if an endpoint without an agent refused the attempt with a 503.
-	lacksRoom bool
+	// LacksRoom is set if an endpoint without an agent refused the attempt with a 503.
+	LacksRoom bool
 }
 
 // Error implements error.
--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -37,8 +37,10 @@
 	mu          sync.Mutex
 	state       *waiting.Service
 	capacity    waiting.Capacity
-	readAgainAt time.Time   // when capacity is too old
-	recheck     *time.Timer // nil if nothing waits
+	endpoints   []*bundle.Endpoint // that capacity was read of
+	free        []float64          // free slots by endpoint
+	readAgainAt time.Time          // when capacity is too old
+	recheck     *time.Timer        // nil if nothing waits
 }
 
 // waiter is a request in the queue. verdict receives the reason for refusing it, empty if it may
@@ -66,11 +68,12 @@
 		return // another request has read it
 	}
 	endpoints, routers := s.filter.cfg.Endpoints(s.name), s.filter.cfg.FleetSize()
-	capacity := readCapacity(now, s.filter.cfg.Pool, endpoints, rate*float64(routers-1))
+	capacity, free := readCapacity(now, s.filter.cfg.Pool, endpoints, rate*float64(routers-1))
 	age := capacityAge * time.Duration(1+len(endpoints)/endpointsPerAge)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.capacity, s.readAgainAt = capacity, now.Add(age)
+	s.endpoints, s.free = endpoints, free
 	s.state.Resize(capacity.Slots, routers)
 }
 
@@ -138,7 +141,7 @@
 	}
 	reason, err := s.conclude(ctx, verdict)
 	if verdict == "" && (reason != "" || err != nil) {
-		s.end(waiting.Result{}) // it was counted as sent
+		s.end(waiting.Result{}, nil) // it was counted as sent
 	}
 	return reason, err
 }
@@ -176,6 +179,18 @@
 	s.sendWaiting(time.Now()) // a place may have become free since the request was assessed
 }
 
+// freeElsewhere returns the free slots of other endpoints than one that refused a request, which may
+// state that it has some. s.mu is held.
+func (s *service) freeElsewhere(refusing *bundle.Endpoint) int {
+	free := 0.0
+	for i, e := range s.endpoints {
+		if refusing == nil || e.Name != refusing.Name {
+			free += s.free[i]
+		}
+	}
+	return min(s.capacity.Free, int(free))
+}
+
 // leave takes a request out of the queue and reports whether it was still there.
 func (s *service) leave(w *waiter) bool {
 	s.mu.Lock()
@@ -183,13 +198,18 @@
 	return s.state.Queue.Remove(&w.item)
 }
 
-// end records the end of an attempt and sends the next requests.
-func (s *service) end(r waiting.Result) {
+// end records the end of an attempt at an endpoint, nil if there was none, and sends the next
+// requests.
+func (s *service) end(r waiting.Result, at *bundle.Endpoint) {
 	now := time.Now()
 	s.refresh(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state.Ended(now, r, s.capacity)
+	c := s.capacity
+	if r.Full {
+		c.Free = s.freeElsewhere(at)
+	}
+	s.state.Ended(now, r, c)
 	s.sendWaiting(now)
 }
 
@@ -258,18 +278,19 @@
 
 // readCapacity sums up what is known of the endpoints that may get requests. others is the rate at
 // which other routers send requests to the service; they see the same free slots, so that a slot
-// that was free some time ago isn't any more. If a usable endpoint states no slots, it isn't known
+// that was free some time ago isn't any more. The slots that an endpoint states whose refusals contradict
+// its load don't count as free. If a usable endpoint states no slots, it isn't known
 // whether there is capacity, and nothing waits.
-func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint, others float64) waiting.Capacity {
-	var c waiting.Capacity
-	free := 0.0
+func readCapacity(now time.Time, pool *balance.Pool, endpoints []*bundle.Endpoint, others float64) (c waiting.Capacity, free []float64) {
+	total := 0.0
+	free = make([]float64, len(endpoints))
 	othersPerEndpoint := others / float64(max(len(endpoints), 1))
-	for _, v := range pool.Views(now, endpoints) {
+	for i, v := range pool.Views(now, endpoints) {
 		if v.Weight <= 0 || v.Suspect || v.Load.Leaving || !pool.InService(v.Endpoint) {
 			continue
 		}
 		if v.Load.Slots == 0 {
-			return waiting.Capacity{}
+			return waiting.Capacity{}, free
 		}
 		c.Slots += v.Load.Slots
 		if v.ReportedAt.IsZero() || now.Sub(v.ReportedAt) > maxReportAge {
@@ -278,11 +299,12 @@
 		queued := v.Load.TotalQueued()
 		c.Reported = true
 		c.Queued = c.Queued || queued > 0
-		if !v.Full {
+		if !v.Full && !v.Distrusted {
 			unreported := float64(v.OwnUnreported) + othersPerEndpoint*now.Sub(v.ReportedAt).Seconds()
-			free += max(0, float64(v.Load.Slots-v.Load.TotalRunning()-queued)-unreported)
+			free[i] = max(0, float64(v.Load.Slots-v.Load.TotalRunning()-queued)-unreported)
+			total += free[i]
 		}
 	}
-	c.Free = int(free)
-	return c
+	c.Free = int(total)
+	return c, free
 }
--- a/internal/filters/wait/sim_test.go
+++ b/internal/filters/wait/sim_test.go
@@ -74,7 +74,7 @@
 		return load.Report{}, &dispatch.NoResponseError{Sent: true, Cause: errBroken}
 	}
 	if e.running == simSlots && e.queued == simQueue {
-		return e.report(), &dispatch.RefusedError{Refusal: wire.Refusal{Run: wire.RunNot, Reason: string(sched.ReasonQueueFull)}}
+		return e.report(), &dispatch.RefusedError{Refusal: wire.Refusal{Run: wire.RunNot, Reason: string(sched.ReasonQueueFull)}, LacksRoom: true}
 	}
 	e.queued++
 	e.mu.Unlock()
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/balance"
@@ -16,7 +15,6 @@
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
-	"coveferry/internal/sched"
 	"coveferry/internal/waiting"
 	"coveferry/internal/wire"
 )
@@ -79,7 +77,7 @@
 		return err
 	}
 	sent := time.Now()
-	defer func() { s.end(resultOf(r, sent, err)) }()
+	defer func() { s.end(resultOf(r, sent, err), r.Endpoint) }()
 	return next(ctx, r)
 }
 
@@ -189,10 +187,9 @@
 
 // resultOf returns how an attempt ended. Only whole answers tell how long answers take.
 func resultOf(r *request.Request, sent time.Time, err error) waiting.Result {
-	var refused *dispatch.RefusedError
 	switch {
-	case errors.As(err, &refused):
-		return waiting.Result{Full: refused.Reason == string(sched.ReasonQueueFull)}
+	case dispatch.RefusedForLackOfRoom(r, err):
+		return waiting.Result{Full: true}
 	case err != nil:
 		return waiting.Result{}
 	}
--- a/internal/filters/wait/wait_test.go
+++ b/internal/filters/wait/wait_test.go
@@ -11,14 +11,17 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/filters/dispatch"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/wait"
 	"coveferry/internal/load"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/route"
+	"coveferry/internal/sched"
 	"coveferry/internal/waiting"
 	"coveferry/internal/wire"
 )
@@ -49,8 +52,9 @@
 type singleRouter struct {
 	*simFleet
 	gate
-	filter *wait.Filter
-	ended  chan error
+	filter  *wait.Filter
+	metrics *prometheus.Registry // nil if unused
+	ended   chan error
 }
 
 // newSingleRouter returns a filter of a single router.
@@ -313,6 +317,47 @@
 	})
 }
 
+// limit returns the limit on the requests in flight.
+func (s *singleRouter) limit(g *WithT) float64 {
+	return gather(g, s.metrics)["coveferry_router_inflight_limit"]
+}
+
+// Guards against a limit that shrinks although there is capacity: an endpoint refuses by its rate
+// limit, asks for a pause, or refuses requests while another one has free slots.
+func TestOnlyRefusalsForLackOfCapacityShrinkTheLimit(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	inSingleRouter(t, func(c *wait.Config) { c.Metrics = reg }, func(g *WithT, s *singleRouter) {
+		s.metrics = reg
+		refusal := func(lacksRoom bool) error {
+			return &dispatch.RefusedError{Refusal: wire.Refusal{Run: wire.RunNot, Reason: string(sched.ReasonQueueFull)}, LacksRoom: lacksRoom}
+		}
+		refuse := func(err error, prepare func(r *request.Request)) {
+			time.Sleep(time.Second)
+			r := s.request("/b/", time.Minute)
+			r.Endpoint = s.candidates[0]
+			prepare(r)
+			s.start(context.Background(), r)
+			s.end(1, err)
+			g.Expect(<-s.ended).To(MatchError(err))
+		}
+		nothing := func(*request.Request) {}
+		refuse(refusal(false), nothing)
+		g.Expect(s.limit(g)).To(BeNumerically("==", places), "429")
+		refuse(refusal(true), func(r *request.Request) { r.Signals.Backoff = time.Second })
+		g.Expect(s.limit(g)).To(BeNumerically("==", places), "asks for a pause")
+		idle := func(endpoint string) func(*request.Request) {
+			return func(*request.Request) {
+				s.routers[0].seq++
+				s.routers[0].pool.Report(time.Now(), endpoint, load.Report{Slots: simSlots, Seq: s.routers[0].seq})
+			}
+		}
+		refuse(refusal(true), idle("e1"))
+		g.Expect(s.limit(g)).To(BeNumerically("==", places), "another endpoint has free slots")
+		refuse(refusal(true), idle("e0"))
+		g.Expect(s.limit(g)).To(BeNumerically("<", places), "only the one that refuses states free slots")
+	})
+}
+
 // bound is the number of requests that the queue holds.
 const bound = waiting.MaxWaiting
 
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -210,10 +210,12 @@
 	s.sentAt = now
 }
 
-// Ended records that a request ended. Failures other than refusals for
-// lack of capacity don't change the limit.
+// Ended records that a request ended. After a refusal, c.Free counts the free slots of the other
+// endpoints: if there are any, the endpoint refused for itself, and the limit stays. Other failures
+// don't change the limit either.
 func (s *Service) Ended(now time.Time, r Result, c Capacity) {
 	switch {
+	case r.Full && c.Free > 0:
 	case r.Full:
 		s.fullAt = now
 		s.Limit.Refused(now, s.Inflight)
