--- a/internal/waiting/promises_test.go
+++ b/internal/waiting/promises_test.go
@@ -32,6 +32,51 @@
 	}
 }
 
+// Guards against callers with long deadlines that take all returns which callers with short deadlines
+// could use.
+func TestLongDeadlinesLeaveReturnsForShortOnes(t *testing.T) {
+	g := NewWithT(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var p Promises
+	const rate = 100.0
+	inFirstSecond := 0
+	count := func(r Return) {
+		if r.Promised && r.After <= time.Second {
+			inFirstSecond++
+		}
+	}
+	for range 300 {
+		count(p.Add(epoch, 0, time.Minute, rate, rnd.Float64()))
+	}
+	short := p.Add(epoch, 0, 800*time.Millisecond, rate, rnd.Float64())
+	count(short)
+	g.Expect(short.Promised).To(BeTrue())
+	for range 300 {
+		count(p.Add(epoch, 0, 800*time.Millisecond, rate, rnd.Float64()))
+		count(p.Add(epoch, 0, 3*time.Second, rate, rnd.Float64()))
+	}
+	g.Expect(inFirstSecond).To(BeNumerically("<=", 0.7*rate), "of all groups together")
+}
+
+// Guards against refusals that each take time in proportion to the promises that are remembered.
+func TestRememberingIsFastWhenFull(t *testing.T) {
+	var p Promises
+	for i := range uint64(maxPromises) {
+		p.Remember(epoch, i, epoch.Add(time.Hour))
+	}
+	const n = 20_000
+	began := time.Now()
+	for i := range uint64(n) {
+		p.Remember(epoch, maxPromises+i, epoch.Add(time.Hour))
+	}
+	took := time.Since(began) / n
+	t.Logf("%s each", took)
+	NewWithT(t).Expect(took).To(BeNumerically("<", 10*time.Microsecond))
+	NewWithT(t).Expect(p.Remembered()).To(Equal(maxPromises))
+	NewWithT(t).Expect(len(p.order)).To(BeNumerically("<=", 2*maxPromises))
+	NewWithT(t).Expect(p.Returned(epoch.Add(time.Hour), maxPromises+n-1)).To(BeTrue(), "the latest are remembered")
+}
+
 // Guards against unpromised returns that come back at one moment, or beyond a third of the
 // caller's time.
 func TestReturnsWithoutAPromiseAreSpread(t *testing.T) {
