--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -168,16 +168,28 @@
 	})
 }
 
-// Guards against one lost endpoint that keeps requests from the others.
+// Guards against one lost endpoint that keeps requests from the others: requests that wait, are refused
+// for lack of capacity, or are lost more often than without the filter.
 func TestRequestsAreServedWhenOneEndpointFails(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		f := newSimFleet(3, true)
-		f.endpoints["e0"].broken = true
-		var group sync.WaitGroup
-		f.sendAtRate(0.4, 3*time.Second, rand.New(rand.NewPCG(2, 3)), &group)
-		group.Wait()
-		NewWithT(t).Expect(f.maxWaited).To(BeZero(), f.String())
-	})
+	simulate := func(waiting bool) (f *simFleet) {
+		inBubble(t, func(*testing.T) {
+			f = newSimFleet(3, waiting)
+			f.endpoints["e0"].broken = true
+			var group sync.WaitGroup
+			f.sendAtRate(0.4, 3*time.Second, rand.New(rand.NewPCG(2, 3)), &group)
+			group.Wait()
+			t.Log(f)
+		})
+		return f
+	}
+	with, without := simulate(true), simulate(false)
+	g := NewWithT(t)
+	g.Expect(with.maxWaited).To(BeZero())
+	g.Expect(with.returned).To(BeZero(), "refused for lack of capacity")
+	g.Expect(with.refusedByEndpoint).To(BeZero())
+	g.Expect(with.served).To(BeNumerically(">=", 0.97*float64(with.arrivals)))
+	g.Expect(with.inTime).To(Equal(with.served))
+	g.Expect(with.refused).To(BeNumerically("<=", without.refused))
 }
 
 // Guards against waiting requests that a new configuration leaves without an answer: their
--- a/internal/router/routed_waiting_test.go
+++ b/internal/router/routed_waiting_test.go
@@ -90,6 +90,7 @@
 		got := <-waits
 		g.Expect(got.status).To(Equal(503))
 		g.Expect(got.body).To(ContainSubstring("router_stopping"))
+		g.Expect(got.body).To(ContainSubstring("others serve on"))
 		g.Expect(got.body).NotTo(ContainSubstring("may have run"))
 		g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 		for range waitingPlaces {
