--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -213,7 +213,7 @@
 	s.sendWaiting(now)
 }
 
-// sendWaiting lets waiting requests be sent while there is room, and refuses all at a stop. s.mu is
+// sendWaiting sends waiting requests while there is room, and refuses all at a stop. s.mu is
 // held.
 func (s *service) sendWaiting(now time.Time) {
 	for s.filter.cfg.Stopping() && s.state.Queue.Len() > 0 {
--- a/internal/filters/wait/wait_test.go
+++ b/internal/filters/wait/wait_test.go
@@ -29,7 +29,7 @@
 // places is the initial limit of a single router.
 const places = 2 * simEndpoints * simSlots
 
-// gate is the rest of a filter chain, in which requests stay until they are let go.
+// gate is the rest of a filter chain, in which requests stay until the test ends them.
 type gate struct {
 	mu      sync.Mutex
 	entered []*request.Request
@@ -103,7 +103,7 @@
 	synctest.Wait()
 }
 
-// end lets requests go with a result.
+// end ends requests with a result.
 func (s *singleRouter) end(n int, err error) {
 	for range n {
 		s.release <- err
@@ -111,7 +111,7 @@
 	}
 }
 
-// finish lets all requests go.
+// finish ends all requests.
 func (s *singleRouter) finish() {
 	for {
 		select {
@@ -149,7 +149,7 @@
 }
 
 // Guards against a filter that changes the choice of endpoints where it isn't needed.
-func TestChoicesAreTheSameAsWithoutTheFilter(t *testing.T) {
+func TestFilterDoesNotChangeChoicesWithoutShortage(t *testing.T) {
 	choices := func(waiting bool) (names []string) {
 		inBubble(t, func(t *testing.T) {
 			f := newSimFleet(1, waiting)
@@ -170,7 +170,7 @@
 
 // Guards against holding back requests of services with an engine, of services whose endpoints
 // state no slots or do so only in part, and of other kinds.
-func TestOtherRequestsPassOn(t *testing.T) {
+func TestRequestsOfOtherServicesAreNotHeldBack(t *testing.T) {
 	for name, change := range map[string]func(s *singleRouter, r *request.Request){
 		"engine": func(_ *singleRouter, r *request.Request) { r.Routes.Table = newSimTable(&route.Engine{Stride: 1}) },
 		"one without slots": func(s *singleRouter, _ *request.Request) {
@@ -196,7 +196,7 @@
 }
 
 // Guards against a retry that waits behind new requests or takes a second place.
-func TestRetryKeepsItsPlace(t *testing.T) {
+func TestRetryNeitherWaitsNorTakesASecondPlace(t *testing.T) {
 	inSingleRouter(t, nil, func(g *WithT, s *singleRouter) {
 		s.startAll(places, "/b/")
 		s.startAll(3, "/b/")
@@ -213,7 +213,7 @@
 }
 
 // Guards against callers that left and still take a place in the queue or at an endpoint.
-func TestCallerThatLeftIsDroppedAtOnce(t *testing.T) {
+func TestCallerThatLeftTakesNoPlace(t *testing.T) {
 	inSingleRouter(t, nil, func(g *WithT, s *singleRouter) {
 		s.startAll(places, "/b/")
 		ctx, leave := context.WithCancel(context.Background())
@@ -232,7 +232,7 @@
 }
 
 // Guards against urgent requests that wait behind others.
-func TestMoreUrgentRequestIsSentFirst(t *testing.T) {
+func TestUrgentRequestDoesNotWaitBehindOthers(t *testing.T) {
 	inSingleRouter(t, nil, func(g *WithT, s *singleRouter) {
 		s.startAll(places, "/b/")
 		low := s.start(context.Background(), s.request("/d/", time.Minute))
--- a/internal/waiting/limit_test.go
+++ b/internal/waiting/limit_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against a router that holds requests back before it knows anything of the service.
-func TestLimitStartsWithTheShareOfTheSlotsAndAtLeastAFew(t *testing.T) {
+func TestLimitDoesNotHoldFirstRequestsBack(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLimit(24, 2)
 	g.Expect(l.Value()).To(BeNumerically("==", 24))
@@ -24,7 +24,7 @@
 }
 
 // Guards against a limit for the endpoints and routers that were known at the start.
-func TestLimitFollowsTheNumberOfSlotsAndRouters(t *testing.T) {
+func TestLimitDoesNotKeepTheSlotsAndRoutersKnownAtTheStart(t *testing.T) {
 	g := NewWithT(t)
 	s := NewService(6, 1)
 	s.Resize(96, 2)
@@ -39,7 +39,7 @@
 }
 
 // Guards against a limit that stays low after an overload, or grows without demand.
-func TestLimitGrowsByOneForEachRoundOfAnswersWhileThereIsDemand(t *testing.T) {
+func TestLimitNeitherStaysLowNorGrowsWithoutDemand(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLimit(24, 3)
 	for range 16 {
@@ -53,7 +53,7 @@
 }
 
 // Guards against a collapse of the limit when many requests that were sent at once are refused.
-func TestLimitShrinksOnceInARoundTrip(t *testing.T) {
+func TestLimitDoesNotCollapseOnRefusalsOfOneRoundTrip(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLimit(50, 1)
 	l.Served(epoch, fast, objective, true, false)
--- a/internal/waiting/promises_test.go
+++ b/internal/waiting/promises_test.go
@@ -59,7 +59,7 @@
 }
 
 // Guards against refusals that each take time in proportion to the promises that are remembered.
-func TestRememberingIsFastWhenFull(t *testing.T) {
+func TestRememberingDoesNotScanAllPromises(t *testing.T) {
 	var p Promises
 	for i := range uint64(maxPromises) {
 		p.Remember(epoch, i, epoch.Add(time.Hour))
@@ -79,7 +79,7 @@
 
 // Guards against unpromised returns that come back at one moment, or beyond a third of the
 // caller's time.
-func TestReturnsWithoutAPromiseAreSpread(t *testing.T) {
+func TestUnpromisedReturnsDoNotCoincide(t *testing.T) {
 	g := NewWithT(t)
 	var p Promises
 	g.Expect(p.Add(epoch, time.Second, 900*time.Millisecond, 10, 0)).To(Equal(Return{After: 150 * time.Millisecond}))
--- a/internal/waiting/queue_test.go
+++ b/internal/waiting/queue_test.go
@@ -53,7 +53,7 @@
 
 // Guards against a queue that grows without bound, and against urgent requests that are refused
 // while others keep their place.
-func TestFullQueueGivesUpTheLowestTierAndLatestDeadline(t *testing.T) {
+func TestFullQueueDoesNotRefuseUrgentRequestsBeforeOthers(t *testing.T) {
 	g := NewWithT(t)
 	var q Queue
 	push := func(tier int, deadline time.Duration, bytes int) []*Item {
