--- a/internal/waiting/promises.go
+++ b/internal/waiting/promises.go
@@ -55,7 +55,7 @@
 // Promises schedules the returns of refused callers, so that they don't exceed the rate at which
 // places become free.
 type Promises struct {
-	// next is, for each group, the earliest time that is not promised yet. With one schedule, a few
+	// next is, for each group, the earliest time that is not promised yet. With one schedule, 300
 	// callers with long deadlines took all times that others could have used.
 	next [returnGroups]time.Time
 	// returns holds the time from which a request counts as returned, by its identity.
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -111,7 +111,8 @@
 	// at which routers exchange reports.
 	idleAfter = 250 * time.Millisecond
 	// shortageMemory is how long the limit is enforced after endpoints last showed that they had no
-	// free slot. Most answers of plain services, which show it again, take less.
+	// free slot. It is longer than the answers of the small plain service (60 ms of work, route
+	// timeouts up to 2 s), whose reports show a shortage again.
 	shortageMemory = 3 * time.Second
 )
 
@@ -133,8 +134,8 @@
 }
 
 // short reports whether endpoints showed within shortageMemory that they had no free slot. Old or
-// missing reports don't show it: with a limit of 8, an idle service made 12 of the first 20 requests
-// wait.
+// missing reports don't show it: an idle service at 100 routers made a first burst of 20 requests wait
+// for up to 120 ms.
 func (s *Service) short(now time.Time) bool {
 	return !s.fullAt.IsZero() && now.Sub(s.fullAt) < shortageMemory
 }
