--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -226,6 +226,7 @@
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			Shares:                 d.shares,
+			FleetSize:              d.fleetSize,
 			ShouldCloseConnections: func() bool { return !d.isReady() },
 		},
 	})
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -18,6 +18,7 @@
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/reside"
 	"coveferry/internal/filters/resume"
+	"coveferry/internal/filters/wait"
 	"coveferry/internal/logging"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
@@ -42,6 +43,11 @@
 	MaxKeyAge func() time.Duration
 	// Streams knows where streams began; nil if endpoints have no software versions.
 	Streams resume.Streams
+	// FleetSize returns the number of routers that send requests to the same endpoints; nil means
+	// only this one.
+	FleetSize func() int
+	// AdmitWaiting is wait.Config.Admit.
+	AdmitWaiting func(r *request.Request, pressure float64) error
 	// ShouldCloseConnections reports whether callers are better served by other routers, for example
 	// because this one will soon have to refuse their keys. Their connections close after the
 	// next answer. nil means never.
@@ -79,6 +85,7 @@
 	c := rt.cfg.Routing
 	rt.directDispatch = rt.dispatch(rt.cfg.Client)
 	regions := reside.New(c.regionOf())
+	quarantined := rt.quarantine()
 	return pipeline.Compose(
 		match.New(c.Protocol, c.Endpoints, c.MaxKeyAge, rt.cfg.Rand), // selects the route
 		admit.New(c.MaxKeyAge),                             // checks the API key
@@ -86,7 +93,8 @@
 		regions,         // applies residency
 		choose.Settle{}, // corrects what teams were charged
 		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
-		rt.quarantine(), // refuses quarantined requests
+		rt.wait(quarantined), // holds requests back while their service has no capacity
+		quarantined,          // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
 			Pool: rt.cfg.Pool, IgnoreKeys: true, RefuseLateFactor: refuseLateFactor, Shares: c.Shares, Metrics: rt.cfg.Metrics,
 			Latest: func(r *request.Request) []*bundle.Endpoint { return regions.Allowed(r, c.Endpoints(r.Service)) },
@@ -96,6 +104,19 @@
 	)
 }
 
+// wait returns the filter that holds requests back. It comes before the quarantine filter, which takes
+// the time when a request is sent and has to know of crashes while the request waited, and asks it
+// before a request waits.
+func (rt *Router) wait(quarantined *quarantine.Filter) *wait.Filter {
+	c := rt.cfg.Routing
+	return wait.New(wait.Config{
+		Pool: rt.cfg.Pool, Endpoints: c.Endpoints, FleetSize: c.FleetSize, Admit: c.AdmitWaiting,
+		CheckBeforeWaiting: quarantined.CheckBeforeWaiting,
+		Stopping:           func() bool { return rt.drain.abortCtx.Err() != nil },
+		Rand:               rt.cfg.Rand, Metrics: rt.cfg.Metrics,
+	})
+}
+
 func (rt *Router) acceptsWork(endpoint string) bool {
 	return rt.cfg.Pool.AcceptsWork(time.Now(), endpoint)
 }
@@ -167,12 +188,13 @@
 	var late *choose.LateError
 	var share *choose.ShareError
 	var quarantined *quarantine.QuarantinedError
+	var noCapacity *wait.RefusedError
 	var noEndpoint *choose.Error
 	if errors.As(err, &noEndpoint) {
 		_, known := noEndpoint.AvailableIn()
 		return known
 	}
-	return errors.As(err, &late) || errors.As(err, &share) || errors.As(err, &quarantined)
+	return errors.As(err, &late) || errors.As(err, &share) || errors.As(err, &noCapacity) || errors.As(err, &quarantined)
 }
 
 // safeStatus replaces statuses that callers take as a guarantee that the request didn't run,
@@ -218,6 +240,7 @@
 		Dur("left", time.Until(r.Deadline)).Dur("first", timeToFirstPart(r))
 	addLostEndpoints(log, r)
 	addWithheld(log, r)
+	addWait(log, r)
 	addResumption(log, r)
 	if r.Share.Limiting {
 		log.Float64("team_load", r.Share.Load).Float64("fair_level", r.Share.Level)
@@ -231,6 +254,13 @@
 	}
 }
 
+// addWait logs how the request waited for capacity.
+func addWait(log *zerolog.Event, r *request.Request) {
+	if r.Wait != (request.Wait{}) {
+		log.Dur("waited", r.Wait.Waited).Float64("limit", r.Wait.Limit).Int("position", r.Wait.Position)
+	}
+}
+
 // addResumption logs which stream a request resumes, and after which event.
 func addResumption(log *zerolog.Event, r *request.Request) {
 	if r.Resumes != "" {
