--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -57,6 +57,9 @@
 	if !Valid(percent) {
 		return false
 	}
+	if len(e.readings) > 0 && at.Sub(e.LastReading()) > retention {
+		*e = Estimator{} // the earlier pace is unknown by now, and a single reading doesn't confirm it
+	}
 	if e.start.IsZero() {
 		e.start = at
 	}
@@ -81,6 +84,7 @@
 	recent := e.recent()
 	span := recent[len(recent)-1].at - recent[0].at
 	if len(recent) < minReadings || span < minSpan {
+		e.percent, e.class = 0, classifier{}
 		return false
 	}
 	percents := make([]float32, 0, maxReadings)
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -125,6 +125,37 @@
 	g.Expect(e.At(at(31_500))).To(Equal(Estimate{}))
 }
 
+// Guards against an expired pace that applies again after a single new reading.
+func TestExpiredPaceDoesNotReturnWithOneReading(t *testing.T) {
+	for _, ms := range []int{31_500, 29_000, 3_600_000} {
+		g := NewWithT(t)
+		var e Estimator
+		for _, earlier := range []int{-2000, -1000, 0} {
+			e.Add(at(earlier), 170)
+		}
+		g.Expect(e.At(at(0)).Factor).To(BeNumerically("~", 1.7, 1e-6))
+		e.Add(at(ms), 70)
+		if ms > 30_000 {
+			g.Expect(e.At(at(ms))).To(Equal(Estimate{}))
+		}
+		e.Add(at(ms+1000), 70)
+		e.Add(at(ms+2000), 70)
+		g.Expect(e.At(at(ms+2000)).Factor).To(BeNumerically("~", 0.7, 1e-6))
+		g.Expect(e.At(at(ms+2000)).Class).To(Equal(classOf(0.7)))
+	}
+}
+
+// Guards against an estimate that holds although most readings behind it are older than the retention.
+func TestTooFewReadingsWithinTheRetentionClearThePace(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for _, ms := range []int{0, 5000, 10_000} {
+		e.Add(at(ms), 170)
+	}
+	e.Add(at(39_000), 70)
+	g.Expect(e.At(at(39_000))).To(Equal(Estimate{}))
+}
+
 // An idle endpoint is asked every 5 s, and a busy one states its pace anew when it was idle.
 func TestSparseReadingsCount(t *testing.T) {
 	g := NewWithT(t)
