--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -67,20 +67,20 @@
 		var changed bool
 		var estimate pace.Estimate
 		if st, ok := sh.states[s.Endpoint]; ok && dated {
-			changed, estimate = st.applyPeerLoad(at, s), st.pace.At(at)
+			changed, estimate = st.applyPeerLoad(sentAt, at, s), st.pace.At(sentAt)
 		}
 		sh.mu.Unlock()
 		p.notifyPace(changed, s.Endpoint, estimate)
 	}
 }
 
-// applyPeerLoad applies a load report that another router received at the given time, and reports
-// whether it changed the class of the endpoint's pace.
-func (st *state) applyPeerLoad(at time.Time, s LoadSummary) (paceChanged bool) {
+// applyPeerLoad applies a load report that another router received at the given time and sent at
+// sentAt, and reports whether it changed the class of the endpoint's pace.
+func (st *state) applyPeerLoad(sentAt, at time.Time, s LoadSummary) (paceChanged bool) {
 	if at.Before(st.restartedAt) {
 		return false
 	}
-	paceChanged = st.pace.Add(at, float64(s.WorkPercent)) // also if it is older: each shows another moment
+	paceChanged = st.pace.AddFromPeer(sentAt, at, float64(s.WorkPercent)) // also if it is older: each shows another moment
 	if !at.After(st.reportedAt) {
 		return paceChanged
 	}
--- a/internal/balance/preferred_test.go
+++ b/internal/balance/preferred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -151,3 +152,21 @@
 	loads := p.RecentLoads(epoch.Add(3*time.Second), time.Second, 1, true)
 	g.Expect(loads[0].WorkPercent).To(Equal(172))
 }
+
+// Guards against a peer's reading of a huge age that dates the estimator's start, so that the times of
+// all later readings overflow.
+func TestPeerReadingOfAHugeAgeDoesNotDisableTheEstimator(t *testing.T) {
+	const maxMillis = math.MaxInt64 / int64(time.Millisecond)
+	for _, millis := range []int64{30_001, 3_600_000, maxMillis / 2, maxMillis} {
+		g := NewWithT(t)
+		all := newEndpoints(1)
+		p := NewPool(Config{Policy: NewPromptAware()})
+		p.Views(epoch, all)
+		p.ApplyPeerLoads(epoch, []LoadSummary{{Endpoint: all[0].Name, WorkPercent: 70, AgeMillis: millis}})
+		g.Expect(p.PaceStated(epoch.Add(-time.Duration(millis)*time.Millisecond))).To(BeFalse(), "age %d ms", millis)
+		for n := range 5 {
+			p.Report(epoch.Add(time.Duration(n)*300*time.Millisecond), all[0].Name, load.Report{Seq: uint64(n + 1), WorkPercent: 170})
+		}
+		g.Expect(p.Views(epoch.Add(2*time.Second), all)[0].Pace).To(BeNumerically("~", 1.7, 1e-6), "age %d ms", millis)
+	}
+}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -51,6 +51,15 @@
 // Valid reports whether a percentage can be a reading.
 func Valid(percent float64) bool { return percent >= minPercent && percent <= maxPercent }
 
+// AddFromPeer is Add for a percentage that the endpoint stated to another router. Readings that are
+// older than the retention are ignored: an age is untrusted, and would date the estimator's start.
+func (e *Estimator) AddFromPeer(now, at time.Time, percent float64) (changed bool) {
+	if at.After(now) || now.Sub(at) > retention {
+		return false
+	}
+	return e.Add(at, percent)
+}
+
 // Add records a percentage that the endpoint stated at a time, and reports whether the class changed
 // from another known one. Malformed readings, and those of a moment that has one, are ignored.
 func (e *Estimator) Add(at time.Time, percent float64) (changed bool) {
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -140,8 +140,8 @@
 		}
 		e.Add(at(ms+1000), 70)
 		e.Add(at(ms+2000), 70)
-		g.Expect(e.At(at(ms+2000)).Factor).To(BeNumerically("~", 0.7, 1e-6))
-		g.Expect(e.At(at(ms+2000)).Class).To(Equal(classOf(0.7)))
+		g.Expect(e.At(at(ms + 2000)).Factor).To(BeNumerically("~", 0.7, 1e-6))
+		g.Expect(e.At(at(ms + 2000)).Class).To(Equal(classOf(0.7)))
 	}
 }
 
