--- a/internal/pace/class.go
+++ b/internal/pace/class.go
@@ -34,9 +34,14 @@
 	differs      bool
 }
 
+// position returns a factor's place among the classes, which are at whole numbers.
+func position(factor float64) float64 {
+	return math.Log(factor)/math.Log(classRatio) + float64(usualClass)
+}
+
 // update records a factor and reports whether the class changed. at is the time since a fixed moment.
 func (c *classifier) update(at time.Duration, factor float64) bool {
-	position := math.Log(factor)/math.Log(classRatio) + float64(usualClass)
+	position := position(factor)
 	nearest := Class(math.Round(position))
 	if nearest == c.current {
 		c.differs = false
