--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -66,7 +66,9 @@
 	speedQuantiles
 	// usual holds the estimates at the usual pace. Only endpoints that state their pace contribute,
 	// with their times divided by it.
-	usual       speedQuantiles
+	usual speedQuantiles
+	// usualFactor is the median of the endpoints' factors.
+	usualFactor quantile
 	responseGap quantile // seconds without a response while requests are inflight
 	// domainResponseGap is the same over all endpoints of a failure domain.
 	domainResponseGap quantile
@@ -136,7 +138,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if pace > 0 {
-		return e.atUsualPace().groupEstimate().scaled(pace)
+		e.recordPace(pace)
+		usual := e.atUsualPace()
+		return usual.groupEstimate().scaled(pace)
 	}
 	est := e.groupEstimate()
 	if est.SecondsPerOutputToken == 0 || own.samples < minSamples {
@@ -148,13 +152,31 @@
 	return est
 }
 
-// atUsualPace returns the estimates at the usual pace. Until there are enough samples from endpoints
-// that state their pace, it is those of all samples, which keeps the ratios between endpoints right.
-func (e *engineSpeeds) atUsualPace() *speedQuantiles {
-	if e.usual.promptToken.samples < minSamples && e.promptToken.samples >= minSamples {
-		return &e.speedQuantiles
+// factorTolerance is the relative difference up to which a factor doesn't move the usual one.
+const factorTolerance = 0.03
+
+func (e *engineSpeeds) recordPace(pace float64) {
+	if math.Abs(pace-e.usualFactor.value) > factorTolerance*e.usualFactor.value {
+		e.usualFactor.add(pace, 0.5)
+	}
+}
+
+// atUsualPace returns the quantiles at the usual pace. Each comes from all samples until there are
+// enough from endpoints that state their pace: those were taken at the endpoints' real pace.
+func (e *engineSpeeds) atUsualPace() speedQuantiles {
+	return speedQuantiles{
+		outputToken: atUsualPace(e.usual.outputToken, e.outputToken, e.usualFactor.value),
+		promptToken: atUsualPace(e.usual.promptToken, e.promptToken, e.usualFactor.value),
+		firstToken:  atUsualPace(e.usual.firstToken, e.firstToken, e.usualFactor.value),
+	}
+}
+
+func atUsualPace(usual, all quantile, usualFactor float64) quantile {
+	if usual.samples >= minSamples || all.samples < minSamples {
+		return usual
 	}
-	return &e.usual
+	all.value /= usualFactor
+	return all
 }
 
 // groupEstimate returns the expected speed of an endpoint of which nothing else is known.
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -139,6 +139,49 @@
 	}
 }
 
+// Guards against a known output speed that becomes unknown when the prompt speed at the usual pace is
+// known first, and against the other way round.
+func TestEachSpeedIsKnownOnceItHasSamples(t *testing.T) {
+	g := NewWithT(t)
+	var e engineSpeeds
+	for range 30 {
+		e.recordOutputToken(0.010, 0)
+		e.recordFirstToken(0.2, 4000, 2)
+	}
+	est := e.estimate(quantile{}, 2)
+	g.Expect(est.SecondsPerOutputToken).To(BeNumerically("~", 0.010, 0.003))
+	g.Expect(est.SecondsPerPromptToken).To(BeNumerically("~", 0.2/4000, 0.2*0.2/4000))
+	var other engineSpeeds
+	for range 30 {
+		other.recordOutputToken(0.010, 2)
+		other.recordFirstToken(0.2, 4000, 0)
+	}
+	est = other.estimate(quantile{}, 2)
+	g.Expect(est.SecondsPerOutputToken).To(BeNumerically("~", 0.010, 0.003))
+	g.Expect(est.SecondsPerPromptToken).To(BeNumerically("~", 0.2/4000, 0.2*0.2/4000))
+}
+
+// Guards against samples that were taken at the real pace, before it was known, and are scaled by it
+// again.
+func TestSamplesFromBeforeThePaceIsKnownAreNotScaledTwice(t *testing.T) {
+	g := NewWithT(t)
+	var e engineSpeeds
+	for range 60 {
+		e.recordOutputToken(0.010, 0)
+		e.recordFirstToken(0.2, 4000, 0)
+	}
+	before := e.estimate(quantile{}, 0)
+	for range 200 { // two endpoints of three are usual
+		for _, pace := range []float64{0.5, 0.5, 2} {
+			e.estimate(quantile{}, pace)
+		}
+	}
+	usual, slow := e.estimate(quantile{}, 0.5), e.estimate(quantile{}, 2)
+	g.Expect(usual.SecondsPerOutputToken).To(BeNumerically("~", before.SecondsPerOutputToken, 0.1*before.SecondsPerOutputToken))
+	g.Expect(usual.SecondsPerPromptToken).To(BeNumerically("~", before.SecondsPerPromptToken, 0.1*before.SecondsPerPromptToken))
+	g.Expect(slow.SecondsPerOutputToken).To(BeNumerically("~", 4*usual.SecondsPerOutputToken, 0.4*usual.SecondsPerOutputToken))
+}
+
 // registerGroup registers endpoints of one group with a pool.
 func registerGroup(p *Pool, all []*bundle.Endpoint) []*bundle.Endpoint {
 	p.Views(epoch, all)
