--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -98,6 +98,9 @@
 	Pace float64
 	// PaceClass is the class of Pace, by which endpoints are compared.
 	PaceClass pace.Class
+	// SlowWeight is the share of work relative to a usual endpoint if this one is slower than usual
+	// among the views; 0 if it isn't.
+	SlowWeight float64
 	// forecast describes the endpoint for forecasts; forecasts is set if they apply to it. A policy
 	// that makes forecasts sets both.
 	forecast  forecast.Endpoint
@@ -143,3 +146,6 @@
 	// ResultCancelled: the caller cancelled, which doesn't affect the endpoint's health.
 	ResultCancelled
 )
+
+// slow reports whether the endpoint is slower than usual.
+func (v *View) slow() bool { return v.SlowWeight > 0 }
--- a/internal/balance/fetch.go
+++ b/internal/balance/fetch.go
@@ -1,7 +1,5 @@
 package balance
 
-import "coveferry/internal/pace"
-
 // minFetchTokens is the minimum number of tokens that are fetched from another endpoint's cache
 // instead of recomputed.
 const minFetchTokens = 256
@@ -24,12 +22,12 @@
 	if key == 0 || shared-views[chosen].CachedTokens < minFetchTokens {
 		return -1
 	}
-	best, usual := -1, usualPace(views)
+	best := -1
 	consider := func(i int, v *View) {
 		if i == chosen || v.Weight < 1 {
 			return
 		}
-		if best < 0 || betterSource(key, shared, usual, v, viewAt(views, leaving, best)) {
+		if best < 0 || betterSource(key, shared, v, viewAt(views, leaving, best)) {
 			best = i
 		}
 	}
@@ -51,9 +49,9 @@
 }
 
 // betterSource reports whether a is more likely than b to have all shared parts cached.
-func betterSource(key uint64, shared int, usual pace.Usual, a, b *View) bool {
+func betterSource(key uint64, shared int, a, b *View) bool {
 	if hasA, hasB := a.CachedTokens >= shared, b.CachedTokens >= shared; hasA != hasB {
 		return hasA
 	}
-	return newPreference(key, a, usual).above(newPreference(key, b, usual))
+	return newPreference(key, a).above(newPreference(key, b))
 }
--- a/internal/balance/pacechecks_test.go
+++ b/internal/balance/pacechecks_test.go
@@ -43,7 +43,7 @@
 	}
 	views := p.Views(at(10_000), all)
 	g.Expect(views[2].Pace).To(BeNumerically("~", 1.7, 1e-6))
-	g.Expect(usualPace(views).Slow(views[2].PaceClass)).To(BeTrue())
+	g.Expect(views[2].slow()).To(BeTrue())
 	g.Expect(views[2].ReportedAt).NotTo(BeZero())
 	g.Expect(asked).To(BeNumerically("<=", 5), "three until the pace is known, then one in 5 s")
 	g.Expect(p.Paces(at(10_000))).To(HaveLen(1))
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -155,6 +155,7 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
+	comparePaces(s.views, s.leaving)
 	if i := p.distrustedView(now, req, s.views, s.rnd); i >= 0 {
 		p.recordDistrustedChoice(now, req, s.views[i], s.rnd)
 		return i, nil
@@ -299,6 +300,7 @@
 	for i, c := range candidates {
 		p.fillView(now, c, &views[i], Request{})
 	}
+	comparePaces(views, nil)
 	return views
 }
 
--- a/internal/balance/preferred.go
+++ b/internal/balance/preferred.go
@@ -14,10 +14,9 @@
 	if key == 0 {
 		return -1
 	}
-	usual := usualPace(views)
-	preferred, best := group[0], newPreference(key, &views[group[0]], usual)
+	preferred, best := group[0], newPreference(key, &views[group[0]])
 	for _, i := range group[1:] {
-		if p := newPreference(key, &views[i], usual); p.above(best) {
+		if p := newPreference(key, &views[i]); p.above(best) {
 			preferred, best = i, p
 		}
 	}
@@ -32,15 +31,15 @@
 // alternates returns the indexes of the endpoints that come after the preferred one for the prompt's
 // shared parts: the same at all routers, so that these parts are cached at few endpoints.
 func alternates(req Request, views []View, group []int, preferred int) []int {
-	key, usual := req.Prompt.SharedPrefixID(), usualPace(views)
+	key := req.Prompt.SharedPrefixID()
 	found := make([]int, 0, alternateCount+1)
 	for _, i := range group {
 		if i == preferred {
 			continue
 		}
-		p := newPreference(key, &views[i], usual)
+		p := newPreference(key, &views[i])
 		at := len(found)
-		for at > 0 && p.above(newPreference(key, &views[found[at-1]], usual)) {
+		for at > 0 && p.above(newPreference(key, &views[found[at-1]])) {
 			at--
 		}
 		found = slices.Insert(found, at, i)
@@ -49,15 +48,36 @@
 	return found
 }
 
-// usualPace returns the pace with which those of the views are compared.
-func usualPace(views []View) pace.Usual {
-	return pace.UsualOf(func(yield func(pace.Class) bool) {
-		for i := range views {
+// comparePaces sets the weights of the endpoints that are slower than usual among the views. It is
+// called once for a choice.
+func comparePaces(views, leaving []View) {
+	known := func(v *View) bool { return v.PaceClass != pace.Unknown }
+	first := 0
+	for first < len(views) && !known(&views[first]) {
+		first++
+	}
+	if first == len(views) {
+		return
+	}
+	usual := pace.UsualOf(func(yield func(pace.Class) bool) {
+		for i := first; i < len(views); i++ {
 			if !yield(views[i].PaceClass) {
 				return
 			}
 		}
 	})
+	if usual.Uneven {
+		setSlowWeights(views, usual)
+	}
+	setSlowWeights(leaving, usual)
+}
+
+func setSlowWeights(views []View, usual pace.Usual) {
+	for i := range views {
+		if c := views[i].PaceClass; usual.Slow(c) {
+			views[i].SlowWeight = usual.Weight(c)
+		}
+	}
 }
 
 // preference is an endpoint's rank for a key by weighted rendezvous hashing: each endpoint is ranked
@@ -68,8 +88,12 @@
 	weight float64
 }
 
-func newPreference(key uint64, v *View, usual pace.Usual) preference {
-	return preference{hash: rendezvous(key, v.Endpoint), weight: usual.Weight(v.PaceClass)}
+func newPreference(key uint64, v *View) preference {
+	p := preference{hash: rendezvous(key, v.Endpoint), weight: 1}
+	if v.slow() {
+		p.weight = v.SlowWeight
+	}
+	return p
 }
 
 // above reports whether p is ranked above other.
--- a/internal/balance/preferred_test.go
+++ b/internal/balance/preferred_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,6 +112,29 @@
 	g.Expect(domains).To(HaveLen(4), "the first ones are in different failure domains")
 }
 
+// Guards against a choice that compares the paces of all endpoints for each of its steps, and where none
+// is slow: the weights are set once, only for slow endpoints.
+func TestOnlySlowEndpointsHaveAWeight(t *testing.T) {
+	g := NewWithT(t)
+	for _, percents := range [][2]float64{{0, 0}, {70, 70}, {170, 170}} {
+		for _, v := range pacedViews(percents[0], percents[1]) {
+			g.Expect(v.SlowWeight).To(BeZero(), "%v", percents)
+		}
+	}
+	leaving := pacedViews(70, 170)
+	views := slices.DeleteFunc(pacedViews(70, 170), func(v View) bool { return v.Pace > 1 })
+	for i := range leaving {
+		leaving[i].SlowWeight = 0
+	}
+	comparePaces(views, leaving)
+	for i, v := range leaving {
+		g.Expect(v.slow()).To(Equal(i%3 == 2), "leaving endpoint %d", i)
+	}
+	for _, v := range views {
+		g.Expect(v.slow()).To(BeFalse())
+	}
+}
+
 // A new process under an endpoint's name, and one that is gone, have no pace.
 func TestPaceEndsWithTheProcess(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/balance/rank.go
+++ b/internal/balance/rank.go
@@ -20,10 +20,9 @@
 // alternating between failure domains, so that the loss of one leaves the others. Slow endpoints
 // come last.
 func rankForTightGap(views []View, usable []int) []int {
-	usual := usualPace(views)
 	order := make([]rankedView, len(usable))
 	for n, i := range usable {
-		order[n] = rankedView{view: i, hash: rendezvous(tightGapKey, views[i].Endpoint), slow: usual.Slow(views[i].PaceClass)}
+		order[n] = rankedView{view: i, hash: rendezvous(tightGapKey, views[i].Endpoint), slow: views[i].slow()}
 	}
 	slices.SortFunc(order, func(a, b rankedView) int { return cmp.Compare(b.hash, a.hash) })
 	orderWithinDomains(views, order)
