--- a/internal/balance/pacechecks.go
+++ b/internal/balance/pacechecks.go
@@ -11,8 +11,8 @@
 )
 
 // PaceChecks returns the endpoints, up to limit, that are to be asked for their pace now, and counts
-// them as asked: those that owned returns true for, that are in use and of which no recent reading is
-// known. Endpoints of a group in which none has stated its pace are never asked.
+// them as asked: those that owned returns true for, that are in use without limits and of which no
+// recent reading is known. Endpoints of a group in which none has stated its pace are never asked.
 func (p *Pool) PaceChecks(now time.Time, endpoints []*bundle.Endpoint, limit int, owned func(endpoint string) bool) []string {
 	stating := p.groupsThatStatePace(now)
 	var due []string
@@ -20,7 +20,7 @@
 		if len(due) == limit {
 			break
 		}
-		if stating[endpointGroup(e)] && owned(e.Name) && p.takePaceCheck(now, e.Name) {
+		if stating[endpointGroup(e)] && owned(e.Name) && p.takePaceCheck(now, e) {
 			due = append(due, e.Name)
 		}
 	}
@@ -46,19 +46,35 @@
 	return stating
 }
 
+// paceUnstatedFor is how long an endpoint whose own report states no percentage isn't asked for it.
+const paceUnstatedFor = 30 * time.Second
+
 // takePaceCheck reports whether an endpoint is to be asked now, and records that it is.
-func (p *Pool) takePaceCheck(now time.Time, endpoint string) bool {
-	sh := p.shard(endpoint)
+func (p *Pool) takePaceCheck(now time.Time, e *bundle.Endpoint) bool {
+	sh := p.shard(e.Name)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	st := sh.state(endpoint)
-	if st.leaving || st.rateState.suspect || !st.pace.CheckDue(now, st.paceCheckedAt) {
+	st, known := sh.states[e.Name]
+	if !known || !st.mayBeAskedForPace(now, e) || !st.pace.CheckDue(now, st.paceCheckedAt) {
 		return false
 	}
 	st.paceCheckedAt = now
 	return true
 }
 
+// mayBeAskedForPace reports whether an endpoint accepts requests without limits, none of which a check
+// may take up, and may state its pace.
+func (st *state) mayBeAskedForPace(now time.Time, e *bundle.Endpoint) bool {
+	if st.leaving || st.rateState.suspect || !st.backoff.over(now) {
+		return false
+	}
+	if _, limited := st.rateState.currentLimit(now, e, Request{}); limited {
+		return false
+	}
+	unstated := !st.reportFromPeer && !pace.Valid(st.load.WorkPercent) && !st.reportedAt.IsZero()
+	return !unstated || now.Sub(st.reportedAt) > paceUnstatedFor
+}
+
 // ReportFromCheck records the load report in the answer to a health check that was sent at the given
 // time.
 func (p *Pool) ReportFromCheck(now, sent time.Time, endpoint string, r load.Report) {
--- a/internal/balance/pacechecks_test.go
+++ b/internal/balance/pacechecks_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/load"
+	"coveferry/internal/upstream"
 )
 
 func ownsAll(string) bool { return true }
@@ -73,6 +74,43 @@
 	g.Expect(p.PaceChecks(at(20_000), all, 16, ownsAll)).To(BeEmpty())
 }
 
+// Guards against checks that take up the share of a rate limit, reach an endpoint in its backoff, or are
+// repeated at endpoints that don't state their pace, and against states of endpoints that are gone.
+func TestEndpointsWithLimitsOrWithoutPaceAreNotAsked(t *testing.T) {
+	all := newEndpoints(3)
+	idle := all[2]
+	for _, c := range []struct {
+		name    string
+		prepare func(p *Pool)
+	}{
+		{"rate limited", func(p *Pool) {
+			p.ApplySignals(at(9000), at(9000), idle.Name, upstream.Signals{RateLimit: upstream.RateLimit{Kind: upstream.LimitSet, PerSecond: 5}})
+		}},
+		{"backing off", func(p *Pool) { askBackoff(p, 9000, idle.Name, 5*time.Second) }},
+		{"in the ramp after a backoff", func(p *Pool) { askBackoff(p, 8000, idle.Name, time.Second) }},
+		{"peers were asked to back off", func(p *Pool) {
+			p.ApplyPeerFailures(at(9900), []FailureSummary{{Endpoint: idle.Name, BackoffMillis: 3000, BackoffAgeMillis: 10}})
+		}},
+		{"draining", func(p *Pool) { p.Report(at(9000), idle.Name, load.Report{Seq: 1, Slots: 8, Leaving: true}) }},
+		{"own report without a percentage", func(p *Pool) { p.Report(at(1000), idle.Name, load.Report{Seq: 1, Slots: 8}) }},
+		{"gone", func(p *Pool) { p.Forget(idle.Name) }},
+	} {
+		g := NewWithT(t)
+		p := poolWithIdleEndpoint(70, epoch.Add(10*time.Second))
+		c.prepare(p)
+		g.Expect(p.PaceChecks(at(10_000), all, 16, ownsAll)).To(BeEmpty(), c.name)
+		_, exists := p.shard(idle.Name).states[idle.Name]
+		g.Expect(exists).To(Equal(c.name != "gone"), c.name)
+	}
+	g := NewWithT(t)
+	p := poolWithIdleEndpoint(70, epoch.Add(10*time.Second))
+	g.Expect(p.PaceChecks(at(10_000), all, 16, ownsAll)).To(Equal([]string{idle.Name}))
+	p.ReportFromCheck(at(10_002), at(10_000), idle.Name, load.Report{Slots: 8})
+	p.Report(at(39_000), all[0].Name, load.Report{Seq: 999, Slots: 8, WorkPercent: 70})
+	g.Expect(p.PaceChecks(at(39_000), all, 16, ownsAll)).NotTo(ContainElement(idle.Name), "it stated none when asked")
+	g.Expect(p.PaceChecks(at(41_000), all, 16, ownsAll)).To(ContainElement(idle.Name))
+}
+
 // The answer of a process that was replaced meanwhile, or of an endpoint that is gone, says nothing.
 func TestAnswersToChecksOfEarlierProcessesAreIgnored(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -86,7 +86,9 @@
 	}
 	st.load.Running, st.load.Queued = [len(st.load.Running)]int{}, [len(st.load.Queued)]int{}
 	st.load.Running[0], st.load.Queued[0] = s.Running, s.Queued
-	st.load.WorkPercent = float64(s.WorkPercent)
+	if percent := float64(s.WorkPercent); pace.Valid(percent) {
+		st.load.WorkPercent = percent // absent in messages of the previous version
+	}
 	st.reportedAt, st.reportFromPeer = at, true
 	st.dropSendsUntil(at)
 	return paceChanged
--- a/internal/balance/peerloads_test.go
+++ b/internal/balance/peerloads_test.go
@@ -94,3 +94,23 @@
 	estimateOtherRouters(reported, 0.2, 1)
 	g.Expect(reported[0].EstimatedInflight).To(BeZero())
 }
+
+// Guards against a percentage that is lost, or replaced by a malformed one, when a peer reports the load:
+// peers of the previous version state none.
+func TestPeerReportWithoutAPercentageKeepsTheKnownOne(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{})
+	viewOf(p, epoch, 1)
+	report := loadReport(3, 0)
+	report.WorkPercent = 170
+	p.Report(epoch, "e0", report)
+	for n, percent := range []int{0, -1, 5, 1 << 40} {
+		now := epoch.Add(time.Duration(n+1) * 100 * time.Millisecond)
+		p.ApplyPeerLoads(now, []LoadSummary{{Endpoint: "e0", Running: 9, WorkPercent: percent, AgeMillis: 1}})
+		v := viewOf(p, now, 0)
+		g.Expect(v.Load.TotalRunning()).To(Equal(9))
+		g.Expect(v.Load.WorkPercent).To(Equal(170.0), "%d", percent)
+	}
+	p.ApplyPeerLoads(epoch.Add(time.Second), []LoadSummary{{Endpoint: "e0", WorkPercent: 70, AgeMillis: 1}})
+	g.Expect(viewOf(p, epoch.Add(time.Second), 0).Load.WorkPercent).To(Equal(70.0))
+}
--- a/internal/daemon/directpace.go
+++ b/internal/daemon/directpace.go
@@ -71,13 +71,23 @@
 	})
 }
 
-// checkPace checks an endpoint's health for the load report in the answer. That a check fails says
-// nothing: requests and the checks of membership find out.
+// checkPace checks an endpoint's health for the load report in the answer. That a check passes or fails
+// says nothing else: requests and the checks of membership find out whether an endpoint works. What the
+// endpoint asks for in its answer, such as backoff, applies.
 func (l *directoryUpdater) checkPace(ctx context.Context, name string) {
+	dir := l.d.follower.Directory()
+	entry, listed := dir.Entry(name)
+	if !listed || dir.IsEvacuated(entry.Endpoint.FailureDomain) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, paceCheckTimeout)
 	defer cancel()
 	sent := time.Now()
-	health, err := l.requestHealth(ctx, name)
+	health, err := l.d.cfg.Health(ctx, l.d.client, entry.Endpoint.Address, l.healthPath(entry.Endpoint.Services), name)
+	if _, listed := l.d.follower.Directory().Entry(name); !listed {
+		return // applying anything would create the state anew
+	}
+	l.d.pool.ApplySignals(time.Now(), sent, name, health.Signals)
 	if err == nil && health.Load != nil {
 		l.d.pool.ReportFromCheck(time.Now(), sent, name, *health.Load)
 	}
--- a/internal/daemon/directpace_test.go
+++ b/internal/daemon/directpace_test.go
@@ -9,8 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"coveferry/internal/clock"
 	"coveferry/internal/load"
+	"coveferry/internal/poison"
 	"coveferry/internal/telemetry"
 	"coveferry/internal/upstream"
 )
@@ -37,6 +40,44 @@
 	g.Expect(l.d.pool.InService("e")).To(BeTrue())
 }
 
+type paceCheckKey struct{}
+
+// Guards against a pace check that counts as proof that an endpoint survived a lost request, or that it
+// accepts requests again after a backoff.
+func TestPassedPaceCheckIsNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	d, err := newDirect(DirectConfig{
+		VM: "vm", FailureDomain: "y", Callers: "127.0.0.1:0", Store: &activeStore{},
+		Health: func(check context.Context, _ *http.Client, _, _, _ string) (upstream.Health, error) {
+			if check.Value(paceCheckKey{}) == nil {
+				<-ctx.Done() // a check of membership, which the loss causes
+				return upstream.Health{}, ctx.Err()
+			}
+			return upstream.Health{Connected: true, Signals: upstream.Signals{Load: &load.Report{Slots: 4, WorkPercent: 170}}}, nil
+		},
+	}, zerolog.Nop())
+	g.Expect(err).NotTo(HaveOccurred())
+	go d.follower.Run(ctx)
+	g.Eventually(func() int { return d.follower.Directory().Len() }).Should(Equal(1))
+	entry, listed := d.follower.Directory().Entry("e")
+	g.Expect(listed).To(BeTrue())
+	request := poison.Request{Service: "s", Content: 1}
+	for _, process := range []string{"e/" + entry.Endpoint.ProcessID(), "f/1", "g/1"} {
+		now := clock.Boot()
+		d.poison.RecordLoss(request, poison.Loss{Endpoint: process, Sent: now, At: now})
+	}
+	g.Expect(d.poison.Check(request).Refused).To(BeTrue())
+	now := time.Now()
+	d.pool.ApplySignals(now.Add(-2*time.Second), now.Add(-2*time.Second), "e", upstream.Signals{Backoff: time.Second})
+	before := d.pool.Backoffs(now)
+	d.updater.checkPace(context.WithValue(ctx, paceCheckKey{}, true), "e")
+	g.Expect(d.pool.PaceStated(time.Now())).To(BeTrue(), "the endpoint was asked")
+	g.Expect(d.poison.Check(request).Refused).To(BeTrue())
+	g.Expect(d.pool.Backoffs(now)).To(Equal(before))
+}
+
 func TestPacesAreExported(t *testing.T) {
 	g := NewWithT(t)
 	l := healthUpdater(t, upstream.Health{}, nil)
