--- a/internal/balance/pace_sim_test.go
+++ b/internal/balance/pace_sim_test.go
@@ -37,9 +37,9 @@
 	return mix(h.Sum64()^uint64(now.Sub(epoch)/unequalSpan))%100 < unequalSpanShare
 }
 
-// A prefill beside an urgent stream exceeds its maximum gap at a slow endpoint. The other kinds share
-// the slow endpoints then: how many of their requests are in time is logged and depends on the
-// expected wait by which requests are refused.
+// Guards against urgent streams at slow endpoints: a prefill beside an urgent stream exceeds its maximum
+// gap there. The other kinds share the slow endpoints then: how many of their requests are in time is
+// logged and depends on the expected wait by which requests are refused.
 func TestUrgentStreamsAreServedByFastEndpoints(t *testing.T) {
 	const minGain = 0.08 // of the urgent streams, in time
 	for _, routers := range []int{3, 27, 103} {
--- a/internal/balance/pacechecks_test.go
+++ b/internal/balance/pacechecks_test.go
@@ -28,8 +28,8 @@
 	return p
 }
 
-// An idle endpoint that is 2.4 times slower has to be identified as slow, although it states nothing
-// unless it is asked.
+// Guards against an idle endpoint that is 2.4 times slower and isn't identified as slow, since it only
+// states its pace when it is asked.
 func TestIdleEndpointIsIdentifiedAsSlow(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(3)
@@ -51,6 +51,9 @@
 	g.Expect(p.Paces(at(10_000))[0].Slow).To(Equal(1))
 }
 
+// Guards against checks where no endpoint of the service states its pace.
+// Guards against checks where no endpoint of the service states its pace.
+// Guards against checks where no endpoint of the service states its pace.
 func TestServicesThatStateNoPaceAreNeverAsked(t *testing.T) {
 	g := NewWithT(t)
 	p := poolWithIdleEndpoint(0, epoch.Add(10*time.Second))
@@ -58,8 +61,8 @@
 	g.Expect(p.PaceChecks(at(10_000), newEndpoints(3), 16, ownsAll)).To(BeEmpty())
 }
 
-// Endpoints that are owned by another router, are leaving, or can't be reached are not asked, and one
-// without an answer not before the next period.
+// Guards against checks of endpoints that are owned by another router, are leaving or can't be reached,
+// and against repeated checks of one that doesn't answer.
 func TestPaceChecksAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(3)
@@ -111,7 +114,8 @@
 	g.Expect(p.PaceChecks(at(41_000), all, 16, ownsAll)).To(ContainElement(idle.Name))
 }
 
-// The answer of a process that was replaced meanwhile, or of an endpoint that is gone, says nothing.
+// Guards against a pace from the answer of a process that was replaced since, or of an endpoint that is
+// gone.
 func TestAnswersToChecksOfEarlierProcessesAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
@@ -124,9 +128,9 @@
 	g.Expect(p.PaceStated(at(1200))).To(BeFalse())
 }
 
-// Other routers' decisions depend on the answers to checks, so that these are told to peers; the
-// next answer to a request isn't taken for an older one.
-func TestCheckedReportIsToldToPeersAndReplaced(t *testing.T) {
+// Guards against an answer to a check that isn't sent to peers, which depend on it, and against one that
+// makes the next answer to a request look older.
+func TestCheckedReportIsSentToPeersAndReplaced(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
 	p := NewPool(Config{Policy: NewPromptAware()})
@@ -139,6 +143,9 @@
 	g.Expect(p.Views(at(1100), all)[0].Load.TotalRunning()).To(Equal(3))
 }
 
+// Guards against an event for each reading after a change.
+// Guards against an event for each reading after a change.
+// Guards against an event for each reading after a change.
 func TestChangeOfPaceIsReportedOnce(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -49,7 +49,7 @@
 	return loads
 }
 
-// statedPercent returns the percentage of a report as it is told to peers; 0 if it can't be a reading.
+// statedPercent returns the percentage of a report as it is sent to peers; 0 if it can't be a reading.
 func statedPercent(percent float64) int {
 	if !pace.Valid(percent) {
 		return 0
--- a/internal/balance/preferred_test.go
+++ b/internal/balance/preferred_test.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
 func TestSlowEndpointsAreLastInTheOrderForTightGaps(t *testing.T) {
 	g := NewWithT(t)
 	views := pacedViews(70, 170)
@@ -184,7 +190,8 @@
 	g.Expect(state()).To(BeZero())
 }
 
-// A router with few requests at an endpoint learns its pace from peers, whose values are untrusted.
+// Guards against a router with few requests at an endpoint that doesn't learn its pace from peers, and
+// against malformed values of peers.
 func TestPaceIsLearnedFromPeers(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(2)
--- a/internal/daemon/directpace.go
+++ b/internal/daemon/directpace.go
@@ -28,7 +28,7 @@
 )
 
 // watchPaces asks endpoints without a recent reading for their pace. Of each failure domain one router
-// asks, which tells the others.
+// asks, which sends the answer to the others.
 func (d *directRouter) watchPaces(ctx context.Context) {
 	tick := time.NewTicker(paceCheckInterval)
 	defer tick.Stop()
@@ -71,9 +71,9 @@
 	})
 }
 
-// checkPace checks an endpoint's health for the load report in the answer. That a check passes or fails
-// says nothing else: requests and the checks of membership find out whether an endpoint works. What the
-// endpoint asks for in its answer, such as backoff, applies.
+// checkPace checks an endpoint's health for the load report in the answer. Whether the check passes is
+// not used: requests and the checks of membership show whether an endpoint works. What the endpoint asks
+// for in its answer, such as backoff, applies.
 func (l *directoryUpdater) checkPace(ctx context.Context, name string) {
 	dir := l.d.follower.Directory()
 	entry, listed := dir.Entry(name)
--- a/internal/daemon/directpace_test.go
+++ b/internal/daemon/directpace_test.go
@@ -18,7 +18,7 @@
 	"coveferry/internal/upstream"
 )
 
-// An endpoint that gets no work is asked for its pace by a health check, whose answer bears its load.
+// Guards against a health check whose answer carries the load and sets no pace.
 func TestPaceIsTakenFromHealthChecks(t *testing.T) {
 	g := NewWithT(t)
 	l := healthUpdater(t, upstream.Health{Connected: true, Signals: upstream.Signals{Load: &load.Report{Slots: 4, WorkPercent: 170}}}, nil)
@@ -30,8 +30,8 @@
 	g.Expect(views[0].Load.WorkPercent).To(Equal(170.0))
 }
 
-// A check for the pace that fails makes no endpoint suspect, and its answer no load.
-func TestFailedPaceCheckSaysNothing(t *testing.T) {
+// Guards against a failed check for the pace that makes an endpoint suspect or sets its load.
+func TestFailedPaceCheckChangesNoState(t *testing.T) {
 	g := NewWithT(t)
 	l := healthUpdater(t, upstream.Health{Signals: upstream.Signals{Load: &load.Report{Slots: 4, WorkPercent: 170}}}, errors.New("refused"))
 	l.d.pool.SetSuspect("e", false)
@@ -78,6 +78,9 @@
 	g.Expect(d.pool.Backoffs(now)).To(Equal(before))
 }
 
+// Guards against paces that are missing from the metrics.
+// Guards against paces that are missing from the metrics.
+// Guards against paces that are missing from the metrics.
 func TestPacesAreExported(t *testing.T) {
 	g := NewWithT(t)
 	l := healthUpdater(t, upstream.Health{}, nil)
@@ -93,7 +96,7 @@
 	g.Expect(response.Body.String()).To(ContainSubstring(`coveferry_endpoint_pace{group="service s",quantile="0.5"} 1.7`))
 }
 
-// When all endpoints become slow at once, a line for each would fill the log.
+// Guards against a log line for each endpoint when all become slow at once.
 func TestPaceLogIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	var l paceLog
--- a/internal/pace/check_test.go
+++ b/internal/pace/check_test.go
@@ -8,11 +8,12 @@
 	. "github.com/onsi/gomega"
 )
 
-// An endpoint that gets no work has to be asked, one that states its pace in answers hasn't.
+// Guards against an endpoint without work that is never asked, and against checks of one that states its
+// pace in answers.
 func TestChecksAreDueWithoutRecentReadings(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
-	g.Expect(e.CheckDue(at(0), time.Time{})).To(BeTrue(), "never heard of")
+	g.Expect(e.CheckDue(at(0), time.Time{})).To(BeTrue(), "no reading yet")
 	g.Expect(e.CheckDue(at(4000), at(0))).To(BeFalse(), "just asked")
 	e.Add(at(0), 170)
 	g.Expect(e.CheckDue(at(900), time.Time{})).To(BeFalse())
--- a/internal/pace/class_test.go
+++ b/internal/pace/class_test.go
@@ -24,6 +24,9 @@
 	return UsualOf(slices.Values(classes))
 }
 
+// Guards against slow endpoints that get a share of work which exceeds their relative speed.
+// Guards against slow endpoints that get a share of work which exceeds their relative speed.
+// Guards against slow endpoints that get a share of work which exceeds their relative speed.
 func TestWeightIsTheRelativeSpeed(t *testing.T) {
 	g := NewWithT(t)
 	u := usualOf(0.7, 0.7, 1.7, 0.7, 0.7, 1.7)
@@ -33,7 +36,7 @@
 	g.Expect(u.Weight(Unknown)).To(Equal(1.0))
 }
 
-// While all endpoints are slow at once, and while they are alike, nothing may move.
+// Guards against preferences that change while all endpoints are slow at once, or are alike.
 func TestAlikeEndpointsHaveEqualWeights(t *testing.T) {
 	for _, factors := range [][]float64{{}, {0, 0}, {1, 1, 1}, {2.5, 2.5, 2.5}, {0.89, 0.91, 0.9}, {1, 0, 1.1}} {
 		g := NewWithT(t)
@@ -77,13 +80,16 @@
 	g.Expect(usualOf(0.1, 0.1, 0.1, 20).Weight(classOf(20))).To(Equal(0.25))
 }
 
-func TestOneNonsensicalEndpointDoesNotChangeTheUsualPace(t *testing.T) {
+// Guards against one wrong low pace that makes all other endpoints slow.
+// Guards against one wrong low pace that makes all other endpoints slow.
+// Guards against one wrong low pace that makes all other endpoints slow.
+func TestOneWrongPaceDoesNotChangeTheUsualPace(t *testing.T) {
 	g := NewWithT(t)
 	u := usualOf(0.1, 1, 1, 1, 1)
 	g.Expect(u.Uneven).To(BeFalse())
 }
 
-// A factor near the boundary of two classes must not move work with each reading.
+// Guards against a factor near the boundary of two classes that changes the class with each reading.
 func TestClassHasHysteresis(t *testing.T) {
 	g := NewWithT(t)
 	var c classifier
@@ -97,7 +103,7 @@
 	g.Expect(changes).To(BeZero())
 }
 
-// Routers whose earlier readings differ must agree after a while.
+// Guards against routers whose classes differ for good because their earlier readings did.
 func TestClassDoesNotDependOnEarlierPacesForLong(t *testing.T) {
 	g := NewWithT(t)
 	var c classifier
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -19,8 +19,8 @@
 	// be as low as the estimate: a peer may be wrong.
 	agreeing    = 4
 	maxAgreeing = 3
-	// minOwnReadings is the number of own readings from which they are used alone. With three, 26 of
-	// 2,472 paces were wrong at 103 routers and full load.
+	// minOwnReadings is the number of own readings from which they are used alone. Three are all in
+	// slow spans too often (0.3%).
 	minOwnReadings = 4
 	// ownWindow is the age up to which own readings count while there are fewer, and maxOwnLag how much
 	// older than the newest reading the newest of them may be: four, one a second, are enough.
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -66,7 +66,10 @@
 	}
 }
 
-func TestPaceOfAlikeEndpointsIsAlike(t *testing.T) {
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+func TestShortSpansDoNotMakeAlikeEndpointsDiffer(t *testing.T) {
 	for _, interval := range []int{50, 200, 700} {
 		g := NewWithT(t)
 		wrong, all := 0, 0
@@ -88,8 +91,8 @@
 	}
 }
 
-// A single reading of 175 may be a fast endpoint in a slow span.
-func TestFewReadingsStateNothing(t *testing.T) {
+// Guards against an estimate from a single moment: 175 may be a fast endpoint in a slow span.
+func TestFewReadingsGiveNoEstimate(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	e.Add(at(0), 175)
@@ -103,6 +106,9 @@
 	g.Expect(e.At(at(1300)).Factor).To(BeNumerically("~", 0.7, 1e-6))
 }
 
+// Guards against malformed readings that change the estimate.
+// Guards against malformed readings that change the estimate.
+// Guards against malformed readings that change the estimate.
 func TestMalformedReadingsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
@@ -115,7 +121,7 @@
 	g.Expect(e.At(at(3000)).Factor).To(Equal(1.0))
 }
 
-// An endpoint that gets no work states nothing: its value holds for a bounded time.
+// Guards against the pace of an endpoint without work that holds for an unbounded time.
 func TestPaceIsUnknownWithoutRecentReadings(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
@@ -157,8 +163,8 @@
 	g.Expect(e.At(at(39_000))).To(Equal(Estimate{}))
 }
 
-// An idle endpoint is asked every 5 s, and a busy one states its pace anew when it was idle.
-func TestSparseReadingsCount(t *testing.T) {
+// Guards against an idle endpoint, which is asked every 5 s, whose pace stays unknown.
+func TestSparseReadingsGiveAnEstimate(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	for _, ms := range []int{0, 5000, 10_000} {
@@ -167,7 +173,7 @@
 	g.Expect(e.At(at(10_000)).Factor).To(BeNumerically("~", 1.7, 1e-6))
 }
 
-// Readings of peers arrive late and out of order.
+// Guards against estimates that differ between routers because readings of peers arrive in another order.
 func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
 	g := NewWithT(t)
 	percent := stated(3, constant(70))
@@ -248,7 +254,8 @@
 	g.Expect(e.percent).To(Equal(170.0))
 }
 
-func TestMemoryIsBounded(t *testing.T) {
+// Guards against memory that grows with the number of readings.
+func TestReadingsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	for ms := range 20_000 {
