--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,7 +16,7 @@
 	// lowQuantile of the readings is the estimate: short spans of slower work raise readings and
 	// nothing lowers them. A median follows the spans when few readings are available.
 	lowQuantile = 0.2
-	// Where readings of peers count, a quarter of the readings, one in agreeing, or maxAgreeing have to
+	// Where no own reading is as low, a quarter of the readings, one in agreeing, or maxAgreeing have to
 	// be as low as the estimate: a peer may be wrong.
 	agreeing    = 4
 	maxAgreeing = 3
@@ -118,26 +119,33 @@
 func (e *Estimator) update() bool {
 	newest := e.readings[len(e.readings)-1].at
 	used := e.recentOwn()
-	own := len(used) >= minOwnReadings && sufficient(used) && newest-used[len(used)-1].at <= maxOwnLag
-	if !own {
+	if len(used) < minOwnReadings || !sufficient(used) || newest-used[len(used)-1].at > maxOwnLag {
 		used = e.recent()
 	}
 	if !sufficient(used) {
 		e.percent, e.class = 0, classifier{}
 		return false
 	}
+	known := e.percent > 0
+	e.percent = float64(lowOf(used))
+	return e.class.update(newest, e.percent/usualPercent) && known
+}
+
+// lowOf returns the estimate from readings: their lowQuantile, if an own reading is as low, and
+// otherwise a value that a quarter of them or maxAgreeing don't exceed.
+func lowOf(readings []reading) float32 {
 	percents := make([]float32, 0, maxReadings)
-	for _, r := range used {
+	lowestOwn := float32(math.MaxFloat32)
+	for _, r := range readings {
 		percents = append(percents, r.percent)
+		if r.own {
+			lowestOwn = min(lowestOwn, r.percent)
+		}
 	}
 	slices.Sort(percents)
-	low := min((len(percents)-1)/agreeing, maxAgreeing-1)
-	if own {
-		low = int(lowQuantile * float64(len(percents)-1))
-	}
-	known := e.percent > 0
-	e.percent = float64(percents[low])
-	return e.class.update(newest, e.percent/usualPercent) && known
+	last := len(percents) - 1
+	agreed := percents[min(last/agreeing, maxAgreeing-1)]
+	return min(agreed, max(percents[int(lowQuantile*float64(last))], lowestOwn))
 }
 
 // sufficient reports whether readings, oldest first, are enough for an estimate.
