--- a/internal/balance/pacechecks_test.go
+++ b/internal/balance/pacechecks_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/load"
+	"coveferry/internal/upstream"
 )
 
 func ownsAll(string) bool { return true }
@@ -27,8 +28,8 @@
 	return p
 }
 
-// An idle endpoint that is 2.4 times slower has to be identified as slow, although it states nothing
-// unless it is asked.
+// Guards against an idle endpoint that is 2.4 times slower and isn't identified as slow, since it only
+// states its pace when it is asked.
 func TestIdleEndpointIsIdentifiedAsSlow(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(3)
@@ -43,13 +44,16 @@
 	}
 	views := p.Views(at(10_000), all)
 	g.Expect(views[2].Pace).To(BeNumerically("~", 1.7, 1e-6))
-	g.Expect(usualPace(views).Slow(views[2].PaceClass)).To(BeTrue())
+	g.Expect(views[2].slow()).To(BeTrue())
 	g.Expect(views[2].ReportedAt).NotTo(BeZero())
 	g.Expect(asked).To(BeNumerically("<=", 5), "three until the pace is known, then one in 5 s")
 	g.Expect(p.Paces(at(10_000))).To(HaveLen(1))
 	g.Expect(p.Paces(at(10_000))[0].Slow).To(Equal(1))
 }
 
+// Guards against checks where no endpoint of the service states its pace.
+// Guards against checks where no endpoint of the service states its pace.
+// Guards against checks where no endpoint of the service states its pace.
 func TestServicesThatStateNoPaceAreNeverAsked(t *testing.T) {
 	g := NewWithT(t)
 	p := poolWithIdleEndpoint(0, epoch.Add(10*time.Second))
@@ -57,8 +61,8 @@
 	g.Expect(p.PaceChecks(at(10_000), newEndpoints(3), 16, ownsAll)).To(BeEmpty())
 }
 
-// Endpoints that are owned by another router, are leaving, or can't be reached are not asked, and one
-// without an answer not before the next period.
+// Guards against checks of endpoints that are owned by another router, are leaving or can't be reached,
+// and against repeated checks of one that doesn't answer.
 func TestPaceChecksAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(3)
@@ -73,7 +77,45 @@
 	g.Expect(p.PaceChecks(at(20_000), all, 16, ownsAll)).To(BeEmpty())
 }
 
-// The answer of a process that was replaced meanwhile, or of an endpoint that is gone, says nothing.
+// Guards against checks that take up the share of a rate limit, reach an endpoint in its backoff, or are
+// repeated at endpoints that don't state their pace, and against states of endpoints that are gone.
+func TestEndpointsWithLimitsOrWithoutPaceAreNotAsked(t *testing.T) {
+	all := newEndpoints(3)
+	idle := all[2]
+	for _, c := range []struct {
+		name    string
+		prepare func(p *Pool)
+	}{
+		{"rate limited", func(p *Pool) {
+			p.ApplySignals(at(9000), at(9000), idle.Name, upstream.Signals{RateLimit: upstream.RateLimit{Kind: upstream.LimitSet, PerSecond: 5}})
+		}},
+		{"backing off", func(p *Pool) { askBackoff(p, 9000, idle.Name, 5*time.Second) }},
+		{"in the ramp after a backoff", func(p *Pool) { askBackoff(p, 8000, idle.Name, time.Second) }},
+		{"peers were asked to back off", func(p *Pool) {
+			p.ApplyPeerFailures(at(9900), []FailureSummary{{Endpoint: idle.Name, BackoffMillis: 3000, BackoffAgeMillis: 10}})
+		}},
+		{"draining", func(p *Pool) { p.Report(at(9000), idle.Name, load.Report{Seq: 1, Slots: 8, Leaving: true}) }},
+		{"own report without a percentage", func(p *Pool) { p.Report(at(1000), idle.Name, load.Report{Seq: 1, Slots: 8}) }},
+		{"gone", func(p *Pool) { p.Forget(idle.Name) }},
+	} {
+		g := NewWithT(t)
+		p := poolWithIdleEndpoint(70, epoch.Add(10*time.Second))
+		c.prepare(p)
+		g.Expect(p.PaceChecks(at(10_000), all, 16, ownsAll)).To(BeEmpty(), c.name)
+		_, exists := p.shard(idle.Name).states[idle.Name]
+		g.Expect(exists).To(Equal(c.name != "gone"), c.name)
+	}
+	g := NewWithT(t)
+	p := poolWithIdleEndpoint(70, epoch.Add(10*time.Second))
+	g.Expect(p.PaceChecks(at(10_000), all, 16, ownsAll)).To(Equal([]string{idle.Name}))
+	p.ReportFromCheck(at(10_002), at(10_000), idle.Name, load.Report{Slots: 8})
+	p.Report(at(39_000), all[0].Name, load.Report{Seq: 999, Slots: 8, WorkPercent: 70})
+	g.Expect(p.PaceChecks(at(39_000), all, 16, ownsAll)).NotTo(ContainElement(idle.Name), "it stated none when asked")
+	g.Expect(p.PaceChecks(at(41_000), all, 16, ownsAll)).To(ContainElement(idle.Name))
+}
+
+// Guards against a pace from the answer of a process that was replaced since, or of an endpoint that is
+// gone.
 func TestAnswersToChecksOfEarlierProcessesAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
@@ -86,9 +128,9 @@
 	g.Expect(p.PaceStated(at(1200))).To(BeFalse())
 }
 
-// Other routers' decisions depend on the answers to checks, so that these are told to peers; the
-// next answer to a request isn't taken for an older one.
-func TestCheckedReportIsToldToPeersAndReplaced(t *testing.T) {
+// Guards against an answer to a check that isn't sent to peers, which depend on it, and against one that
+// makes the next answer to a request look older.
+func TestCheckedReportIsSentToPeersAndReplaced(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
 	p := NewPool(Config{Policy: NewPromptAware()})
@@ -101,6 +143,9 @@
 	g.Expect(p.Views(at(1100), all)[0].Load.TotalRunning()).To(Equal(3))
 }
 
+// Guards against an event for each reading after a change.
+// Guards against an event for each reading after a change.
+// Guards against an event for each reading after a change.
 func TestChangeOfPaceIsReportedOnce(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
--- a/internal/balance/peerloads.go
+++ b/internal/balance/peerloads.go
@@ -49,7 +49,7 @@
 	return loads
 }
 
-// statedPercent returns the percentage of a report as it is told to peers; 0 if it can't be a reading.
+// statedPercent returns the percentage of a report as it is sent to peers; 0 if it can't be a reading.
 func statedPercent(percent float64) int {
 	if !pace.Valid(percent) {
 		return 0
@@ -67,26 +67,28 @@
 		var changed bool
 		var estimate pace.Estimate
 		if st, ok := sh.states[s.Endpoint]; ok && dated {
-			changed, estimate = st.applyPeerLoad(at, s), st.pace.At(at)
+			changed, estimate = st.applyPeerLoad(sentAt, at, s), st.pace.At(sentAt)
 		}
 		sh.mu.Unlock()
 		p.notifyPace(changed, s.Endpoint, estimate)
 	}
 }
 
-// applyPeerLoad applies a load report that another router received at the given time, and reports
-// whether it changed the class of the endpoint's pace.
-func (st *state) applyPeerLoad(at time.Time, s LoadSummary) (paceChanged bool) {
+// applyPeerLoad applies a load report that another router received at the given time and sent at
+// sentAt, and reports whether it changed the class of the endpoint's pace.
+func (st *state) applyPeerLoad(sentAt, at time.Time, s LoadSummary) (paceChanged bool) {
 	if at.Before(st.restartedAt) {
 		return false
 	}
-	paceChanged = st.pace.Add(at, float64(s.WorkPercent)) // also if it is older: each shows another moment
+	paceChanged = st.pace.AddFromPeer(sentAt, at, float64(s.WorkPercent)) // also if it is older: each shows another moment
 	if !at.After(st.reportedAt) {
 		return paceChanged
 	}
 	st.load.Running, st.load.Queued = [len(st.load.Running)]int{}, [len(st.load.Queued)]int{}
 	st.load.Running[0], st.load.Queued[0] = s.Running, s.Queued
-	st.load.WorkPercent = float64(s.WorkPercent)
+	if percent := float64(s.WorkPercent); pace.Valid(percent) {
+		st.load.WorkPercent = percent // absent in messages of the previous version
+	}
 	st.reportedAt, st.reportFromPeer = at, true
 	st.dropSendsUntil(at)
 	return paceChanged
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -158,6 +158,7 @@
 		req.majoritySuspect = true
 		s.excluded = p.collect(s, now, req, candidates, skip)
 	}
+	comparePaces(s.views, s.leaving)
 	if i, weight := p.distrustedView(now, req, s.views, s.rnd); i >= 0 && (!s.views[i].Metered || p.Take(now, candidates[s.candidateIndexes[i]], req)) {
 		// Estimates for the choice are made as if the endpoint were chosen by load.
 		s.views[i].Weight = weight
@@ -312,6 +313,7 @@
 	for i, c := range candidates {
 		p.fillView(now, c, &views[i], Request{})
 	}
+	comparePaces(views, nil)
 	return views
 }
 
--- a/internal/balance/preferred_test.go
+++ b/internal/balance/preferred_test.go
@@ -1,7 +1,10 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,28 +77,58 @@
 	g.Expect(float64(slowParts) / keys).To(BeNumerically("~", 4*weight/(8+4*weight), 0.02))
 }
 
-// The choice must be today's where endpoints state no pace, are alike, or are all slow at once.
+// unweightedOrder is the order for tight-gap streams without paces: by hash, alternating between failure
+// domains.
+func unweightedOrder(views []View) []int {
+	order := allViews(views)
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(rendezvous(tightGapKey, views[b].Endpoint), rendezvous(tightGapKey, views[a].Endpoint))
+	})
+	perDomain, position := make(map[string]int), make(map[int]int)
+	for _, i := range order {
+		position[i] = perDomain[views[i].FailureDomain]
+		perDomain[views[i].FailureDomain]++
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(position[a], position[b]) })
+	return order
+}
+
+// unweightedPreference returns all views but one in the order in which they are preferred for a key
+// without paces: by hash.
+func unweightedPreference(key uint64, views []View, without int) []int {
+	order := slices.DeleteFunc(allViews(views), func(i int) bool { return i == without })
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(rendezvous(key, views[b].Endpoint), rendezvous(key, views[a].Endpoint))
+	})
+	return order
+}
+
+// Guards against other choices than those without paces where endpoints state none, are alike, or are
+// all slow at once. The reference is the algorithm without weights.
 func TestEqualPacesChangeNoPreferenceAndNoOrder(t *testing.T) {
 	g := NewWithT(t)
-	unstated := pacedViews(0, 0)
-	for _, percent := range []float64{70, 100, 425} {
+	for _, percent := range []float64{0, 70, 100, 425} {
 		views := pacedViews(percent, percent)
 		g.Expect(views[0].Pace).To(BeNumerically("~", percent/100, 1e-6))
-		g.Expect(preferredByKey(views, 500)).To(Equal(preferredByKey(unstated, 500)))
-		g.Expect(rankForTightGap(views, allViews(views))).To(Equal(rankForTightGap(unstated, allViews(unstated))))
-	}
-	for key, i := range preferredByKey(unstated, 500) {
-		best := 0
-		for n := range unstated {
-			id := sharedRequest(uint64(1000 + key)).Prompt.SharedPrefixID()
-			if rendezvous(id, unstated[n].Endpoint) > rendezvous(id, unstated[best].Endpoint) {
-				best = n
-			}
+		g.Expect(rankForTightGap(views, allViews(views))).To(Equal(unweightedOrder(views)), "%v percent", percent)
+		for key := range 500 {
+			req := sharedRequest(uint64(1000 + key))
+			id, group := req.Prompt.SharedPrefixID(), allViews(views)
+			preferred := preferredEndpoint(req, views, group)
+			others := unweightedPreference(id, views, preferred)
+			g.Expect(preferred).To(Equal(unweightedPreference(id, views, -1)[0]), "%v percent, key %d", percent, key)
+			g.Expect(alternates(req, views, group, preferred)).To(Equal(others[:alternateCount]), "%v percent, key %d", percent, key)
+			g.Expect(fetchSource(req, views, nil, group, preferred)).To(Equal(others[0]), "%v percent, key %d", percent, key)
 		}
-		g.Expect(i).To(Equal(best))
 	}
 }
 
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
+// Guards against slow endpoints that are dedicated to streams with tight gaps before fast ones, and
+// against an order whose first endpoints share a failure domain.
 func TestSlowEndpointsAreLastInTheOrderForTightGaps(t *testing.T) {
 	g := NewWithT(t)
 	views := pacedViews(70, 170)
@@ -110,7 +143,31 @@
 	g.Expect(domains).To(HaveLen(4), "the first ones are in different failure domains")
 }
 
-// A new process under an endpoint's name, and one that is gone, have no pace.
+// Guards against a choice that compares the paces of all endpoints for each of its steps, and where none
+// is slow: the weights are set once, only for slow endpoints.
+func TestOnlySlowEndpointsHaveAWeight(t *testing.T) {
+	g := NewWithT(t)
+	for _, percents := range [][2]float64{{0, 0}, {70, 70}, {170, 170}} {
+		for _, v := range pacedViews(percents[0], percents[1]) {
+			g.Expect(v.SlowWeight).To(BeZero(), "%v", percents)
+		}
+	}
+	leaving := pacedViews(70, 170)
+	views := slices.DeleteFunc(pacedViews(70, 170), func(v View) bool { return v.Pace > 1 })
+	for i := range leaving {
+		leaving[i].SlowWeight = 0
+	}
+	comparePaces(views, leaving)
+	for i, v := range leaving {
+		g.Expect(v.slow()).To(Equal(i%3 == 2), "leaving endpoint %d", i)
+	}
+	for _, v := range views {
+		g.Expect(v.slow()).To(BeFalse())
+	}
+}
+
+// Guards against a pace that outlives the process under an endpoint's name, by its state or by readings
+// of the earlier process that peers send later.
 func TestPaceEndsWithTheProcess(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(1)
@@ -124,13 +181,17 @@
 	report()
 	g.Expect(state()).To(BeNumerically("~", 1.7, 1e-6))
 	p.Restart(epoch.Add(2*time.Second), all[0].Name)
-	p.ApplyPeerLoads(epoch.Add(2*time.Second), []LoadSummary{{Endpoint: all[0].Name, WorkPercent: 170, AgeMillis: 100}})
+	g.Expect(state()).To(BeZero())
+	for _, millis := range []int64{1300, 700, 100} { // 0.7 to 1.9 s, enough for an estimate
+		p.ApplyPeerLoads(epoch.Add(2*time.Second), []LoadSummary{{Endpoint: all[0].Name, WorkPercent: 170, AgeMillis: millis}})
+	}
 	g.Expect(state()).To(BeZero())
 	p.Forget(all[0].Name)
 	g.Expect(state()).To(BeZero())
 }
 
-// A router with few requests at an endpoint learns its pace from peers, whose values are untrusted.
+// Guards against a router with few requests at an endpoint that doesn't learn its pace from peers, and
+// against malformed values of peers.
 func TestPaceIsLearnedFromPeers(t *testing.T) {
 	g := NewWithT(t)
 	all := newEndpoints(2)
@@ -151,3 +212,21 @@
 	loads := p.RecentLoads(epoch.Add(3*time.Second), time.Second, 1, true)
 	g.Expect(loads[0].WorkPercent).To(Equal(172))
 }
+
+// Guards against a peer's reading of a huge age that dates the estimator's start, so that the times of
+// all later readings overflow.
+func TestPeerReadingOfAHugeAgeDoesNotDisableTheEstimator(t *testing.T) {
+	const maxMillis = math.MaxInt64 / int64(time.Millisecond)
+	for _, millis := range []int64{30_001, 3_600_000, maxMillis / 2, maxMillis} {
+		g := NewWithT(t)
+		all := newEndpoints(1)
+		p := NewPool(Config{Policy: NewPromptAware()})
+		p.Views(epoch, all)
+		p.ApplyPeerLoads(epoch, []LoadSummary{{Endpoint: all[0].Name, WorkPercent: 70, AgeMillis: millis}})
+		g.Expect(p.PaceStated(epoch.Add(-time.Duration(millis)*time.Millisecond))).To(BeFalse(), "age %d ms", millis)
+		for n := range 5 {
+			p.Report(epoch.Add(time.Duration(n)*300*time.Millisecond), all[0].Name, load.Report{Seq: uint64(n + 1), WorkPercent: 170})
+		}
+		g.Expect(p.Views(epoch.Add(2*time.Second), all)[0].Pace).To(BeNumerically("~", 1.7, 1e-6), "age %d ms", millis)
+	}
+}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -65,7 +66,10 @@
 	}
 }
 
-func TestPaceOfAlikeEndpointsIsAlike(t *testing.T) {
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+// Guards against an endpoint that differs from others of its pace because of short spans of slower work.
+func TestShortSpansDoNotMakeAlikeEndpointsDiffer(t *testing.T) {
 	for _, interval := range []int{50, 200, 700} {
 		g := NewWithT(t)
 		wrong, all := 0, 0
@@ -87,8 +91,8 @@
 	}
 }
 
-// A single reading of 175 may be a fast endpoint in a slow span.
-func TestFewReadingsStateNothing(t *testing.T) {
+// Guards against an estimate from a single moment: 175 may be a fast endpoint in a slow span.
+func TestFewReadingsGiveNoEstimate(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	e.Add(at(0), 175)
@@ -102,6 +106,9 @@
 	g.Expect(e.At(at(1300)).Factor).To(BeNumerically("~", 0.7, 1e-6))
 }
 
+// Guards against malformed readings that change the estimate.
+// Guards against malformed readings that change the estimate.
+// Guards against malformed readings that change the estimate.
 func TestMalformedReadingsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
@@ -114,7 +121,7 @@
 	g.Expect(e.At(at(3000)).Factor).To(Equal(1.0))
 }
 
-// An endpoint that gets no work states nothing: its value holds for a bounded time.
+// Guards against the pace of an endpoint without work that holds for an unbounded time.
 func TestPaceIsUnknownWithoutRecentReadings(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
@@ -125,8 +132,39 @@
 	g.Expect(e.At(at(31_500))).To(Equal(Estimate{}))
 }
 
-// An idle endpoint is asked every 5 s, and a busy one states its pace anew when it was idle.
-func TestSparseReadingsCount(t *testing.T) {
+// Guards against an expired pace that applies again after a single new reading.
+func TestExpiredPaceDoesNotReturnWithOneReading(t *testing.T) {
+	for _, ms := range []int{31_500, 29_000, 3_600_000} {
+		g := NewWithT(t)
+		var e Estimator
+		for _, earlier := range []int{-2000, -1000, 0} {
+			e.Add(at(earlier), 170)
+		}
+		g.Expect(e.At(at(0)).Factor).To(BeNumerically("~", 1.7, 1e-6))
+		e.Add(at(ms), 70)
+		if ms > 30_000 {
+			g.Expect(e.At(at(ms))).To(Equal(Estimate{}))
+		}
+		e.Add(at(ms+1000), 70)
+		e.Add(at(ms+2000), 70)
+		g.Expect(e.At(at(ms + 2000)).Factor).To(BeNumerically("~", 0.7, 1e-6))
+		g.Expect(e.At(at(ms + 2000)).Class).To(Equal(classOf(0.7)))
+	}
+}
+
+// Guards against an estimate that holds although most readings behind it are older than the retention.
+func TestTooFewReadingsWithinTheRetentionClearThePace(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for _, ms := range []int{0, 5000, 10_000} {
+		e.Add(at(ms), 170)
+	}
+	e.Add(at(39_000), 70)
+	g.Expect(e.At(at(39_000))).To(Equal(Estimate{}))
+}
+
+// Guards against an idle endpoint, which is asked every 5 s, whose pace stays unknown.
+func TestSparseReadingsGiveAnEstimate(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	for _, ms := range []int{0, 5000, 10_000} {
@@ -135,7 +173,7 @@
 	g.Expect(e.At(at(10_000)).Factor).To(BeNumerically("~", 1.7, 1e-6))
 }
 
-// Readings of peers arrive late and out of order.
+// Guards against estimates that differ between routers because readings of peers arrive in another order.
 func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
 	g := NewWithT(t)
 	percent := stated(3, constant(70))
@@ -156,7 +194,68 @@
 	g.Expect(shuffled.At(at(3200)).Factor).To(Equal(inOrder.At(at(3200)).Factor))
 }
 
-func TestMemoryIsBounded(t *testing.T) {
+// Guards against a peer that sets the pace by low readings, which are valid but wrong.
+func TestLowReadingsOfOnePeerDoNotSetThePace(t *testing.T) {
+	for _, interval := range []int{100, 250, 500, 1000} {
+		for _, offset := range []int{0, 20, 75, 125, 160} {
+			for _, low := range []float64{10, 70, 2000} {
+				g := NewWithT(t)
+				var e Estimator
+				wrong, known := 0, 0
+				for ms := 0; ms < 20_000; ms += 5 {
+					if ms%interval == 0 {
+						e.Add(at(ms), 170)
+					}
+					if ms%250 == offset {
+						e.AddFromPeer(at(ms), at(ms-1), low)
+					}
+					if ms < 3000 {
+						continue // own readings are too few until then
+					}
+					known++
+					if math.Abs(e.At(at(ms)).Factor-1.7) > 0.01 {
+						wrong++
+					}
+				}
+				g.Expect(wrong).To(BeZero(), "of %d; own readings every %d ms, peer's of %v at %d ms", known, interval, low, offset)
+			}
+		}
+	}
+}
+
+// Guards against an estimate from the readings of peers that follows single wrong ones: a low value
+// needs the agreement of a quarter.
+func TestAQuarterOfPeersReadingsAgreesOnALowPace(t *testing.T) {
+	for _, c := range []struct{ wrongOfTen, factor float64 }{{1, 1.7}, {2, 1.7}, {4, 0.1}} {
+		g := NewWithT(t)
+		var e Estimator
+		for n := range 10 {
+			percent := 170.0
+			if float64(n) < c.wrongOfTen {
+				percent = 10
+			}
+			e.AddFromPeer(at(n*200), at(n*200), percent)
+		}
+		g.Expect(e.At(at(2000)).Factor).To(BeNumerically("~", c.factor, 1e-6))
+	}
+}
+
+// Guards against a peer's reading that hides the own one of the same moment.
+func TestOwnReadingsReplaceThoseOfPeers(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	for ms := 0; ms < 1800; ms += 600 {
+		e.AddFromPeer(at(ms), at(ms), 10)
+		e.AddFromPeer(at(ms+160), at(ms+160), 10)
+		e.Add(at(ms+80), 170)
+	}
+	g.Expect(e.readings).To(HaveLen(3))
+	g.Expect(e.At(at(1800))).To(Equal(Estimate{Factor: e.percent / usualPercent, Class: classOf(1.7)}))
+	g.Expect(e.percent).To(Equal(170.0))
+}
+
+// Guards against memory that grows with the number of readings.
+func TestReadingsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	var e Estimator
 	for ms := range 20_000 {
