Weigh lateness by a second again

At a quarter of a second a late answer costs too little for a prompt to leave a backlogged endpoint.

--- a/internal/forecast/cost.go
+++ b/internal/forecast/cost.go
@@ -22,7 +22,7 @@
 	lateWidth = 0.13
 	// lateCost is the cost of a late answer. All late answers have the same value: a longer wait
 	// beyond the objective is no reason to prefill the prompt's shared tokens again elsewhere.
-	lateCost = 250 * time.Millisecond
+	lateCost = time.Second
 	// unservedCost is the cost of an answer that ends after the deadline, as a time: above that of
 	// any wait within the objective, and low enough for prompts to stay near their cached parts where
 	// no endpoint is better.
