--- a/internal/fairshare/group.go
+++ b/internal/fairshare/group.go
@@ -22,8 +22,7 @@
 	refreshedAt time.Time
 	// covered reports that minCoverage of the other routers report their sums, or that there are none.
 	// Otherwise teams that reach only this router would appear larger than those that reach all, and be
-	// refused in their place: with 27 routers that know nothing of each other one such team got
-	// 0.73 of its work, and 0.88 is the mean without shares.
+	// refused in their place.
 	covered bool
 }
 
--- a/internal/filters/choose/share.go
+++ b/internal/filters/choose/share.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/fairshare"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
+	"coveferry/internal/waiting"
 	"coveferry/internal/wire"
 )
 
@@ -38,15 +39,12 @@
 	}
 }
 
-// maxRetryPart is the part of the time to the deadline within which callers honour Retry-After.
-const maxRetryPart = 1.0 / 3
-
 // limitRetryAfter bounds a Retry-After by the time within which the caller honours it.
 func limitRetryAfter(retryAfter time.Duration, deadline, now time.Time) time.Duration {
 	if deadline.IsZero() {
 		return retryAfter
 	}
-	return max(0, min(retryAfter, time.Duration(maxRetryPart*float64(deadline.Sub(now)))))
+	return max(0, min(retryAfter, waiting.LongestRetryAfter(deadline.Sub(now))))
 }
 
 // checkOverload refuses a request that would wait too long, or whose team is above its share of the
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -34,7 +34,7 @@
 	// are in slow spans too often (2%).
 	minReadings = 3
 	// minSpan is the time that the readings have to cover before they are used: two spans of slower
-	// work. With one, 7 of 648 paces were wrong at 27 routers and a quarter of the load.
+	// work. Within one span, all readings may be slow ones.
 	minSpan = 1200 * time.Millisecond
 	// retention is how long readings count where there are no newer ones: three periods in which an
 	// endpoint without work is asked for its pace.
--- a/internal/waiting/limit.go
+++ b/internal/waiting/limit.go
@@ -7,8 +7,7 @@
 
 const (
 	// minInitialLimit is the least limit at the start. One router gets a few requests at the same
-	// moment by chance even if the whole service is lightly loaded: with 4, one of 782 requests
-	// had to wait at 27 routers at half the load that fits.
+	// moment by chance even if the whole service is lightly loaded.
 	minInitialLimit = 8
 	// initialPerSlot is the initial limit for each slot of the router's share. The requests of a
 	// service are not spread evenly over routers, and one queued request for each slot takes no
@@ -36,7 +35,7 @@
 	// in 20 answers are faster if they are distributed normally.
 	usualDeviations = 2
 	// smoothing is the weight of a new answer in the mean answer time and its deviation. A router
-	// of many gets few answers, and with 0.1 it refused requests for a second after an overload.
+	// of many gets few answers, and must not refuse requests for long after an overload.
 	smoothing = 0.2
 	// minRoundTrip is the least time between two reductions. The answers to requests sent before
 	// a reduction say nothing about it.
--- a/internal/waiting/promises.go
+++ b/internal/waiting/promises.go
@@ -12,8 +12,7 @@
 	// can be promised within it. The rest is random.
 	minJitterShare = 0.5
 	// promisedShare is the share of the places becoming free that is promised to returning callers.
-	// The rest is for new requests, which come in the meantime. After bursts at 3 routers, 346 of
-	// 524 returning callers were served with 1, 464 of 505 with 0.5 and 483 of 497 with 0.3.
+	// The rest is for new requests, which come in the meantime and would take what was promised.
 	promisedShare = 0.3
 	// minRetryAfter keeps callers from returning at once if little is known.
 	minRetryAfter = 20 * time.Millisecond
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -49,9 +49,8 @@
 // Late reports whether the request would wait too long.
 func (a Assessment) Late() bool { return a.Bound <= 0 || a.Wait > a.Bound }
 
-// setBound sets the longest wait: with it, the answer still meets the objective. Where the next
-// request was allowed to wait until LatestStart, 103 routers answered 1,918 instead of 3,183 of
-// 3,300 requests in time, with the same use of the slots.
+// setBound sets the longest wait: with it, the answer still meets the objective. If requests waited
+// until LatestStart, most of them would be late, with the same use of the slots.
 func (a *Assessment) setBound(now time.Time, objective, answer time.Duration) {
 	a.Bound = a.LatestStart.Sub(now)
 	if objective <= 0 {
