Let the endpoints of the pace simulation state prompts that wait, as real ones do

Since forecasts are merged, an endpoint that states its pace is judged by the number of requests that it hasn't begun to answer. The simulated endpoints counted prompts that are being prefilled as running, which endpoints with a pace don't; a backlog looked like none.

--- a/internal/balance/pace_sim_test.go
+++ b/internal/balance/pace_sim_test.go
@@ -44,8 +44,8 @@
 	const minGain = 0.08 // of the urgent streams, in time
 	for _, routers := range []int{3, 27, 103} {
 		for _, utilization := range []float64{0.5, 0.75, 1} {
-			off := simulateUnequal(routers, utilization, unequalOptions{spans: true})
-			on := simulateUnequal(routers, utilization, unequalOptions{spans: true, statesPace: true})
+			off := simulateUnequal(routers, utilization, unequalOptions{spans: true, statesWaiting: true})
+			on := simulateUnequal(routers, utilization, unequalOptions{spans: true, statesWaiting: true, statesPace: true})
 			for n, k := range on.kinds {
 				o := off.kinds[n]
 				t.Logf("%d routers, utilization %.2f, tier %d: in time %.2f (off %.2f), late %.2f (%.2f), rejected %.2f (%.2f), timed out %.2f (%.2f)",
