Compute the cost of recomputed prompt tokens in one place

promptCost and the saving at an alternate had the same product; both call recomputeCost now. The comment of lateWidth called it a quartile distance; it is the scale of a logistic curve. No value changes.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -79,8 +79,7 @@
 // alternateSaving returns the part of promptCost, in milliseconds, that is saved at an alternate
 // because it may have the shared parts cached.
 func alternateSaving(req Request, v *View) float64 {
-	recompute := 1000 * v.SecondsPerPromptToken * v.recomputeFactor() * float64(recomputedTokens(req, v, false))
-	return alternateCachedShare * recompute
+	return alternateCachedShare * recomputeCost(req, v, false)
 }
 
 // ownInflightShare returns this router's share, from 0 to 1, of all requests at the endpoints.
@@ -159,12 +158,15 @@
 	return max(0, req.Prompt.SharedTokens()-v.CachedTokens)
 }
 
+// recomputeCost returns the part of promptCost, in milliseconds, for shared prompt tokens that the
+// endpoint would have to recompute.
+func recomputeCost(req Request, v *View, preferred bool) float64 {
+	return 1000 * v.SecondsPerPromptToken * v.recomputeFactor() * float64(recomputedTokens(req, v, preferred))
+}
+
 // promptCost returns the cost of sending the request to the endpoint, in milliseconds.
 func promptCost(req Request, v *View, preferred, tightGap bool) float64 {
-	perToken := 1000 * v.SecondsPerPromptToken
-	waiting := v.waitCost(req)
-	recompute := perToken * v.recomputeFactor() * float64(recomputedTokens(req, v, preferred))
-	cost := waiting + recompute + perStreamCost*v.estimatedRequests()
+	cost := v.waitCost(req) + recomputeCost(req, v, preferred) + perStreamCost*v.estimatedRequests()
 	if !tightGap {
 		cost += pausePenalty * float64(v.TightGapStreams)
 	}
--- a/internal/forecast/cost.go
+++ b/internal/forecast/cost.go
@@ -16,8 +16,8 @@
 	// shortObjective is the longest objective for which waiting time counts in full.
 	shortObjective = 500 * time.Millisecond
 	// lateFrom is the share of the objective at which a forecast answer is as likely late as in
-	// time, and lateWidth the share by which the likelihood changes from a quarter to three
-	// quarters: reports are old, so that forecasts of long waits are too short.
+	// time, and lateWidth the scale of the logistic curve around it, as a share of the objective:
+	// reports are old, so that forecasts of long waits are too short.
 	lateFrom  = 0.75
 	lateWidth = 0.13
 	// lateCost is the cost of a late answer. All late answers have the same value: a longer wait
