Log which events each attempt brought of a stream, and how its answer ends

Cause: a request's line told how many events the caller holds, but no ID, so that a repeat, a gap, an attempt that began anew and an end that is none look alike. Change: each attempt logs the event after which it went on, its first and last event, and an answer that ends with its connection. No change of logic.

--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -68,6 +68,7 @@
 
 // relayRouted passes an endpoint's response on unchanged.
 func relayRouted(r *request.Request) error {
+	r.Framing = framingOf(r.Answer)
 	if r.Stream && r.Answer.StatusCode == http.StatusOK {
 		return relayRoutedStream(r)
 	}
@@ -251,6 +252,7 @@
 	if id := lastEventID(events); id != "" {
 		s.r.Delivered.LastEvent = id
 	}
+	s.r.Events.Add(firstEventID(events), s.r.Delivered.LastEvent)
 	s.drop(end)
 	return nil
 }
@@ -304,6 +306,13 @@
 	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
 }
 
+func framingOf(answer *http.Response) request.Framing {
+	if endsWithConnection(answer) {
+		return request.FramingConnection
+	}
+	return request.FramingLength
+}
+
 // recordGap records the longest gap between deliveries of the stream, which shows whether
 // it was late.
 func recordGap(r *request.Request) {
@@ -346,6 +355,16 @@
 	return false
 }
 
+// firstEventID returns the ID of the first event that has one.
+func firstEventID(events []byte) string {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	rest := events
--- /dev/null
+++ b/internal/request/events.go
@@ -0,0 +1,45 @@
+package request
+
+import "strings"
+
+// EventRange says which events an attempt brought of a stream, by their IDs.
+type EventRange struct {
+	// After is the ID after which the attempt went on; empty if it began the stream.
+	After string
+	// First and Last are the IDs of the first and the last event that the caller got; empty for none.
+	First, Last string
+}
+
+// Add adds events that the caller got, of which the first and the last ID are given.
+func (e *EventRange) Add(first, last string) {
+	if e.First == "" {
+		e.First = first
+	}
+	if last != "" {
+		e.Last = last
+	}
+}
+
+// String describes the range for a log line; empty if there is nothing to tell.
+func (e EventRange) String() string {
+	var parts []string
+	if e.After != "" {
+		parts = append(parts, "after event "+e.After)
+	}
+	if e.First != "" {
+		parts = append(parts, "events "+e.First+" to "+e.Last)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Framing is how the end of an answer is told.
+type Framing uint8
+
+const (
+	// FramingNone: there is no answer.
+	FramingNone Framing = iota
+	// FramingLength: by its length or by chunks.
+	FramingLength
+	// FramingConnection: by the end of its connection, which a process that ends closes as well.
+	FramingConnection
+)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -151,6 +151,10 @@
 	// Signals is what the endpoint's answer to the latest attempt says of the endpoint. Set by
 	// dispatch.
 	Signals upstream.Signals
+	// Events is what the latest attempt brought of a stream, and Framing how its answer ends. Set by
+	// relay.
+	Events  EventRange
+	Framing Framing
 	// Connections counts the connections used for the latest attempt. Set by dispatch.
 	Connections int
 	// Arrival is what is known of the latest attempt's arrival, and SentAt when it was sent. Set by
@@ -229,6 +233,9 @@
 	// arrival to when the attempt was sent.
 	Arrival   Arrival
 	SentAfter time.Duration
+	// Events is what the attempt brought of a stream, and Framing how its answer ends.
+	Events  EventRange
+	Framing Framing
 	// Endless is the part of the answer that had no end; empty for none.
 	Endless upstream.Part
 	// Budget describes the use of the retry budget if a retry was charged to it or refused by
@@ -246,6 +253,12 @@
 	if s.Arrival != ArrivalNotSent {
 		text += fmt.Sprintf(", %s, sent after %s", s.Arrival, s.SentAfter.Round(time.Millisecond))
 	}
+	if events := s.Events.String(); events != "" {
+		text += ", " + events
+	}
+	if s.Framing == FramingConnection {
+		text += ", ends with its connection"
+	}
 	if s.Connections > 1 {
 		text += fmt.Sprintf(", on %d connections", s.Connections)
 	}
--- a/internal/request/step_test.go
+++ b/internal/request/step_test.go
@@ -13,3 +13,12 @@
 	step.Connections = 3
 	g.Expect(step.String()).To(HaveSuffix(", on 3 connections"))
 }
+
+func TestStepStringShowsWhichEventsTheAttemptBrought(t *testing.T) {
+	g := NewWithT(t)
+	step := Step{Epoch: 2, Endpoint: "e", Outcome: "complete", Tokens: 7, Next: "completed", Framing: FramingConnection}
+	step.Events = EventRange{After: "4"}
+	step.Events.Add("5", "6")
+	step.Events.Add("7", "7")
+	g.Expect(step.String()).To(Equal("attempt 2 at e: complete, 7 tokens held, completed, after event 4, events 5 to 7, ends with its connection"))
+}
