Pass every stream through one check of the order of its events

Callers saw: 1 2 3 4 1 2 3 ... 10, 1 2 3 4 4 5, 1 2 3 4 6 7 and 1 2 3 3 4, all ended as whole; events without IDs again from the start in the same answer; a stream that they resumed after 3 began at 1, 3 or 5.

Cause: a router read the ID of the last event that it passed on, only to send it as Last-Event-Id, and compared no event with what its caller had. Class: who says what comes next. Each endpoint was believed.

Change: package eventstream decides on each event: deliver, leave out (the caller has it), or break off (a gap, or no comparable ID where a stream goes on), after which another endpoint goes on if that is allowed. Whether a gap within a run is a fault is learned of each service by what its runs show; a run that goes on begins with the next number unless the service is known to leave some out. After an event without an ID no one goes on. Repeats without end are bounded. Counters coveferry_stream_events_left_out_total and coveferry_stream_order_faults_total, and the attempt's line says what was left out.

TestStreamsThatEndWithTheirConnection let its second endpoint go on at 9 after 1, which is a gap now; it goes on at 2 and checks the same.

--- /dev/null
+++ b/internal/eventstream/checker.go
@@ -0,0 +1,151 @@
+package eventstream
+
+import "fmt"
+
+// Verdict is what to do with an event.
+type Verdict uint8
+
+const (
+	// Deliver passes the event on.
+	Deliver Verdict = iota
+	// LeaveOut drops an event that the caller has.
+	LeaveOut
+	// BreakOff ends the attempt: the event isn't the one that comes next.
+	BreakOff
+)
+
+// Fault is why an attempt is broken off.
+type Fault string
+
+// The faults.
+const (
+	// FaultGap: events are missing before this one.
+	FaultGap Fault = "gap"
+	// FaultUnnamed: the first event of an attempt that goes on has no ID, or none that compares with
+	// that of the event before it.
+	FaultUnnamed Fault = "unnamed"
+)
+
+// OrderError is an event that isn't the one that comes next in its stream.
+type OrderError struct {
+	Fault Fault
+	// After is the ID of the last event that the caller has, and ID that of the event.
+	After, ID string
+}
+
+// Error implements error.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("eventstream: event %q comes after event %q: %s", e.ID, e.After, e.Fault)
+}
+
+// Checker decides on the events of one attempt. It must not be used concurrently.
+type Checker struct {
+	position *Position
+	service  string
+	numbers  *Numbering
+	rule     gapRule
+	// first is the ID of the event with which the service's streams begin; empty if that isn't known.
+	first string
+	// goesOn says that the caller has events of earlier attempts and none of this one.
+	goesOn bool
+	steps  stepCount
+	// began is the ID of the run's first event if it began the stream; empty otherwise.
+	began string
+	// runLast is the ID of the run's last event, also if that was left out; empty for none.
+	runLast string
+	leftOut int
+}
+
+// NewChecker returns a checker for an attempt at a service that continues at the position, which it
+// advances.
+func NewChecker(position *Position, service string, numbers *Numbering) *Checker {
+	c := &Checker{position: position, service: service, numbers: numbers, goesOn: position.LastID != ""}
+	c.rule, c.first = numbers.of(service)
+	return c
+}
+
+// Check decides on the next event. The error is an *OrderError if the verdict is BreakOff. An event to
+// deliver counts as delivered.
+func (c *Checker) Check(e Event) (Verdict, error) {
+	if !e.IsContent() {
+		return Deliver, nil
+	}
+	c.countStep(e)
+	verdict, fault := c.decide(e)
+	switch verdict {
+	case Deliver:
+		c.goesOn = false
+		c.position.advance(e)
+	case LeaveOut:
+		c.leftOut++
+	case BreakOff:
+		return BreakOff, &OrderError{Fault: fault, After: c.position.LastID, ID: e.ID}
+	}
+	return verdict, nil
+}
+
+// LeftOut returns how many events were left out.
+func (c *Checker) LeftOut() int { return c.leftOut }
+
+// Close has the service's numbering learn from the run.
+func (c *Checker) Close() { c.numbers.add(c.service, c.steps, c.began) }
+
+// countStep counts the step from the run's last event to this one, or its start.
+func (c *Checker) countStep(e Event) {
+	if c.position.IsStart() {
+		c.began = e.ID
+	}
+	if c.runLast != "" && e.ID != "" {
+		switch compare(c.runLast, e.ID) {
+		case orderNext:
+			c.steps.steps++
+		case orderGap:
+			c.steps.steps++
+			c.steps.gaps++
+		}
+	}
+	c.runLast = e.ID
+}
+
+func (c *Checker) decide(e Event) (Verdict, Fault) {
+	last := c.position.LastID
+	switch {
+	case c.position.IsStart():
+		return c.deliverUnless(c.startsLate(e), FaultGap)
+	case last == "":
+		return Deliver, ""
+	case e.ID == "":
+		return c.deliverUnless(c.goesOn, FaultUnnamed)
+	}
+	switch compare(last, e.ID) {
+	case orderRepeated:
+		return LeaveOut, ""
+	case orderGap:
+		return c.deliverUnless(c.isFault(), FaultGap)
+	case orderUnknown:
+		return c.deliverUnless(c.goesOn, FaultUnnamed)
+	}
+	return Deliver, ""
+}
+
+func (c *Checker) deliverUnless(broken bool, fault Fault) (Verdict, Fault) {
+	if broken {
+		return BreakOff, fault
+	}
+	return Deliver, ""
+}
+
+// startsLate reports whether an event isn't the one with which the service's streams begin but a later one.
+func (c *Checker) startsLate(e Event) bool {
+	if c.rule != gapsAreFaults || c.first == "" || e.ID == "" {
+		return false
+	}
+	o := compare(c.first, e.ID)
+	return o == orderNext || o == orderGap
+}
+
+// isFault reports whether a gap before the next event is a fault. Of a service of which little is
+// known, a run may leave out numbers, but one that goes on must begin with the next.
+func (c *Checker) isFault() bool {
+	return c.rule == gapsAreFaults || c.rule == gapsUnknown && c.goesOn
+}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -136,7 +136,7 @@
 // arrived.
 func sendAttempt(ctx context.Context, r *request.Request, charge *retry.Charge, next pipeline.Next) error {
 	r.Signals, r.LimitPart, r.Connections, r.Arrival = upstream.Signals{}, "", 0, request.ArrivalNotSent
-	r.Events, r.Framing = request.EventRange{After: r.Delivered.LastEvent}, request.FramingNone
+	r.Events, r.Framing = request.EventRange{After: r.Delivered.Position.LastID}, request.FramingNone
 	r.OnAnswered = charge.Arrived
 	if r.Kind != wire.KindRouted {
 		charge.Arrived() // an agent bounds by itself what waits there
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -229,7 +229,7 @@
 		Team:      r.TeamName,
 		Rank:      r.Routes.Table.Rank(r.Tier, r.Route.Tier),
 		TimeLeft:  max(time.Millisecond, r.TimeLeft(f.clock())),
-		LastEvent: r.Delivered.LastEvent,
+		LastEvent: r.Delivered.Position.LastID,
 	}
 	if r.FetchFrom != nil {
 		a.FetchFrom = r.FetchFrom.Address
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -126,7 +126,7 @@
 	r.APIKey = in.APIKey
 	r.Prompt = in.Prompt
 	r.Resumes = in.Resumes
-	r.ResumedAfter, r.Delivered.LastEvent = in.LastEvent, in.LastEvent
+	r.ResumedAfter, r.Delivered.Position.LastID = in.LastEvent, in.LastEvent
 	r.Service = found.Pick(f.random())
 	r.Stream = found.Stream
 	r.Tier = max(0, found.Tier) // clamped: 0 is the highest rank
--- /dev/null
+++ b/internal/filters/relay/metrics.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coveferry/internal/eventstream"
+)
+
+// Metrics counts what the filter decides on streams. nil counts nothing.
+type Metrics struct {
+	leftOut prometheus.Counter
+	faults  *prometheus.CounterVec
+}
+
+// NewMetrics returns metrics that are registered with reg unless that is nil.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		leftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coveferry_stream_events_left_out_total",
+			Help: "Events of streams that endpoints sent again and that callers had.",
+		}),
+		faults: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coveferry_stream_order_faults_total",
+			Help: "Attempts that were broken off at an event that isn't the next: after a gap, or unnamed where a stream goes on.",
+		}, []string{"fault"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.leftOut, m.faults)
+	}
+	return m
+}
+
+func (m *Metrics) countLeftOut(events int) {
+	if m != nil {
+		m.leftOut.Add(float64(events))
+	}
+}
+
+func (m *Metrics) countFault(err error) {
+	var order *eventstream.OrderError
+	if m != nil && errors.As(err, &order) {
+		m.faults.WithLabelValues(string(order.Fault)).Inc()
+	}
+}
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -13,23 +13,28 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/completion"
+	"coveferry/internal/eventstream"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/sse"
 	"coveferry/internal/wire"
 )
 
-// Filter implements pipeline.Filter.
-type Filter struct{}
+// Filter implements pipeline.Filter. Its fields concern requests of kind KindRouted only.
+type Filter struct {
+	// Numbering knows how services number the events of their streams.
+	Numbering *eventstream.Numbering
+	Metrics   *Metrics
+}
 
 // Name implements pipeline.Filter.
 func (Filter) Name() string { return "relay" }
 
 // Do relays the response. nil means that the caller has received all of it. Its errors are
 // *BrokenError, *CallerError and *EndpointError.
-func (Filter) Do(_ context.Context, r *request.Request, _ pipeline.Next) error {
+func (f Filter) Do(_ context.Context, r *request.Request, _ pipeline.Next) error {
 	if r.Kind == wire.KindRouted {
-		return relayRouted(r)
+		return f.relayRouted(r)
 	}
 	if r.Kind == wire.KindService {
 		return relayService(r)
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -1,6 +1,9 @@
 package request
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // EventRange says which events an attempt brought of a stream, by their IDs.
 type EventRange struct {
@@ -8,6 +11,8 @@
 	After string
 	// First and Last are the IDs of the first and the last event that the caller got; empty for none.
 	First, Last string
+	// LeftOut counts the events that the caller had.
+	LeftOut int
 }
 
 // Add adds events that the caller got, of which the first and the last ID are given.
@@ -29,6 +34,9 @@
 	if e.First != "" {
 		parts = append(parts, "events "+e.First+" to "+e.Last)
 	}
+	if e.LeftOut > 0 {
+		parts = append(parts, strconv.Itoa(e.LeftOut)+" events left out")
+	}
 	return strings.Join(parts, ", ")
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -10,6 +10,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/completion"
+	"coveferry/internal/eventstream"
 	"coveferry/internal/fairshare"
 	"coveferry/internal/once"
 	"coveferry/internal/poison"
@@ -288,8 +289,8 @@
 	// as part of a tool call.
 	Unresumable bool
 	FirstToken  time.Time
-	// LastEvent is the ID of the last event of a routed stream.
-	LastEvent string
+	// Position is how far the caller has a routed stream.
+	Position eventstream.Position
 	// LastSentAt is when the latest part of the answer was sent, and MaxGap the longest pause
 	// between two parts.
 	LastSentAt time.Time
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -9,6 +9,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/bundle"
+	"coveferry/internal/eventstream"
 	"coveferry/internal/fairshare"
 	"coveferry/internal/filters/admit"
 	"coveferry/internal/filters/attempts"
@@ -100,7 +101,9 @@
 			Latest: func(r *request.Request) []*bundle.Endpoint { return regions.Allowed(r, c.Endpoints(r.Service)) },
 		}),
 		rt.directDispatch, // sends the request
-		relay.Filter{},    // relays the answer
+		relay.Filter{ // relays the answer
+			Numbering: eventstream.NewNumbering(), Metrics: relay.NewMetrics(rt.cfg.Metrics),
+		},
 	)
 }
 
--- a/internal/router/routed_closing_test.go
+++ b/internal/router/routed_closing_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,7 +17,7 @@
 }
 
 func TestStreamsThatEndWithTheirConnection(t *testing.T) {
-	const first, atSecondEndpoint = "id: 1\ndata: a\n\n", "id: 9\ndata: z\n\n"
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: z\n\n"
 	for _, c := range []struct {
 		name, protocol, answer string
 		relayed                string // of the answer
@@ -32,15 +33,20 @@
 	} {
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 			w.handle = func(_ string, req *http.Request, conn net.Conn) {
-				if w.receivedCount() > 1 {
-					writeEvents(conn, req, true, atSecondEndpoint)
+				switch {
+				case w.receivedCount() == 1:
+				case req.Header.Get("Last") == "":
+					writeEvents(conn, req, true, first, second)
+					return
+				default:
+					writeEvents(conn, req, true, second)
 					return
 				}
 				writeUntilClose(conn, req, c.protocol, c.answer)
 			}
 			attempts, want := 1, c.relayed
 			if c.broken {
-				attempts, want = 2, c.relayed+atSecondEndpoint
+				attempts, want = 2, cmp.Or(c.relayed, first)+second
 			}
 			got := call(g, client, "POST", "/resume/", "x")
 			g.Expect(got.err).NotTo(HaveOccurred(), c.name)
--- a/internal/router/routed_order_test.go
+++ b/internal/router/routed_order_test.go
@@ -155,11 +155,14 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		teachNumbering(g, w, client)
 		w.handle = func(_ string, req *http.Request, conn net.Conn) {
-			if req.Header.Get("Last") != "" {
+			switch {
+			case req.Header.Get("From-Copy") != "":
+				writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\n", "")
+			case req.Header.Get("Last") != "":
 				writeEvents(conn, req, true, eventsFrom(4, 6))
-				return
+			default:
+				writeEvents(conn, req, true, numberedEvents(1, 2, 3, 5, 6))
 			}
-			writeEvents(conn, req, true, numberedEvents(1, 2, 3, 5, 6))
 		}
 		got := call(g, client, "POST", "/resume/", "x")
 		g.Expect(got.err).NotTo(HaveOccurred())
--- a/internal/upstream/endless.go
+++ b/internal/upstream/endless.go
@@ -5,11 +5,13 @@
 // Part is a part of an endpoint's answer.
 type Part string
 
-// The parts that may have no end. PartComments are the comments of a stream between two events.
+// The parts that may have no end. PartComments are the comments of a stream between two events, and
+// PartRepeats the events that its caller has.
 const (
 	PartHead     Part = "head"
 	PartEvent    Part = "event"
 	PartComments Part = "comments"
+	PartRepeats  Part = "repeats"
 )
 
 // EndlessError is a part of an answer that was given up since it is longer than its bound.
