Take an answer that ends with its connection for whole only if its process still answers

Callers saw: a stream without a length or chunks, or half of a plain answer, ended as whole as its endpoint's process was killed. Nothing was resumed.

Cause: the end of a connection counted as the end of the answer.

Change: after such an end the router asks the endpoint's health, naming the process. Any answer of that process confirms the end; none within a second means that the answer broke off: it goes on at another endpoint where that is allowed, else the caller's connection is aborted, or the answer is a 502. Checks that name an instance get 421 from another. Empty answers are confirmed in the same way, so that what the quarantine did for them (EndUnconfirmed) goes; its test now says that the process has ended. Counter coveferry_connection_ends_total.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -223,6 +223,7 @@
 			Region:                 d.regionOf,
 			Protocol:               d.cfg.Protocol,
 			Client:                 d.client,
+			StillRuns:              d.updater.stillRuns,
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			Shares:                 d.shares,
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"coveferry/internal/bundle"
 	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/membership"
@@ -201,6 +202,22 @@
 	return health, err
 }
 
+// mayCheckInterval is how often it is asked whether an endpoint may be sent a health check.
+const mayCheckInterval = 50 * time.Millisecond
+
+// stillRuns reports whether the process of an endpoint answers. It asks also if the endpoint is evacuated,
+// since its answers are awaited, but not if it asked this router to back off.
+func (l *directoryUpdater) stillRuns(ctx context.Context, e *bundle.Endpoint) bool {
+	for !l.d.pool.MayCheck(time.Now(), e) {
+		if !clock.Sleep(ctx, mayCheckInterval) {
+			return false
+		}
+	}
+	// Any answer will do, so what went wrong doesn't matter.
+	health, _ := l.d.cfg.Health(ctx, l.d.client, e.Address, l.healthPath(e.Services), e.Name)
+	return health.Answered
+}
+
 func (l *directoryUpdater) healthPath(services []string) string {
 	return cmp.Or(l.serviceOf(services).HealthPath, "/")
 }
--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -84,8 +84,6 @@
 		f.table.RecordResponse(processName(r), sent)
 	}
 	switch {
-	case err == nil && r.EndUnconfirmed:
-		// Neither a completion nor a loss is certain.
 	case err == nil:
 		f.table.RecordCompletion(f.poisonRequest(r))
 	case ctx.Err() == nil && endpointLost(err):
--- a/internal/filters/relay/metrics.go
+++ b/internal/filters/relay/metrics.go
@@ -7,12 +7,19 @@
 	"coveferry/internal/eventstream"
 )
 
-// Metrics counts what the filter decides on streams. nil counts nothing.
+// Metrics counts what the filter decides on streams and on the ends of answers. nil counts nothing.
 type Metrics struct {
 	leftOut prometheus.Counter
 	faults  *prometheus.CounterVec
+	ends    *prometheus.CounterVec
 }
 
+// Values of the result label of ends.
+const (
+	resultConfirmed   = "confirmed"
+	resultUnconfirmed = "unconfirmed"
+)
+
 // NewMetrics returns metrics that are registered with reg unless that is nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -24,9 +31,13 @@
 			Name: "coveferry_stream_order_faults_total",
 			Help: "Attempts that were broken off at an event that isn't the next: after a gap, or unnamed where a stream goes on.",
 		}, []string{"fault"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coveferry_connection_ends_total",
+			Help: "Answers that ended with their connections, by whether the endpoint's process answered afterwards.",
+		}, []string{"result"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.leftOut, m.faults)
+		reg.MustRegister(m.leftOut, m.faults, m.ends)
 	}
 	return m
 }
@@ -43,3 +54,14 @@
 		m.faults.WithLabelValues(string(order.Fault)).Inc()
 	}
 }
+
+func (m *Metrics) countEnd(confirmed bool) {
+	if m == nil {
+		return
+	}
+	result := resultUnconfirmed
+	if confirmed {
+		result = resultConfirmed
+	}
+	m.ends.WithLabelValues(result).Inc()
+}
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -22,6 +22,9 @@
 
 // Filter implements pipeline.Filter. Its fields concern requests of kind KindRouted only.
 type Filter struct {
+	// StillRuns confirms the end of an answer that ends with its connection; without it no such answer
+	// counts as whole.
+	StillRuns StillRuns
 	// Numbering knows how services number the events of their streams.
 	Numbering *eventstream.Numbering
 	Metrics   *Metrics
@@ -32,9 +35,9 @@
 
 // Do relays the response. nil means that the caller has received all of it. Its errors are
 // *BrokenError, *CallerError and *EndpointError.
-func (f Filter) Do(_ context.Context, r *request.Request, _ pipeline.Next) error {
+func (f Filter) Do(ctx context.Context, r *request.Request, _ pipeline.Next) error {
 	if r.Kind == wire.KindRouted {
-		return f.relayRouted(r)
+		return f.relayRouted(ctx, r)
 	}
 	if r.Kind == wire.KindService {
 		return relayService(r)
--- a/internal/filters/relay/routed.go
+++ b/internal/filters/relay/routed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -61,16 +62,16 @@
 }
 
 // relayRouted passes an endpoint's response on unchanged.
-func (f Filter) relayRouted(r *request.Request) error {
+func (f Filter) relayRouted(ctx context.Context, r *request.Request) error {
 	r.Framing = framingOf(r.Answer)
 	if r.Stream && r.Answer.StatusCode == http.StatusOK {
-		return f.relayRoutedStream(r)
+		return f.relayRoutedStream(ctx, r)
 	}
-	return relayBuffered(r)
+	return f.relayBuffered(ctx, r)
 }
 
 // relayBuffered buffers a plain response until it is complete.
-func relayBuffered(r *request.Request) error {
+func (f Filter) relayBuffered(ctx context.Context, r *request.Request) error {
 	if r.Delivered.Started {
 		return &BrokenError{Cause: errors.Newf("status %d where the rest of a stream is due", r.Answer.StatusCode)}
 	}
@@ -79,14 +80,16 @@
 		return &BrokenError{Cause: err}
 	}
 	if !whole {
-		return relayLarge(r, body)
+		return f.relayLarge(ctx, r, body)
+	}
+	if err := f.confirmEnd(ctx, r); err != nil {
+		return err
 	}
 	response := &EndpointError{Status: r.Answer.StatusCode, Header: r.Answer.Header, Body: body}
 	if r.Answer.StatusCode >= http.StatusInternalServerError {
 		return response
 	}
 	r.Delivered.Started = true
-	r.EndUnconfirmed = len(body) == 0 && endsWithConnection(r.Answer)
 	recordFirstToken(r)
 	if err := response.Write(r.Writer); err != nil {
 		return &CallerError{Cause: err}
@@ -137,7 +140,7 @@
 }
 
 // relayLarge relays a response that is too large to buffer.
-func relayLarge(r *request.Request, head []byte) error {
+func (f Filter) relayLarge(ctx context.Context, r *request.Request, head []byte) error {
 	writeResponseHeader(r)
 	r.Delivered.Unresumable = true
 	out := api.DeadlineWriter{W: r.Writer}
@@ -147,7 +150,7 @@
 	if _, err := io.Copy(out, r.Answer.Body); err != nil {
 		return &BrokenError{Cause: err}
 	}
-	return nil
+	return f.confirmEnd(ctx, r)
 }
 
 // writeResponseHeader sends the response header unless it was sent before.
--- a/internal/filters/relay/routedstream.go
+++ b/internal/filters/relay/routedstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -25,7 +26,7 @@
 
 // relayRoutedStream relays complete events only, each once and in order, so that a resumed stream can
 // continue after the last event that the caller received.
-func (f Filter) relayRoutedStream(r *request.Request) error {
+func (f Filter) relayRoutedStream(ctx context.Context, r *request.Request) error {
 	s := routedStream{
 		r: r, rc: http.NewResponseController(r.Writer), metrics: f.Metrics,
 		order: eventstream.NewChecker(&r.Delivered.Position, r.Service, f.Numbering),
@@ -39,7 +40,7 @@
 		}
 		switch {
 		case errors.Is(readErr, io.EOF):
-			return s.end()
+			return s.end(func() error { return f.confirmEnd(ctx, r) })
 		case readErr != nil:
 			return &BrokenError{Cause: readErr}
 		}
@@ -199,8 +200,9 @@
 }
 
 // end handles the end of the answer. It is an error in the middle of an event, and in a stream without
-// any event if the answer ends with its connection.
-func (s *routedStream) end() error {
+// any event if the answer ends with its connection. confirm returns an error if that end isn't known to
+// be one.
+func (s *routedStream) end(confirm func() error) error {
 	// An end of a line may follow the last event.
 	partial := len(bytes.Trim(s.buffered, "\r\n")) > 0
 	empty := !s.begun && s.r.Delivered.Position.LastID == ""
@@ -210,6 +212,9 @@
 	case partial:
 		return &BrokenError{Cause: errors.New("the stream ended in the middle of an event")}
 	}
+	if err := confirm(); err != nil {
+		return err
+	}
 	writeResponseHeader(s.r)
 	if rest := append(s.ready, s.buffered...); len(rest) > 0 {
 		return s.write(rest)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -142,9 +142,6 @@
 	EndpointsLost int
 	// Answer is the response to the current attempt.
 	Answer *http.Response
-	// EndUnconfirmed says that the answer ended with its connection before any content, as it
-	// does if the endpoint crashes. Set by relay.
-	EndUnconfirmed bool
 	// BackingOff describes some of the candidates that got nothing in the latest choice since they
 	// asked this router to back off, and Leaving counts those that are leaving. Set by choose.
 	BackingOff []string
--- a/internal/router/routed_closing_test.go
+++ b/internal/router/routed_closing_test.go
@@ -91,3 +91,51 @@
 		})
 	}
 }
+
+func TestStreamWhoseProcessEndedGoesOnAtAnother(t *testing.T) {
+	for name, rest := range map[string]string{"cut": eventsFrom(5, 8), "whole before": ""} {
+		t.Run(name, func(t *testing.T) {
+			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+				w.processesEnd = true
+				w.handle = func(_ string, req *http.Request, conn net.Conn) {
+					if req.Header.Get("Last") == "4" {
+						writeEvents(conn, req, true, rest)
+						return
+					}
+					writeUntilClose(conn, req, "HTTP/1.1", eventsFrom(1, 4))
+				}
+				got := call(g, client, "POST", "/resume/", "x")
+				g.Expect(got.err).NotTo(HaveOccurred())
+				g.Expect(got.body).To(Equal(eventsFrom(1, 4) + rest))
+				g.Expect(w.receivedCount()).To(Equal(2))
+			})
+		})
+	}
+}
+
+func TestRestOfAStreamThatEndsWithItsConnectionMayBeEmpty(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = func(_ string, req *http.Request, conn net.Conn) {
+			if req.Header.Get("Last") == "4" {
+				writeUntilClose(conn, req, "HTTP/1.1", "")
+				return
+			}
+			writeEvents(conn, req, false, eventsFrom(1, 4))
+		}
+		got := call(g, client, "POST", "/resume/", "x")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.body).To(Equal(eventsFrom(1, 4)))
+	})
+}
+
+func TestPlainAnswerWhoseProcessEndedIsNoSuccess(t *testing.T) {
+	for path, runs := range map[string]int{"/once/": 1, "/safe/": 2} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.processesEnd = true
+			w.handle = func(_ string, req *http.Request, conn net.Conn) { writeUntilClose(conn, req, "HTTP/1.1", "half") }
+			got := call(g, client, "POST", path, "x")
+			g.Expect(got.status).To(Equal(502), path)
+			g.Expect(w.receivedCount()).To(Equal(runs), path)
+		})
+	}
+}
--- a/internal/router/routed_poison_test.go
+++ b/internal/router/routed_poison_test.go
@@ -195,6 +195,7 @@
 // An empty answer that ends with its connection may be a crash, and must not clear losses.
 func TestEmptyAnswerThatEndsWithItsConnectionClearsNoLosses(t *testing.T) {
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.processesEnd = true
 		quarantined := false
 		for i := range 24 {
 			w.handle = resetConnection
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -117,6 +117,7 @@
 	arrivals         []arrival
 	keyAge           time.Duration
 	closeConnections bool
+	processesEnd     bool // of endpoints, as their connections end
 	table            *route.Table
 	endpoints        []*bundle.Endpoint
 	streams          *streamversion.Registry
@@ -198,6 +199,7 @@
 				Endpoints: func(string) []*bundle.Endpoint { return w.endpoints },
 				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  testProtocol{}, Client: client,
+				StillRuns:              func(context.Context, *bundle.Endpoint) bool { return !w.processesEnd },
 				MaxKeyAge:              func() time.Duration { return maxKeyAge },
 				Streams:                w.streams,
 				ShouldCloseConnections: func() bool { return w.closeConnections },
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -137,6 +137,8 @@
 type Health struct {
 	// Connected says that a connection was established.
 	Connected bool
+	// Answered says that the process that was asked for answered, whatever it said.
+	Answered bool
 	Signals
 }
 
