Reset the connection of an HTTP/1.0 caller whose answer is cut

Callers saw: over HTTP/1.0 a stream that its router broke off ended like a whole one, also when the router stopped or was killed.

Cause: such an answer has no chunks and ends with its connection, which net/http, and the kernel after a kill, closes in order. The same class as the end of an endpoint's connection, on the caller's side.

Change: while an HTTP/1.0 request is served, its connection is set to be reset on close; a handler that returns takes that back. This covers aborted handlers, a stop that cuts off and a killed process.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -58,7 +58,8 @@
 	cfg.Listener = closeOnce(cfg.Listener)
 	t := &requestTracker{}
 	return &Server{cfg: cfg, requests: t, http: &http.Server{
-		Handler:           t.track(cfg.Handler),
+		Handler:           t.track(resetUnfinished(cfg.Handler)),
+		ConnContext:       withConn,
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
