--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,7 +40,7 @@
 		time.Sleep(time.Duration(c.rnd.ExpFloat64() * float64(meanRequestGap)))
 		route, added := c.soak.pickRoute(c.rnd)
 		key, team := c.soak.keys.pick(c.rnd)
-		if route.Stream && route.Repeatable && HasVersions(c.soak.opts.Seed) {
+		if route.Stream && route.Repeatable && callersResume(c.soak.opts.Seed) {
 			c.resume(route, fmt.Sprintf("c%d-%d", c.number, n), key, team)
 			continue
 		}
--- a/internal/soak/closing.go
+++ b/internal/soak/closing.go
@@ -13,7 +13,7 @@
 )
 
 func closingShareOf(seed uint64) float64 {
-	if HasClosingAnswers(seed) {
+	if HasClosingAnswers(seed) || HasDisorder(seed) {
 		return closingShare
 	}
 	return 0
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -226,6 +226,9 @@
 	if HasRefusingEndpoints(seed) {
 		plan = append(plan, refusing(seed, end)...)
 	}
+	if HasDisorder(seed) {
+		plan = append(plan, disorder(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -58,6 +58,8 @@
 		r.failEndpoints(ctx, f, failureModes)
 	case EndpointEndless:
 		r.failEndpoints(ctx, f, endlessModes)
+	case EndpointDisorder:
+		r.failEndpoints(ctx, f, disorderModes)
 	case EndpointRefusing:
 		r.failEndpoints(ctx, f, refusingModes)
 	case EndpointBackoff:
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -9,6 +9,9 @@
 // resume streams at other routers, in the runs of a seed: every second block of 16000 seeds.
 func HasVersions(seed uint64) bool { return seed/16000%2 == 1 }
 
+// callersResume reports whether callers resume streams at other routers in the runs of a seed.
+func callersResume(seed uint64) bool { return HasVersions(seed) || HasDisorder(seed) }
+
 const (
 	// versionCount is how many software versions serve side by side.
 	versionCount = 2
@@ -58,7 +61,7 @@
 
 // leaveChanceOf returns the probability that a caller leaves a stream.
 func (c *caller) leaveChanceOf(route Route) float64 {
-	if route.Repeatable && HasVersions(c.soak.opts.Seed) {
+	if route.Repeatable && callersResume(c.soak.opts.Seed) {
 		return resumeLeaveChance
 	}
 	return leaveChance
