Have agents confirm the end of a service's answer that ends with its connection

Callers saw: behind an agent too, part of a plain service's answer counted as complete as the service was killed. The same cause and class as at routers without agents.

Change: after such an end the agent asks the service with OPTIONS *, which asks for nothing; without an answer the engine failed. What tells such an answer stands once, in package server.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -12,6 +12,7 @@
 
 	"coveferry/internal/completion"
 	"coveferry/internal/sched"
+	"coveferry/internal/server"
 	"coveferry/internal/sse"
 	"coveferry/internal/wire"
 )
@@ -126,7 +127,7 @@
 	defer resp.Body.Close()
 	ag.sendHeader(a, resp)
 	if a.env.Kind == wire.KindService {
-		err = relayService(a.w, resp.Body)
+		err = ag.relayService(runCtx, a.w, resp)
 	} else {
 		err = ag.relayWithStallCheck(a, job, resp.Body, cancel)
 	}
@@ -246,10 +247,14 @@
 	return err == nil && a.send(end) == nil && a.send(sse.Done) == nil
 }
 
-// relayService copies the answer of a plain service.
-func relayService(w http.ResponseWriter, body io.Reader) error {
-	_, err := io.Copy(w, body)
-	return err
+// relayService copies the answer of a plain service. One that ends with its connection is whole only if
+// the service still runs.
+func (ag *Agent) relayService(ctx context.Context, w http.ResponseWriter, resp *http.Response) error {
+	_, err := io.Copy(w, resp.Body)
+	if err != nil || !server.EndsWithConnection(resp) {
+		return err
+	}
+	return ag.engine.ping(ctx)
 }
 
 // resultOfDrop returns the result of an attempt that the policy dropped from the
--- /dev/null
+++ b/internal/agent/closing_test.go
@@ -0,0 +1,62 @@
+package agent_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/agent"
+	"coveferry/internal/memnet"
+	"coveferry/internal/sched/fifo"
+	"coveferry/internal/server"
+	"coveferry/internal/wire"
+)
+
+// serveUntilClose answers each request with part of a body and the end of its connection. If the process
+// ends with the first, nothing listens any more.
+func serveUntilClose(l net.Listener, ends bool) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil && req.Method == http.MethodPost {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart of a body")
+		}
+		if err == nil && req.Method == http.MethodOptions {
+			_, _ = io.WriteString(conn, "HTTP/1.1 405 X\r\nContent-Length: 0\r\n\r\n")
+		}
+		if ends {
+			_ = l.Close()
+		}
+		_ = conn.Close()
+	}
+}
+
+// Guards against the answer of a killed service that counts as whole.
+func TestServiceAnswerThatEndsWithItsConnectionIsWholeOnlyIfTheServiceStillRuns(t *testing.T) {
+	for ends, want := range map[bool]wire.Ending{false: wire.EndingComplete, true: wire.EndingEngineFailed} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			network := memnet.New()
+			l, err := network.Listen(serviceAddress)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer l.Close()
+			go serveUntilClose(l, ends)
+			client := server.NewClient(nil, network.Dialer("agent"))
+			defer client.CloseIdleConnections()
+			ag := agent.New(agent.Config{
+				Endpoint: "e", Engine: agent.Engine{URL: "http://" + serviceAddress},
+				Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
+			})
+			g.Expect(ending(g, callService(g, ag, "x"))).To(Equal(want))
+		})
+	}
+}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -45,6 +45,22 @@
 	return nil
 }
 
+// ping returns an error unless the engine answers. It asks for nothing, so any status will do.
+func (c *engineClient) ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, c.engine.URL, nil)
+	if err != nil {
+		return errors.Wrap(err, "create ping")
+	}
+	req.URL.Opaque = "*"
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "the engine doesn't answer any more"), errCutOff)
+	}
+	return resp.Body.Close()
+}
+
 func (c *engineClient) probeHealth(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/filters/relay/ending.go
+++ b/internal/filters/relay/ending.go
@@ -10,6 +10,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/request"
+	"coveferry/internal/server"
 )
 
 // endCheckTimeout bounds the question whether an endpoint's process still runs. A caller waits for
@@ -26,10 +27,9 @@
 // errProcessEnded is the end of a connection whose process doesn't answer any more.
 var errProcessEnded = errors.Wrap(errConnectionEnded, "the endpoint's process doesn't answer")
 
-// confirmEnd returns an error if an answer that ends with its connection isn't known to be whole. The
-// connections of a process that ends are closed like those of one that has finished.
+// confirmEnd returns an error if an answer that ends with its connection isn't known to be whole.
 func (f Filter) confirmEnd(ctx context.Context, r *request.Request) error {
-	if !endsWithConnection(r.Answer) {
+	if !server.EndsWithConnection(r.Answer) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
@@ -43,13 +43,8 @@
 }
 
 func framingOf(answer *http.Response) request.Framing {
-	if endsWithConnection(answer) {
+	if server.EndsWithConnection(answer) {
 		return request.FramingConnection
 	}
 	return request.FramingLength
 }
-
-// endsWithConnection reports whether an answer has neither a length nor chunks.
-func endsWithConnection(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-}
--- a/internal/server/unframed.go
+++ b/internal/server/unframed.go
@@ -6,6 +6,12 @@
 	"net/http"
 )
 
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that its end is that
+// of its connection. The kernel ends the connections of a process that is killed in the same way.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
