Cut off a run at an agent's engine whose chunks belong to another answer

Callers would see: chunks of two answers joined in one, rewritten to one ID.

Cause: an agent passed on what stood on the engine's connection, and never compared the answer IDs of the chunks of one run.

Change: the first ID of a run is that of all its chunks; a preempted answer has a new run and so a new ID.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -43,10 +43,20 @@
 	tokens int
 	// lastChunk is the last chunk with text.
 	lastChunk string
+	// runID is the ID of the answer that the latest run brings; empty before its first chunk with one.
+	runID string
 	// finished reports whether the engine sent its final chunk.
 	finished bool
 }
 
+// continues reports whether a chunk with an answer's ID is one of the run's answer.
+func (p *progress) continues(id string) bool {
+	if p.runID == "" {
+		p.runID = id
+	}
+	return id == "" || id == p.runID
+}
+
 // job returns the attempt's description for the scheduler.
 func (a *attempt) job(now time.Time, engine Engine) sched.Job {
 	return sched.Job{
@@ -119,6 +129,7 @@
 		return err
 	}
 	a.runCount++
+	a.progress.runID = ""
 	resp, ran, err := ag.engine.run(runCtx, a)
 	a.recordRun(ran)
 	if err != nil {
@@ -220,6 +231,9 @@
 	if chunk.Finish != "" && !chunk.Completed() {
 		return errors.Mark(errors.Newf("the engine ended the answer early: %s", chunk.Finish), errCutOff)
 	}
+	if !a.progress.continues(chunk.ID) {
+		return errors.Mark(errors.Newf("a chunk of answer %s comes in answer %s", chunk.ID, a.progress.runID), errCutOff)
+	}
 	// No engine can resume from anything but text, so the job can no longer
 	// be preempted or moved.
 	if chunk.NonText && !ag.queue.pin(job) {
--- a/internal/agent/closing_test.go
+++ b/internal/agent/closing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -60,3 +61,18 @@
 		})
 	}
 }
+
+// Guards against the chunks of two answers in one run, as after a late answer on a kept connection.
+func TestRunWithTheChunksOfAnotherAnswerIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	other := strings.ReplaceAll(textChunk+endChunk, `"id":"a"`, `"id":"b"`)
+	ag := agent.New(agent.Config{
+		Endpoint: "e", Engine: agent.Engine{URL: "http://engine"}, MaxBody: 1 << 10,
+		Policy: fifo.New(fifo.Config{Slots: 1}), Client: &http.Client{Transport: fixedEngine(textChunk + other + doneEvent)},
+	})
+	resp := attempt(g, ag, wire.Envelope{Request: "r", DeadlineMillis: 60_000})
+	g.Expect(ending(g, resp)).To(Equal(wire.EndingEngineFailed))
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal(textChunk))
+}
