--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -13,6 +13,7 @@
 	"coveferry/internal/clock"
 	"coveferry/internal/directory"
 	"coveferry/internal/membership"
+	"coveferry/internal/poison"
 	"coveferry/internal/route"
 	"coveferry/internal/upstream"
 )
@@ -197,7 +198,7 @@
 		l.d.pool.RecordAccepted(time.Now(), sentAt, name)
 	}
 	if err == nil || health.Leaving {
-		l.d.poison.RecordResponse(name+"/"+entry.Endpoint.ProcessID(), sentClock)
+		l.d.poison.RecordResponse(poison.ProcessName(name, entry.Endpoint.ProcessID()), sentClock)
 	}
 	return health, err
 }
--- a/internal/daemon/poison.go
+++ b/internal/daemon/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,7 +15,7 @@
 
 // newPoisonTable returns a table of quarantined requests: those that seem to crash endpoints.
 // It logs and counts them. fleetSize returns how many routers share their tables; nil means
-// none do. checkCrashed is called with the processes (ENDPOINT/INCARNATION) that seem to have
+// none do. checkCrashed is called with the processes that seem to have
 // crashed when this router's own observations led to a quarantine.
 func newPoisonTable(vm string, fleetSize func() int, reg prometheus.Registerer, log zerolog.Logger, checkCrashed func(processes []string)) *poison.Table {
 	t := poison.NewTable(poison.Config{Router: vm, FleetSize: fleetSize, OnEvent: func(e poison.Event) {
@@ -62,7 +61,7 @@
 // longer quarantined because of it.
 func (d *directRouter) checkCrashed(processes []string) {
 	for _, process := range processes {
-		name, incarnation, _ := strings.Cut(process, "/")
+		name, incarnation := poison.SplitProcessName(process)
 		entry, listed := d.follower.Directory().Entry(name)
 		if !listed || entry.Endpoint.ProcessID() != incarnation {
 			continue
--- a/internal/filters/quarantine/quarantine.go
+++ b/internal/filters/quarantine/quarantine.go
@@ -118,7 +118,7 @@
 // attempt counts as a separate engine.
 func processName(r *request.Request) string {
 	if r.Kind == wire.KindRouted {
-		return r.Endpoint.Name + "/" + r.Endpoint.ProcessID()
+		return poison.ProcessName(r.Endpoint.Name, r.Endpoint.ProcessID())
 	}
 	return fmt.Sprintf("%s/%s.%d", r.Endpoint.Name, r.ID, r.Epoch)
 }
