Count gaps as faults only at services that hardly have any

Cause: a service whose numbers have a gap in one step of twenty would have had its streams broken off there. Change: gaps are faults up to one step in 64 (was 16), of 256 steps or more (was 32); a gap before the first event of a run that goes on is one unless the service is known for gaps, as before.

--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -4,9 +4,11 @@
 
 const (
 	// minSteps is the number of steps from one event to the next after which a service is known.
-	minSteps = 32
-	// maxGapShare is the share of steps with a gap up to which gaps are faults.
-	maxGapShare = 1.0 / 16
+	minSteps = 256
+	// maxGapShare is the share of steps with a gap up to which gaps are faults, and maxOtherStarts that of
+	// streams that begin with another event than most.
+	maxGapShare    = 1.0 / 64
+	maxOtherStarts = 1.0 / 16
 	// minStarts is the number of streams after which it is known with which event streams begin.
 	minStarts = 32
 	// maxSteps is the number of steps or starts at which counts are halved, so that a service whose numbers
@@ -57,7 +59,7 @@
 
 // known returns the ID of the event with which streams begin; empty if that isn't known.
 func (s *startCount) known() string {
-	if s.with < minStarts || float64(s.without) > maxGapShare*float64(s.with) {
+	if s.with < minStarts || float64(s.without) > maxOtherStarts*float64(s.with) {
 		return ""
 	}
 	return s.id
