Ask for no confirmation of an answer that has no body

Cause: an answer to HEAD without a length counted as one that ends with its connection, and was refused if the endpoint didn't answer a health check. Found on reading the change. Evidence: TestAnswerToHeadNeedsNoEnd failed before and passes.

--- a/internal/router/routed_closing_test.go
+++ b/internal/router/routed_closing_test.go
@@ -139,3 +139,17 @@
 		})
 	}
 }
+
+// Guards against an answer that never has a body and is taken for one that ends with its connection.
+func TestAnswerToHeadNeedsNoEnd(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.processesEnd = true
+		w.handle = func(_ string, req *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\n\r\n", req.Header.Get("Id"))
+		}
+		got := call(g, client, "HEAD", "/safe/", "")
+		g.Expect(got.err).NotTo(HaveOccurred())
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(w.receivedCount()).To(Equal(1))
+	})
+}
--- a/internal/server/unframed.go
+++ b/internal/server/unframed.go
@@ -6,10 +6,11 @@
 	"net/http"
 )
 
-// EndsWithConnection reports whether a response has neither a length nor chunks, so that its end is that
-// of its connection. The kernel ends the connections of a process that is killed in the same way.
+// EndsWithConnection reports whether a response has a body with neither a length nor chunks, so that its
+// end is that of its connection. The kernel ends the connections of a process that is killed in the same
+// way.
 func EndsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // connKey is the context key of a request's connection.
