--- a/internal/filters/relay/routedstream.go
+++ b/internal/filters/relay/routedstream.go
@@ -164,6 +164,9 @@
 		s.recordDelivery()
 	}
 	s.ready, s.events = s.ready[:0], 0
+	if cap(s.ready) > freeBufferBytes {
+		s.ready = nil // the memory of a long event is reserved once
+	}
 	return nil
 }
 
