--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -223,7 +223,7 @@
 			Region:                 d.regionOf,
 			Protocol:               d.cfg.Protocol,
 			Client:                 d.client,
-			StillRuns:              d.updater.stillRuns,
+			ProcessAlive:           d.updater.processAlive,
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			Shares:                 d.shares,
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -206,9 +206,9 @@
 // mayCheckInterval is how often it is asked whether an endpoint may be sent a health check.
 const mayCheckInterval = 50 * time.Millisecond
 
-// stillRuns reports whether the process of an endpoint answers. It asks also if the endpoint is evacuated,
+// processAlive reports whether the process of an endpoint answers. It asks also if the endpoint is evacuated,
 // since its answers are awaited, but not if it asked this router to back off.
-func (l *directoryUpdater) stillRuns(ctx context.Context, e *bundle.Endpoint) bool {
+func (l *directoryUpdater) processAlive(ctx context.Context, e *bundle.Endpoint) bool {
 	for !l.d.pool.MayCheck(time.Now(), e) {
 		if !clock.Sleep(ctx, mayCheckInterval) {
 			return false
--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -8,10 +8,10 @@
 const (
 	// Deliver passes the event on.
 	Deliver Verdict = iota
-	// LeaveOut drops an event that the caller has.
-	LeaveOut
-	// BreakOff ends the attempt: the event isn't the one that comes next.
-	BreakOff
+	// Drop leaves out an event that the caller has.
+	Drop
+	// Abort ends the attempt: the event isn't the one that comes next.
+	Abort
 )
 
 // Fault is why an attempt is broken off.
@@ -21,9 +21,9 @@
 const (
 	// FaultGap: events are missing before this one.
 	FaultGap Fault = "gap"
-	// FaultUnnamed: the first event of an attempt that goes on has no ID, or none that compares with
+	// FaultMissingID: the first event of an attempt that resumes the stream has no ID, or none that compares with
 	// that of the event before it.
-	FaultUnnamed Fault = "unnamed"
+	FaultMissingID Fault = "missing_id"
 )
 
 // OrderError is an event that isn't the one that comes next in its stream.
@@ -46,25 +46,25 @@
 	rule     gapRule
 	// first is the ID of the event with which the service's streams begin; empty if that isn't known.
 	first string
-	// goesOn says that the caller has events of earlier attempts and none of this one.
-	goesOn bool
-	steps  stepCount
-	// began is the ID of the run's first event if it began the stream; empty otherwise.
-	began string
-	// runLast is the ID of the run's last event, also if that was left out; empty for none.
-	runLast string
-	leftOut int
+	// resumes says that the caller has events of earlier attempts, and none of this one yet.
+	resumes bool
+	steps   stepCount
+	// startID is the ID of the run's first event if it began the stream; empty otherwise.
+	startID string
+	// lastOfRun is the ID of the run's last event, also if that was dropped; empty for none.
+	lastOfRun  string
+	duplicates int
 }
 
 // NewChecker returns a checker for an attempt at a service that continues at the position, which it
 // advances.
 func NewChecker(position *Position, service string, numbers *Numbering) *Checker {
-	c := &Checker{position: position, service: service, numbers: numbers, goesOn: position.LastID != ""}
+	c := &Checker{position: position, service: service, numbers: numbers, resumes: position.LastID != ""}
 	c.rule, c.first = numbers.of(service)
 	return c
 }
 
-// Check decides on the next event. The error is an *OrderError if the verdict is BreakOff. An event to
+// Check decides on the next event. The error is an *OrderError if the verdict is Abort. An event to
 // deliver counts as delivered.
 func (c *Checker) Check(e Event) (Verdict, error) {
 	if !e.IsContent() {
@@ -74,29 +74,29 @@
 	verdict, fault := c.decide(e)
 	switch verdict {
 	case Deliver:
-		c.goesOn = false
+		c.resumes = false
 		c.position.advance(e)
-	case LeaveOut:
-		c.leftOut++
-	case BreakOff:
-		return BreakOff, &OrderError{Fault: fault, After: c.position.LastID, ID: e.ID}
+	case Drop:
+		c.duplicates++
+	case Abort:
+		return Abort, &OrderError{Fault: fault, After: c.position.LastID, ID: e.ID}
 	}
 	return verdict, nil
 }
 
-// LeftOut returns how many events were left out.
-func (c *Checker) LeftOut() int { return c.leftOut }
+// Duplicates returns how many events were dropped.
+func (c *Checker) Duplicates() int { return c.duplicates }
 
 // Close has the service's numbering learn from the run.
-func (c *Checker) Close() { c.numbers.add(c.service, c.steps, c.began) }
+func (c *Checker) Close() { c.numbers.add(c.service, c.steps, c.startID) }
 
 // countStep counts the step from the run's last event to this one, or its start.
 func (c *Checker) countStep(e Event) {
 	if c.position.IsStart() {
-		c.began = e.ID
+		c.startID = e.ID
 	}
-	if c.runLast != "" && e.ID != "" {
-		switch compare(c.runLast, e.ID) {
+	if c.lastOfRun != "" && e.ID != "" {
+		switch compare(c.lastOfRun, e.ID) {
 		case orderNext:
 			c.steps.steps++
 		case orderGap:
@@ -104,7 +104,7 @@
 			c.steps.gaps++
 		}
 	}
-	c.runLast = e.ID
+	c.lastOfRun = e.ID
 }
 
 func (c *Checker) decide(e Event) (Verdict, Fault) {
@@ -115,22 +115,22 @@
 	case last == "":
 		return Deliver, ""
 	case e.ID == "":
-		return c.deliverUnless(c.goesOn, FaultUnnamed)
+		return c.deliverUnless(c.resumes, FaultMissingID)
 	}
 	switch compare(last, e.ID) {
 	case orderRepeated:
-		return LeaveOut, ""
+		return Drop, ""
 	case orderGap:
 		return c.deliverUnless(c.isFault(), FaultGap)
 	case orderUnknown:
-		return c.deliverUnless(c.goesOn, FaultUnnamed)
+		return c.deliverUnless(c.resumes, FaultMissingID)
 	}
 	return Deliver, ""
 }
 
 func (c *Checker) deliverUnless(broken bool, fault Fault) (Verdict, Fault) {
 	if broken {
-		return BreakOff, fault
+		return Abort, fault
 	}
 	return Deliver, ""
 }
@@ -145,7 +145,7 @@
 }
 
 // isFault reports whether a gap before the next event is a fault. Of a service of which little is
-// known, a run may leave out numbers, but one that goes on must begin with the next.
+// known, a run may leave out numbers, but one that resumes a stream must begin with the next.
 func (c *Checker) isFault() bool {
-	return c.rule == gapsAreFaults || c.rule == gapsUnknown && c.goesOn
+	return c.rule == gapsAreFaults || c.rule == gapsUnknown && c.resumes
 }
--- a/internal/eventstream/checker_test.go
+++ b/internal/eventstream/checker_test.go
@@ -174,12 +174,12 @@
 		event Event
 		want  Position
 	}{
-		{Event{HasData: true}, Position{Unnamed: true}},
+		{Event{HasData: true}, Position{Unresumable: true}},
 		{numbered(1), Position{LastID: "1"}},
 		{Event{}, Position{LastID: "1"}},
-		{Event{HasData: true}, Position{LastID: "1", Unnamed: true}},
+		{Event{HasData: true}, Position{LastID: "1", Unresumable: true}},
 		{numbered(2), Position{LastID: "2"}},
-		{Event{HasID: true, HasData: true}, Position{LastID: "2", Unnamed: true}},
+		{Event{HasID: true, HasData: true}, Position{LastID: "2", Unresumable: true}},
 	} {
 		verdict, err := c.Check(step.event)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -106,8 +106,8 @@
 	return seen.rule(), seen.starts.known()
 }
 
-// add counts the steps of one run, and with which event it began a stream; empty if it went on.
-func (n *Numbering) add(service string, run stepCount, began string) {
+// add counts the steps of one run, and with which event it began a stream; empty if it resumed one.
+func (n *Numbering) add(service string, run stepCount, startID string) {
 	if n == nil {
 		return
 	}
@@ -118,8 +118,8 @@
 		seen = &serviceNumbers{}
 		n.services[service] = seen
 	}
-	if began != "" {
-		seen.starts.add(began)
+	if startID != "" {
+		seen.starts.add(startID)
 	}
 	seen.steps += run.steps
 	seen.gaps += run.gaps
--- a/internal/eventstream/position.go
+++ b/internal/eventstream/position.go
@@ -9,8 +9,8 @@
 type Position struct {
 	// LastID is the ID of the last event that has one; empty for none.
 	LastID string
-	// Unnamed says that the caller has events that no ID names, so that a stream can't go on after them.
-	Unnamed bool
+	// Unresumable says that the caller has events that no ID names, so that no endpoint can resume after them.
+	Unresumable bool
 }
 
 // IsStart reports whether the caller has no event.
@@ -20,9 +20,9 @@
 func (p *Position) advance(e Event) {
 	switch {
 	case e.HasID && e.ID != "":
-		p.LastID, p.Unnamed = e.ID, false
+		p.LastID, p.Unresumable = e.ID, false
 	case e.IsContent():
-		p.Unnamed = true
+		p.Unresumable = true
 	}
 }
 
--- a/internal/filters/relay/ending.go
+++ b/internal/filters/relay/ending.go
@@ -17,8 +17,8 @@
 // the end of its answer meanwhile.
 const endCheckTimeout = time.Second
 
-// StillRuns asks an endpoint whether the process that the router knows still runs.
-type StillRuns func(ctx context.Context, e *bundle.Endpoint) bool
+// ProcessAlive asks an endpoint whether the process that the router knows still runs.
+type ProcessAlive func(ctx context.Context, e *bundle.Endpoint) bool
 
 // errConnectionEnded is the end of a connection that doesn't complete the answer. It counts as
 // a broken connection.
@@ -34,7 +34,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	confirmed := f.StillRuns != nil && f.StillRuns(ctx, r.Endpoint)
+	confirmed := f.ProcessAlive != nil && f.ProcessAlive(ctx, r.Endpoint)
 	f.Metrics.countEnd(confirmed)
 	if !confirmed {
 		return &BrokenError{Cause: errProcessEnded}
--- a/internal/filters/relay/metrics.go
+++ b/internal/filters/relay/metrics.go
@@ -9,9 +9,9 @@
 
 // Metrics counts what the filter decides on streams and on the ends of answers. nil counts nothing.
 type Metrics struct {
-	leftOut prometheus.Counter
-	faults  *prometheus.CounterVec
-	ends    *prometheus.CounterVec
+	duplicates prometheus.Counter
+	faults     *prometheus.CounterVec
+	ends       *prometheus.CounterVec
 }
 
 // Values of the result label of ends.
@@ -23,13 +23,13 @@
 // NewMetrics returns metrics that are registered with reg unless that is nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		leftOut: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "coveferry_stream_events_left_out_total",
+		duplicates: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "coveferry_stream_duplicate_events_total",
 			Help: "Events of streams that endpoints sent again and that callers had.",
 		}),
 		faults: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_stream_order_faults_total",
-			Help: "Attempts that were broken off at an event that isn't the next: after a gap, or unnamed where a stream goes on.",
+			Help: "Attempts that were broken off at an event that isn't the next: after a gap, or without a comparable ID where a stream is resumed.",
 		}, []string{"fault"}),
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_connection_ends_total",
@@ -37,14 +37,14 @@
 		}, []string{"result"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.leftOut, m.faults, m.ends)
+		reg.MustRegister(m.duplicates, m.faults, m.ends)
 	}
 	return m
 }
 
-func (m *Metrics) countLeftOut(events int) {
+func (m *Metrics) countDuplicates(events int) {
 	if m != nil {
-		m.leftOut.Add(float64(events))
+		m.duplicates.Add(float64(events))
 	}
 }
 
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -22,9 +22,9 @@
 
 // Filter implements pipeline.Filter. Its fields concern requests of kind KindRouted only.
 type Filter struct {
-	// StillRuns confirms the end of an answer that ends with its connection; without it no such answer
+	// ProcessAlive confirms the end of an answer that ends with its connection; without it no such answer
 	// counts as whole.
-	StillRuns StillRuns
+	ProcessAlive ProcessAlive
 	// Numbering knows how services number the events of their streams.
 	Numbering *eventstream.Numbering
 	Metrics   *Metrics
--- a/internal/filters/relay/routedstream.go
+++ b/internal/filters/relay/routedstream.go
@@ -18,11 +18,11 @@
 
 // Limits on streams, for endpoints that send without end and make no progress.
 const (
-	// maxEventBytes limits one event, maxCommentBytes the comments between two, and maxRepeatedBytes
+	// maxEventBytes limits one event, maxCommentBytes the comments between two, and maxDuplicateBytes
 	// the events of an attempt that the caller has.
-	maxEventBytes    = 256 << 10
-	maxCommentBytes  = 64 << 10
-	maxRepeatedBytes = 4 << 20
+	maxEventBytes     = 256 << 10
+	maxCommentBytes   = 64 << 10
+	maxDuplicateBytes = 4 << 20
 )
 
 // relayRoutedStream relays complete events only, each once and in order, so that a resumed stream can
@@ -66,9 +66,9 @@
 	events          int
 	firstID, lastID string
 	// begun is set by the first event. comments counts the bytes of comments since the last one, and
-	// repeated those of events that were left out.
-	begun              bool
-	comments, repeated int
+	// duplicateBytes those of events that were dropped.
+	begun                    bool
+	comments, duplicateBytes int
 }
 
 // errNoMemory is an event too long for the memory that is left.
@@ -114,8 +114,8 @@
 	switch {
 	case err != nil:
 		return err
-	case verdict == eventstream.LeaveOut:
-		s.repeated += len(text)
+	case verdict == eventstream.Drop:
+		s.duplicateBytes += len(text)
 		return nil
 	}
 	s.ready = append(s.ready, text...)
@@ -137,8 +137,8 @@
 	switch {
 	case s.comments > maxCommentBytes:
 		cause = &upstream.EndlessError{Part: upstream.PartComments, Bytes: s.comments}
-	case s.repeated > maxRepeatedBytes:
-		cause = &upstream.EndlessError{Part: upstream.PartRepeats, Bytes: s.repeated}
+	case s.duplicateBytes > maxDuplicateBytes:
+		cause = &upstream.EndlessError{Part: upstream.PartRepeats, Bytes: s.duplicateBytes}
 	case len(s.buffered) > maxEventBytes:
 		cause = &upstream.EndlessError{Part: upstream.PartEvent, Bytes: len(s.buffered)}
 	case len(s.buffered) > freeBufferBytes && !reserve(s.r, maxEventBytes):
@@ -186,7 +186,7 @@
 	s.r.RecordEvents()
 	// The number of tokens in an event is unknown, so each event counts as one.
 	s.r.Delivered.Tokens += s.events
-	s.r.Delivered.Unresumable = s.r.Delivered.Position.Unnamed
+	s.r.Delivered.Unresumable = s.r.Delivered.Position.Unresumable
 	s.r.Events.Add(s.firstID, s.lastID)
 }
 
@@ -229,8 +229,8 @@
 // close records what the order of the events was.
 func (s *routedStream) close() {
 	s.order.Close()
-	s.r.Events.LeftOut = s.order.LeftOut()
-	s.metrics.countLeftOut(s.order.LeftOut())
+	s.r.Events.Duplicates = s.order.Duplicates()
+	s.metrics.countDuplicates(s.order.Duplicates())
 }
 
 // recordGap records the longest gap between deliveries of the stream, which shows whether
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -11,8 +11,8 @@
 	After string
 	// First and Last are the IDs of the first and the last event that the caller got; empty for none.
 	First, Last string
-	// LeftOut counts the events that the caller had.
-	LeftOut int
+	// Duplicates counts the events that the caller had.
+	Duplicates int
 }
 
 // Add adds events that the caller got, of which the first and the last ID are given.
@@ -34,8 +34,8 @@
 	if e.First != "" {
 		parts = append(parts, "events "+e.First+" to "+e.Last)
 	}
-	if e.LeftOut > 0 {
-		parts = append(parts, strconv.Itoa(e.LeftOut)+" events left out")
+	if e.Duplicates > 0 {
+		parts = append(parts, strconv.Itoa(e.Duplicates)+" duplicates dropped")
 	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -39,8 +39,8 @@
 	Protocol upstream.Protocol
 	// Client sends requests to endpoints.
 	Client *http.Client
-	// StillRuns confirms the end of answers that end with their connections; nil takes none for whole.
-	StillRuns relay.StillRuns
+	// ProcessAlive confirms the end of answers that end with their connections; nil takes none for whole.
+	ProcessAlive relay.ProcessAlive
 	// MaxKeyAge is the age of the route table above which requests that need a key, or whose route it
 	// doesn't have, are refused as not run; 0 accepts any age.
 	MaxKeyAge func() time.Duration
@@ -104,7 +104,7 @@
 		}),
 		rt.directDispatch, // sends the request
 		relay.Filter{ // relays the answer
-			StillRuns: c.StillRuns, Numbering: eventstream.NewNumbering(), Metrics: relay.NewMetrics(rt.cfg.Metrics),
+			ProcessAlive: c.ProcessAlive, Numbering: eventstream.NewNumbering(), Metrics: relay.NewMetrics(rt.cfg.Metrics),
 		},
 	)
 }
--- a/internal/router/routed_test.go
+++ b/internal/router/routed_test.go
@@ -199,7 +199,7 @@
 				Endpoints: func(string) []*bundle.Endpoint { return w.endpoints },
 				Region:    func(e *bundle.Endpoint) string { return w.regions[e.Name] },
 				Protocol:  testProtocol{}, Client: client,
-				StillRuns:              func(context.Context, *bundle.Endpoint) bool { return !w.processesEnd },
+				ProcessAlive:           func(context.Context, *bundle.Endpoint) bool { return !w.processesEnd },
 				MaxKeyAge:              func() time.Duration { return maxKeyAge },
 				Streams:                w.streams,
 				ShouldCloseConnections: func() bool { return w.closeConnections },
