Compare the ID of an event once

Cause: each event of a stream was compared with the one before it twice, to count the step of its run and to decide on it; in most cases that is the same event. Change: one comparison, a second one only where the run's last event isn't the caller's. The package says how it differs from package sse. No change of behaviour. Measured: the tests of internal/eventstream (500 drawn streams, each whole) and internal/router pass unchanged; the time it saves wasn't measured.

--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -70,8 +70,9 @@
 	if !e.IsContent() {
 		return Deliver, nil
 	}
-	c.countStep(e)
-	verdict, fault := c.decide(e)
+	order := compare(c.position.LastID, e.ID)
+	c.countStep(e, order)
+	verdict, fault := c.decide(e, order)
 	switch verdict {
 	case Deliver:
 		c.resumes = false
@@ -90,34 +91,37 @@
 // Close has the service's numbering learn from the run.
 func (c *Checker) Close() { c.numbers.add(c.service, c.steps, c.startID) }
 
-// countStep counts the step from the run's last event to this one, or its start.
-func (c *Checker) countStep(e Event) {
+// countStep counts the step from the run's last event to this one, or its start. afterPosition is how this
+// one compares with the last that the caller has, in most cases the run's last event.
+func (c *Checker) countStep(e Event, afterPosition order) {
 	if c.position.IsStart() {
 		c.startID = e.ID
 	}
-	if c.lastOfRun != "" && e.ID != "" {
-		switch compare(c.lastOfRun, e.ID) {
-		case orderNext:
-			c.steps.steps++
-		case orderGap:
-			c.steps.steps++
-			c.steps.gaps++
-		}
+	step := afterPosition
+	if c.lastOfRun != c.position.LastID {
+		step = compare(c.lastOfRun, e.ID)
+	}
+	switch step {
+	case orderNext:
+		c.steps.steps++
+	case orderGap:
+		c.steps.steps++
+		c.steps.gaps++
 	}
 	c.lastOfRun = e.ID
 }
 
-func (c *Checker) decide(e Event) (Verdict, Fault) {
-	last := c.position.LastID
+// decide decides on an event that compares so with the last one that the caller has.
+func (c *Checker) decide(e Event, afterPosition order) (Verdict, Fault) {
 	switch {
 	case c.position.IsStart():
 		return c.deliverUnless(c.startsLate(e), FaultGap)
-	case last == "":
+	case c.position.LastID == "":
 		return Deliver, ""
 	case e.ID == "":
 		return c.deliverUnless(c.resumes, FaultMissingID)
 	}
-	switch compare(last, e.ID) {
+	switch afterPosition {
 	case orderRepeated:
 		return Drop, ""
 	case orderGap:
--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -1,5 +1,6 @@
 // Package eventstream reads server-sent events and decides which of them continue what a caller has.
-// All streams of endpoints without agents pass through it.
+// All streams of endpoints without agents pass through it, byte for byte; package sse decodes and encodes
+// those of the completions protocol.
 package eventstream
 
 import "bytes"
--- a/internal/eventstream/numbering.go
+++ b/internal/eventstream/numbering.go
@@ -23,7 +23,7 @@
 	services map[string]*serviceNumbers
 }
 
-// serviceNumbers is what the runs of a service showed.
+// serviceNumbers holds the counts of a service.
 type serviceNumbers struct {
 	stepCount
 	starts startCount
