Run the checks of endpoints at an interval by one loop

Cause: the loop that starts the due checks at each tick and waits for them at the end stood in the health prober and in the checks of paces. Change: membership.RunChecks serves both. No change of behaviour. Measured: the tests of membership and daemon pass unchanged.

--- a/internal/daemon/directpace.go
+++ b/internal/daemon/directpace.go
@@ -9,6 +9,7 @@
 
 	"coveferry/internal/balance"
 	"coveferry/internal/bundle"
+	"coveferry/internal/membership"
 	"coveferry/internal/pace"
 )
 
@@ -30,20 +31,7 @@
 // watchPaces asks endpoints without a recent reading for their pace. Of each failure domain one router
 // asks, which sends the answer to the others.
 func (d *directRouter) watchPaces(ctx context.Context) {
-	tick := time.NewTicker(paceCheckInterval)
-	defer tick.Stop()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, name := range d.duePaceChecks(now) {
-				wg.Go(func() { d.updater.checkPace(ctx, name) })
-			}
-		}
-	}
+	membership.RunChecks(ctx, paceCheckInterval, d.duePaceChecks, d.updater.checkPace)
 }
 
 // duePaceChecks returns the endpoints that this router is to ask now.
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,20 +58,8 @@
 
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	tick := time.NewTicker(probeTick)
-	defer tick.Stop()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		for _, name := range p.tracker.dueProbes() {
-			wg.Go(func() { p.probe(ctx, name) })
-		}
-	}
+	due := func(time.Time) []string { return p.tracker.dueProbes() }
+	RunChecks(ctx, probeTick, due, p.probe)
 }
 
 func (p *Prober) probe(ctx context.Context, name string) {
