Send an evacuated endpoint no question whether its process is alive

Callers saw nothing; endpoints would have: an answer without a length that ended at an evacuated endpoint made the router send it a health check, though nothing may be sent there.

Cause: the question was asked also of evacuated endpoints, by a condition of its own beside that of the health checks.

Change: one condition, mayCheck, for both. The answer then isn't confirmed: its stream goes on elsewhere or is cut.

Evidence: TestEvacuatedEndpointIsNotAskedWhetherItsProcessIsAlive failed before (1 check, none allowed) and passes; a second test holds that backoff is kept, which no test did.

--- /dev/null
+++ b/internal/daemon/directalive_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"coveferry/internal/follow"
+	"coveferry/internal/upstream"
+)
+
+// updaterOf returns an updater that knows the store's endpoint "e", which counts its health checks.
+func updaterOf(t *testing.T, store follow.Store, checks *int) *directoryUpdater {
+	g := NewWithT(t)
+	d, err := newDirect(DirectConfig{
+		VM: "vm", FailureDomain: "y", Callers: "127.0.0.1:0", Store: store,
+		Health: func(context.Context, *http.Client, string, string, string) (upstream.Health, error) {
+			*checks++
+			return upstream.Health{Answered: true}, nil
+		},
+	}, zerolog.Nop())
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go d.follower.Run(ctx)
+	g.Eventually(func() int { return d.follower.Directory().Len() }).Should(Equal(1))
+	return d.updater
+}
+
+// An evacuated failure domain must get nothing, so it can't be asked whether an answer is whole.
+func TestEvacuatedEndpointIsNotAskedWhetherItsProcessIsAlive(t *testing.T) {
+	g := NewWithT(t)
+	checks := 0
+	l := updaterOf(t, evacuatedStore{}, &checks)
+	entry, _ := l.d.follower.Directory().Entry("e")
+	ctx, cancel := context.WithTimeout(context.Background(), 4*mayCheckInterval)
+	defer cancel()
+	g.Expect(l.processAlive(ctx, &entry.Endpoint)).To(BeFalse())
+	g.Expect(checks).To(BeZero())
+}
+
+func TestEndpointThatAskedForBackoffIsNotAskedMeanwhileWhetherItsProcessIsAlive(t *testing.T) {
+	g := NewWithT(t)
+	checks := 0
+	l := updaterOf(t, &activeStore{}, &checks)
+	entry, _ := l.d.follower.Directory().Entry("e")
+	now := time.Now()
+	l.d.pool.ApplySignals(now, now, "e", upstream.Signals{Backoff: time.Minute})
+	ctx, cancel := context.WithTimeout(context.Background(), 4*mayCheckInterval)
+	defer cancel()
+	g.Expect(l.processAlive(ctx, &entry.Endpoint)).To(BeFalse())
+	g.Expect(checks).To(BeZero())
+}
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -185,11 +185,8 @@
 	if !ok {
 		return upstream.Health{}, errors.Newf("endpoint %s is not listed", name)
 	}
-	if dir.IsEvacuated(entry.Endpoint.FailureDomain) {
-		return upstream.Health{}, membership.ErrProbeSkipped
-	}
 	sentAt, sentClock := time.Now(), clock.Boot()
-	if !l.d.pool.MayCheck(sentAt, &entry.Endpoint) {
+	if !l.mayCheck(sentAt, &entry.Endpoint) {
 		return upstream.Health{}, membership.ErrProbeSkipped
 	}
 	health, err := l.d.cfg.Health(ctx, l.d.client, entry.Endpoint.Address, l.healthPath(entry.Endpoint.Services), name)
@@ -206,10 +203,16 @@
 // mayCheckInterval is how often it is asked whether an endpoint may be sent a health check.
 const mayCheckInterval = 50 * time.Millisecond
 
-// processAlive reports whether the process of an endpoint answers. It asks also if the endpoint is evacuated,
-// since its answers are awaited, but not if it asked this router to back off.
+// mayCheck reports whether an endpoint may be sent a health check: not if it is evacuated, asked this router
+// to back off, or has a rate limit of which this router's share is used up.
+func (l *directoryUpdater) mayCheck(now time.Time, e *bundle.Endpoint) bool {
+	return !l.d.follower.Directory().IsEvacuated(e.FailureDomain) && l.d.pool.MayCheck(now, e)
+}
+
+// processAlive reports whether the process of an endpoint answers. It waits while the endpoint may not be
+// sent a health check.
 func (l *directoryUpdater) processAlive(ctx context.Context, e *bundle.Endpoint) bool {
-	for !l.d.pool.MayCheck(time.Now(), e) {
+	for !l.mayCheck(time.Now(), e) {
 		if !clock.Sleep(ctx, mayCheckInterval) {
 			return false
 		}
