Log when an attempt ended and whether it went on from a copy

Cause: a request's line told when each attempt was sent, but not when the one before it had ended, nor whether it went on from a copy: overlapping runs, copies that aren't there and false refusals couldn't be told apart. No decision changes. Not measured: the longer lines.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -235,7 +235,8 @@
 func appendTrail(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
 	step.Signals, step.LimitPart, step.Connections = r.Signals, r.LimitPart, r.Connections
-	step.Arrival, step.SentAfter = r.Arrival, r.SentAt.Sub(r.Arrived)
+	step.Arrival, step.SentAfter, step.EndedAfter = r.Arrival, r.SentAt.Sub(r.Arrived), time.Since(r.Arrived)
+	step.FromCopy = r.ResumeFrom != nil
 	step.Events, step.EndsWithConnection = r.Events, r.EndsWithConnection
 	var endless *upstream.EndlessError
 	if errors.As(err, &endless) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -231,6 +231,10 @@
 	// arrival to when the attempt was sent.
 	Arrival   Arrival
 	SentAfter time.Duration
+	// EndedAfter is the time from the request's arrival to the end of the attempt.
+	EndedAfter time.Duration
+	// FromCopy says that the attempt went on from a copy of an earlier one's KV cache.
+	FromCopy bool
 	// Events is what the attempt brought of a stream. EndsWithConnection says that its answer has neither a
 	// length nor chunks.
 	Events             EventRange
@@ -252,6 +256,9 @@
 	if s.Arrival != ArrivalNotSent {
 		text += fmt.Sprintf(", %s, sent after %s", s.Arrival, s.SentAfter.Round(time.Millisecond))
 	}
+	if s.FromCopy {
+		text += ", from a copy of the run"
+	}
 	if events := s.Events.String(); events != "" {
 		text += ", " + events
 	}
@@ -270,6 +277,9 @@
 	if signals := s.Signals.String(); signals != "" {
 		text += ", " + signals
 	}
+	if s.Arrival != ArrivalNotSent {
+		text += ", ended after " + s.EndedAfter.Round(time.Millisecond).String()
+	}
 	return text
 }
 
--- a/internal/request/step_test.go
+++ b/internal/request/step_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -22,3 +23,10 @@
 	step.Events.Add("7", "7")
 	g.Expect(step.String()).To(Equal("attempt 2 at e: complete, 7 tokens held, completed, after event 4, events 5 to 7, ends with its connection"))
 }
+
+func TestStepStringShowsWhenTheAttemptEndedAndThatItWentOnFromACopy(t *testing.T) {
+	g := NewWithT(t)
+	step := Step{Epoch: 2, Endpoint: "e", Outcome: "complete", Next: "completed", Arrival: ArrivalAnswered}
+	step.SentAfter, step.EndedAfter, step.FromCopy = 30*time.Millisecond, 1200*time.Millisecond, true
+	g.Expect(step.String()).To(Equal("attempt 2 at e: complete, 0 tokens held, completed, answered, sent after 30ms, from a copy of the run, ended after 1.2s"))
+}
