Go on at another endpoint only once the run before has ended

What was seen: a stream ran at two endpoints for over .4 s (1.18, .88 and 1.44 s in the tests that failed before): callers and the operator pay for two runs, and a stream that may not run twice did.

Cause: a run was taken for ended as its connection had ended at the router. A process that is paused, or whose own side of the connection is open, works on. Endpoints that were presumed down had their streams taken to copies though they only stood still.

Change: internal/runend asks the process over a new connection before a stream goes on elsewhere. An answer shows that it runs and has noticed; an engine lists what it runs, so that one which lists the request is waited for. A refused, reset or ended connection shows that it is gone, a connection that can't be established that it is out of reach. A process that accepts and doesn't answer stands still: the stream waits. Streams leave an endpoint that is presumed down only if no connection to it can be established. The attempt's line says what was known, and after how long. Why this works: what is left is an endpoint that doesn't list its runs and notices the end of a connection later than it answers; one that must not be contacted (evacuated, backing off) isn't asked.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -31,6 +31,7 @@
 	"coveferry/internal/retry"
 	"coveferry/internal/route"
 	"coveferry/internal/router"
+	"coveferry/internal/runend"
 	"coveferry/internal/server"
 	"coveferry/internal/streamversion"
 	"coveferry/internal/telemetry"
@@ -64,6 +65,9 @@
 	Protocol     upstream.Protocol
 	// Health checks that the endpoint at an address is healthy and has the given name.
 	Health func(ctx context.Context, c *http.Client, address, path, endpoint string) (upstream.Health, error)
+	// Running asks the model engine at an address whether it runs a request; nil if engines don't say. An
+	// error means that no process answered.
+	Running func(ctx context.Context, c *http.Client, address, requestID string) (bool, error)
 	// Reload reads the settings again and returns the new bounds.
 	Reload func() (DirectBounds, error)
 	Bounds DirectBounds
@@ -134,22 +138,24 @@
 	pool     *balance.Pool
 	members  *membership.Tracker
 	client   *http.Client
-	router   *router.Router
-	callers  *server.Server
-	poison   *poison.Table
-	peers    *peers.Source // nil where each router reads for itself
-	control  *control.Server
-	shares   *fairshare.Ledger  // nil without peers
-	share    endpointrate.Share // this router's share of endpoints' rate limits
-	retries  *retry.Budget
-	streams  *streamversion.Registry
+	// oneShotClient opens a connection for each request.
+	oneShotClient *http.Client
+	router        *router.Router
+	callers       *server.Server
+	poison        *poison.Table
+	peers         *peers.Source // nil where each router reads for itself
+	control       *control.Server
+	shares        *fairshare.Ledger  // nil without peers
+	share         endpointrate.Share // this router's share of endpoints' rate limits
+	retries       *retry.Budget
+	streams       *streamversion.Registry
 	// refusalLog bounds the lines about distrusted endpoints.
 	refusalLog *rate.Limiter
 	paceLog    paceLog
 }
 
 func newDirect(cfg DirectConfig, log zerolog.Logger) (*directRouter, error) {
-	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient(), refusalLog: newRefusalLogLimit()}
+	d := &directRouter{cfg: cfg, log: log, reg: telemetry.NewRegistry(), client: server.NewDirectClient(), oneShotClient: server.NewOneShotClient(runend.ConnectTimeout), refusalLog: newRefusalLogLimit()}
 	d.bounds.Store(&cfg.Bounds)
 	d.ready = telemetry.NewReadiness(gateServing)
 	policy := balance.NewPromptAware()
@@ -224,6 +230,7 @@
 			Protocol:               d.cfg.Protocol,
 			Client:                 d.client,
 			ProcessAlive:           d.updater.processAlive,
+			RunEnds:                runend.New(d.askRunning),
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			Shares:                 d.shares,
--- a/internal/daemon/onplatform/onplatform.go
+++ b/internal/daemon/onplatform/onplatform.go
@@ -30,6 +30,7 @@
 		Store:         platform.NewStore(s.StoreAddr.String(), s.MaxValueBytes),
 		Protocol:      platform.Protocol{},
 		Health:        platform.Health,
+		Running:       platform.Running,
 		Bounds:        boundsOf(s),
 		Reload:        func() (daemon.DirectBounds, error) { return reload(path) },
 	}
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -10,13 +10,16 @@
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/api"
+	"coveferry/internal/bundle"
 	"coveferry/internal/clock"
 	"coveferry/internal/filters/choose"
+	"coveferry/internal/filters/dispatch"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/wait"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/retry"
+	"coveferry/internal/runend"
 	"coveferry/internal/upstream"
 	"coveferry/internal/wire"
 )
@@ -61,6 +64,13 @@
 	jitter func() float64
 	// acceptsWork reports whether an endpoint accepts new work.
 	acceptsWork func(endpoint string) bool
+	runs        RunEnds // nil takes a run for ended when its connection has
+}
+
+// RunEnds waits until a request no longer runs at an endpoint, or that endpoint can't be reached.
+// Production uses *runend.Checker.
+type RunEnds interface {
+	Wait(ctx context.Context, e *bundle.Endpoint, requestID string) (runend.Evidence, error)
 }
 
 // Policy decides whether and how to retry after an attempt. Production uses *retry.Policy.
@@ -87,6 +97,13 @@
 	return f
 }
 
+// AwaitRunEnds has a stream go on at another endpoint only once it no longer runs at the one before. It
+// must be called before the filter is used.
+func (f *Filter) AwaitRunEnds(runs RunEnds) *Filter {
+	f.runs = runs
+	return f
+}
+
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "attempts" }
 
@@ -124,7 +141,7 @@
 		appendTrail(r, h.latestErr, decision)
 		f.setResumeEndpoint(r, h.resultErr, decision)
 		charge = decision.Charge
-		if decision.Action == retry.ActionGiveUp || !clock.Sleep(ctx, decision.Delay) {
+		if decision.Action == retry.ActionGiveUp || !clock.Sleep(ctx, decision.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) {
 			charge.NotSent(time.Now())
 			return h.result()
 		}
@@ -160,6 +177,33 @@
 	}
 }
 
+// awaitRunEnd waits until a stream no longer runs at the endpoint of the latest attempt. It returns false
+// if ctx ends before.
+func (f *Filter) awaitRunEnd(ctx context.Context, r *request.Request, latestErr error) bool {
+	if f.runs == nil || !mayStillRun(r, latestErr) {
+		return true
+	}
+	began := time.Now()
+	evidence, err := f.runs.Wait(ctx, r.Endpoint, r.CallerID)
+	step := &r.Trail[len(r.Trail)-1]
+	step.RunEnd, step.RunEndAfter = string(evidence), time.Since(began)
+	return err == nil
+}
+
+// mayStillRun reports whether a stream may still run at the endpoint of the latest attempt: it was sent,
+// and the endpoint neither refused it nor ended its answer.
+func mayStillRun(r *request.Request, latestErr error) bool {
+	if r.Kind != wire.KindRouted || !r.Stream || r.Arrival == request.ArrivalNotSent {
+		return false
+	}
+	var answered *relay.EndpointError
+	if errors.As(latestErr, &answered) || errors.Is(latestErr, dispatch.ErrUnreachable) {
+		return false
+	}
+	outcome := classify(latestErr, false).outcome
+	return outcome == retry.OutcomeRan || outcome == retry.OutcomeUnknown
+}
+
 // decide returns what to do after the latest attempt.
 func (f *Filter) decide(ctx context.Context, r *request.Request, h *history) retry.Decision {
 	var noVersion *choose.VersionError
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -98,8 +98,8 @@
 	r.Answer = resp
 	defer func() { r.Answer = nil }()
 	err = next(ctx, r)
-	if err != nil && errors.Is(context.Cause(ctx), errEndpointUnresponsive) {
-		return &relay.BrokenError{Cause: errEndpointUnresponsive}
+	if err != nil && errors.Is(context.Cause(ctx), ErrUnreachable) {
+		return &relay.BrokenError{Cause: ErrUnreachable}
 	}
 	return err
 }
--- a/internal/filters/dispatch/unresponsive.go
+++ b/internal/filters/dispatch/unresponsive.go
@@ -10,9 +10,9 @@
 	"coveferry/internal/request"
 )
 
-// errEndpointUnresponsive ends an attempt at an endpoint that is presumed down although no
-// connection broke. The run resumes from its KV cache copy.
-var errEndpointUnresponsive = errors.New("the endpoint is unresponsive; resuming the run from its copy")
+// ErrUnreachable ends an attempt at an endpoint that is presumed down and to which no connection can be
+// established, although none broke. The run resumes from its KV cache copy.
+var ErrUnreachable = errors.New("the endpoint can't be reached; resuming the run from its copy")
 
 // copiedRuns holds, by endpoint, the attempts whose callers have received part of the
 // response and whose KV cache has a copy elsewhere. It is safe for concurrent use.
@@ -63,7 +63,14 @@
 	}
 }
 
-// CancelCopiedRuns cancels the attempts at an endpoint that is presumed down, so that
+// HasCopiedRuns reports whether an endpoint has runs that have a copy elsewhere.
+func (f *Filter) HasCopiedRuns(endpoint string) bool {
+	f.copiedRuns.mu.Lock()
+	defer f.copiedRuns.mu.Unlock()
+	return len(f.copiedRuns.byEndpoint[endpoint]) > 0
+}
+
+// CancelCopiedRuns cancels the attempts at an endpoint that can't be reached, so that
 // their runs resume from KV cache copies. It cancels only those whose copy is at an
 // endpoint in use. Other attempts keep waiting: the endpoint may recover, and a request
 // that may run only once can't be retried elsewhere. It returns the number of canceled
@@ -74,7 +81,7 @@
 	canceled := 0
 	for run := range f.copiedRuns.byEndpoint[endpoint] {
 		if inUse(run.copyEndpoint) {
-			run.cancel(errEndpointUnresponsive)
+			run.cancel(ErrUnreachable)
 			canceled++
 		}
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -3,6 +3,7 @@
 package request
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -233,6 +234,10 @@
 	SentAfter time.Duration
 	// EndedAfter is the time from the request's arrival to the end of the attempt.
 	EndedAfter time.Duration
+	// RunEnd is the evidence that the attempt's run had ended when the next attempt was made, and
+	// RunEndAfter how long that was waited for; empty if it wasn't.
+	RunEnd      string
+	RunEndAfter time.Duration
 	// FromCopy says that the attempt went on from a copy of an earlier one's KV cache.
 	FromCopy bool
 	// Events is what the attempt brought of a stream. EndsWithConnection says that its answer has neither a
@@ -252,7 +257,7 @@
 	if s.Version != "" {
 		endpoint += " (" + s.Version + ")"
 	}
-	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.Next)
+	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s%s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.end(), s.Next)
 	if s.Arrival != ArrivalNotSent {
 		text += fmt.Sprintf(", %s, sent after %s", s.Arrival, s.SentAfter.Round(time.Millisecond))
 	}
@@ -277,12 +282,21 @@
 	if signals := s.Signals.String(); signals != "" {
 		text += ", " + signals
 	}
-	if s.Arrival != ArrivalNotSent {
-		text += ", ended after " + s.EndedAfter.Round(time.Millisecond).String()
-	}
 	return text
 }
 
+// end describes when an attempt that was sent ended, and how its run was known to have ended.
+func (s Step) end() string {
+	if s.Arrival == ArrivalNotSent {
+		return ""
+	}
+	text := "ended after " + s.EndedAfter.Round(time.Millisecond).String()
+	if s.RunEndAfter > 0 {
+		text += fmt.Sprintf(" (run: %s within %s)", cmp.Or(s.RunEnd, "not known to have ended"), s.RunEndAfter.Round(time.Millisecond))
+	}
+	return text + ", "
+}
+
 // Delivered is the part of the answer that the caller has received.
 type Delivered struct {
 	// Started says that the status line was sent.
--- a/internal/request/step_test.go
+++ b/internal/request/step_test.go
@@ -28,5 +28,9 @@
 	g := NewWithT(t)
 	step := Step{Epoch: 2, Endpoint: "e", Outcome: "complete", Next: "completed", Arrival: ArrivalAnswered}
 	step.SentAfter, step.EndedAfter, step.FromCopy = 30*time.Millisecond, 1200*time.Millisecond, true
-	g.Expect(step.String()).To(Equal("attempt 2 at e: complete, 0 tokens held, completed, answered, sent after 30ms, from a copy of the run, ended after 1.2s"))
+	g.Expect(step.String()).To(Equal("attempt 2 at e: complete, 0 tokens held, ended after 1.2s, completed, answered, sent after 30ms, from a copy of the run"))
+	step.RunEndAfter = 3 * time.Millisecond
+	g.Expect(step.String()).To(ContainSubstring("ended after 1.2s (run: not known to have ended within 3ms), completed"))
+	step.RunEnd = "answered"
+	g.Expect(step.String()).To(ContainSubstring("(run: answered within 3ms)"))
 }
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -41,6 +41,9 @@
 	Client *http.Client
 	// ProcessAlive confirms the end of answers that end with their connections; nil takes none for whole.
 	ProcessAlive relay.ProcessAlive
+	// RunEnds has a stream go on at another endpoint only once it no longer runs at the one before; nil takes
+	// the end of its connection for the end of the run.
+	RunEnds attempts.RunEnds
 	// MaxKeyAge is the age of the route table above which requests that need a key, or whose route it
 	// doesn't have, are refused as not run; 0 accepts any age.
 	MaxKeyAge func() time.Duration
@@ -95,7 +98,7 @@
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions,         // applies residency
 		choose.Settle{}, // corrects what teams were charged
-		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork), // retries where that is safe
+		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork).AwaitRunEnds(c.RunEnds), // retries where that is safe
 		rt.wait(quarantined), // holds requests back while their service has no capacity
 		quarantined,          // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
@@ -126,18 +129,19 @@
 	return rt.cfg.Pool.AcceptsWork(time.Now(), endpoint)
 }
 
-// ResumeFromCopies cancels those streams at endpoints presumed down whose run has a copy at a
-// usable endpoint, so that they resume from it. Without Routing it does nothing.
-func (rt *Router) ResumeFromCopies(endpoints []string) {
-	if rt.directDispatch == nil {
-		return
-	}
+// HasCopiedRuns reports whether an endpoint has streams of this router whose run has a copy elsewhere.
+// Without Routing it has none.
+func (rt *Router) HasCopiedRuns(endpoint string) bool {
+	return rt.directDispatch != nil && rt.directDispatch.HasCopiedRuns(endpoint)
+}
+
+// ResumeFromCopies cancels those streams at an endpoint that can't be reached whose run has a copy at a
+// usable endpoint, so that they resume from it. It must not be called without Routing.
+func (rt *Router) ResumeFromCopies(endpoint string) {
 	inUse := func(endpoint string) bool { return rt.cfg.Pool.Usable(time.Now(), endpoint) }
-	for _, endpoint := range endpoints {
-		if canceled := rt.directDispatch.CancelCopiedRuns(endpoint, inUse); canceled > 0 {
-			rt.cfg.Log.Info().Str(logging.FieldEndpoint, endpoint).Int("streams", canceled).
-				Msg("endpoint is unresponsive: resuming its streams from their copies")
-		}
+	if canceled := rt.directDispatch.CancelCopiedRuns(endpoint, inUse); canceled > 0 {
+		rt.cfg.Log.Info().Str(logging.FieldEndpoint, endpoint).Int("streams", canceled).
+			Msg("endpoint can't be reached: resuming its streams from their copies")
 	}
 }
 
--- a/internal/router/routed_stream_test.go
+++ b/internal/router/routed_stream_test.go
@@ -134,7 +134,7 @@
 					}
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", req.Header.Get("Id"), 15, "id: 1\ndata: a\n\n")
 					time.Sleep(time.Second)
-					w.router.ResumeFromCopies([]string{endpoint})
+					w.router.ResumeFromCopies(endpoint)
 					time.Sleep(time.Second)
 					_, _ = io.WriteString(conn, "f\r\nid: 2\ndata: z\n\n\r\n0\r\n\r\n")
 				}
@@ -152,9 +152,9 @@
 func TestStreamWithoutACopyWaitsForUnresponsiveEndpoint(t *testing.T) {
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.handle = func(endpoint string, req *http.Request, conn net.Conn) {
-			w.router.ResumeFromCopies([]string{endpoint})
+			w.router.ResumeFromCopies(endpoint)
 			time.Sleep(time.Second)
-			w.router.ResumeFromCopies([]string{endpoint})
+			w.router.ResumeFromCopies(endpoint)
 			writeEvents(conn, req, true, "id: 1\ndata: a\n\n")
 		}
 		got := call(g, client, "POST", "/resume/", "x")
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -94,6 +94,16 @@
 	return client
 }
 
+// NewOneShotClient returns a client over plain HTTP/1.1 that opens a connection for each request, so that
+// its errors tell whether one could be established. The connection must be up within connectTimeout.
+func NewOneShotClient(connectTimeout time.Duration) *http.Client {
+	t := newTransport()
+	t.DisableKeepAlives = true
+	t.HTTP2 = nil
+	t.DialContext = (&net.Dialer{Timeout: connectTimeout}).DialContext
+	return &http.Client{Transport: t}
+}
+
 // TCP returns a dial function for TCP.
 func TCP() Dial {
 	return (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
