Don't go on from copies at endpoints that lose answers where a request must not run twice

Cause: that a copy is there is only supposed, since it was asked for. Its endpoint says so if it isn't, but not where it loses its answers: then a request that must not run twice may have begun anew. Reports list no copies (held tokens, but no IDs).

Change: such a request goes on from its copy only if no request that was sent to that endpoint got no answer within 2 s, at this router or, by the reports on failures, at others. Streams that may be resumed go on as before.

Measured: the new test fails before the change (2 of 4 cases), passes after it.

--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -43,6 +43,8 @@
 	Failed   int    `json:"f"`
 	// Reporters is how many routers had failed attempts.
 	Reporters int `json:"w"`
+	// LosingAnswers is how many routers sent it requests that got no answer.
+	LosingAnswers int `json:"l,omitempty"`
 	// Unresponsive is how many routers found the endpoint unresponsive, and UnresponsiveMillis the
 	// shortest time for which it was.
 	Unresponsive       int   `json:"s,omitempty"`
@@ -65,6 +67,7 @@
 	s.Attempts += o.Attempts
 	s.Failed += o.Failed
 	s.Reporters += o.Reporters
+	s.LosingAnswers += o.LosingAnswers
 	if s.Unresponsive == 0 || o.Unresponsive > 0 && o.UnresponsiveMillis < s.UnresponsiveMillis {
 		s.UnresponsiveMillis = o.UnresponsiveMillis
 	}
@@ -113,6 +116,9 @@
 		}
 		w := FailureSummary{Endpoint: name, Attempts: n.Total, Failed: n.Part, Reporters: min(1, n.Part)}
 		w.addRefusals(own)
+		if st.lostAnswer(now) {
+			w.LosingAnswers = 1
+		}
 		if st.isUnresponsive(now) {
 			w.Unresponsive, w.UnresponsiveMillis = 1, age.MillisSince(maxTime(st.lastResponseAt, st.waitingSince), now)
 		}
@@ -132,6 +138,43 @@
 	return st.attempts.Sum(now)
 }
 
+// RecordLostAnswer records that a request which was sent to the endpoint got no answer.
+func (p *Pool) RecordLostAnswer(now time.Time, endpoint string) {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.state(endpoint).lostAnswerAt = now
+}
+
+// LosesAnswers reports whether a request that was sent to the endpoint got no answer within the failure
+// window, at this router or at one that has reported it.
+func (p *Pool) LosesAnswers(now time.Time, endpoint string) bool {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, known := sh.states[endpoint]
+	return known && (st.lostAnswer(now) || now.Sub(st.peersLostAnswerAt) <= failureWindow)
+}
+
+// lostAnswer reports whether a request of this router got no answer within the failure window.
+func (st *state) lostAnswer(now time.Time) bool { return now.Sub(st.lostAnswerAt) <= failureWindow }
+
+// recordPeerLostAnswers records which endpoints peers report as having lost answers. Reports shortly
+// after a restart may be about the process before.
+func (p *Pool) recordPeerLostAnswers(now time.Time, reports []FailureSummary) {
+	for _, w := range reports {
+		if w.LosingAnswers == 0 {
+			continue
+		}
+		sh := p.shard(w.Endpoint)
+		sh.mu.Lock()
+		if st, known := sh.states[w.Endpoint]; known && now.Sub(st.restartedAt) > restartGracePeriod {
+			st.peersLostAnswerAt = now
+		}
+		sh.mu.Unlock()
+	}
+}
+
 // recordResult counts an attempt. Cancelled and refused attempts say nothing about the endpoint's
 // health and aren't counted.
 func (st *state) recordResult(now time.Time, res Result) {
@@ -169,6 +212,7 @@
 	for _, w := range failing {
 		p.avoid(now, w.Endpoint)
 	}
+	p.recordPeerLostAnswers(now, reports)
 	p.applyPeerUnresponsive(now, reports)
 	p.applyPeerBackoffs(now, reports)
 	p.applyPeerRefusals(now, reports)
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -135,3 +135,23 @@
 	g.Expect(reports[1].Endpoint).To(Equal("e8"))
 	g.Expect(reports[2].Contradicted).To(BeNumerically(">", 0))
 }
+
+func TestLostAnswersAreKnownForAWhileAtAllRouters(t *testing.T) {
+	g := NewWithT(t)
+	p, peer := NewPool(Config{}), NewPool(Config{})
+	viewOf(p, epoch, 0)
+	viewOf(peer, epoch, 0)
+	attempt(p, epoch, "e0", ResultFailed)
+	g.Expect(p.LosesAnswers(epoch, "e0")).To(BeFalse(), "the answer broke off")
+	p.RecordLostAnswer(epoch, "e0")
+	g.Expect(p.LosesAnswers(epoch, "e0")).To(BeTrue())
+	g.Expect(peer.LosesAnswers(epoch, "e0")).To(BeFalse())
+	peer.ApplyPeerFailures(epoch, p.RecentFailures(epoch, 9))
+	g.Expect(peer.LosesAnswers(epoch, "e0")).To(BeTrue())
+	later := epoch.Add(failureWindow + time.Millisecond)
+	g.Expect(p.LosesAnswers(later, "e0")).To(BeFalse())
+	g.Expect(peer.LosesAnswers(later, "e0")).To(BeFalse())
+	peer.Restart(later, "e0")
+	peer.ApplyPeerFailures(later, []FailureSummary{{Endpoint: "e0", LosingAnswers: 1}})
+	g.Expect(peer.LosesAnswers(later, "e0")).To(BeFalse(), "it may be about the process before")
+}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -51,6 +51,8 @@
 	lastResponseAt           time.Time     // of any part of a response to this router
 	foundUnresponsiveAt      time.Time     // when this router last found it unresponsive; zero if never
 	peersFoundUnresponsiveAt time.Time     // when other routers last found it unresponsive and none has had a response since
+	lostAnswerAt             time.Time     // when a request of this router last got no answer; zero if never
+	peersLostAnswerAt        time.Time     // when other routers last reported the same; zero if never
 	cachedParts              recentParts
 	pendingPrefill           [maxTiers]int // prompt tokens sent, by tier, that may not be prefilled yet
 	load                     load.Report
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -60,11 +60,18 @@
 
 // Filter implements pipeline.Filter.
 type Filter struct {
-	policy Policy
-	jitter func() float64
-	// acceptsWork reports whether an endpoint accepts new work.
-	acceptsWork func(endpoint string) bool
-	runs        RunEnds // nil takes a run for ended when its connection has
+	policy      Policy
+	jitter      func() float64
+	copyHolders CopyHolders // nil accepts any
+	runs        RunEnds     // nil takes a run for ended when its connection has
+}
+
+// CopyHolders tells of endpoints that were asked to keep copies. *balance.Pool implements it.
+type CopyHolders interface {
+	// AcceptsWork reports whether an endpoint accepts new work.
+	AcceptsWork(now time.Time, endpoint string) bool
+	// LosesAnswers reports whether requests that were sent to an endpoint lately got no answer.
+	LosesAnswers(now time.Time, endpoint string) bool
 }
 
 // RunEnds waits until a request no longer runs at an endpoint, or that endpoint can't be reached.
@@ -86,14 +93,13 @@
 // New returns a filter that retries according to the policy. jitter returns random numbers
 // from [0, 1).
 func New(policy Policy, jitter func() float64) *Filter {
-	return &Filter{policy: policy, jitter: jitter, acceptsWork: func(string) bool { return true }}
+	return &Filter{policy: policy, jitter: jitter}
 }
 
-// ResumeOnlyAt restricts resuming from KV cache copies to endpoints for which acceptsWork
-// returns true. Endpoints that are draining or evacuated get no resumed streams. It must
-// be called before the filter is used.
-func (f *Filter) ResumeOnlyAt(acceptsWork func(endpoint string) bool) *Filter {
-	f.acceptsWork = acceptsWork
+// ResumeOnlyAt restricts resuming from KV cache copies by the state of their endpoints. It must be called
+// before the filter is used.
+func (f *Filter) ResumeOnlyAt(holders CopyHolders) *Filter {
+	f.copyHolders = holders
 	return f
 }
 
@@ -253,7 +259,18 @@
 // canResumeFromCopy reports whether a broken stream can resume from the KV cache copy at
 // another endpoint, after the last event delivered to the caller.
 func (f *Filter) canResumeFromCopy(r *request.Request, outcome retry.Outcome) bool {
-	return r.CopyTo != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan && r.MayContinue(r.CopyTo) && f.acceptsWork(r.CopyTo.Name)
+	return r.CopyTo != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan && r.MayContinue(r.CopyTo) && f.mayHoldCopy(r)
+}
+
+// mayHoldCopy reports whether the stream may resume from the copy by the state of its endpoint. Endpoints
+// that are draining or evacuated get no resumed streams. That a copy isn't there only its endpoint can say;
+// one that loses answers may have begun the request anew instead, which must not run twice.
+func (f *Filter) mayHoldCopy(r *request.Request) bool {
+	if f.copyHolders == nil {
+		return true
+	}
+	now, name := time.Now(), r.CopyTo.Name
+	return f.copyHolders.AcceptsWork(now, name) && !(r.NonIdempotent && f.copyHolders.LosesAnswers(now, name))
 }
 
 // setResumeEndpoint sets the endpoint at which the next attempt resumes from a KV cache
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -48,10 +48,19 @@
 		recordContradiction(account, r, err)
 	}
 	f.reportConnectionFailure(ctx, r.Endpoint, err)
+	if lostAnswer(ctx, err) {
+		f.pool.RecordLostAnswer(time.Now(), r.Endpoint.Name)
+	}
 	account.Done(time.Now(), result(ctx, err))
 	return err
 }
 
+// lostAnswer reports whether an attempt that was sent got no answer, though its caller has waited for it.
+func lostAnswer(ctx context.Context, err error) bool {
+	var noResponse *NoResponseError
+	return errors.As(err, &noResponse) && noResponse.Sent && ctx.Err() == nil
+}
+
 // exchangeDirect sends an attempt to an endpoint that has no agent. Whether the attempt
 // ran is decided by the marker in the endpoint's own response.
 func (f *Filter) exchangeDirect(ctx context.Context, r *request.Request, sent time.Time, next pipeline.Next) error {
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -98,7 +98,7 @@
 		resume.New(c.Streams, c.Endpoints, rt.cfg.Metrics), // binds resumed streams to the version that began them
 		regions,         // applies residency
 		choose.Settle{}, // corrects what teams were charged
-		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.acceptsWork).AwaitRunEnds(c.RunEnds), // retries where that is safe
+		attempts.New(rt.cfg.Retry, rt.cfg.Rand).ResumeOnlyAt(rt.cfg.Pool).AwaitRunEnds(c.RunEnds), // retries where that is safe
 		rt.wait(quarantined), // holds requests back while their service has no capacity
 		quarantined,          // refuses quarantined requests
 		choose.New(choose.Config{ // selects the endpoint
@@ -125,10 +125,6 @@
 	})
 }
 
-func (rt *Router) acceptsWork(endpoint string) bool {
-	return rt.cfg.Pool.AcceptsWork(time.Now(), endpoint)
-}
-
 // HasCopiedRuns reports whether an endpoint has streams of this router whose run has a copy elsewhere.
 // Without Routing it has none.
 func (rt *Router) HasCopiedRuns(endpoint string) bool {
--- a/internal/router/routed_stream_test.go
+++ b/internal/router/routed_stream_test.go
@@ -94,6 +94,41 @@
 	})
 }
 
+// An endpoint that loses answers can't say that it has no copy, and may have begun anew.
+func TestStreamThatMayNotRunTwiceDoesNotGoOnFromACopyAtAnEndpointThatLosesAnswers(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		before time.Duration // the lost answer, before the stream breaks
+		goesOn bool
+	}{
+		{"/tight/", 0, false},
+		{"/tight/", time.Second, false},
+		{"/tight/", 4 * time.Second, true},
+		{"/resume/", 0, true},
+	} {
+		t.Run(fmt.Sprint(c.path, c.before), func(t *testing.T) {
+			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+				w.handle = func(endpoint string, req *http.Request, conn net.Conn) {
+					if req.Header.Get("Last") != "" {
+						writeEvents(conn, req, true, "id: 2\ndata: b\n\n")
+						return
+					}
+					for _, name := range []string{"e1", "e2", "e3"} {
+						if name != endpoint {
+							w.pool.RecordLostAnswer(time.Now(), name)
+						}
+					}
+					time.Sleep(c.before)
+					writeEvents(conn, req, false, "id: 1\ndata: a\n\n")
+				}
+				got := call(g, client, "POST", c.path, "x", "Prompt", "1")
+				g.Expect(got.err == nil).To(Equal(c.goesOn))
+				g.Expect(w.receivedCount()).To(Equal(map[bool]int{true: 2, false: 1}[c.goesOn]))
+			})
+		})
+	}
+}
+
 func TestBrokenStreamNeverLooksComplete(t *testing.T) {
 	for _, path := range []string{"/stream/", "/resume/"} {
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
