Conclude nothing about streams that began before a router knew the list

Cause: twice the route's timeout after its start a router took the versions it had seen for all that had served while a resumed stream could have begun. The timeout bounds an attempt, not how long a caller comes back, and a process that has just started has seen nothing of the time before. Class: a new process concludes from not having seen something.

Change: the list tells the version of an unknown stream only where the service has had one for an hour (LongestReturn), by this router's list or that of one that lived. Within that time streams are told to others, and kept for as long as callers say they wait. A stream that nobody knows is asked for again once it must have been told, and then answered once, 502 stream_lost or no_version without Retry-After; while the router may not know the others yet, 503 with the time until it does. Why this works: what goes on does so at a version that somebody recorded, or that was the only one for longer than any caller waits.

TestResumedStreamOfAServiceWithOneVersionGoesOnWherever expected 200 from 20.1 s on, the fault itself: replaced by one that expects the refusal until the hour is over and the stream's continuation after it, before and after a release.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -273,7 +273,7 @@
 // applyConfig is called with each configuration put in force.
 func (d *directRouter) applyConfig(c *route.Config) {
 	d.logUnservable(c)
-	d.streams.KeepFor(streamversion.ReturnWindow(c.LongestStreamTimeout()))
+	d.streams.SetLongestTimeout(c.LongestStreamTimeout())
 }
 
 // logUnservable warns of routes and teams whose allowed regions include no existing region:
--- a/internal/filters/choose/choose.go
+++ b/internal/filters/choose/choose.go
@@ -48,6 +48,10 @@
 	var noVersion *VersionError
 	if errors.As(e.Cause, &noVersion) {
 		out.Code, out.Message = "no_version", "no endpoint has the software version that began the stream"
+		if noVersion.Gone { // not a refusal that invites the caller to come back with the same stream
+			out.Status, out.Type, out.RetryAfter = http.StatusBadGateway, api.TypeUpstream, 0
+			out.Message += " any more; begin it anew, without the ID of an event"
+		}
 	}
 	if delay, limited := e.AvailableIn(); limited {
 		out.Type, out.Code = api.TypeOverloaded, "limited"
--- a/internal/filters/choose/version.go
+++ b/internal/filters/choose/version.go
@@ -10,7 +10,11 @@
 
 // VersionError reports that no endpoint is in service that runs the software version at which a
 // stream began.
-type VersionError struct{ Version string }
+type VersionError struct {
+	Version string
+	// Gone says that no endpoint of the version is listed any more, while others of the service are.
+	Gone bool
+}
 
 // Error implements error.
 func (e *VersionError) Error() string {
@@ -24,9 +28,10 @@
 	if r.StreamVersion == nil {
 		return nil
 	}
+	listed := len(r.Candidates) > 0
 	r.Candidates = slices.DeleteFunc(slices.Clone(r.Candidates), func(e *bundle.Endpoint) bool { return !r.MayContinue(e) })
-	if !slices.ContainsFunc(r.Candidates, func(e *bundle.Endpoint) bool { return f.pool.InService(e.Name) }) {
-		return &VersionError{Version: *r.StreamVersion}
+	if slices.ContainsFunc(r.Candidates, func(e *bundle.Endpoint) bool { return f.pool.InService(e.Name) }) {
+		return nil
 	}
-	return nil
+	return &VersionError{Version: *r.StreamVersion, Gone: listed && len(r.Candidates) == 0}
 }
--- a/internal/filters/match/match.go
+++ b/internal/filters/match/match.go
@@ -125,7 +125,7 @@
 	r.CallerID = cmp.Or(in.ID, r.ID)
 	r.APIKey = in.APIKey
 	r.Prompt = in.Prompt
-	r.Resumes = in.Resumes
+	r.Resumes, r.CallerTimeout = in.Resumes, in.CallerTimeout
 	r.ResumedAfter, r.Delivered.Position.LastID = in.LastEvent, in.LastEvent
 	r.Service = found.Pick(f.random())
 	r.Stream = found.Stream
--- a/internal/filters/resume/resume.go
+++ b/internal/filters/resume/resume.go
@@ -24,22 +24,35 @@
 	"coveferry/internal/wire"
 )
 
-// retryAfter is the Retry-After of a refused stream. By then the router that began it may have told
-// others of it.
+// retryAfter is the Retry-After of a stream that is refused since its route has changed.
 const retryAfter = 100 * time.Millisecond
 
 // UnknownError is a resumed stream of which nobody knows the software version that began it. The
 // request was not sent.
-type UnknownError struct{ Stream string }
+type UnknownError struct {
+	Stream string
+	// SettledIn is how long it takes until this router can ask all others; 0 if it has.
+	SettledIn time.Duration
+}
 
 // Error implements error.
 func (e *UnknownError) Error() string {
 	return "resume: the software version that began the stream of request \"" + e.Stream + "\" isn't known"
 }
 
-// API implements api.Convertible.
+// API implements api.Convertible. Once this router has asked all others nobody can learn of the stream any
+// more, so that the status doesn't invite the caller to come back with it.
 func (e *UnknownError) API() *api.Error {
-	return refusal("unknown_stream", "it isn't known which software version began the stream; begin it anew")
+	if e.SettledIn > 0 {
+		out := refusal("unknown_stream", "this router has just started, and can't ask yet which software version began the stream")
+		out.RetryAfter = e.SettledIn
+		return out
+	}
+	return &api.Error{
+		Status: http.StatusBadGateway, Type: api.TypeUpstream, Code: "stream_lost",
+		Message: "nobody knows any more which software version began the stream; begin it anew, without the ID of an event",
+		Run:     wire.RunNot,
+	}
 }
 
 // MovedError is a resumed stream that began at a service to which its route no longer leads. The
@@ -69,6 +82,10 @@
 	Begin(now time.Time, id streamversion.StreamID, o streamversion.ServiceVersion)
 	End(id streamversion.StreamID)
 	Find(ctx context.Context, q streamversion.Query) (streamversion.Finding, bool)
+	// RecordCallerTimeout records how long a caller waits.
+	RecordCallerTimeout(d time.Duration)
+	// SettledIn returns how long it takes until all other routers can be asked; 0 if they can be.
+	SettledIn(now time.Time) time.Duration
 }
 
 // Filter implements pipeline.Filter.
@@ -100,6 +117,7 @@
 	if f.streams == nil || !r.Route.Stream {
 		return next(ctx, r)
 	}
+	f.streams.RecordCallerTimeout(r.CallerTimeout)
 	stream := streamversion.IDOf(r.CallerID)
 	if r.ResumedAfter == "" {
 		return f.follow(ctx, r, stream, next)
@@ -130,7 +148,7 @@
 
 // bind has the request served only where the stream that it resumes began.
 func (f *Filter) bind(ctx context.Context, r *request.Request) error {
-	query := streamversion.Query{Service: r.Service, Window: streamversion.ReturnWindow(cmp.Or(r.Route.Timeout, match.DefaultTimeout))}
+	query := streamversion.Query{Service: r.Service, Window: streamversion.LongestReturn}
 	if r.Resumes != "" {
 		query.ID = streamversion.IDOf(r.Resumes)
 	}
@@ -139,7 +157,7 @@
 	case ctx.Err() != nil:
 		return &relay.CallerError{Cause: ctx.Err()}
 	case !known:
-		return &UnknownError{Stream: r.Resumes}
+		return &UnknownError{Stream: r.Resumes, SettledIn: f.streams.SettledIn(time.Now())}
 	}
 	r.Resumption = request.Resumption{Evidence: string(found.Evidence), Age: found.Age}
 	r.StreamVersion = &found.ServiceVersion.Version
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -66,6 +66,8 @@
 	// ResumedAfter is the ID of the last event that the caller had when it sent the request; empty
 	// for none.
 	ResumedAfter string
+	// CallerTimeout is how long the caller says that it waits; 0 if it doesn't say.
+	CallerTimeout time.Duration
 	// APIKey is empty if the caller sent none.
 	APIKey string
 	Prompt prompt.Prompt
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -195,11 +195,13 @@
 	var quarantined *quarantine.QuarantinedError
 	var noCapacity *wait.RefusedError
 	var noEndpoint *choose.Error
+	var unknownStream *resume.UnknownError
 	if errors.As(err, &noEndpoint) {
 		_, known := noEndpoint.AvailableIn()
 		return known
 	}
-	return errors.As(err, &late) || errors.As(err, &share) || errors.As(err, &noCapacity) || errors.As(err, &quarantined)
+	return errors.As(err, &late) || errors.As(err, &share) || errors.As(err, &noCapacity) || errors.As(err, &quarantined) ||
+		errors.As(err, &unknownStream)
 }
 
 // safeStatus replaces statuses that callers take as a guarantee that the request didn't run,
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -202,8 +202,8 @@
 	})
 }
 
-// The route's timeout is 10 s: a stream can have begun up to 20 s ago.
-func TestResumedStreamOfAServiceWithOneVersionGoesOnWherever(t *testing.T) {
+func TestResumedStreamOfAServiceThatHadOneVersionForLongGoesOnWherever(t *testing.T) {
+	const second = time.Second
 	for _, resumes := range []string{"never-seen-%d", ""} {
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 			w.setVersions("v1", "v1", "v1")
@@ -214,20 +214,75 @@
 				return call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", stream, "Last", "2").status
 			}
 			w.handle = breakingAfter(1)
-			g.Expect(resume()).To(Equal(503), "this router may have missed another version")
+			g.Expect(resume()).To(Equal(503), "this router may have missed another version, and others may know")
 			time.Sleep(20100 * time.Millisecond)
+			g.Expect(resume()).To(Equal(502), "twice the route's timeout bounds no caller")
+			time.Sleep(streamversion.LongestReturn - 21*second)
+			g.Expect(resume()).To(Equal(502))
+			time.Sleep(second)
 			g.Expect(resume()).To(Equal(200))
 			w.setVersions("v1", "v1", "v2")
-			g.Expect(resume()).To(Equal(503))
+			g.Expect(resume()).To(Equal(502))
 			w.setVersions("v2", "v2", "v2")
-			time.Sleep(19 * time.Second)
-			g.Expect(resume()).To(Equal(503), "it may have begun at v1")
-			time.Sleep(2 * time.Second)
+			time.Sleep(streamversion.LongestReturn - second)
+			g.Expect(resume()).To(Equal(502), "it may have begun at v1")
+			time.Sleep(2 * second)
 			g.Expect(resume()).To(Equal(200))
 		})
 	}
 }
 
+// All routers are killed and start again, a little before or after the endpoints got another version.
+func TestStreamThatNoRouterKnowsIsAnsweredOnceAndNeverJoined(t *testing.T) {
+	for _, resumes := range []string{"first", ""} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.setVersions("v2", "v2", "v2")
+			w.handle = breakingAfter(1)
+			began, final := time.Now(), 0
+			for time.Since(began) < 5*time.Minute {
+				got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", resumes, "Last", "2", "Patience", "5s")
+				if got.status == 503 {
+					after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+					g.Expect(err).NotTo(HaveOccurred())
+					time.Sleep(time.Duration(after * float64(time.Second)))
+					g.Expect(final).To(BeZero())
+					continue
+				}
+				g.Expect(got.status).To(Equal(502))
+				g.Expect(got.header.Get("Retry-After")).To(BeEmpty())
+				g.Expect(got.body).To(ContainSubstring("stream_lost"))
+				final++
+				time.Sleep(10 * time.Second)
+			}
+			g.Expect(w.receivedCount()).To(BeZero())
+			g.Expect(final).To(BeNumerically(">", 25), "all but the first are final")
+		})
+	}
+}
+
+func TestStreamWhoseVersionIsGoneIsNotInvitedBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		withdraw func(w *routerFixture)
+		status   int
+	}{
+		"no longer listed":       {func(w *routerFixture) { w.setVersions("v2", "v2", "v2") }, 502},
+		"listed, not in service": {func(w *routerFixture) { w.pool.SetSuspect("e1", true) }, 503},
+		"nothing is listed":      {func(w *routerFixture) { w.endpoints = nil }, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+				w.setVersions("v1", "v2", "v2")
+				w.streams.Begin(time.Now(), streamversion.IDOf("first"), streamversion.ServiceVersion{Service: "s", Version: "v1"})
+				c.withdraw(w)
+				got := call(g, client, "POST", "/resume/", "x", "Id", "again", "Begun-By", "first", "Last", "2")
+				g.Expect(got.status).To(Equal(c.status))
+				g.Expect(got.header.Get("Retry-After") == "").To(Equal(c.status == 502))
+				g.Expect(w.receivedCount()).To(BeZero())
+			})
+		})
+	}
+}
+
 func TestResumedStreamStaysAtItsServiceOfAWeightedRoute(t *testing.T) {
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.setVersions("v1", "v2", "v2")
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -1,7 +1,6 @@
 package streamversion
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -25,7 +24,7 @@
 	// ID is that of the stream; 0 if the caller doesn't name it.
 	ID      StreamID
 	Service string
-	// Window is the time in which the stream can have begun.
+	// Window is the time in which the stream can have begun; LongestReturn unless something shorter is known.
 	Window time.Duration
 }
 
@@ -58,16 +57,17 @@
 	// and inferredAskTimeout that where the version follows from the list.
 	askTimeout         = 150 * time.Millisecond
 	inferredAskTimeout = 30 * time.Millisecond
+	// toldWithin is how long after its first event a stream is told, with some slack.
+	toldWithin = 300 * time.Millisecond
+	// settleTime is how long after its start a router may not know the others yet.
+	settleTime = 3 * time.Second
 	// defaultKeep is how long streams are kept before the first configuration.
 	defaultKeep = time.Minute
-	// returnFactor times the timeout of a route is how long after its beginning a stream may be
-	// resumed: after an attempt that took the whole timeout, and for as long again.
-	returnFactor = 2
+	// keepFactor times the longest time that a route or a caller grants a request is how long streams
+	// are kept: an attempt may take all of it before its caller comes back.
+	keepFactor = 2
 )
 
-// ReturnWindow is the time after the beginning of a stream in which its caller may resume it.
-func ReturnWindow(routeTimeout time.Duration) time.Duration { return returnFactor * routeTimeout }
-
 // Config configures a Registry.
 type Config struct {
 	// Peers reaches the other routers; nil if there are none.
@@ -88,15 +88,17 @@
 	own      table
 	told     table
 	versions versionLog
-	keep     atomic.Int64 // time.Duration for which streams are kept
-	mu       sync.Mutex
-	untold   []Stream
+	// granted is the longest time that the configuration grants a stream, and waited the longest that a
+	// caller has said it waits; both time.Duration, 0 if unknown.
+	granted, waited atomic.Int64
+	startedAt       time.Time
+	mu              sync.Mutex
+	untold          []Stream
 }
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg}
-	r.keep.Store(int64(defaultKeep))
+	r := &Registry{cfg: cfg, startedAt: time.Now()}
 	if cfg.Metrics != nil {
 		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "coveferry_known_streams",
@@ -106,16 +108,36 @@
 	return r
 }
 
-// KeepFor sets for how long streams are kept: the longest time in which a caller may resume one; 0 if
-// that is unknown.
-func (r *Registry) KeepFor(d time.Duration) { r.keep.Store(int64(cmp.Or(d, defaultKeep))) }
+// SetLongestTimeout sets the longest timeout of the routes whose streams may be resumed; 0 if unknown.
+func (r *Registry) SetLongestTimeout(d time.Duration) { r.granted.Store(int64(d)) }
+
+// RecordCallerTimeout records how long a caller waits in all. It may come back that long.
+func (r *Registry) RecordCallerTimeout(d time.Duration) {
+	for waited := r.waited.Load(); int64(d) > waited; waited = r.waited.Load() {
+		if r.waited.CompareAndSwap(waited, int64(d)) {
+			return
+		}
+	}
+}
+
+// keepFor returns for how long streams are kept.
+func (r *Registry) keepFor() time.Duration {
+	longest := time.Duration(max(r.granted.Load(), r.waited.Load()))
+	if longest == 0 {
+		return defaultKeep
+	}
+	return min(keepFactor*longest, LongestReturn)
+}
 
-func (r *Registry) keepFor() time.Duration { return time.Duration(r.keep.Load()) }
+// SettledIn returns how long it takes until this router knows the others that it could ask; 0 if it does.
+func (r *Registry) SettledIn(now time.Time) time.Duration {
+	return max(0, settleTime-now.Sub(r.startedAt))
+}
 
 // UpdateList records a new list of endpoints. Streams of a service that has got a second version are
 // told to other routers, since these can no longer infer the version.
 func (r *Registry) UpdateList(now time.Time, list *directory.Directory) {
-	for _, service := range r.versions.update(now, list, r.keepFor()) {
+	for _, service := range r.versions.update(now, list) {
 		r.tellLater(r.own.list(service)...)
 	}
 }
@@ -123,7 +145,7 @@
 // Begin records where a stream of this router began, and has other routers told if they can't infer it.
 func (r *Registry) Begin(now time.Time, id StreamID, o ServiceVersion) {
 	r.own.put(now, r.keepFor(), id, o)
-	if _, single := r.versions.only(now, o.Service, r.keepFor()); !single {
+	if _, single := r.versions.only(now, o.Service, LongestReturn); !single {
 		r.tellLater(Stream{ID: id, ServiceVersion: o})
 	}
 }
@@ -236,6 +258,19 @@
 
 // Find returns where a stream began, and false if that isn't known.
 func (r *Registry) Find(ctx context.Context, q Query) (Finding, bool) {
+	found, known := r.findOnce(ctx, q)
+	if known || q.ID == 0 || r.cfg.Peers == nil || r.SettledIn(time.Now()) > 0 {
+		return found, known
+	}
+	// The router that began it may not have told of it yet.
+	if !clock.Sleep(ctx, toldWithin) {
+		return Finding{}, false
+	}
+	return r.findOnce(ctx, q)
+}
+
+// findOnce asks once what this router and the others know.
+func (r *Registry) findOnce(ctx context.Context, q Query) (Finding, bool) {
 	now := time.Now()
 	if o, age, known := r.lookUp(now, q.ID); known {
 		return Finding{ServiceVersion: o, Evidence: EvidenceOwn, Age: age}, true
--- a/internal/streamversion/registry_test.go
+++ b/internal/streamversion/registry_test.go
@@ -90,7 +90,7 @@
 func TestNothingIsToldWhereOthersCanInferTheVersion(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(2 * defaultKeep)
+		time.Sleep(LongestReturn)
 		f.begin("a", "v1")
 		time.Sleep(time.Second)
 		f.Expect(f.peers.told).To(BeEmpty())
@@ -100,7 +100,7 @@
 func TestOpenStreamsAreToldWhenASecondVersionComes(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(2 * defaultKeep)
+		time.Sleep(LongestReturn)
 		f.begin("a", "v1")
 		f.begin("b", "v1")
 		f.End(IDOf("b"))
@@ -114,7 +114,7 @@
 func TestOpenStreamsAreToldWhenTheListIsLost(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(2 * defaultKeep)
+		time.Sleep(LongestReturn)
 		f.begin("a", "v1")
 		f.listAge = maxListAge + 1
 		time.Sleep(time.Second)
@@ -201,7 +201,7 @@
 
 func TestStreamsAreForgottenWhenNobodyCanResumeThem(t *testing.T) {
 	run(t, func(f *fixture) {
-		f.KeepFor(2 * time.Minute)
+		f.SetLongestTimeout(time.Minute)
 		f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}})
 		time.Sleep(2 * time.Minute)
 		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
@@ -222,3 +222,46 @@
 		f.Expect(f.Answer(time.Now(), Query{ID: many - 1}).Known).To(BeTrue(), "the latest is kept")
 	})
 }
+
+// A whole fleet that starts again has seen nothing of the versions before.
+func TestStartedRouterTakesNoVersionForTheOnlyOneThatServed(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.update("v2", "v2")
+		for range int(LongestReturn / time.Minute) {
+			found, known := f.Find(context.Background(), Query{ID: IDOf("a"), Service: "s", Window: LongestReturn})
+			f.Expect(known).To(BeFalse(), "%+v", found)
+			_, known = f.Find(context.Background(), Query{Service: "s", Window: LongestReturn})
+			f.Expect(known).To(BeFalse())
+			time.Sleep(time.Minute - toldWithin)
+		}
+		time.Sleep(time.Second)
+		_, known := f.Find(context.Background(), Query{Service: "s", Window: LongestReturn})
+		f.Expect(known).To(BeTrue())
+	})
+}
+
+func TestStreamThatIsToldLateIsFound(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.update("v1", "v2")
+		time.Sleep(settleTime)
+		time.AfterFunc(toldWithin/2, func() { f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}}) })
+		found, known := f.find("a")
+		f.Expect(known).To(BeTrue())
+		f.Expect(found.ServiceVersion.Version).To(Equal("v1"))
+		start := time.Now()
+		_, known = f.find("b")
+		f.Expect(known).To(BeFalse())
+		f.Expect(time.Since(start)).To(BeNumerically("<=", toldWithin+2*askTimeout))
+	})
+}
+
+func TestStreamsAreKeptForAsLongAsCallersWait(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.SetLongestTimeout(4 * time.Second)
+		f.RecordCallerTimeout(30 * time.Second)
+		f.RecordCallerTimeout(time.Second)
+		f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}})
+		time.Sleep(time.Minute - time.Second)
+		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
+	})
+}
--- a/internal/streamversion/versions.go
+++ b/internal/streamversion/versions.go
@@ -8,8 +8,11 @@
 	"coveferry/internal/directory"
 )
 
-// maxWindow bounds the time over which the versions of a service are known.
-const maxWindow = time.Hour
+// LongestReturn is the longest time after the beginning of a stream in which its caller may resume it.
+// Nothing that a router has seen says when a stream began that it doesn't know: its caller may have waited
+// through a release and the restarts of all routers. So the list tells the version of a stream only where a
+// service has had one for longer than any caller waits.
+const LongestReturn = time.Hour
 
 // versionLog records which software versions the endpoints of each service had. It is safe for
 // concurrent use.
@@ -24,19 +27,19 @@
 	outdated bool
 }
 
-// update records a new list. It returns the services that have got another version beside those of
-// the given period before.
-func (l *versionLog) update(now time.Time, list *directory.Directory, period time.Duration) (mixed []string) {
+// update records a new list. It returns the services that have got another version beside those that
+// they had.
+func (l *versionLog) update(now time.Time, list *directory.Directory) (mixed []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.knownSince.IsZero() {
 		l.knownSince = now
 	}
 	l.markListed(now)
-	before := l.countVersions(now, period)
+	before := l.countVersions(now)
 	l.list = list
 	l.markListed(now)
-	for service, n := range l.countVersions(now, period) {
+	for service, n := range l.countVersions(now) {
 		if n > max(1, before[service]) {
 			mixed = append(mixed, service)
 		}
@@ -63,12 +66,12 @@
 	}
 }
 
-// countVersions counts each service's versions of the latest period. l.mu is held.
-func (l *versionLog) countVersions(now time.Time, period time.Duration) map[string]int {
+// countVersions counts each service's versions within LongestReturn. l.mu is held.
+func (l *versionLog) countVersions(now time.Time) map[string]int {
 	counts := make(map[string]int, len(l.lastListed))
 	for service, versions := range l.lastListed {
 		for _, at := range versions {
-			if now.Sub(at) <= period {
+			if now.Sub(at) <= LongestReturn {
 				counts[service]++
 			}
 		}
@@ -79,7 +82,7 @@
 func (l *versionLog) expire(now time.Time) {
 	for service, versions := range l.lastListed {
 		for version, at := range versions {
-			if now.Sub(at) > maxWindow {
+			if now.Sub(at) > LongestReturn {
 				delete(versions, version)
 			}
 		}
@@ -114,7 +117,7 @@
 func (l *versionLog) only(now time.Time, service string, window time.Duration) (version string, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > maxWindow {
+	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > LongestReturn {
 		return "", false
 	}
 	for v := range l.versionsIn(now, service, window) {
