Count runs in the soak, also of copies, and have endpoints stand still

Cause: the soak counted runs but not how long they overlap, had no copies of runs, and paused endpoints only with their connections open.

After a question that got no answer the first answer no longer counts (internal/runend, a case of its test).

--- a/internal/cli/standincmd/replica.go
+++ b/internal/cli/standincmd/replica.go
@@ -16,12 +16,13 @@
 	Pause  time.Duration `default:"25ms" help:"Time between two events."`
 	Cold   time.Duration `default:"0s" help:"For how long after its start it says that it is cold."`
 
-	Closing float64 `default:"0" help:"Share of the answers that end with their connection."`
+	Linger  time.Duration `default:"0s" help:"For how long a stream runs on after its caller has left."`
+	Closing float64       `default:"0" help:"Share of the answers that end with their connection."`
 }
 
 // Run runs the command.
 func (c *ReplicaCmd) Run(env *cli.Env) error {
-	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold), Closing: c.Closing}
+	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold), Closing: c.Closing, Linger: c.Linger}
 	return serve(env, c.Listen, replica)
 }
 
--- a/internal/runend/runend.go
+++ b/internal/runend/runend.go
@@ -61,13 +61,20 @@
 // the endpoint runs the request, or accepts connections and doesn't answer, it goes on asking; its error
 // is then that of ctx.
 func (c *Checker) Wait(ctx context.Context, e *bundle.Endpoint, requestID string) (Evidence, error) {
+	stoodStill := false
 	for {
 		running, err := c.askOnce(ctx, e, requestID)
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
-		if evidence := evidenceOf(running, err); evidence != "" {
+		evidence := evidenceOf(running, err)
+		switch {
+		case evidence == EvidenceAnswered && stoodStill:
+			stoodStill = false // it may read what came meanwhile only now, the request among it
+		case evidence != "":
 			return evidence, nil
+		case !running:
+			stoodStill = true
 		}
 		if !clock.Sleep(ctx, askInterval) {
 			return "", ctx.Err()
--- a/internal/runend/runend_test.go
+++ b/internal/runend/runend_test.go
@@ -51,7 +51,8 @@
 	}{
 		"answers":                         {[]reply{{}}, EvidenceAnswered, 0},
 		"runs it, then doesn't":           {[]reply{{running: true}, {running: true}, {}}, EvidenceAnswered, 2 * askInterval},
-		"stands still, then answers":      {[]reply{silent, silent, {}}, EvidenceAnswered, 2 * (askInterval + answerTimeout)},
+		"stands still, then answers":      {[]reply{silent, silent, {}, {}}, EvidenceAnswered, 2*(askInterval+answerTimeout) + askInterval},
+		"stands still, then begins it":    {[]reply{silent, {}, {running: true}, {}}, EvidenceAnswered, 3*askInterval + answerTimeout},
 		"stands still, then has ended":    {[]reply{silent, {err: dialError(syscall.ECONNREFUSED)}}, EvidenceGone, askInterval + answerTimeout},
 		"refuses connections":             {[]reply{{err: dialError(syscall.ECONNREFUSED)}}, EvidenceGone, 0},
 		"resets connections":              {[]reply{{err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}}, EvidenceGone, 0},
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,6 +15,7 @@
 const (
 	PromiseComplete     Promise = "each caller gets the whole of its own answer, or none that looks whole"
 	PromiseOnce         Promise = "what may not be repeated runs at most once"
+	PromiseOneRun       Promise = "a stream goes on at another endpoint only once it no longer runs at the one before"
 	PromiseNotRun       Promise = "what was refused as not run did not run"
 	PromiseRevoked      Promise = "a revoked key no longer works after the bound"
 	PromiseValid        Promise = "a valid key is not said to be unknown"
@@ -102,7 +103,9 @@
 type Execution struct {
 	ID, Endpoint, Service, Team string
 	// Resumed reports whether the run resumes an earlier one of the same request.
-	Resumed    bool
+	Resumed bool
+	// FromCopy reports whether the run goes on from a copy of another endpoint's, as the same run.
+	FromCopy   bool
 	Begin, End time.Time // End is zero if the endpoint crashed before it recorded the end
 	// BrokeOff reports whether the endpoint broke off its answer.
 	BrokeOff bool
@@ -203,6 +206,7 @@
 	c.backoffs()
 	c.leavingAnswers()
 	c.versions()
+	c.overlaps()
 	c.recovery()
 	for _, exit := range observed.Exits {
 		c.add(PromiseNoExit, "", "%s", exit)
@@ -228,7 +232,7 @@
 	if call.ContentError != "" {
 		c.add(PromiseComplete, call.ID, "%s", call.ContentError)
 	}
-	if !call.Repeatable && len(runs) > 1 {
+	if !call.Repeatable && countRuns(runs) > 1 {
 		c.add(PromiseOnce, call.ID, "it ran %d times, at %s and %s", len(runs), runs[0].Endpoint, runs[1].Endpoint)
 	}
 	refused := call.Status == 429 || call.Status == 503
@@ -248,6 +252,17 @@
 	c.stop(call, runs)
 }
 
+// countRuns counts runs. One that goes on from a copy is the same run.
+func countRuns(runs []Execution) int {
+	n := 0
+	for _, r := range runs {
+		if !r.FromCopy {
+			n++
+		}
+	}
+	return n
+}
+
 // mustKnowRoute reports whether the request's route must be in force at its router.
 func (c *checker) mustKnowRoute(call Call) bool {
 	if call.Added.IsZero() {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -55,6 +55,14 @@
 	}{
 		{PromiseComplete, func(s *Observations) { s.Calls[0].ContentError = "another's answer" }},
 		{PromiseOnce, func(s *Observations) { s.Executions[1].ID = "a" }},
+		{PromiseOneRun, func(s *Observations) {
+			s.Calls[1].Stream = true
+			s.Executions = append(s.Executions, Execution{ID: "b", Endpoint: "e1", Service: "s", Team: "t", Begin: at(10.45), End: at(10.95)})
+		}},
+		{PromiseOneRun, func(s *Observations) { // in whichever order their records came, and from a copy
+			s.Calls[0].Stream = true
+			s.Executions = append([]Execution{{ID: "a", Endpoint: "e2", Service: "s", Team: "t", Begin: at(10.45), End: at(10.95), FromCopy: true}}, s.Executions...)
+		}},
 		{PromiseNotRun, func(s *Observations) { s.Calls[0].Status, s.Calls[0].Complete, s.LastFault = 503, false, at(10) }},
 		{PromiseRevoked, func(s *Observations) { s.Revoked["k"] = at(4) }},
 		{PromiseValid, func(s *Observations) { s.Calls[0].Status, s.LastFault = 401, at(10) }},
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -53,6 +53,8 @@
 // promptOf returns the kind of prompt of a seed's requests.
 func promptOf(seed uint64, crashing bool) PromptKind {
 	switch {
+	case HasStalls(seed):
+		return PromptShort
 	case !HasCrashParts(seed):
 		return PromptNone
 	case crashing:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -229,6 +229,9 @@
 	if HasDisorder(seed) {
 		plan = append(plan, disorder(seed, end)...)
 	}
+	if HasStalls(seed) {
+		plan = append(plan, stalls(seed, end)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -226,7 +226,7 @@
 	}
 	r.runIndex[key] = len(r.observed.Executions)
 	r.observed.Executions = append(r.observed.Executions, Execution{
-		ID: rec.ID, Endpoint: e.Name, Service: e.Service, Team: rec.Team, Resumed: rec.Resumed, Begin: rec.At,
+		ID: rec.ID, Endpoint: e.Name, Service: e.Service, Team: rec.Team, Resumed: rec.Resumed, FromCopy: rec.FromCopy, Begin: rec.At,
 	})
 }
 
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -74,7 +74,7 @@
 	for _, a := range r.addedRoutes {
 		routes = append(routes, a.route)
 	}
-	r.wire.Publish(Config{Version: r.version, Routes: routes, UnusedRoutes: r.unusedRoutes, Timeout: r.timeout, ColdRate: r.configuredColdRate(), Keys: r.keys.teams()})
+	r.wire.Publish(Config{Version: r.version, Routes: routes, UnusedRoutes: r.unusedRoutes, Timeout: r.timeout, ColdRate: r.configuredColdRate(), Copies: HasStalls(r.opts.Seed), Keys: r.keys.teams()})
 }
 
 func (r *run) startRouters(ctx context.Context) error {
@@ -166,10 +166,10 @@
 	r.mu.Lock()
 	r.started++
 	name := fmt.Sprintf("i-%s-%03d", service, r.started)
-	version := r.versionOf(r.started)
+	version, linger := r.versionOf(r.started), lingerOf(r.opts.Seed, r.started)
 	r.observed.Versions[name] = version
 	r.mu.Unlock()
-	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version, ClosingShare: closingShareOf(r.opts.Seed)}}
+	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version, ClosingShare: closingShareOf(r.opts.Seed), Linger: linger}}
 	if err := r.runEndpoint(ctx, e); err != nil {
 		return err
 	}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -62,6 +62,8 @@
 		r.failEndpoints(ctx, f, disorderModes)
 	case EndpointRefusing:
 		r.failEndpoints(ctx, f, refusingModes)
+	case EndpointsStall:
+		r.stall(ctx, f)
 	case EndpointBackoff:
 		r.backOff(ctx, f)
 	case EndpointLeaves:
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -39,11 +39,13 @@
 
 // The kinds of prompts. PromptSound has a part that other requests share and one of its own;
 // PromptCrashing has both, and between them the part that crashes endpoints. Requests with
-// PromptCrashing have nothing else in common.
+// PromptCrashing have nothing else in common. PromptShort has a part of the request's own only, and is
+// short beside the output.
 const (
 	PromptNone PromptKind = iota
 	PromptSound
 	PromptCrashing
+	PromptShort
 )
 
 // Config is the configuration that the operator publishes.
@@ -56,6 +58,8 @@
 	// ColdRate is the rate limit of a cold endpoint over all routers, in requests per
 	// second; 0 means unlimited.
 	ColdRate float64
+	// Copies says that services of streams keep copies of runs at other endpoints.
+	Copies bool
 	// Keys maps each team to its API keys.
 	Keys map[string][]string
 }
@@ -72,6 +76,8 @@
 	StartedAt time.Time
 	// ClosingShare is the share of its answers that end with their connection, from 0 to 1.
 	ClosingShare float64
+	// Linger is how long its streams run on after their callers have left.
+	Linger time.Duration
 }
 
 // Record is a line that an endpoint writes when it begins or ends a request.
@@ -85,6 +91,8 @@
 	Backoff time.Duration `json:"backoff,omitempty"`
 	// BrokeOff says that the endpoint breaks off the answer of a request that it began.
 	BrokeOff bool `json:"broke_off,omitempty"`
+	// FromCopy says that the endpoint goes on from a copy of the run that another one began.
+	FromCopy bool `json:"from_copy,omitempty"`
 	// Leaving says that the answer of an ended request said that the endpoint leaves.
 	Leaving bool `json:"leaving,omitempty"`
 }
