Test that an answer whose head is cut is never passed on

A report from other operators: a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

Agents: refused as possibly run, one run. Not played: a router that is killed within the head that it writes. No code changed.

--- a/internal/agent/closing_test.go
+++ b/internal/agent/closing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -76,3 +77,44 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body)).To(Equal(textChunk))
 }
+
+// Guards against an answer that looks whole though its service closed in the middle of the head.
+func TestServiceAnswerWhoseHeadIsCutIsNotWhole(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Type: a/b\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				network := memnet.New()
+				l, err := network.Listen(serviceAddress)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer l.Close()
+				runs := 0
+				go func() {
+					for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+						if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && req.Method == http.MethodPost {
+							runs++
+							_, _ = io.WriteString(conn, head[:cut])
+						}
+						_ = conn.Close()
+					}
+				}()
+				client := server.NewClient(nil, network.Dialer("agent"))
+				defer client.CloseIdleConnections()
+				ag := agent.New(agent.Config{
+					Endpoint: "e", Engine: agent.Engine{URL: "http://" + serviceAddress},
+					Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
+				})
+				resp := callService(g, ag, "x")
+				g.Expect(resp.StatusCode).NotTo(Equal(http.StatusOK), "%q", head[:cut])
+				var refusal wire.Refusal
+				g.Expect(json.NewDecoder(resp.Body).Decode(&refusal)).To(Succeed())
+				g.Expect(refusal.Run).To(Equal(wire.RunUnknown))
+				g.Expect(runs).To(Equal(1))
+			})
+		}
+	}
+}
