Decide once whether a stream goes on from its copy

What callers and the operator saw: a stream that may not run twice ran at a second endpoint, from the event that its caller held, without a copy.

Cause: whether the copy may be used was asked twice for one decision, first to allow another attempt for the sake of the copy, then to name its endpoint. If that endpoint began to leave or asked for backoff in between, the attempt was allowed and went to any endpoint. The wait for the end of the run that came before it, of up to seconds, would have widened it.

Change: one decision holds the policy's word and the endpoint with the copy. After the wait it is asked again whether that endpoint may still be used; if not, a stream that may not run twice ends, and another goes on anywhere.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -230,7 +230,7 @@
 			Protocol:               d.cfg.Protocol,
 			Client:                 d.client,
 			ProcessAlive:           d.updater.processAlive,
-			RunEnds:                runend.New(d.askRunning),
+			RunEnds:                runend.New(d.askRunning, d.reg),
 			MaxKeyAge:              d.maxKeyAge,
 			Streams:                d.streams,
 			Shares:                 d.shares,
--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -13,13 +13,11 @@
 	"coveferry/internal/bundle"
 	"coveferry/internal/clock"
 	"coveferry/internal/filters/choose"
-	"coveferry/internal/filters/dispatch"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/filters/wait"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
 	"coveferry/internal/retry"
-	"coveferry/internal/runend"
 	"coveferry/internal/upstream"
 	"coveferry/internal/wire"
 )
@@ -66,20 +64,6 @@
 	runs        RunEnds     // nil takes a run for ended when its connection has
 }
 
-// CopyHolders tells of endpoints that were asked to keep copies. *balance.Pool implements it.
-type CopyHolders interface {
-	// AcceptsWork reports whether an endpoint accepts new work.
-	AcceptsWork(now time.Time, endpoint string) bool
-	// LosesAnswers reports whether requests that were sent to an endpoint lately got no answer.
-	LosesAnswers(now time.Time, endpoint string) bool
-}
-
-// RunEnds waits until a request no longer runs at an endpoint, or that endpoint can't be reached.
-// Production uses *runend.Checker.
-type RunEnds interface {
-	Wait(ctx context.Context, e *bundle.Endpoint, requestID string) (runend.Evidence, error)
-}
-
 // Policy decides whether and how to retry after an attempt. Production uses *retry.Policy.
 type Policy interface {
 	// RecordFirst counts the first attempt of a request at a target.
@@ -96,20 +80,6 @@
 	return &Filter{policy: policy, jitter: jitter}
 }
 
-// ResumeOnlyAt restricts resuming from KV cache copies by the state of their endpoints. It must be called
-// before the filter is used.
-func (f *Filter) ResumeOnlyAt(holders CopyHolders) *Filter {
-	f.copyHolders = holders
-	return f
-}
-
-// AwaitRunEnds has a stream go on at another endpoint only once it no longer runs at the one before. It
-// must be called before the filter is used.
-func (f *Filter) AwaitRunEnds(runs RunEnds) *Filter {
-	f.runs = runs
-	return f
-}
-
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "attempts" }
 
@@ -134,20 +104,20 @@
 	}
 }
 
-func (f *Filter) retryLoop(ctx context.Context, r *request.Request, next pipeline.Next) error {
+func (f *Filter) retryLoop(ctx context.Context, r *request.Request, send pipeline.Next) error {
 	f.policy.RecordFirst(time.Now(), r.Service, r.Tier)
 	h := newHistory()
 	var charge *retry.Charge
 	for r.Epoch = 1; ; r.Epoch++ {
-		h.add(sendAttempt(ctx, r, charge, next))
+		h.add(sendAttempt(ctx, r, charge, send))
 		if ended, err := h.completeAtTokenLimit(ctx, r); ended {
 			return err
 		}
-		decision := f.decide(ctx, r, h)
-		appendTrail(r, h.latestErr, decision)
-		f.setResumeEndpoint(r, h.resultErr, decision)
-		charge = decision.Charge
-		if decision.Action == retry.ActionGiveUp || !clock.Sleep(ctx, decision.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) {
+		next := f.decide(ctx, r, h)
+		appendTrail(r, h.latestErr, next.Decision)
+		r.ResumeFrom = next.resumeFrom
+		charge = next.Charge
+		if next.Action == retry.ActionGiveUp || !clock.Sleep(ctx, next.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) || !f.recheckCopy(r) {
 			charge.NotSent(time.Now())
 			return h.result()
 		}
@@ -183,59 +153,45 @@
 	}
 }
 
-// awaitRunEnd waits until a stream no longer runs at the endpoint of the latest attempt. It returns false
-// if ctx ends before.
-func (f *Filter) awaitRunEnd(ctx context.Context, r *request.Request, latestErr error) bool {
-	if f.runs == nil || !mayStillRun(r, latestErr) {
-		return true
-	}
-	began := time.Now()
-	evidence, err := f.runs.Wait(ctx, r.Endpoint, r.CallerID)
-	step := &r.Trail[len(r.Trail)-1]
-	step.RunEnd, step.RunEndAfter = string(evidence), time.Since(began)
-	return err == nil
-}
-
-// mayStillRun reports whether a stream may still run at the endpoint of the latest attempt: it was sent,
-// and the endpoint neither refused it nor ended its answer.
-func mayStillRun(r *request.Request, latestErr error) bool {
-	if r.Kind != wire.KindRouted || !r.Stream || r.Arrival == request.ArrivalNotSent {
-		return false
-	}
-	var answered *relay.EndpointError
-	if errors.As(latestErr, &answered) || errors.Is(latestErr, dispatch.ErrUnreachable) {
-		return false
-	}
-	outcome := classify(latestErr, false).outcome
-	return outcome == retry.OutcomeRan || outcome == retry.OutcomeUnknown
+// decision is what to do after an attempt.
+type decision struct {
+	retry.Decision
+	// resumeFrom is the endpoint with the copy from which the next attempt resumes; nil for none.
+	resumeFrom *bundle.Endpoint
 }
 
-// decide returns what to do after the latest attempt.
-func (f *Filter) decide(ctx context.Context, r *request.Request, h *history) retry.Decision {
+// decide returns what to do after the latest attempt. Whether a copy is used is decided once: a request
+// that must not run twice is sent again for its sake only.
+func (f *Filter) decide(ctx context.Context, r *request.Request, h *history) decision {
 	var noVersion *choose.VersionError
 	if errors.As(h.latestErr, &noVersion) {
-		return retry.Decision{Reason: reasonVersion}
+		return decision{Decision: retry.Decision{Reason: reasonVersion}}
 	}
 	delivered := r.Delivered.Tokens > 0
 	result := classify(h.resultErr, delivered)
 	unresumable := r.Delivered.Unresumable && r.Delivered.Started && h.resultErr != nil
 	if ctx.Err() != nil || result.final || unresumable {
-		return retry.Decision{Reason: result.reason}
+		return decision{Decision: retry.Decision{Reason: result.reason}}
 	}
-	return f.consultPolicy(r, h, retry.Attempt{
+	resumeFrom := f.copyToResumeFrom(r, result.outcome)
+	d := decision{Decision: f.consultPolicy(r, h, retry.Attempt{
 		Number:       h.attemptsInRound,
 		Target:       r.Service,
 		Tier:         r.Tier,
 		Outcome:      result.outcome,
 		Idempotent:   !r.NonIdempotent,
-		Copied:       f.canResumeFromCopy(r, result.outcome),
+		Copied:       resumeFrom != nil,
 		PossibleRuns: h.possibleRuns,
 		MaxRuns:      r.MaxRuns,
 		Delivered:    delivered,
 		BudgetExempt: result.budgetExempt,
 		Overloaded:   result.overloaded,
 		Deadline:     r.Deadline,
-	})
+	})}
+	if d.Action == retry.ActionResume {
+		d.resumeFrom = resumeFrom
+	}
+	return d
 }
 
 // consultPolicy asks the policy for a retry at another endpoint, or for a revisit if none
@@ -256,32 +212,6 @@
 	return decision
 }
 
-// canResumeFromCopy reports whether a broken stream can resume from the KV cache copy at
-// another endpoint, after the last event delivered to the caller.
-func (f *Filter) canResumeFromCopy(r *request.Request, outcome retry.Outcome) bool {
-	return r.CopyTo != nil && r.Delivered.Tokens > 0 && outcome == retry.OutcomeRan && r.MayContinue(r.CopyTo) && f.mayHoldCopy(r)
-}
-
-// mayHoldCopy reports whether the stream may resume from the copy by the state of its endpoint. Endpoints
-// that are draining or evacuated get no resumed streams. That a copy isn't there only its endpoint can say;
-// one that loses answers may have begun the request anew instead, which must not run twice.
-func (f *Filter) mayHoldCopy(r *request.Request) bool {
-	if f.copyHolders == nil {
-		return true
-	}
-	now, name := time.Now(), r.CopyTo.Name
-	return f.copyHolders.AcceptsWork(now, name) && !(r.NonIdempotent && f.copyHolders.LosesAnswers(now, name))
-}
-
-// setResumeEndpoint sets the endpoint at which the next attempt resumes from a KV cache
-// copy, if any.
-func (f *Filter) setResumeEndpoint(r *request.Request, last error, d retry.Decision) {
-	r.ResumeFrom = nil
-	if d.Action == retry.ActionResume && f.canResumeFromCopy(r, classify(last, true).outcome) {
-		r.ResumeFrom = r.CopyTo
-	}
-}
-
 // discardUndelivered drops a partial response that no engine can continue, if nothing of
 // it has been sent to the caller.
 func discardUndelivered(r *request.Request) {
--- a/internal/runend/runend.go
+++ b/internal/runend/runend.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/clock"
@@ -52,15 +53,27 @@
 type Ask func(ctx context.Context, e *bundle.Endpoint, requestID string) (running bool, err error)
 
 // Checker waits for the ends of runs. It is safe for concurrent use.
-type Checker struct{ ask Ask }
+type Checker struct {
+	ask     Ask
+	metrics *metrics
+}
 
-// New returns a Checker.
-func New(ask Ask) *Checker { return &Checker{ask: ask} }
+// New returns a Checker whose metrics are registered with reg; nil for none.
+func New(ask Ask, reg prometheus.Registerer) *Checker {
+	return &Checker{ask: ask, metrics: newMetrics(reg)}
+}
 
 // Wait returns once the request no longer runs at the endpoint, or the endpoint can't be reached. While
 // the endpoint runs the request, or accepts connections and doesn't answer, it goes on asking; its error
 // is then that of ctx.
 func (c *Checker) Wait(ctx context.Context, e *bundle.Endpoint, requestID string) (Evidence, error) {
+	began := time.Now()
+	evidence, err := c.wait(ctx, e, requestID)
+	c.metrics.record(evidence, time.Since(began))
+	return evidence, err
+}
+
+func (c *Checker) wait(ctx context.Context, e *bundle.Endpoint, requestID string) (Evidence, error) {
 	stoodStill := false
 	for {
 		running, err := c.askOnce(ctx, e, requestID)
--- a/internal/runend/runend_test.go
+++ b/internal/runend/runend_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"coveferry/internal/bundle"
 )
@@ -36,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	began := time.Now()
-	evidence, err = New(ask).Wait(ctx, &bundle.Endpoint{}, "q")
+	evidence, err = New(ask, nil).Wait(ctx, &bundle.Endpoint{}, "q")
 	return evidence, time.Since(began), asked, err
 }
 
@@ -101,3 +103,16 @@
 	cancel()
 	g.Expect(Reach(canceled, l.Addr().String())).To(BeEmpty())
 }
+
+func TestTimeUntilARunHasEndedIsCountedByItsEvidence(t *testing.T) {
+	g := NewWithT(t)
+	reg := prometheus.NewRegistry()
+	c := New(func(context.Context, *bundle.Endpoint, string) (bool, error) { return false, nil }, reg)
+	_, err := c.Wait(context.Background(), &bundle.Endpoint{}, "q")
+	g.Expect(err).NotTo(HaveOccurred())
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = c.Wait(canceled, &bundle.Endpoint{}, "q")
+	g.Expect(err).To(MatchError(context.Canceled))
+	g.Expect(testutil.CollectAndCount(reg, "coveferry_run_end_seconds")).To(Equal(2), "answered and none")
+}
