Keep to the number of runs where a copy can't be used any more

Cause: a stream whose copy can't be used any more after the wait for the end of its run went on anywhere if it may run twice, though only the copy had allowed the attempt where it has run as often as its route allows. Change: it then ends.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -117,7 +117,7 @@
 		appendTrail(r, h.latestErr, next.Decision)
 		r.ResumeFrom = next.resumeFrom
 		charge = next.Charge
-		if next.Action == retry.ActionGiveUp || !clock.Sleep(ctx, next.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) || !f.recheckCopy(r) {
+		if next.Action == retry.ActionGiveUp || !clock.Sleep(ctx, next.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) || !f.recheckCopy(r, h) {
 			charge.NotSent(time.Now())
 			return h.result()
 		}
--- a/internal/filters/attempts/copies.go
+++ b/internal/filters/attempts/copies.go
@@ -33,13 +33,14 @@
 }
 
 // recheckCopy reports whether the next attempt may still be made as it was decided before the wait for the
-// end of the run. A stream that may run twice goes on at any endpoint if its copy can't be used any more.
-func (f *Filter) recheckCopy(r *request.Request) bool {
+// end of the run. A stream that may run once more goes on at any endpoint if its copy can't be used any
+// more.
+func (f *Filter) recheckCopy(r *request.Request, h *history) bool {
 	if r.ResumeFrom == nil || f.mayHoldCopy(r, r.ResumeFrom) {
 		return true
 	}
 	r.ResumeFrom = nil
-	return !r.NonIdempotent
+	return !r.NonIdempotent && (r.MaxRuns == 0 || h.possibleRuns < r.MaxRuns)
 }
 
 // mayHoldCopy reports whether the stream may resume from a copy by the state of its endpoint. Endpoints
