--- a/internal/agent/closing_test.go
+++ b/internal/agent/closing_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// newServiceAgent returns an agent with one slot beside the service.
+func newServiceAgent(client *http.Client) *agent.Agent {
+	return agent.New(agent.Config{
+		Endpoint: "e", Engine: agent.Engine{URL: "http://" + serviceAddress},
+		Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
+	})
+}
+
 // Guards against the answer of a killed service that counts as whole.
 func TestServiceAnswerThatEndsWithItsConnectionIsWholeOnlyIfTheServiceStillRuns(t *testing.T) {
 	for ends, want := range map[bool]wire.Ending{false: wire.EndingComplete, true: wire.EndingEngineFailed} {
@@ -54,10 +62,7 @@
 			go serveUntilClose(l, ends)
 			client := server.NewClient(nil, network.Dialer("agent"))
 			defer client.CloseIdleConnections()
-			ag := agent.New(agent.Config{
-				Endpoint: "e", Engine: agent.Engine{URL: "http://" + serviceAddress},
-				Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
-			})
+			ag := newServiceAgent(client)
 			g.Expect(ending(g, callService(g, ag, "x"))).To(Equal(want))
 		})
 	}
@@ -104,10 +109,7 @@
 				}()
 				client := server.NewClient(nil, network.Dialer("agent"))
 				defer client.CloseIdleConnections()
-				ag := agent.New(agent.Config{
-					Endpoint: "e", Engine: agent.Engine{URL: "http://" + serviceAddress},
-					Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
-				})
+				ag := newServiceAgent(client)
 				resp := callService(g, ag, "x")
 				g.Expect(resp.StatusCode).NotTo(Equal(http.StatusOK), "%q", head[:cut])
 				var refusal wire.Refusal
