Take parts of other answers for a sign that a service notices a closed connection

Cause: a plain service of streams whose slots are all taken answers no health check within .25 s, so that a broken stream would wait until its deadline where it went on at once before the question was asked. Change: where an endpoint doesn't list what it runs, parts of other answers that came after the end of the connection count as an answer, too. The run is one typed value.

--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -155,3 +155,15 @@
 	peer.ApplyPeerFailures(later, []FailureSummary{{Endpoint: "e0", LosingAnswers: 1}})
 	g.Expect(peer.LosesAnswers(later, "e0")).To(BeFalse(), "it may be about the process before")
 }
+
+func TestPartsOfAnyResponseShowThatAnEndpointRuns(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{})
+	g.Expect(p.RespondedSince(epoch, "e0")).To(BeFalse())
+	account := p.Track(epoch, "e0", Work{})
+	g.Expect(p.RespondedSince(epoch, "e0")).To(BeFalse(), "it was only sent")
+	account.DataReceived(epoch.Add(time.Second))
+	g.Expect(p.RespondedSince(epoch, "e0")).To(BeTrue())
+	g.Expect(p.RespondedSince(epoch.Add(time.Second), "e0")).To(BeFalse())
+	g.Expect(p.RespondedSince(epoch, "e1")).To(BeFalse())
+}
--- a/internal/balance/poolstate.go
+++ b/internal/balance/poolstate.go
@@ -69,6 +69,15 @@
 	return !known || !st.leaving && !st.rateState.suspect
 }
 
+// RespondedSince reports whether any part of a response has come from an endpoint since the given time.
+func (p *Pool) RespondedSince(since time.Time, endpoint string) bool {
+	sh := p.shard(endpoint)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	st, known := sh.states[endpoint]
+	return known && st.lastResponseAt.After(since)
+}
+
 // Inflight returns the number of this router's requests at an endpoint.
 func (p *Pool) Inflight(endpoint string) int {
 	sh := p.shard(endpoint)
--- a/internal/runend/runend.go
+++ b/internal/runend/runend.go
@@ -48,9 +48,17 @@
 // ErrNotAsked is returned by an Ask for an endpoint that must not be contacted now.
 var ErrNotAsked = errors.New("runend: the endpoint must not be contacted now")
 
-// Ask asks the process at an endpoint, over a new connection, whether it still runs a request. An error
-// means that it didn't answer; it wraps that of the connection, or is ErrNotAsked.
-type Ask func(ctx context.Context, e *bundle.Endpoint, requestID string) (running bool, err error)
+// Run is a request at an endpoint, whose connection has ended.
+type Run struct {
+	Endpoint  *bundle.Endpoint
+	RequestID string
+	// ConnectionEnded is when it was known to have ended.
+	ConnectionEnded time.Time
+}
+
+// Ask asks the process at an endpoint, over a new connection, whether a run goes on. An error means that
+// it didn't answer; it wraps that of the connection, or is ErrNotAsked.
+type Ask func(ctx context.Context, r Run) (running bool, err error)
 
 // Checker waits for the ends of runs. It is safe for concurrent use.
 type Checker struct {
@@ -68,15 +76,15 @@
 // is then that of ctx.
 func (c *Checker) Wait(ctx context.Context, e *bundle.Endpoint, requestID string) (Evidence, error) {
 	began := time.Now()
-	evidence, err := c.wait(ctx, e, requestID)
+	evidence, err := c.wait(ctx, Run{Endpoint: e, RequestID: requestID, ConnectionEnded: began})
 	c.metrics.record(evidence, time.Since(began))
 	return evidence, err
 }
 
-func (c *Checker) wait(ctx context.Context, e *bundle.Endpoint, requestID string) (Evidence, error) {
+func (c *Checker) wait(ctx context.Context, r Run) (Evidence, error) {
 	stoodStill := false
 	for {
-		running, err := c.askOnce(ctx, e, requestID)
+		running, err := c.askOnce(ctx, r)
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
@@ -95,10 +103,10 @@
 	}
 }
 
-func (c *Checker) askOnce(ctx context.Context, e *bundle.Endpoint, requestID string) (bool, error) {
+func (c *Checker) askOnce(ctx context.Context, r Run) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	return c.ask(ctx, e, requestID)
+	return c.ask(ctx, r)
 }
 
 // evidenceOf returns what a question and its error show; empty if the request may still run.
--- a/internal/runend/runend_test.go
+++ b/internal/runend/runend_test.go
@@ -26,7 +26,7 @@
 
 // waitFor asks an endpoint that replies in turn, the last reply over and over, for up to a minute.
 func waitFor(replies ...reply) (evidence Evidence, took time.Duration, asked int, err error) {
-	ask := func(ctx context.Context, _ *bundle.Endpoint, _ string) (bool, error) {
+	ask := func(ctx context.Context, _ Run) (bool, error) {
 		r := replies[min(asked, len(replies)-1)]
 		asked++
 		if r.silent {
@@ -107,7 +107,7 @@
 func TestTimeUntilARunHasEndedIsCountedByItsEvidence(t *testing.T) {
 	g := NewWithT(t)
 	reg := prometheus.NewRegistry()
-	c := New(func(context.Context, *bundle.Endpoint, string) (bool, error) { return false, nil }, reg)
+	c := New(func(context.Context, Run) (bool, error) { return false, nil }, reg)
 	_, err := c.Wait(context.Background(), &bundle.Endpoint{}, "q")
 	g.Expect(err).NotTo(HaveOccurred())
 	canceled, cancel := context.WithCancel(context.Background())
