--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -117,7 +117,7 @@
 		appendTrail(r, h.latestErr, next.Decision)
 		r.ResumeFrom = next.resumeFrom
 		charge = next.Charge
-		if next.Action == retry.ActionGiveUp || !clock.Sleep(ctx, next.Delay) || !f.awaitRunEnd(ctx, r, h.latestErr) || !f.recheckCopy(r, h) {
+		if next.Action == retry.ActionGiveUp || !f.awaitNext(ctx, r, h, next.Delay) {
 			charge.NotSent(time.Now())
 			return h.result()
 		}
@@ -125,6 +125,11 @@
 	}
 }
 
+// awaitNext waits until the next attempt may be made. It returns false if none may any more.
+func (f *Filter) awaitNext(ctx context.Context, r *request.Request, h *history, delay time.Duration) bool {
+	return clock.Sleep(ctx, delay) && f.awaitRunEnd(ctx, r, h.latestErr) && f.recheckCopy(r, h)
+}
+
 // sendAttempt makes an attempt and settles what it was charged as soon as it is known whether it
 // arrived.
 func sendAttempt(ctx context.Context, r *request.Request, charge *retry.Charge, next pipeline.Next) error {
