--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -53,14 +53,14 @@
 // promptOf returns the kind of prompt of a seed's requests.
 func promptOf(seed uint64, crashing bool) PromptKind {
 	switch {
-	case HasStalls(seed):
-		return PromptShort
-	case !HasCrashParts(seed):
-		return PromptNone
-	case crashing:
+	case HasCrashParts(seed) && crashing:
 		return PromptCrashing
+	case HasCrashParts(seed):
+		return PromptSound
+	case HasStalls(seed) && !crashing:
+		return PromptShort
 	}
-	return PromptSound
+	return PromptNone
 }
 
 // startCrashRequests sends crash requests until ctx ends, if the seed has them. wait waits until all
--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -62,11 +62,7 @@
 	sleepUntil(ctx, from.Add(f.Duration))
 	for _, e := range stalled {
 		e.process.Signal(syscall.SIGCONT)
-		r.mu.Lock()
-		spans := r.observed.EndpointFaults[e.endpoint.Name]
-		spans[len(spans)-1].To = time.Now()
-		r.endpoints = append(r.endpoints, e)
-		r.mu.Unlock()
+		r.putBack(ctx, e)
 	}
 }
 
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -230,6 +230,12 @@
 	default:
 		injectProxyFault(ctx, e.proxy, f)
 	}
+	r.putBack(ctx, e)
+}
+
+// putBack ends an endpoint's fault and has it serve again, or replaces it if it has ended meanwhile.
+func (r *run) putBack(ctx context.Context, e *endpointProc) {
+	name := e.endpoint.Name
 	if e.process.ended() {
 		r.wire.Unlist(name)
 		r.replace(ctx, e)
