Receive SIGHUP from the start of the direct daemon on

Cause: a daemon that got SIGHUP before it had read its settings was ended by it, some 10 to 25 ms after its start, more on a busy machine; one that was stopping, too.

Change: a package that depends on little receives the signal as the program is initialized, if its role is direct, until the process ends.

What is left is the time before the program's runtime can receive anything.

--- a/internal/daemon/directsettings.go
+++ b/internal/daemon/directsettings.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
+
+	"coveferry/internal/hangup"
 )
 
 const (
@@ -18,16 +17,14 @@
 // without a signal. New bounds on keys, stops and retries apply; addresses, the timing of
 // source reads and the retry window keep their values from startup.
 func (d *directRouter) followSettings(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	hangups := hangup.Received()
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 			d.reload(true)
 		case <-tick.C:
 			d.reload(false)
