Remember and tell only the streams that callers may resume

Cause: streams of all routes were remembered and told to other routers, also of routes that aren't resumable.

--- a/internal/filters/resume/resume.go
+++ b/internal/filters/resume/resume.go
@@ -119,7 +119,10 @@
 	}
 	f.streams.RecordCallerTimeout(r.CallerTimeout)
 	stream := streamversion.IDOf(r.CallerID)
-	if r.ResumedAfter == "" {
+	switch {
+	case r.ResumedAfter == "" && !r.Route.Resumable:
+		return next(ctx, r) // its caller can't resume it
+	case r.ResumedAfter == "":
 		return f.follow(ctx, r, stream, next)
 	}
 	if r.Resumes != "" {
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -160,6 +160,17 @@
 	}
 }
 
+func TestOnlyStreamsThatMayBeResumedAreRemembered(t *testing.T) {
+	for path, remembered := range map[string]bool{"/stream/": false, "/resume/": true} {
+		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.handle = breakingAfter(1)
+			g.Expect(call(g, client, "POST", path, "x", "Id", "first").status).To(Equal(200))
+			answer := w.streams.Answer(time.Now(), streamversion.Query{ID: streamversion.IDOf("first"), Service: "s"})
+			g.Expect(answer.Known).To(Equal(remembered), path)
+		})
+	}
+}
+
 func TestStreamThatItsCallerResumesGoesOnAtTheVersionThatBeganIt(t *testing.T) {
 	for _, begun := range []string{"e1", "e2"} {
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
