Record the beginning of an endpoint's fault in one place

Cause: the soak's stalls wrote again how a fault of an endpoint is recorded. Change: one function for both that stood alike (crash does it under the lock that it holds for more).

--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -47,9 +47,7 @@
 	stalled := r.removeForStall(f.Target)
 	from := time.Now()
 	for _, e := range stalled {
-		r.mu.Lock()
-		r.observed.EndpointFaults[e.endpoint.Name] = append(r.observed.EndpointFaults[e.endpoint.Name], Span{From: from, To: openEnd})
-		r.mu.Unlock()
+		r.beginEndpointFault(e, from)
 		e.process.Signal(syscall.SIGSTOP)
 	}
 	sleepUntil(ctx, from.Add(f.Duration/4))
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -206,9 +206,7 @@
 	name := e.endpoint.Name
 	from := time.Now()
 	if f.Kind != EndpointDrain {
-		r.mu.Lock()
-		r.observed.EndpointFaults[name] = append(r.observed.EndpointFaults[name], Span{From: from, To: openEnd})
-		r.mu.Unlock()
+		r.beginEndpointFault(e, from)
 	}
 	switch f.Kind {
 	case EndpointKill:
@@ -233,6 +231,14 @@
 	r.putBack(ctx, e)
 }
 
+// beginEndpointFault records that a fault of an endpoint has begun.
+func (r *run) beginEndpointFault(e *endpointProc, from time.Time) {
+	name := e.endpoint.Name
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observed.EndpointFaults[name] = append(r.observed.EndpointFaults[name], Span{From: from, To: openEnd})
+}
+
 // putBack ends an endpoint's fault and has it serve again, or replaces it if it has ended meanwhile.
 func (r *run) putBack(ctx context.Context, e *endpointProc) {
 	name := e.endpoint.Name
