Log to which address each of several attempts was sent, and on which kind of connection

A cut record showed the first 200 characters of each line, which ended before the attempts, and a line didn't tell whether two endpoints were one address, nor whether an attempt went over a connection that had been used before: a refusal that belongs to an earlier attempt couldn't be told from one of this attempt. The attempts now come right after the result, each of several names its address and a used connection, and lines of requests with several attempts share the limit of failed ones (100 a second) in place of that of served ones (50). Without a change of logic.

--- a/internal/filters/attempts/attempts.go
+++ b/internal/filters/attempts/attempts.go
@@ -134,6 +134,7 @@
 // arrived.
 func sendAttempt(ctx context.Context, r *request.Request, charge *retry.Charge, next pipeline.Next) error {
 	r.Signals, r.LimitPart, r.Connections, r.Arrival = upstream.Signals{}, "", 0, request.ArrivalNotSent
+	r.ReusedConnection = false
 	r.Events, r.EndsWithConnection = request.EventRange{After: r.Delivered.Position.LastID}, false
 	r.OnAnswered = charge.Arrived
 	if r.Kind != wire.KindRouted {
@@ -230,7 +231,8 @@
 // appendTrail adds the attempt that just ended to the request's trail.
 func appendTrail(r *request.Request, err error, d retry.Decision) {
 	step := request.Step{Epoch: r.Epoch, Outcome: "complete", Tokens: r.Delivered.Tokens, Next: string(d.Reason)}
-	step.Signals, step.LimitPart, step.Connections = r.Signals, r.LimitPart, r.Connections
+	step.Signals, step.LimitPart = r.Signals, r.LimitPart
+	step.Connections, step.ReusedConnection = r.Connections, r.ReusedConnection
 	step.Arrival, step.SentAfter, step.EndedAfter = r.Arrival, r.SentAt.Sub(r.Arrived), time.Since(r.Arrived)
 	step.FromCopy = r.ResumeFrom != nil
 	step.Events, step.EndsWithConnection = r.Events, r.EndsWithConnection
@@ -245,10 +247,10 @@
 		step.Outcome = err.Error()
 	}
 	if d.Action != retry.ActionGiveUp {
-		step.Next = "repeat"
+		step.Next = request.NextRepeat
 	}
 	if r.Endpoint != nil && !errors.Is(err, choose.ErrNoEndpoint) && d.Reason != reasonQuarantined {
-		step.Endpoint, step.Version = r.Endpoint.Name, r.Endpoint.Version
+		step.Endpoint, step.Version, step.Address = r.Endpoint.Name, r.Endpoint.Version, r.Endpoint.Address
 	}
 	r.Trail = append(r.Trail, step)
 }
--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -69,7 +69,10 @@
 	if r.CopyTo != nil {
 		defer f.copiedRuns.track(r, cancel)()
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.Connections++ }}
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		r.Connections++
+		r.ReusedConnection = c.Reused
+	}}
 	req, err := f.directRequest(httptrace.WithClientTrace(ctx, trace), r)
 	if err != nil {
 		return err
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -154,8 +154,10 @@
 	// neither a length nor chunks. Set by relay.
 	Events             EventRange
 	EndsWithConnection bool
-	// Connections counts the connections used for the latest attempt. Set by dispatch.
-	Connections int
+	// Connections counts the connections used for the latest attempt. ReusedConnection says that other
+	// requests had been sent on the last of them. Set by dispatch.
+	Connections      int
+	ReusedConnection bool
 	// Arrival is what is known of the latest attempt's arrival, and SentAt when it was sent. Set by
 	// dispatch.
 	Arrival Arrival
--- a/internal/request/step.go
+++ b/internal/request/step.go
@@ -8,6 +8,9 @@
 	"coveferry/internal/upstream"
 )
 
+// NextRepeat says of a Step that another attempt followed it.
+const NextRepeat = "repeat"
+
 // Step records one attempt and its result.
 type Step struct {
 	Epoch    int
@@ -18,15 +21,18 @@
 	Outcome string
 	// Tokens is the number of tokens that the caller had received after the attempt.
 	Tokens int
-	// Next is "repeat" or why the request was given up; empty after a complete answer.
+	// Next is NextRepeat or why the request was given up; empty after a complete answer.
 	Next string
 	// Signals is what the endpoint's answer says of the endpoint.
 	Signals upstream.Signals
 	// LimitPart is the rate limit and the share of it that the attempt was charged to; empty if
 	// there is none.
 	LimitPart string
-	// Connections counts the connections used for the attempt.
-	Connections int
+	// Connections counts the connections used for the attempt, to Address. ReusedConnection says that other
+	// requests had been sent on the last of them.
+	Connections      int
+	Address          string
+	ReusedConnection bool
 	// Arrival is what is known of the attempt's arrival, and SentAfter the time from the request's
 	// arrival to when the attempt was sent.
 	Arrival   Arrival
@@ -56,7 +62,7 @@
 	if s.Version != "" {
 		endpoint += " (" + s.Version + ")"
 	}
-	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s%s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.end(), s.Next)
+	text := fmt.Sprintf("attempt %d at %s: %s, %d tokens held, %s%s%s", s.Epoch, endpoint, s.Outcome, s.Tokens, s.connection(), s.end(), s.Next)
 	if s.Arrival != ArrivalNotSent {
 		text += fmt.Sprintf(", %s, sent after %s", s.Arrival, s.SentAfter.Round(time.Millisecond))
 	}
@@ -84,6 +90,21 @@
 	return text
 }
 
+// isOneOfSeveral reports whether the request had an attempt before this one or gets one after it.
+func (s Step) isOneOfSeveral() bool { return s.Epoch > 1 || s.Next == NextRepeat }
+
+// connection describes where one of several attempts was sent. Endpoints that follow one another may
+// share an address.
+func (s Step) connection() string {
+	switch {
+	case !s.isOneOfSeveral() || s.Address == "":
+		return ""
+	case s.ReusedConnection:
+		return "to " + s.Address + " on a used connection, "
+	}
+	return "to " + s.Address + ", "
+}
+
 // end describes when an attempt that was sent ended, and how its run was known to have ended.
 func (s Step) end() string {
 	if s.Arrival == ArrivalNotSent {
--- a/internal/request/step_test.go
+++ b/internal/request/step_test.go
@@ -34,3 +34,13 @@
 	step.RunEnd = "answered"
 	g.Expect(step.String()).To(ContainSubstring("(run: answered within 3ms)"))
 }
+
+func TestStepStringShowsTheConnectionsOfSeveralAttempts(t *testing.T) {
+	g := NewWithT(t)
+	step := Step{Epoch: 1, Endpoint: "e", Address: "10.0.0.1:80", Outcome: "complete", Next: "completed", ReusedConnection: true}
+	g.Expect(step.String()).To(Equal("attempt 1 at e: complete, 0 tokens held, completed"))
+	step.Next = NextRepeat
+	g.Expect(step.String()).To(HaveSuffix(", to 10.0.0.1:80 on a used connection, repeat"))
+	step.Epoch, step.Next, step.ReusedConnection = 2, "completed", false
+	g.Expect(step.String()).To(HaveSuffix(", to 10.0.0.1:80, completed"))
+}
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -219,14 +219,16 @@
 }
 
 // logRouted writes the log line that explains how a routed request ended: the decisions, their
-// inputs and the inputs' age. Under load, lines of completed requests are dropped first.
+// inputs and the inputs' age. The attempts come early in the line, for readers that get only its
+// beginning. Under load, lines of requests that were served at the first attempt are dropped first.
 func (rt *Router) logRouted(r *request.Request, err error, result string) {
 	log := rt.failedLog.Info()
-	if err == nil {
+	if err == nil && len(r.Trail) <= 1 {
 		log = rt.completedLog.Info()
 	}
-	log.Err(err).Str(logging.FieldRequest, r.CallerID).Str("route", routeName(r)).
-		Str(logging.FieldResult, result).Uint64("version", versionOf(r.Routes.Table)).
+	log.Str(logging.FieldRequest, r.CallerID).Str(logging.FieldResult, result).
+		Array("attempts", trailArray(r.Trail)).Err(err).
+		Str("route", routeName(r)).Uint64("version", versionOf(r.Routes.Table)).
 		Dur(logging.FieldTook, time.Since(r.Arrived))
 	if keyAge, known := r.Routes.Age.Get(); known {
 		log.Dur("key_age", keyAge)
@@ -243,7 +245,7 @@
 // addSelection logs the inputs of the endpoint selection and its results.
 func addSelection(log *zerolog.Event, r *request.Request) {
 	log.Str(logging.FieldTeam, r.TeamName).Int(logging.FieldTier, r.Tier).
-		Int("candidates", len(r.Candidates)).Array("attempts", trailArray(r.Trail)).
+		Int("candidates", len(r.Candidates)).
 		Dur("left", time.Until(r.Deadline)).Dur("first", timeToFirstPart(r))
 	addLostEndpoints(log, r)
 	addWithheld(log, r)
