Send a request again to the same address over a connection of its own

What callers saw: a request that may run once ran twice (TWICE), or was answered 429 or 503 though it ran (REFUSED). Cause: all attempts of a request bear one ID, by which alone an answer is matched to its attempt. A request that an endpoint refused (421 by the process that is at the address now, 503) and that goes to the same address again (the endpoint came back under another name, a revisit, two entries with one address) went over the kept connection: a second copy of the first refusal was taken for the answer to the attempt that ran. Class: a statement is attributed by a name that several share.

Now a request that may have arrived at an address is sent there again only over a new connection, on which nothing but the answer to that attempt can come. Not shown: that this is what the users saw.

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"strings"
 	"time"
 
@@ -73,10 +74,11 @@
 		r.Connections++
 		r.ReusedConnection = c.Reused
 	}}
-	req, err := f.directRequest(httptrace.WithClientTrace(ctx, trace), r)
+	req, err := f.directRequest(apartFromEarlierAttempts(httptrace.WithClientTrace(ctx, trace), r), r)
 	if err != nil {
 		return err
 	}
+	defer recordAddress(r)
 	resp, err := f.direct.client.Do(req)
 	if err != nil {
 		r.Arrival = arrivalAfter(ctx, err)
@@ -116,6 +118,24 @@
 	return err
 }
 
+// apartFromEarlierAttempts returns a context that keeps an attempt off the connections of earlier attempts
+// of the same request, whose answers have the same ID: an endpoint may answer twice, and the second answer
+// to an earlier attempt would be taken for that to this one. Endpoints that follow one another may have the
+// same address.
+func apartFromEarlierAttempts(ctx context.Context, r *request.Request) context.Context {
+	if slices.Contains(r.SentTo, r.Endpoint.Address) {
+		return server.WithNewConnection(ctx)
+	}
+	return ctx
+}
+
+// recordAddress records where the latest attempt may have arrived.
+func recordAddress(r *request.Request) {
+	if r.Arrival != request.ArrivalNotSent {
+		r.SentTo = append(r.SentTo, r.Endpoint.Address)
+	}
+}
+
 // headTooLong is in the text of net/http's error, which has no type, for a head above the bound.
 const headTooLong = "server response headers exceeded"
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -154,6 +154,8 @@
 	// neither a length nor chunks. Set by relay.
 	Events             EventRange
 	EndsWithConnection bool
+	// SentTo are the addresses at which an attempt may have arrived. Set by dispatch.
+	SentTo []string
 	// Connections counts the connections used for the latest attempt. ReusedConnection says that other
 	// requests had been sent on the last of them. Set by dispatch.
 	Connections      int
--- a/internal/server/once.go
+++ b/internal/server/once.go
@@ -35,7 +35,11 @@
 // computed for the first send, which is too long by then. atMostOnceTransport resends only a
 // request of which nothing was written, because peers close idle connections. Errors of
 // requests that can't have arrived are *NotSentError.
-type atMostOnceTransport struct{ *http.Transport }
+type atMostOnceTransport struct {
+	*http.Transport
+	// unpooled opens a connection for each request.
+	unpooled *http.Transport
+}
 
 // newAtMostOnceClient returns a client without TLS whose transport is an atMostOnceTransport.
 func newAtMostOnceClient(t *http.Transport, dial Dial) *http.Client {
@@ -46,14 +50,34 @@
 		}
 		return &countedConn{Conn: conn}, nil
 	}
-	return &http.Client{Transport: atMostOnceTransport{t}}
+	unpooled := t.Clone()
+	unpooled.DisableKeepAlives = true
+	return &http.Client{Transport: atMostOnceTransport{t, unpooled}}
+}
+
+// newConnectionKey is the context key of requests that need a connection of their own.
+type newConnectionKey struct{}
+
+// WithNewConnection returns a context whose requests are each sent over a new connection by the clients of
+// NewDirectClient, and of NewClient without TLS. Nothing that comes over it can answer an earlier request.
+func WithNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
+// transportFor returns the transport that sends a request.
+func (t atMostOnceTransport) transportFor(req *http.Request) *http.Transport {
+	if req.Context().Value(newConnectionKey{}) != nil {
+		return t.unpooled
+	}
+	return t.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t atMostOnceTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	transport := t.transportFor(req)
 	for {
 		var used usedConn
-		resp, err := t.Transport.RoundTrip(withoutRetry(req, &used))
+		resp, err := transport.RoundTrip(withoutRetry(req, &used))
 		switch {
 		case err == nil:
 			return resp, nil
