Send a request elsewhere where the request for its endpoint can't be made

What callers saw: 500 "the router failed; the request may have run", though nothing was sent, for a third to a ninth of the requests for as long as the list had an entry whose address is no valid part of a URL. Cause: the error of making an attempt's request had no type, so that it was final, said nothing of the run, and wasn't counted against the endpoint, which kept its share. Class: an error without a type is taken for the worst in one respect (may have run) and for nothing in another (the endpoint's fault). Now it is a *NoResponseError of which nothing was sent, for agents, too: the request goes elsewhere, and the endpoint gets no share.

--- a/internal/filters/dispatch/direct.go
+++ b/internal/filters/dispatch/direct.go
@@ -233,11 +233,12 @@
 	return &RefusedError{Refusal: refusal, LacksRoom: lacksRoom}
 }
 
-// directRequest returns the caller's request with the headers of the protocol added.
+// directRequest returns the caller's request with the headers of the protocol added. Its error is a
+// *NoResponseError.
 func (f *Filter) directRequest(ctx context.Context, r *request.Request) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Endpoint.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
+		return nil, notSent(err)
 	}
 	target := *r.Target
 	target.Host = r.Endpoint.Address
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -123,16 +123,19 @@
 	f.pool.Done(time.Now(), e.Name, result(ctx, err), firstTokenDelay)
 }
 
-// request returns the HTTP request of the attempt to an endpoint's agent.
+// request returns the HTTP request of the attempt to an endpoint's agent. Its error is a *NoResponseError.
 func (f *Filter) request(ctx context.Context, r *request.Request, e *bundle.Endpoint, body io.Reader, size int) (*http.Request, error) {
 	url := f.scheme + "://" + e.Address + wire.PathAttempts
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
-		return nil, errors.Wrap(err, "dispatch: make the attempt's request")
+		return nil, notSent(err)
 	}
 	req.ContentLength = int64(size)
 	req.Header.Set("Content-Type", contentType(r))
-	return req, wire.Encode(req.Header, wire.HeaderEnvelope, f.envelope(r, e.Name))
+	if err := wire.Encode(req.Header, wire.HeaderEnvelope, f.envelope(r, e.Name)); err != nil {
+		return nil, notSent(err)
+	}
+	return req, nil
 }
 
 // attemptBody returns the caller's body, changed to continue after the tokens already
--- a/internal/filters/dispatch/errors.go
+++ b/internal/filters/dispatch/errors.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"coveferry/internal/api"
 	"coveferry/internal/sched"
 	"coveferry/internal/wire"
@@ -64,6 +66,12 @@
 	Cause error
 }
 
+// notSent returns the error of an attempt whose request can't be made, as for an endpoint whose address is
+// no valid part of a URL.
+func notSent(cause error) error {
+	return &NoResponseError{Cause: errors.Wrap(cause, "make the attempt's request")}
+}
+
 // Error implements error.
 func (e *NoResponseError) Error() string {
 	return fmt.Sprintf("dispatch: no answer (sent: %t): %v", e.Sent, e.Cause)
