--- a/internal/bundle/check_control.go
+++ b/internal/bundle/check_control.go
@@ -43,12 +43,12 @@
 func checkUniqueControlAddresses(b *Bundle, f *Findings) {
 	taken := make(map[netip.AddrPort]string)
 	for i := range b.Endpoints {
-		if addr, ok := parseAddress(b.Endpoints[i].Address); ok {
+		if addr, ok := ParseAddress(b.Endpoints[i].Address); ok {
 			taken[addr] = "address of " + jsonc.IndexPath("endpoints", i)
 		}
 	}
 	for _, c := range controlAddresses(b) {
-		addr, ok := parseAddress(c.address)
+		addr, ok := ParseAddress(c.address)
 		if !ok {
 			continue
 		}
--- a/internal/bundle/check_endpoints.go
+++ b/internal/bundle/check_endpoints.go
@@ -26,11 +26,11 @@
 	}
 }
 
-// parseAddress parses a literal IP and port. An IPv4-mapped IPv6 address equals its
-// IPv4 address.
-func parseAddress(text string) (netip.AddrPort, bool) {
+// ParseAddress parses the literal IP and port of an endpoint. An IPv4-mapped IPv6 address equals its
+// IPv4 address. An IPv6 address with a zone, such as fe80::1%eth0, has no place in a request's URL.
+func ParseAddress(text string) (netip.AddrPort, bool) {
 	ap, err := netip.ParseAddrPort(text)
-	if err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() || ap.Addr().IsMulticast() {
+	if err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() || ap.Addr().IsMulticast() || ap.Addr().Zone() != "" {
 		return netip.AddrPort{}, false
 	}
 	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()), true
@@ -43,7 +43,7 @@
 }
 
 func checkAddress(path, address string, f *Findings) {
-	if _, ok := parseAddress(address); !ok {
+	if _, ok := ParseAddress(address); !ok {
 		f.errorf(path, "%q is not an IP address and port such as \"10.0.0.7:7410\" or \"[fd00::7]:7410\"", address)
 	}
 }
@@ -51,7 +51,7 @@
 func checkUniqueAddresses(b *Bundle, f *Findings) {
 	first := make(map[netip.AddrPort]int, len(b.Endpoints))
 	for i := range b.Endpoints {
-		addr, ok := parseAddress(b.Endpoints[i].Address)
+		addr, ok := ParseAddress(b.Endpoints[i].Address)
 		if !ok {
 			continue
 		}
