Infer the version of a stream only from a list that was the newest when its caller came

What callers saw: a stream that began at a replica of a new version went on at one of the old version (ORDER), at a router that was cut off, or stood still, for less than the age that its list may have. Cause: the list of endpoints within that age (1 to 2.4 s), which is good enough to choose endpoints by, was taken to prove that no other version had joined, and the silence of those who were asked for knowledge that nobody knows. Class: absence of news from one who couldn't have heard any is taken for news of absence; an age made for one use is used for another.

Now the router asks the list's source for what has changed since, when a caller comes with a stream whose version would follow from the list; callers that wait share the call. Where the source doesn't answer, other routers count only if they could confirm theirs. Where nobody can, the caller gets a 503 with the time until the list counts as lost, when all routers tell of their streams. Entries that came and went between two readings count, too.

--- a/cmd/coveferryd/main.go
+++ b/cmd/coveferryd/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,7 +39,8 @@
 func (c *agentCmd) Run(env *cli.Env) error { return daemon.Agent(env, c.Settings) }
 
 type directCmd struct {
-	MetricsPort int `help:"Port for metrics, on the VM's own address; 0 serves none." default:"0"`
+	MetricsPort   int           `help:"Port for metrics, on the VM's own address; 0 serves none." default:"0"`
+	LongestReturn time.Duration `help:"How long after the beginning of a stream its caller may take it up at another router. For that long after a start, and after a service had two software versions, streams go on only where a router knows which of them began it." default:"1h"`
 }
 
 // Run runs the command.
@@ -47,6 +49,10 @@
 	if err != nil {
 		return cli.BadInput(err)
 	}
+	if c.LongestReturn <= 0 {
+		return cli.BadInput(errors.Newf("--longest-return %s: must be positive, such as 1h", c.LongestReturn))
+	}
+	cfg.LongestReturn = c.LongestReturn
 	return daemon.RunDirect(env, cfg)
 }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -71,6 +71,9 @@
 	// Reload reads the settings again and returns the new bounds.
 	Reload func() (DirectBounds, error)
 	Bounds DirectBounds
+	// LongestReturn is the longest time after the beginning of a stream in which its caller may resume it; 0
+	// for the default.
+	LongestReturn time.Duration
 }
 
 // DirectBounds are the operator's requirements of a router.
@@ -178,6 +181,7 @@
 	d.follower = follow.New(follow.Config{
 		Source: source, Timing: sourceTiming(cfg.Bounds), Log: log, Metrics: d.reg,
 		OnDirectory: func(dir *directory.Directory) { d.updater.update(dir) },
+		OnReplaced:  func(entries []directory.Entry) { d.streams.RecordVersions(time.Now(), entries) },
 		OnConfig:    d.applyConfig,
 	})
 	if d.peers != nil {
--- a/internal/daemon/directpeers.go
+++ b/internal/daemon/directpeers.go
@@ -66,13 +66,33 @@
 	return d.peers, nil
 }
 
+const (
+	// confirmationsPerSecond bounds the calls by which all routers together confirm their lists of endpoints
+	// for streams that callers resume, to half of what the smallest source serves.
+	confirmationsPerSecond = 1000
+	// minConfirmInterval and maxConfirmInterval bound the time between two such calls of one router: callers
+	// wait for them.
+	minConfirmInterval = 50 * time.Millisecond
+	maxConfirmInterval = 200 * time.Millisecond
+)
+
+// confirmInterval returns the least time between two confirmations by one of so many routers.
+func confirmInterval(routers int) time.Duration {
+	interval := time.Duration(routers) * time.Second / confirmationsPerSecond
+	return min(max(interval, minConfirmInterval), maxConfirmInterval)
+}
+
 // newStreams returns the registry of where streams began, shared with the other routers if there are
 // any.
 func (d *directRouter) newStreams() *streamversion.Registry {
 	cfg := streamversion.Config{
 		ListAge:    func() age.Age { return d.follower.Age() },
 		MaxListAge: maxPeerAge(d.cfg.Bounds),
-		Metrics:    d.reg,
+
+		Changes:         d.cfg.Store.Changes,
+		ConfirmInterval: func() time.Duration { return confirmInterval(d.fleetSize()) },
+		LongestReturn:   d.cfg.LongestReturn,
+		Metrics:         d.reg,
 	}
 	if d.peers != nil {
 		cfg.Peers = d.peers
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,6 +38,9 @@
 	Full    bool
 	Entries []Entry
 	Removed []string
+	// Replaced are entries that came and went between the earlier reading and this one, where the source
+	// tells of them.
+	Replaced []Entry
 	// Unreadable lists the unreadable entries. They don't affect other entries; an
 	// endpoint that was listed under such a name counts as removed.
 	Unreadable []Unreadable
--- a/internal/filters/resume/resume.go
+++ b/internal/filters/resume/resume.go
@@ -31,8 +31,8 @@
 // request was not sent.
 type UnknownError struct {
 	Stream string
-	// SettledIn is how long it takes until this router can ask all others; 0 if it has.
-	SettledIn time.Duration
+	// RetryIn is when it is worth coming back with the stream; 0 for never.
+	RetryIn time.Duration
 }
 
 // Error implements error.
@@ -40,12 +40,12 @@
 	return "resume: the software version that began the stream of request \"" + e.Stream + "\" isn't known"
 }
 
-// API implements api.Convertible. Once this router has asked all others nobody can learn of the stream any
-// more, so that the status doesn't invite the caller to come back with it.
+// API implements api.Convertible. Where nobody can learn of the stream any more, the status doesn't invite the
+// caller to come back with it.
 func (e *UnknownError) API() *api.Error {
-	if e.SettledIn > 0 {
-		out := refusal("unknown_stream", "this router has just started, and can't ask yet which software version began the stream")
-		out.RetryAfter = e.SettledIn
+	if e.RetryIn > 0 {
+		out := refusal("unknown_stream", "this router can't ask yet which software version began the stream")
+		out.RetryAfter = e.RetryIn
 		return out
 	}
 	return &api.Error{
@@ -84,8 +84,6 @@
 	Find(ctx context.Context, q streamversion.Query) (streamversion.Finding, bool)
 	// RecordCallerTimeout records how long a caller waits.
 	RecordCallerTimeout(d time.Duration)
-	// SettledIn returns how long it takes until all other routers can be asked; 0 if they can be.
-	SettledIn(now time.Time) time.Duration
 }
 
 // Filter implements pipeline.Filter.
@@ -151,7 +149,7 @@
 
 // bind has the request served only where the stream that it resumes began.
 func (f *Filter) bind(ctx context.Context, r *request.Request) error {
-	query := streamversion.Query{Service: r.Service, Window: streamversion.LongestReturn}
+	query := streamversion.Query{Service: r.Service}
 	if r.Resumes != "" {
 		query.ID = streamversion.IDOf(r.Resumes)
 	}
@@ -160,7 +158,7 @@
 	case ctx.Err() != nil:
 		return &relay.CallerError{Cause: ctx.Err()}
 	case !known:
-		return &UnknownError{Stream: r.Resumes, SettledIn: f.streams.SettledIn(time.Now())}
+		return &UnknownError{Stream: r.Resumes, RetryIn: found.RetryIn}
 	}
 	r.Resumption = request.Resumption{Evidence: string(found.Evidence), Age: found.Age}
 	r.StreamVersion = &found.ServiceVersion.Version
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,6 +49,9 @@
 	Timing Timing
 	// OnDirectory is called with each changed list. It must not block.
 	OnDirectory func(*directory.Directory)
+	// OnReplaced is called with entries that came and went between two readings; may be nil. It must not
+	// block.
+	OnReplaced func([]directory.Entry)
 	// OnConfig is called with each configuration put in force; may be nil. It must not block.
 	OnConfig func(*route.Config)
 	// Clock measures ages; nil means clock.Boot, which includes the time for which the VM was
@@ -310,6 +313,9 @@
 	f.detectOutage(r, at, now)
 	f.logIgnored(r.List)
 	f.detectReturn(r.List, now)
+	if f.cfg.OnReplaced != nil && len(r.List.Replaced) > 0 {
+		f.cfg.OnReplaced(r.List.Replaced)
+	}
 	known := f.Directory()
 	next, changed := known.Merge(f.holdKnown(r.List, now), now, f.keepUntil())
 	if changed {
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -34,6 +34,8 @@
 	ID           streamversion.StreamID `json:"id,omitempty"`
 	Service      string                 `json:"service"`
 	WindowMillis int64                  `json:"window_ms"`
+	// Confirm asks for an answer by a list that is known to be the newest as of the question.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // window returns the time in which the stream can have begun, the longest there is if the request
@@ -54,12 +56,14 @@
 	// Single reports that all endpoints of the service had the version Only in the window.
 	Single bool   `json:"single,omitempty"`
 	Only   string `json:"only,omitempty"`
+	// Confirmed reports that the list was known to be the newest as of the question.
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
 // Streams knows where streams began. *streamversion.Registry implements it.
 type Streams interface {
 	Record(now time.Time, s streamversion.Stream)
-	Answer(now time.Time, q streamversion.Query) streamversion.Answer
+	Answer(ctx context.Context, now time.Time, q streamversion.Query) streamversion.Answer
 }
 
 // ServeStreams has this router remember for others where streams began.
@@ -79,13 +83,13 @@
 	return struct{}{}, nil
 }
 
-func (s *Source) serveAskStream(_ context.Context, _ identity.Peer, req askStreamRequest) (askStreamReply, error) {
+func (s *Source) serveAskStream(ctx context.Context, _ identity.Peer, req askStreamRequest) (askStreamReply, error) {
 	streams := s.streams.Load()
 	if streams == nil {
 		return askStreamReply{}, errNoState
 	}
-	a := (*streams).Answer(time.Now(), streamversion.Query{ID: req.ID, Service: req.Service, Window: req.window()})
-	return askStreamReply{Known: a.Known, Service: a.ServiceVersion.Service, Version: a.ServiceVersion.Version, Single: a.Single, Only: a.Only}, nil
+	a := (*streams).Answer(ctx, time.Now(), streamversion.Query{ID: req.ID, Service: req.Service, Window: req.window(), Confirm: req.Confirm})
+	return askStreamReply{Known: a.Known, Service: a.ServiceVersion.Service, Version: a.ServiceVersion.Version, Single: a.Single, Only: a.Only, Confirmed: a.Confirmed}, nil
 }
 
 // TellStreams implements streamversion.Peers. Streams whose holder doesn't answer are told to the router
@@ -171,7 +175,7 @@
 				continue
 			}
 			answers = append(answers, streamversion.Answer{
-				Known: reply.Known, ServiceVersion: streamversion.ServiceVersion{Service: reply.Service, Version: reply.Version}, Single: reply.Single, Only: reply.Only,
+				Known: reply.Known, ServiceVersion: streamversion.ServiceVersion{Service: reply.Service, Version: reply.Version}, Single: reply.Single, Only: reply.Only, Confirmed: reply.Confirmed,
 			})
 			if reply.Known {
 				return answers
@@ -183,7 +187,7 @@
 
 // askHolder returns nil if the router doesn't answer or knows nothing yet.
 func (s *Source) askHolder(ctx context.Context, q streamversion.Query, holder Member) *askStreamReply {
-	req := askStreamRequest{ID: q.ID, Service: q.Service, WindowMillis: q.Window.Milliseconds()}
+	req := askStreamRequest{ID: q.ID, Service: q.Service, WindowMillis: q.Window.Milliseconds(), Confirm: q.Confirm}
 	reply, err := control.Call(ctx, s.client(holder.Address), methodAskStream, req)
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("router", holder.VM).Msg("asking a router for a stream failed")
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -88,7 +88,7 @@
 
 func (f fakeStreams) Record(_ time.Time, s streamversion.Stream) { f[s.ID] = s.ServiceVersion }
 
-func (f fakeStreams) Answer(_ time.Time, q streamversion.Query) streamversion.Answer {
+func (f fakeStreams) Answer(_ context.Context, _ time.Time, q streamversion.Query) streamversion.Answer {
 	o, known := f[q.ID]
 	return streamversion.Answer{ServiceVersion: o, Known: known, Only: "v9", Single: q.Window == time.Second}
 }
@@ -108,7 +108,7 @@
 			f.nodes[0].source.TellStreams(context.Background(), streams)
 			for i, s := range streams {
 				for _, n := range f.nodes[1:] {
-					own := (*n.source.streams.Load()).Answer(time.Now(), streamversion.Query{ID: s.ID})
+					own := (*n.source.streams.Load()).Answer(context.Background(), time.Now(), streamversion.Query{ID: s.ID})
 					answers := append(n.source.AskStream(context.Background(), streamversion.Query{ID: s.ID, Service: "s", Window: time.Second}), own)
 					known := 0
 					for _, a := range answers {
@@ -143,7 +143,7 @@
 		f.nodes[0].source.TellStreams(context.Background(), []streamversion.Stream{s})
 		copies := 0
 		for _, n := range f.nodes {
-			if (*n.source.streams.Load()).Answer(time.Now(), streamversion.Query{ID: s.ID}).Known {
+			if (*n.source.streams.Load()).Answer(context.Background(), time.Now(), streamversion.Query{ID: s.ID}).Known {
 				copies++
 			}
 		}
--- a/internal/router/routed_versions_test.go
+++ b/internal/router/routed_versions_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -165,7 +166,7 @@
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 			w.handle = breakingAfter(1)
 			g.Expect(call(g, client, "POST", path, "x", "Id", "first").status).To(Equal(200))
-			answer := w.streams.Answer(time.Now(), streamversion.Query{ID: streamversion.IDOf("first"), Service: "s"})
+			answer := w.streams.Answer(context.Background(), time.Now(), streamversion.Query{ID: streamversion.IDOf("first"), Service: "s"})
 			g.Expect(answer.Known).To(Equal(remembered), path)
 		})
 	}
@@ -228,14 +229,14 @@
 			g.Expect(resume()).To(Equal(503), "this router may have missed another version, and others may know")
 			time.Sleep(20100 * time.Millisecond)
 			g.Expect(resume()).To(Equal(502), "twice the route's timeout bounds no caller")
-			time.Sleep(streamversion.LongestReturn - 21*second)
+			time.Sleep(streamversion.DefaultLongestReturn - 21*second)
 			g.Expect(resume()).To(Equal(502))
 			time.Sleep(second)
 			g.Expect(resume()).To(Equal(200))
 			w.setVersions("v1", "v1", "v2")
 			g.Expect(resume()).To(Equal(502))
 			w.setVersions("v2", "v2", "v2")
-			time.Sleep(streamversion.LongestReturn - second)
+			time.Sleep(streamversion.DefaultLongestReturn - second)
 			g.Expect(resume()).To(Equal(502), "it may have begun at v1")
 			time.Sleep(2 * second)
 			g.Expect(resume()).To(Equal(200))
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -24,8 +25,11 @@
 	// ID is that of the stream; 0 if the caller doesn't name it.
 	ID      StreamID
 	Service string
-	// Window is the time in which the stream can have begun; LongestReturn unless something shorter is known.
+	// Window is the time in which the stream can have begun; 0 stands for Config.LongestReturn.
 	Window time.Duration
+	// Confirm has an answer tell what the list says only once that is known to be the newest as of the
+	// question.
+	Confirm bool
 }
 
 // Answer is a router's answer to a Query.
@@ -36,6 +40,8 @@
 	// Only is the version of all endpoints that the service had in the window, if Single.
 	Only   string
 	Single bool
+	// Confirmed reports that the list was known to be the newest as of the question.
+	Confirmed bool
 }
 
 // Peers reaches the other routers.
@@ -76,6 +82,14 @@
 	// MaxListAge nothing is inferred from it.
 	ListAge    func() age.Age
 	MaxListAge time.Duration
+	// Changes returns at once the changes of the list that its source has accepted after a revision; nil
+	// if there is no source to ask.
+	Changes func(ctx context.Context, after directory.Revision) (directory.Reading, error)
+	// ConfirmInterval returns the least time between two calls of Changes; nil for none.
+	ConfirmInterval func() time.Duration
+	// LongestReturn is the longest time after the beginning of a stream in which its caller may resume it;
+	// 0 for DefaultLongestReturn.
+	LongestReturn time.Duration
 	// Metrics registers the registry's metrics; nil for none.
 	Metrics prometheus.Registerer
 }
@@ -84,10 +98,11 @@
 // and, from the list of endpoints, those of services that had one version only. It is safe for
 // concurrent use.
 type Registry struct {
-	cfg      Config
-	own      table
-	told     table
-	versions versionLog
+	cfg           Config
+	own           table
+	told          table
+	versions      versionLog
+	confirmations confirmations
 	// granted is the longest time that the configuration grants a stream, and waited the longest that a
 	// caller has said it waits; both time.Duration, 0 if unknown.
 	granted, waited atomic.Int64
@@ -98,7 +113,10 @@
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
+	cfg.LongestReturn = cmp.Or(cfg.LongestReturn, DefaultLongestReturn)
 	r := &Registry{cfg: cfg, startedAt: time.Now()}
+	r.versions.longestReturn = cfg.LongestReturn
+	r.confirmations.total = newConfirmationCounter(cfg.Metrics)
 	if cfg.Metrics != nil {
 		cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "coveferry_known_streams",
@@ -126,18 +144,29 @@
 	if longest == 0 {
 		return defaultKeep
 	}
-	return min(keepFactor*longest, LongestReturn)
+	return min(keepFactor*longest, r.cfg.LongestReturn)
 }
 
-// SettledIn returns how long it takes until this router knows the others that it could ask; 0 if it does.
-func (r *Registry) SettledIn(now time.Time) time.Duration {
+// settledIn returns how long it takes until all other routers can be asked; 0 if they can be.
+func (r *Registry) settledIn(now time.Time) time.Duration {
 	return max(0, settleTime-now.Sub(r.startedAt))
 }
 
 // UpdateList records a new list of endpoints. Streams of a service that has got a second version are
 // told to other routers, since these can no longer infer the version.
 func (r *Registry) UpdateList(now time.Time, list *directory.Directory) {
-	for _, service := range r.versions.update(now, list) {
+	r.tellStreamsOf(r.versions.update(now, list))
+}
+
+// RecordVersions records the versions of entries that aren't in the latest list: they come in a later one, or
+// were in none that this router got.
+func (r *Registry) RecordVersions(now time.Time, entries []directory.Entry) {
+	r.tellStreamsOf(r.versions.record(now, entries))
+}
+
+// tellStreamsOf has the open streams of services told.
+func (r *Registry) tellStreamsOf(services []string) {
+	for _, service := range services {
 		r.tellLater(r.own.list(service)...)
 	}
 }
@@ -145,7 +174,7 @@
 // Begin records where a stream of this router began, and has other routers told if they can't infer it.
 func (r *Registry) Begin(now time.Time, id StreamID, o ServiceVersion) {
 	r.own.put(now, r.keepFor(), id, o)
-	if _, single := r.versions.only(now, o.Service, LongestReturn); !single {
+	if _, single := r.versions.only(now, o.Service, r.cfg.LongestReturn); !single {
 		r.tellLater(Stream{ID: id, ServiceVersion: o})
 	}
 }
@@ -209,117 +238,3 @@
 	r.untold = nil
 	return streams
 }
-
-// Answer answers the query of another router from what this one knows itself.
-func (r *Registry) Answer(now time.Time, q Query) Answer {
-	var a Answer
-	a.ServiceVersion, _, a.Known = r.lookUp(now, q.ID)
-	a.Only, a.Single = r.infer(now, q)
-	return a
-}
-
-func (r *Registry) lookUp(now time.Time, id StreamID) (o ServiceVersion, age time.Duration, known bool) {
-	if o, age, known = r.own.get(now, r.keepFor(), id); known {
-		return o, age, true
-	}
-	return r.told.get(now, r.keepFor(), id)
-}
-
-// infer returns the version of a service that had only one in the window.
-func (r *Registry) infer(now time.Time, q Query) (version string, ok bool) {
-	if r.cfg.ListAge().Exceeds(r.cfg.MaxListAge) {
-		return "", false
-	}
-	return r.versions.only(now, q.Service, q.Window)
-}
-
-// Evidence says how it is known where a stream began.
-type Evidence string
-
-// The kinds of evidence.
-const (
-	// EvidenceOwn: this router has recorded the stream or was told of it.
-	EvidenceOwn Evidence = "own"
-	// EvidencePeer: another router has.
-	EvidencePeer Evidence = "peer"
-	// EvidenceList: by this router's list the service had one version only.
-	EvidenceList Evidence = "list"
-	// EvidencePeerList: by the list of another router it had one only.
-	EvidencePeerList Evidence = "peer_list"
-)
-
-// Finding is where a stream began and how that is known.
-type Finding struct {
-	ServiceVersion ServiceVersion
-	Evidence       Evidence
-	// Age is how long ago this router recorded it, or how old its list is.
-	Age time.Duration
-}
-
-// Find returns where a stream began, and false if that isn't known.
-func (r *Registry) Find(ctx context.Context, q Query) (Finding, bool) {
-	found, known := r.findOnce(ctx, q)
-	if known || q.ID == 0 || r.cfg.Peers == nil || r.SettledIn(time.Now()) > 0 {
-		return found, known
-	}
-	// The router that began it may not have told of it yet.
-	if !clock.Sleep(ctx, toldWithin) {
-		return Finding{}, false
-	}
-	return r.findOnce(ctx, q)
-}
-
-// findOnce asks once what this router and the others know.
-func (r *Registry) findOnce(ctx context.Context, q Query) (Finding, bool) {
-	now := time.Now()
-	if o, age, known := r.lookUp(now, q.ID); known {
-		return Finding{ServiceVersion: o, Evidence: EvidenceOwn, Age: age}, true
-	}
-	_, inferred := r.infer(now, q)
-	answers := r.ask(ctx, q, inferred)
-	for _, a := range answers {
-		if a.Known {
-			return Finding{ServiceVersion: a.ServiceVersion, Evidence: EvidencePeer}, true
-		}
-	}
-	// Inferred anew: a list that came meanwhile may have shown another version.
-	now = time.Now()
-	if version, ok := r.infer(now, q); ok {
-		listAge, _ := r.cfg.ListAge().Get()
-		return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidenceList, Age: listAge}, true
-	}
-	return r.findByPeerLists(now, q, answers)
-}
-
-// ask asks other routers for a stream. Without an ID they can only help by their lists.
-func (r *Registry) ask(ctx context.Context, q Query, inferred bool) []Answer {
-	if r.cfg.Peers == nil || q.ID == 0 && inferred {
-		return nil
-	}
-	timeout := askTimeout
-	if inferred {
-		timeout = inferredAskTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return r.cfg.Peers.AskStream(ctx, q)
-}
-
-// findByPeerLists infers the version from the lists of routers that have known theirs for longer, as
-// long as neither these nor this router's own list differ.
-func (r *Registry) findByPeerLists(now time.Time, q Query, answers []Answer) (Finding, bool) {
-	version, found := "", false
-	for _, a := range answers {
-		switch {
-		case !a.Single:
-		case found && a.Only != version:
-			return Finding{}, false
-		default:
-			version, found = a.Only, true
-		}
-	}
-	if !found || r.versions.hasOther(now, q, version) {
-		return Finding{}, false
-	}
-	return Finding{ServiceVersion: ServiceVersion{q.Service, version}, Evidence: EvidencePeerList}, true
-}
--- a/internal/streamversion/registry_test.go
+++ b/internal/streamversion/registry_test.go
@@ -52,6 +52,8 @@
 const (
 	window     = 10 * time.Second
 	maxListAge = 2 * time.Second
+	// changesDelay is how long the source takes to answer.
+	changesDelay = 4 * time.Millisecond
 )
 
 type fixture struct {
@@ -59,13 +61,33 @@
 	*Registry
 	peers   fakePeers
 	listAge time.Duration
+	// confirmedAt is when the list was last known to be the newest, if it isn't read any more.
+	confirmedAt time.Time
+	// changes is what the source answers to the question for changes.
+	changes    directory.Reading
+	changesErr error
+	// changesAsked counts these questions.
+	changesAsked int
+}
+
+func (f *fixture) ageOfList() age.Age {
+	if !f.confirmedAt.IsZero() {
+		return age.Of(time.Since(f.confirmedAt))
+	}
+	return age.Of(f.listAge)
+}
+
+func (f *fixture) askChanges(ctx context.Context, _ directory.Revision) (directory.Reading, error) {
+	f.changesAsked++
+	time.Sleep(changesDelay)
+	return f.changes, f.changesErr
 }
 
 func run(t *testing.T, test func(f *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{WithT: NewWithT(t)}
-		f.Registry = New(Config{Peers: &f.peers, ListAge: func() age.Age { return age.Of(f.listAge) }, MaxListAge: maxListAge})
+		f.Registry = New(Config{Peers: &f.peers, ListAge: f.ageOfList, MaxListAge: maxListAge, Changes: f.askChanges})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go f.Run(ctx)
@@ -90,7 +112,7 @@
 func TestNothingIsToldWhereOthersCanInferTheVersion(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(LongestReturn)
+		time.Sleep(DefaultLongestReturn)
 		f.begin("a", "v1")
 		time.Sleep(time.Second)
 		f.Expect(f.peers.told).To(BeEmpty())
@@ -100,7 +122,7 @@
 func TestOpenStreamsAreToldWhenASecondVersionComes(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(LongestReturn)
+		time.Sleep(DefaultLongestReturn)
 		f.begin("a", "v1")
 		f.begin("b", "v1")
 		f.End(IDOf("b"))
@@ -114,7 +136,7 @@
 func TestOpenStreamsAreToldWhenTheListIsLost(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v1", "v1")
-		time.Sleep(LongestReturn)
+		time.Sleep(DefaultLongestReturn)
 		f.begin("a", "v1")
 		f.listAge = maxListAge + 1
 		time.Sleep(time.Second)
@@ -181,7 +203,7 @@
 		f.listAge = maxListAge + 1
 		_, known := f.find("a")
 		f.Expect(known).To(BeFalse())
-		f.Expect(f.Answer(time.Now(), Query{Service: "s", Window: window}).Single).To(BeFalse())
+		f.Expect(f.Answer(context.Background(), time.Now(), Query{Service: "s", Window: window}).Single).To(BeFalse())
 	})
 }
 
@@ -204,9 +226,9 @@
 		f.SetLongestTimeout(time.Minute)
 		f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}})
 		time.Sleep(2 * time.Minute)
-		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
+		f.Expect(f.Answer(context.Background(), time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
 		time.Sleep(2 * time.Minute)
-		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeFalse())
+		f.Expect(f.Answer(context.Background(), time.Now(), Query{ID: IDOf("a")}).Known).To(BeFalse())
 		f.Record(time.Now(), Stream{IDOf("b"), ServiceVersion{"s", "v1"}})
 		f.Expect(f.told.len()).To(Equal(1), "the old one takes no memory")
 	})
@@ -219,7 +241,7 @@
 			f.Record(time.Now(), Stream{StreamID(i), ServiceVersion{"s", "v1"}})
 		}
 		f.Expect(f.told.len()).To(BeNumerically("<=", 2*tableShards*maxPerShard))
-		f.Expect(f.Answer(time.Now(), Query{ID: many - 1}).Known).To(BeTrue(), "the latest is kept")
+		f.Expect(f.Answer(context.Background(), time.Now(), Query{ID: many - 1}).Known).To(BeTrue(), "the latest is kept")
 	})
 }
 
@@ -227,15 +249,15 @@
 func TestStartedRouterTakesNoVersionForTheOnlyOneThatServed(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.update("v2", "v2")
-		for range int(LongestReturn / time.Minute) {
-			found, known := f.Find(context.Background(), Query{ID: IDOf("a"), Service: "s", Window: LongestReturn})
+		for range int(DefaultLongestReturn / time.Minute) {
+			found, known := f.Find(context.Background(), Query{ID: IDOf("a"), Service: "s", Window: DefaultLongestReturn})
 			f.Expect(known).To(BeFalse(), "%+v", found)
-			_, known = f.Find(context.Background(), Query{Service: "s", Window: LongestReturn})
+			_, known = f.Find(context.Background(), Query{Service: "s", Window: DefaultLongestReturn})
 			f.Expect(known).To(BeFalse())
 			time.Sleep(time.Minute - toldWithin)
 		}
 		time.Sleep(time.Second)
-		_, known := f.Find(context.Background(), Query{Service: "s", Window: LongestReturn})
+		_, known := f.Find(context.Background(), Query{Service: "s", Window: DefaultLongestReturn})
 		f.Expect(known).To(BeTrue())
 	})
 }
@@ -262,6 +284,6 @@
 		f.RecordCallerTimeout(time.Second)
 		f.Record(time.Now(), Stream{IDOf("a"), ServiceVersion{"s", "v1"}})
 		time.Sleep(time.Minute - time.Second)
-		f.Expect(f.Answer(time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
+		f.Expect(f.Answer(context.Background(), time.Now(), Query{ID: IDOf("a")}).Known).To(BeTrue())
 	})
 }
--- a/internal/streamversion/versions.go
+++ b/internal/streamversion/versions.go
@@ -8,16 +8,18 @@
 	"coveferry/internal/directory"
 )
 
-// LongestReturn is the longest time after the beginning of a stream in which its caller may resume it.
+// DefaultLongestReturn is the longest time after the beginning of a stream in which its caller may resume it.
 // Nothing that a router has seen says when a stream began that it doesn't know: its caller may have waited
 // through a release and the restarts of all routers. So the list tells the version of a stream only where a
 // service has had one for longer than any caller waits.
-const LongestReturn = time.Hour
+const DefaultLongestReturn = time.Hour
 
 // versionLog records which software versions the endpoints of each service had. It is safe for
 // concurrent use.
 type versionLog struct {
-	mu sync.Mutex
+	// longestReturn is Config.LongestReturn.
+	longestReturn time.Duration
+	mu            sync.Mutex
 	// knownSince is since when the list has been known without a gap; zero before the first.
 	knownSince time.Time
 	// lastListed is when an endpoint of the version was last listed, by service and version.
@@ -35,28 +37,49 @@
 	if l.knownSince.IsZero() {
 		l.knownSince = now
 	}
-	l.markListed(now)
+	l.markLatestList(now)
 	before := l.countVersions(now)
 	l.list = list
-	l.markListed(now)
-	for service, n := range l.countVersions(now) {
-		if n > max(1, before[service]) {
-			mixed = append(mixed, service)
-		}
-	}
+	l.markLatestList(now)
+	mixed = l.servicesWithMore(now, before)
 	l.expire(now)
 	return mixed
 }
 
-// markListed records that the versions of the latest list are listed now. l.mu is held.
-func (l *versionLog) markListed(now time.Time) {
+// record records entries that aren't in the latest list. It returns the services that have got another
+// version by them.
+func (l *versionLog) record(now time.Time, entries []directory.Entry) (mixed []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.markLatestList(now)
+	before := l.countVersions(now)
+	l.mark(now, entries)
+	return l.servicesWithMore(now, before)
+}
+
+// revision returns the revision of the latest list, and false before the first.
+func (l *versionLog) revision() (directory.Revision, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.list == nil {
-		return
+		return directory.Revision{}, false
 	}
+	return l.list.Revision(), true
+}
+
+// markLatestList records that the versions of the latest list are listed now. l.mu is held.
+func (l *versionLog) markLatestList(now time.Time) {
+	if l.list != nil {
+		l.mark(now, l.list.Entries())
+	}
+}
+
+// mark records that the versions of entries are listed now. l.mu is held.
+func (l *versionLog) mark(now time.Time, entries []directory.Entry) {
 	if l.lastListed == nil {
 		l.lastListed = make(map[string]map[string]time.Time)
 	}
-	for _, e := range l.list.Entries() {
+	for _, e := range entries {
 		for _, service := range e.Endpoint.Services {
 			if l.lastListed[service] == nil {
 				l.lastListed[service] = make(map[string]time.Time)
@@ -66,12 +89,22 @@
 	}
 }
 
-// countVersions counts each service's versions within LongestReturn. l.mu is held.
+// servicesWithMore returns the services that have several versions, more than before. l.mu is held.
+func (l *versionLog) servicesWithMore(now time.Time, before map[string]int) (mixed []string) {
+	for service, n := range l.countVersions(now) {
+		if n > max(1, before[service]) {
+			mixed = append(mixed, service)
+		}
+	}
+	return mixed
+}
+
+// countVersions counts each service's versions within longestReturn. l.mu is held.
 func (l *versionLog) countVersions(now time.Time) map[string]int {
 	counts := make(map[string]int, len(l.lastListed))
 	for service, versions := range l.lastListed {
 		for _, at := range versions {
-			if now.Sub(at) <= LongestReturn {
+			if now.Sub(at) <= l.longestReturn {
 				counts[service]++
 			}
 		}
@@ -82,7 +115,7 @@
 func (l *versionLog) expire(now time.Time) {
 	for service, versions := range l.lastListed {
 		for version, at := range versions {
-			if now.Sub(at) > LongestReturn {
+			if now.Sub(at) > l.longestReturn {
 				delete(versions, version)
 			}
 		}
@@ -117,7 +150,7 @@
 func (l *versionLog) only(now time.Time, service string, window time.Duration) (version string, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > LongestReturn {
+	if l.knownSince.IsZero() || now.Sub(l.knownSince) < window || window > l.longestReturn {
 		return "", false
 	}
 	for v := range l.versionsIn(now, service, window) {
