--- a/internal/cli/standincmd/replica.go
+++ b/internal/cli/standincmd/replica.go
@@ -18,12 +18,21 @@
 
 	Linger  time.Duration `default:"0s" help:"For how long a stream runs on after its caller has left."`
 	Closing float64       `default:"0" help:"Share of the answers that end with their connection."`
+	Repeat  bool          `help:"Send half of its refusals once more, before the next answer on the connection."`
 }
 
 // Run runs the command.
 func (c *ReplicaCmd) Run(env *cli.Env) error {
 	replica := &platformtest.Replica{ID: c.Name, Events: c.Events, Pause: c.Pause, Record: env.Stdout, Crash: crash, ColdUntil: time.Now().Add(c.Cold), Closing: c.Closing, Linger: c.Linger}
-	return serve(env, c.Listen, replica)
+	l, err := listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	if c.Repeat {
+		replica.Repeater = platformtest.NewRepeater(l)
+		l = replica.Repeater
+	}
+	return serveOn(env, l, replica)
 }
 
 // exitCrashed is the exit code of a stand-in that a request crashed.
--- a/internal/cli/standincmd/standincmd.go
+++ b/internal/cli/standincmd/standincmd.go
@@ -65,10 +65,23 @@
 
 // serve runs a server until the environment's context ends.
 func serve(env *cli.Env, address string, h http.Handler) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
+	}
+	return serveOn(env, l, h)
+}
+
+func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return cli.BadInput(errors.Wrap(err, "listen"))
+		return nil, cli.BadInput(errors.Wrap(err, "listen"))
 	}
+	return l, nil
+}
+
+// serveOn is serve on a listener.
+func serveOn(env *cli.Env, l net.Listener, h http.Handler) error {
 	s := server.New(server.Config{Listener: l, Handler: h, HeaderTimeout: headerTimeout, Grace: grace})
 	fmt.Fprintf(env.Stderr, "serving on http://%s\n", s.Addr())
 	var stopErr error
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -101,8 +102,9 @@
 		p.router = Router{
 			Name: fmt.Sprintf("router-%d", i), FailureDomain: domainOf(i), FailureDomains: allDomains(),
 			CallerAddr: free[portsPerRouter*i], ReadyAddr: free[portsPerRouter*i+1], ControlAddr: free[portsPerRouter*i+2],
-			StoreAddr: proxy.Address(), Seeds: seeds, Bounds: BoundsOf(r.opts.Seed), StopWithin: stopWithin,
+			StoreAddr: proxy.Address(), Bounds: BoundsOf(r.opts.Seed), StopWithin: stopWithin,
 		}
+		p.router.Seeds = r.seedsOf(i, p.router.ControlAddr, seeds)
 		if HasNarrowLinks(r.opts.Seed) {
 			p.router.LinkMbps = narrowMbps
 		}
@@ -139,7 +141,7 @@
 		return errors.Wrap(err, "soak: write settings")
 	}
 	env := []string{r.wire.SettingsVariable() + "=" + p.settings}
-	process, err := StartProcess(p.router.Name, r.log, r.handleRouterLog, env, r.opts.Daemon, "direct")
+	process, err := StartProcess(p.router.Name, r.log, r.handleRouterLog, env, r.opts.Daemon, daemonArgs(r.opts.Seed)...)
 	if err != nil {
 		return err
 	}
@@ -154,30 +156,51 @@
 
 // startEndpoint starts an endpoint behind a proxy and adds it to the list.
 func (r *run) startEndpoint(ctx context.Context, service, domain string) error {
-	free, err := r.ports.free(1)
+	e, err := r.newEndpoint(ctx, service, domain, "")
 	if err != nil {
 		return err
 	}
+	r.serveWith(e)
+	return nil
+}
+
+// newEndpoint starts an endpoint of a software version behind a proxy; an empty version stands for that of the
+// next endpoint.
+func (r *run) newEndpoint(ctx context.Context, service, domain, version string) (*endpointProc, error) {
+	free, err := r.ports.free(1)
+	if err != nil {
+		return nil, err
+	}
 	proxy, err := NewProxy(free[0])
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go proxy.Run(ctx)
+	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{
+		Service: service, FailureDomain: domain, Address: proxy.Address(),
+		ClosingShare: closingShareOf(r.opts.Seed), RepeatsRefusals: HasRebirths(r.opts.Seed),
+	}}
+	r.nameEndpoint(e, version)
+	return e, r.runEndpoint(ctx, e)
+}
+
+// nameEndpoint gives an endpoint the next name, and a software version.
+func (r *run) nameEndpoint(e *endpointProc, version string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.started++
-	name := fmt.Sprintf("i-%s-%03d", service, r.started)
-	version, linger := r.versionOf(r.started), lingerOf(r.opts.Seed, r.started)
-	r.observed.Versions[name] = version
-	r.mu.Unlock()
-	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{Name: name, Service: service, FailureDomain: domain, Address: proxy.Address(), Version: version, ClosingShare: closingShareOf(r.opts.Seed), Linger: linger}}
-	if err := r.runEndpoint(ctx, e); err != nil {
-		return err
-	}
+	e.endpoint.Name = fmt.Sprintf("i-%s-%03d", e.endpoint.Service, r.started)
+	e.endpoint.Version = cmp.Or(version, r.versionOf(r.started))
+	e.endpoint.Linger = lingerOf(r.opts.Seed, r.started)
+	r.observed.Versions[e.endpoint.Name] = e.endpoint.Version
+}
+
+// serveWith adds an endpoint to those that serve, and to the list.
+func (r *run) serveWith(e *endpointProc) {
 	r.mu.Lock()
 	r.endpoints = append(r.endpoints, e)
 	r.mu.Unlock()
 	r.wire.List(e.endpoint)
-	return nil
 }
 
 // runEndpoint starts an endpoint's process.
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -48,6 +48,12 @@
 		r.grow(f.Target)
 	case EndpointKill, EndpointPause, EndpointDrain, EndpointConn, EndpointRestart:
 		r.injectEndpointFault(ctx, f)
+	case EndpointRename:
+		r.renameEndpoint(ctx, f)
+	case OddEntry:
+		r.wire.ListOdd(fmt.Sprintf("i-odd-%d", f.Target%7), f.Target)
+	case VersionJoins:
+		r.joinVersion(ctx, f)
 	case InvalidEntry:
 		r.writeInvalidEntry(ctx, f)
 	case Evacuate:
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -10,7 +10,9 @@
 func HasVersions(seed uint64) bool { return seed/16000%2 == 1 }
 
 // callersResume reports whether callers resume streams at other routers in the runs of a seed.
-func callersResume(seed uint64) bool { return HasVersions(seed) || HasDisorder(seed) }
+func callersResume(seed uint64) bool {
+	return HasVersions(seed) || HasDisorder(seed) || HasRebirths(seed)
+}
 
 const (
 	// versionCount is how many software versions serve side by side.
@@ -54,11 +56,20 @@
 		if held.First == "" && held.Last > 0 {
 			held.First = request
 		}
-		at = (at + 1) % len(c.soak.routers)
+		at = c.soak.nextRouter(at)
 		time.Sleep(randomDuration(c.rnd, maxResumeDelay))
 	}
 }
 
+// nextRouter returns the router to which a caller comes back with a stream that broke off at the given one: the
+// next, or in runs with rebirths the one that is out of step at times.
+func (r *run) nextRouter(at int) int {
+	if HasRebirths(r.opts.Seed) {
+		return len(r.routers) - 1
+	}
+	return (at + 1) % len(r.routers)
+}
+
 // leaveChanceOf returns the probability that a caller leaves a stream.
 func (c *caller) leaveChanceOf(route Route) float64 {
 	if route.Repeatable && callersResume(c.soak.opts.Seed) {
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -78,6 +78,8 @@
 	ClosingShare float64
 	// Linger is how long its streams run on after their callers have left.
 	Linger time.Duration
+	// RepeatsRefusals says that it sends some refusals once more, before the next answer on the connection.
+	RepeatsRefusals bool
 }
 
 // Record is a line that an endpoint writes when it begins or ends a request.
@@ -117,6 +119,9 @@
 	// ListInvalid writes an entry that doesn't describe a usable endpoint. The number
 	// selects one of several kinds.
 	ListInvalid(name string, number int)
+	// ListOdd writes an entry with odd content: deeply nested, with numbers out of range, or with an
+	// address that can't be used. The number selects one of several kinds.
+	ListOdd(name string, number int)
 	// FailStore injects a fault into the calls to the store; NetFaultNone ends it.
 	FailStore(NetFault)
 	// GoBack has the store come back from a copy of the given age. With historyLost it refuses
