Ask over a new connection whether an endpoint's process is alive

A connection for each such answer. Health checks of the prober still use kept connections: a refusal that comes twice may fail one of them.

--- a/internal/daemon/directalive_test.go
+++ b/internal/daemon/directalive_test.go
@@ -31,6 +31,21 @@
 	return d.updater
 }
 
+// Guards against taking an answer that a process sent before it ended for a sign that it is alive.
+func TestProcessIsAskedOverANewConnectionWhetherItIsAlive(t *testing.T) {
+	g := NewWithT(t)
+	checks := 0
+	l := updaterOf(t, &activeStore{}, &checks)
+	var used *http.Client
+	l.d.cfg.Health = func(_ context.Context, c *http.Client, _, _, _ string) (upstream.Health, error) {
+		used = c
+		return upstream.Health{Answered: true}, nil
+	}
+	entry, _ := l.d.follower.Directory().Entry("e")
+	g.Expect(l.processAlive(t.Context(), &entry.Endpoint)).To(BeTrue())
+	g.Expect(used.Transport.(*http.Transport).DisableKeepAlives).To(BeTrue())
+}
+
 // An evacuated failure domain must get nothing, so it can't be asked whether an answer is whole.
 func TestEvacuatedEndpointIsNotAskedWhetherItsProcessIsAlive(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/daemon/directlist.go
+++ b/internal/daemon/directlist.go
@@ -209,8 +209,8 @@
 	return !l.d.follower.Directory().IsEvacuated(e.FailureDomain) && l.d.pool.MayCheck(now, e)
 }
 
-// processAlive reports whether the process of an endpoint answers. It waits while the endpoint may not be
-// sent a health check.
+// processAlive reports whether the process of an endpoint answers, over a new connection: what comes over a kept
+// one may have been sent before. It waits while the endpoint may not be sent a health check.
 func (l *directoryUpdater) processAlive(ctx context.Context, e *bundle.Endpoint) bool {
 	for !l.mayCheck(time.Now(), e) {
 		if !clock.Sleep(ctx, mayCheckInterval) {
@@ -218,7 +218,7 @@
 		}
 	}
 	// Any answer will do, so what went wrong doesn't matter.
-	health, _ := l.d.cfg.Health(ctx, l.d.client, e.Address, l.healthPath(e.Services), e.Name)
+	health, _ := l.d.cfg.Health(ctx, l.d.oneShotClient, e.Address, l.healthPath(e.Services), e.Name)
 	return health.Answered
 }
 
