--- a/internal/streamversion/confirm.go
+++ b/internal/streamversion/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,7 +131,6 @@
 		return false
 	}
 	r.confirmations.total.WithLabelValues(resultConfirmed).Inc()
-	r.RecordVersions(time.Now(), changes.Entries)
-	r.RecordVersions(time.Now(), changes.Replaced)
+	r.RecordVersions(time.Now(), slices.Concat(changes.Entries, changes.Replaced))
 	return true
 }
--- a/internal/streamversion/confirm_test.go
+++ b/internal/streamversion/confirm_test.go
@@ -114,3 +114,15 @@
 		f.Expect(f.Answer(context.Background(), time.Now(), q).Confirmed).To(BeFalse())
 	})
 }
+
+// A version whose entries came and went while this router didn't read has served, too.
+func TestVersionThatCameAndWentUnseenIsFound(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.update("v1", "v1")
+		time.Sleep(DefaultLongestReturn)
+		f.confirmedAt = time.Now().Add(-time.Second)
+		f.changes.Replaced = listOf("v2").Entries()
+		_, known := f.find("")
+		f.Expect(known).To(BeFalse())
+	})
+}
