Don't go on from copies while many endpoints lose answers where a request must not run twice

That endpoint hadn't lost an answer before that this router knew of, but two of five answers of all endpoints were being lost. Cause: the sign is looked for at the one endpoint, where it comes late, though it was plain at its neighbours. Now a tenth of the endpoints that serve, and two at least, keep such streams from copies for the 2 s in which a lost answer counts. Endpoints that crashed don't count, so that streams go on after crashes as before.

TestStreamThatMayNotRunTwiceDoesNotGoOnFromACopyWhereManyEndpointsLoseAnswers fails without the change (by its second case).

--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coveferry/internal/age"
+	"coveferry/internal/bundle"
 	"coveferry/internal/refusals"
 	"coveferry/internal/throttle/window"
 )
@@ -153,7 +154,40 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && (st.lostAnswer(now) || now.Sub(st.peersLostAnswerAt) <= failureWindow)
+	return known && st.losesAnswers(now)
+}
+
+const (
+	// minLosingShare of the endpoints, and minLosing of them, lose answers where that isn't the fault of single
+	// ones.
+	minLosingShare = 0.1
+	minLosing      = 2
+)
+
+// ManyLoseAnswers reports whether many of the endpoints that serve lose answers, so that others may, of which
+// nobody knows it yet. Those that have crashed don't count.
+func (p *Pool) ManyLoseAnswers(now time.Time, endpoints []*bundle.Endpoint) bool {
+	losing, serving := 0, 0
+	for _, e := range endpoints {
+		if p.InService(e.Name) {
+			serving++
+			losing += count(p.LosesAnswers(now, e.Name))
+		}
+	}
+	return losing >= minLosing && float64(losing) >= minLosingShare*float64(serving)
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// losesAnswers reports whether a request got no answer within the failure window, at this router or at one
+// that has reported it.
+func (st *state) losesAnswers(now time.Time) bool {
+	return st.lostAnswer(now) || now.Sub(st.peersLostAnswerAt) <= failureWindow
 }
 
 // lostAnswer reports whether a request of this router got no answer within the failure window.
--- a/internal/balance/failures_test.go
+++ b/internal/balance/failures_test.go
@@ -156,6 +156,22 @@
 	g.Expect(peer.LosesAnswers(later, "e0")).To(BeFalse(), "it may be about the process before")
 }
 
+func TestManyEndpointsLoseAnswersOnlyWhileTheyServe(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(Config{})
+	endpoints := newEndpoints(30)
+	g.Expect(p.ManyLoseAnswers(epoch, endpoints)).To(BeFalse())
+	for i, many := range []bool{false, false, true} {
+		p.RecordLostAnswer(epoch, endpoints[i].Name)
+		g.Expect(p.ManyLoseAnswers(epoch, endpoints)).To(Equal(many), "%d of 30", i+1)
+		g.Expect(p.ManyLoseAnswers(epoch, endpoints[:3])).To(Equal(i > 0), "%d of 3", i+1)
+	}
+	g.Expect(p.ManyLoseAnswers(epoch.Add(failureWindow+1), endpoints)).To(BeFalse())
+	p.SetSuspect(endpoints[0].Name, true)
+	p.SetLeaving(endpoints[1].Name, true)
+	g.Expect(p.ManyLoseAnswers(epoch, endpoints)).To(BeFalse(), "two have crashed or leave")
+}
+
 func TestPartsOfAnyResponseShowThatAnEndpointRuns(t *testing.T) {
 	g := NewWithT(t)
 	p := NewPool(Config{})
--- a/internal/filters/attempts/copies.go
+++ b/internal/filters/attempts/copies.go
@@ -14,6 +14,8 @@
 	AcceptsWork(now time.Time, endpoint string) bool
 	// LosesAnswers reports whether requests that were sent to an endpoint lately got no answer.
 	LosesAnswers(now time.Time, endpoint string) bool
+	// ManyLoseAnswers reports whether many of the endpoints do.
+	ManyLoseAnswers(now time.Time, endpoints []*bundle.Endpoint) bool
 }
 
 // ResumeOnlyAt restricts resuming from KV cache copies by the state of their endpoints. It must be called
@@ -47,9 +49,13 @@
 // that are draining or evacuated get no resumed streams. That a copy isn't there only its endpoint can say;
 // one that loses answers may have begun the request anew instead, which must not run twice.
 func (f *Filter) mayHoldCopy(r *request.Request, e *bundle.Endpoint) bool {
-	if f.copyHolders == nil {
+	switch now := time.Now(); {
+	case f.copyHolders == nil:
 		return true
+	case !f.copyHolders.AcceptsWork(now, e.Name):
+		return false
+	case r.NonIdempotent:
+		return !f.copyHolders.LosesAnswers(now, e.Name) && !f.copyHolders.ManyLoseAnswers(now, r.Candidates)
 	}
-	now := time.Now()
-	return f.copyHolders.AcceptsWork(now, e.Name) && !(r.NonIdempotent && f.copyHolders.LosesAnswers(now, e.Name))
+	return true
 }
--- a/internal/filters/attempts/copies_test.go
+++ b/internal/filters/attempts/copies_test.go
@@ -28,6 +28,8 @@
 
 func (*changingHolders) LosesAnswers(time.Time, string) bool { return false }
 
+func (*changingHolders) ManyLoseAnswers(time.Time, []*bundle.Endpoint) bool { return false }
+
 // endsAfter is a run that ends after a while.
 type endsAfter time.Duration
 
--- a/internal/router/routed_stream_test.go
+++ b/internal/router/routed_stream_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"coveferry/internal/balance"
 )
 
 // writeEvents writes the given events and then completes or breaks the stream.
@@ -129,6 +131,31 @@
 	}
 }
 
+// Of endpoints that lose answers the one with the copy may be one, though nobody has seen it yet.
+func TestStreamThatMayNotRunTwiceDoesNotGoOnFromACopyWhereManyEndpointsLoseAnswers(t *testing.T) {
+	for _, losing := range []int{1, 2} {
+		runRoutedAmong(t, balance.Config{}, 9, func(g *WithT, w *routerFixture, client *http.Client) {
+			w.handle = func(endpoint string, req *http.Request, conn net.Conn) {
+				if req.Header.Get("Last") != "" {
+					writeEvents(conn, req, true, "id: 2\ndata: b\n\n")
+					return
+				}
+				lost := 0
+				for _, e := range w.endpoints {
+					if e.Name != endpoint && e.Address != req.Header.Get("Copy-To") && lost < losing {
+						lost++
+						w.pool.RecordLostAnswer(time.Now(), e.Name)
+					}
+				}
+				writeEvents(conn, req, false, "id: 1\ndata: a\n\n")
+			}
+			got := call(g, client, "POST", "/tight/", "x", "Prompt", "1")
+			g.Expect(got.err == nil).To(Equal(losing < 2))
+			g.Expect(w.receivedCount()).To(Equal(3 - losing))
+		})
+	}
+}
+
 func TestBrokenStreamNeverLooksComplete(t *testing.T) {
 	for _, path := range []string{"/stream/", "/resume/"} {
 		runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
