--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -232,8 +232,8 @@
 	if HasStalls(seed) {
 		plan = append(plan, stalls(seed, end)...)
 	}
-	if HasRebirths(seed) {
-		plan = append(plan, rebirths(seed, end)...)
+	if HasRenames(seed) {
+		plan = append(plan, renames(seed, end)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
--- a/internal/soak/rebirths.go
+++ b/internal/soak/renames.go
@@ -7,12 +7,12 @@
 	"time"
 )
 
-// HasRebirths reports whether endpoints come back at their addresses under other names and send refusals twice,
-// others write odd entries to the list, and new software versions join while a router is out of step, in the
+// HasRenames reports whether endpoints come back at their addresses under other names and send refusals twice,
+// others write odd entries to the list, and new software versions join while a router is isolated, in the
 // runs of a seed: every second block of 16384000 seeds.
-func HasRebirths(seed uint64) bool { return seed/16384000%2 == 1 }
+func HasRenames(seed uint64) bool { return seed/16384000%2 == 1 }
 
-// The kinds of fault that only seeds with rebirths have. EndpointRename is SIGKILL, after which a new process
+// The kinds of fault that only seeds with renames have. EndpointRename is SIGKILL, after which a new process
 // with another name gets the address at once; the old entry expires. OddEntry is an odd entry in the list.
 // VersionJoins has endpoints of a new version join and end while the last router can't reach the store.
 const (
@@ -25,21 +25,21 @@
 	// longestReturn is how long after its beginning a stream may be resumed in these runs: within it routers
 	// infer no version after a start, and after a version has come or gone.
 	longestReturn = 2 * time.Second
-	// meanRebirthGap is the mean time between two faults of rebirths, and meanJoinGap between two versions that
+	// meanRenameGap is the mean time between two faults of renames, and meanJoinGap between two versions that
 	// join: long enough that routers infer versions between them.
-	meanRebirthGap = 700 * time.Millisecond
-	meanJoinGap    = 5 * time.Second
-	// A router is out of step for shortestOutOfStep to longestOutOfStep. The longest is above the age from which
+	meanRenameGap = 700 * time.Millisecond
+	meanJoinGap   = 5 * time.Second
+	// A router is isolated for shortestIsolation to longestIsolation. The longest is above the age from which
 	// on a list counts as lost.
-	shortestOutOfStep = 400 * time.Millisecond
-	longestOutOfStep  = 2 * time.Second
+	shortestIsolation = 400 * time.Millisecond
+	longestIsolation  = 2 * time.Second
 )
 
-// rebirths uses its own random source, like growth.
-func rebirths(seed uint64, end time.Duration) []Fault {
+// renames uses its own random source, like growth.
+func renames(seed uint64, end time.Duration) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 14))
 	var plan []Fault
-	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanRebirthGap)) {
+	for at := faultFreeStart; at < end; at += time.Duration(rnd.ExpFloat64() * float64(meanRenameGap)) {
 		f := Fault{At: at, Kind: EndpointRename, Target: rnd.IntN(1 << 16)}
 		if rnd.IntN(3) == 0 {
 			f.Kind = OddEntry
@@ -48,7 +48,7 @@
 	}
 	for at := faultFreeStart + longestReturn; at < end; at += longestReturn + time.Duration(rnd.ExpFloat64()*float64(meanJoinGap-longestReturn)) {
 		f := Fault{At: at, Kind: VersionJoins, Target: rnd.IntN(1 << 16)}
-		f.Duration = min(shortestOutOfStep+randomDuration(rnd, longestOutOfStep-shortestOutOfStep), end-at)
+		f.Duration = min(shortestIsolation+randomDuration(rnd, longestIsolation-shortestIsolation), end-at)
 		plan = append(plan, f)
 	}
 	return append(plan, failures(EndpointRefusing, rnd, end)...)
@@ -56,16 +56,16 @@
 
 // daemonArgs returns the arguments of the routers' program.
 func daemonArgs(seed uint64) []string {
-	if HasRebirths(seed) {
+	if HasRenames(seed) {
 		return []string{"direct", "--longest-return", longestReturn.String()}
 	}
 	return []string{"direct"}
 }
 
-// seedsOf returns the seeds of the router with the given number. In runs with rebirths the last one and the
+// seedsOf returns the seeds of the router with the given number. In runs with renames the last one and the
 // others don't know each other, so that it learns of nothing from them.
 func (r *run) seedsOf(number int, control string, seeds []string) []string {
-	if !HasRebirths(r.opts.Seed) || r.opts.Routers < 2 {
+	if !HasRenames(r.opts.Seed) || r.opts.Routers < 2 {
 		return seeds
 	}
 	if number == r.opts.Routers-1 {
@@ -96,11 +96,11 @@
 // joinVersion has two endpoints of a new version join while the last router can't reach the store, and ends them
 // with the streams that they run.
 func (r *run) joinVersion(ctx context.Context, f Fault) {
-	outOfStep := r.routers[len(r.routers)-1]
+	isolated := r.routers[len(r.routers)-1]
 	version := fmt.Sprintf("joined-%d", f.Target)
-	r.recordRouterFault(outOfStep, func() {
+	r.recordRouterFault(isolated, func() {
 		until := time.Now().Add(f.Duration)
-		outOfStep.storeProxy.SetFault(NetFaultSilence)
+		isolated.storeProxy.SetFault(NetFaultSilence)
 		var joined []*endpointProc
 		for i := range domainCount {
 			e, err := r.newEndpoint(ctx, "model", domainOf(i), version)
@@ -117,7 +117,7 @@
 			e.process.End()
 		}
 		sleepUntil(ctx, until)
-		outOfStep.storeProxy.SetFault(NetFaultNone)
+		isolated.storeProxy.SetFault(NetFaultNone)
 		sleepUntil(ctx, until.Add(listTimeout))
 		for _, e := range joined {
 			r.wire.Unlist(e.endpoint.Name)
--- a/internal/soak/start.go
+++ b/internal/soak/start.go
@@ -178,7 +178,7 @@
 	go proxy.Run(ctx)
 	e := &endpointProc{proxy: proxy, listenAddr: free[0], endpoint: Endpoint{
 		Service: service, FailureDomain: domain, Address: proxy.Address(),
-		ClosingShare: closingShareOf(r.opts.Seed), RepeatsRefusals: HasRebirths(r.opts.Seed),
+		ClosingShare: closingShareOf(r.opts.Seed), RepeatsRefusals: HasRenames(r.opts.Seed),
 	}}
 	r.nameEndpoint(e, version)
 	return e, r.runEndpoint(ctx, e)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -11,7 +11,7 @@
 
 // callersResume reports whether callers resume streams at other routers in the runs of a seed.
 func callersResume(seed uint64) bool {
-	return HasVersions(seed) || HasDisorder(seed) || HasRebirths(seed)
+	return HasVersions(seed) || HasDisorder(seed) || HasRenames(seed)
 }
 
 const (
@@ -62,9 +62,9 @@
 }
 
 // nextRouter returns the router to which a caller comes back with a stream that broke off at the given one: the
-// next, or in runs with rebirths the one that is out of step at times.
+// next, or in runs with renames the one that is isolated at times.
 func (r *run) nextRouter(at int) int {
-	if HasRebirths(r.opts.Seed) {
+	if HasRenames(r.opts.Seed) {
 		return len(r.routers) - 1
 	}
 	return (at + 1) % len(r.routers)
