--- a/internal/balance/failures.go
+++ b/internal/balance/failures.go
@@ -154,7 +154,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	st, known := sh.states[endpoint]
-	return known && st.losesAnswers(now)
+	return known && (st.lostAnswer(now) || now.Sub(st.peersLostAnswerAt) <= failureWindow)
 }
 
 const (
@@ -169,27 +169,17 @@
 func (p *Pool) ManyLoseAnswers(now time.Time, endpoints []*bundle.Endpoint) bool {
 	losing, serving := 0, 0
 	for _, e := range endpoints {
-		if p.InService(e.Name) {
-			serving++
-			losing += count(p.LosesAnswers(now, e.Name))
+		if !p.InService(e.Name) {
+			continue
+		}
+		serving++
+		if p.LosesAnswers(now, e.Name) {
+			losing++
 		}
 	}
 	return losing >= minLosing && float64(losing) >= minLosingShare*float64(serving)
 }
 
-func count(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// losesAnswers reports whether a request got no answer within the failure window, at this router or at one
-// that has reported it.
-func (st *state) losesAnswers(now time.Time) bool {
-	return st.lostAnswer(now) || now.Sub(st.peersLostAnswerAt) <= failureWindow
-}
-
 // lostAnswer reports whether a request of this router got no answer within the failure window.
 func (st *state) lostAnswer(now time.Time) bool { return now.Sub(st.lostAnswerAt) <= failureWindow }
 
--- a/internal/filters/attempts/copies.go
+++ b/internal/filters/attempts/copies.go
@@ -49,13 +49,15 @@
 // that are draining or evacuated get no resumed streams. That a copy isn't there only its endpoint can say;
 // one that loses answers may have begun the request anew instead, which must not run twice.
 func (f *Filter) mayHoldCopy(r *request.Request, e *bundle.Endpoint) bool {
-	switch now := time.Now(); {
-	case f.copyHolders == nil:
+	if f.copyHolders == nil {
 		return true
-	case !f.copyHolders.AcceptsWork(now, e.Name):
+	}
+	now := time.Now()
+	if !f.copyHolders.AcceptsWork(now, e.Name) {
 		return false
-	case r.NonIdempotent:
-		return !f.copyHolders.LosesAnswers(now, e.Name) && !f.copyHolders.ManyLoseAnswers(now, r.Candidates)
 	}
-	return true
+	if !r.NonIdempotent {
+		return true
+	}
+	return !f.copyHolders.LosesAnswers(now, e.Name) && !f.copyHolders.ManyLoseAnswers(now, r.Candidates)
 }
