End a router's fault in the soak with its isolation, and start joining versions in one step

Cause: the span of the fault ran on until the joined entries were unlisted, 3 s longer than the router was cut off, which exempted its requests from some checks for that time. Now it ends with the cut, so that the checks are stricter.

--- a/internal/soak/renames.go
+++ b/internal/soak/renames.go
@@ -93,34 +93,41 @@
 	r.wire.Unlist(old.endpoint.Name)
 }
 
-// joinVersion has two endpoints of a new version join while the last router can't reach the store, and ends them
-// with the streams that they run.
+// joinVersion has endpoints of a new version join while the last router can't reach the store, and ends them with
+// the streams that they run.
 func (r *run) joinVersion(ctx context.Context, f Fault) {
 	isolated := r.routers[len(r.routers)-1]
-	version := fmt.Sprintf("joined-%d", f.Target)
+	var joined []*endpointProc
 	r.recordRouterFault(isolated, func() {
 		until := time.Now().Add(f.Duration)
 		isolated.storeProxy.SetFault(NetFaultSilence)
-		var joined []*endpointProc
-		for i := range domainCount {
-			e, err := r.newEndpoint(ctx, "model", domainOf(i), version)
-			if err != nil {
-				fmt.Fprintln(r.opts.Progress, err)
-				continue
-			}
-			r.beginEndpointFault(e, time.Now())
-			r.wire.List(e.endpoint)
-			joined = append(joined, e)
-		}
+		joined = r.startVersion(ctx, fmt.Sprintf("joined-%d", f.Target))
 		sleepUntil(ctx, until.Add(-f.Duration/3))
 		for _, e := range joined {
 			e.process.End()
 		}
 		sleepUntil(ctx, until)
 		isolated.storeProxy.SetFault(NetFaultNone)
-		sleepUntil(ctx, until.Add(listTimeout))
-		for _, e := range joined {
-			r.wire.Unlist(e.endpoint.Name)
-		}
 	})
+	sleepUntil(ctx, time.Now().Add(listTimeout))
+	for _, e := range joined {
+		r.wire.Unlist(e.endpoint.Name)
+	}
+}
+
+// startVersion starts and lists an endpoint of a version in each failure domain. They end soon, so that they
+// count as faulty from the start.
+func (r *run) startVersion(ctx context.Context, version string) []*endpointProc {
+	var started []*endpointProc
+	for _, domain := range allDomains() {
+		e, err := r.newEndpoint(ctx, "model", domain, version)
+		if err != nil {
+			fmt.Fprintln(r.opts.Progress, err)
+			continue
+		}
+		r.beginEndpointFault(e, time.Now())
+		r.wire.List(e.endpoint)
+		started = append(started, e)
+	}
+	return started
 }
