Take an answer without a final status for a failed attempt

What callers saw: no answer at all, their connection closed, where an endpoint answered with status 000 (or 099, +20, -00); 101, 600 and 999 came through as answers. No other endpoint was tried.

Cause: net/http reads any three characters that are a number. The router took the answer for one, and wrote its status to the caller, which panics below 100. The panic passed dispatch by, so that the endpoint's outstanding work was never given back, the failure wasn't counted and the request had no line.

Change: the HTTP/1 clients return an error of their own type for a status outside of 200 to 599. Routers without agents, agents, health checks and the questions over new connections get it from there, before anything of the answer is used, so that it counts as any other broken attempt: another endpoint where that is safe, else a 502. HTTP has no other final statuses, and no upgrade is asked for. Routers check what agents of older software pass on (a service's status, a refusal).

A test asserted the type of a client's transport; it now sends two requests and expects two connections, which is what the type stood for.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -12,6 +12,7 @@
 
 	"coveferry/internal/api"
 	"coveferry/internal/completion"
+	"coveferry/internal/server"
 	"coveferry/internal/wire"
 )
 
@@ -145,7 +146,12 @@
 	if cause := context.Cause(ctx); cause != nil {
 		return run, cause
 	}
-	return run, &engineError{Reason: reason, Cause: err}
+	failure := &engineError{Reason: reason, Cause: err}
+	var malformed *server.MalformedHeadError
+	if errors.As(err, &malformed) {
+		failure.Status = http.StatusBadGateway // the engine answered, so the request didn't end it
+	}
+	return run, failure
 }
 
 // statusError converts an engine's error response. In the completions protocol
--- a/internal/daemon/directalive_test.go
+++ b/internal/daemon/directalive_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -31,6 +33,18 @@
 	return d.updater
 }
 
+// reusesConnection reports whether a client sends a request over a connection that it has.
+func reusesConnection(t *testing.T, client *http.Client, url string) (reused bool) {
+	g := NewWithT(t)
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, url, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := client.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	return reused
+}
+
 // Guards against taking an answer that a process sent before it ended for a sign that it is alive.
 func TestProcessIsAskedOverANewConnectionWhetherItIsAlive(t *testing.T) {
 	g := NewWithT(t)
@@ -43,7 +57,11 @@
 	}
 	entry, _ := l.d.follower.Directory().Entry("e")
 	g.Expect(l.processAlive(t.Context(), &entry.Endpoint)).To(BeTrue())
-	g.Expect(used.Transport.(*http.Transport).DisableKeepAlives).To(BeTrue())
+	peer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer peer.Close()
+	for range 2 {
+		g.Expect(reusesConnection(t, used, peer.URL)).To(BeFalse())
+	}
 }
 
 // An evacuated failure domain must get nothing, so it can't be asked whether an answer is whole.
--- a/internal/filters/dispatch/dispatch.go
+++ b/internal/filters/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"coveferry/internal/load"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
+	"coveferry/internal/server"
 	"coveferry/internal/wire"
 )
 
@@ -221,6 +222,10 @@
 	if err := json.NewDecoder(body).Decode(&refusal); err != nil {
 		return &NoResponseError{Sent: true, Cause: errors.Wrapf(err, "refusal with status %d", resp.StatusCode)}
 	}
+	if refusal.Reason == wire.ReasonEngineRefused && !server.IsFinalStatus(refusal.EngineStatus) {
+		// Agents of older software take any status below 500 for a refusal.
+		refusal = wire.Refusal{Reason: wire.ReasonEngineFailed, Run: wire.RunUnknown, EngineStatus: http.StatusBadGateway}
+	}
 	return &RefusedError{Refusal: refusal}
 }
 
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -16,6 +16,7 @@
 	"coveferry/internal/eventstream"
 	"coveferry/internal/pipeline"
 	"coveferry/internal/request"
+	"coveferry/internal/server"
 	"coveferry/internal/sse"
 	"coveferry/internal/wire"
 )
@@ -215,6 +216,9 @@
 	if err := wire.Decode(r.Answer.Header, wire.HeaderStatus, &status); err != nil {
 		return newBrokenError(r, err)
 	}
+	if !server.IsFinalStatus(status) {
+		return newBrokenError(r, errors.Newf("the service answered with status %03d", status))
+	}
 	h := r.Writer.Header()
 	h.Set("Content-Type", r.Answer.Header.Get("Content-Type"))
 	h.Set(api.HeaderRequestID, r.ID)
--- a/internal/filters/relay/relay_test.go
+++ b/internal/filters/relay/relay_test.go
@@ -129,3 +129,18 @@
 		}
 	})
 }
+
+// Guards against a panic over a status that is none, which leaves the caller without an answer.
+func TestServiceAnswerWithoutAFinalStatusIsNotRelayed(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600} {
+		g := NewWithT(t)
+		w := httptest.NewRecorder()
+		answer := &http.Response{Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}
+		g.Expect(wire.Encode(answer.Header, wire.HeaderStatus, status)).To(Succeed())
+		r := &request.Request{Kind: wire.KindService, Writer: w, Answer: answer}
+		err := relay.Filter{}.Do(context.Background(), r, nil)
+		var broken *relay.BrokenError
+		g.Expect(err).To(BeAssignableToTypeOf(broken))
+		g.Expect(r.Delivered.Started).To(BeFalse())
+	}
+}
--- /dev/null
+++ b/internal/server/answerhead.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// MalformedHeadError is the error of a request whose answer has a head that isn't valid in HTTP/1.1, though
+// net/http reads it. Nothing that such an answer says can be relied on.
+type MalformedHeadError struct {
+	// Reason says what isn't valid.
+	Reason string
+}
+
+// Error implements error.
+func (e *MalformedHeadError) Error() string {
+	return "server: malformed head of an answer: " + e.Reason
+}
+
+// The final statuses of HTTP, of which no answer can have another one.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// IsFinalStatus reports whether an answer may have a status: it is neither that of an interim answer nor
+// outside of those that HTTP defines. Upgrades of connections, 101, aren't requested.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
+// checkHead returns a *MalformedHeadError unless the head of an answer over HTTP/1 is valid.
+func checkHead(resp *http.Response) error {
+	if !IsFinalStatus(resp.StatusCode) {
+		return &MalformedHeadError{Reason: fmt.Sprintf("status %03d", resp.StatusCode)}
+	}
+	return nil
+}
+
+// checkAnswer returns an answer that came over a connection, unless its head is malformed. The connection is then
+// closed, since it is uncertain where the answer ends.
+func checkAnswer(resp *http.Response, conn net.Conn) (*http.Response, error) {
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close()
+		_ = conn.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// strictTransport is an http.Transport over HTTP/1 that rejects answers with malformed heads.
+type strictTransport struct{ *http.Transport }
+
+// NewStrictTransport returns a transport over HTTP/1 that rejects answers with malformed heads; the error is a
+// *MalformedHeadError. The clients of NewDirectClient, NewOneShotClient, and of NewClient without TLS have one.
+func NewStrictTransport(t *http.Transport) http.RoundTripper { return strictTransport{t} }
+
+// RoundTrip implements http.RoundTripper.
+func (t strictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	return checkAnswer(resp, conn)
+}
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -101,7 +101,7 @@
 	t.DisableKeepAlives = true
 	t.HTTP2 = nil
 	t.DialContext = dialClientConns((&net.Dialer{Timeout: connectTimeout}).DialContext)
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: NewStrictTransport(t)}
 }
 
 // TCP returns a dial function for TCP.
--- a/internal/server/once.go
+++ b/internal/server/once.go
@@ -73,7 +73,7 @@
 		resp, err := transport.RoundTrip(withoutRetry(req, &used))
 		switch {
 		case err == nil:
-			return resp, nil
+			return checkAnswer(resp, used.conn)
 		case used.conn != nil && (used.hasWritten() || req.Context().Err() != nil):
 			return nil, err
 		}
