Reject answers with an invalid field name wherever they are read

What callers saw: an answer whose head holds a line such as "X Trouble: 1" came through without that line; with "Content-Length : 5" or "Transfer-Encoding : chunked" its body was read as if the line weren't there, to the end of the connection, and passed on as the endpoint's.

Cause: net/http lets a field name with a blank through when it reads a head, as a field of another name, and leaves it out when it writes one.

Nothing of such a head is used: a refusal in it promises nothing. The connection is closed, since it is uncertain where the answer ends.

--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -55,3 +55,9 @@
 		t.Run(status, func(t *testing.T) { expectEngineFailed(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nok") })
 	}
 }
+
+func TestServiceAnswerWithABlankInTheNameOfAFieldIsAFailure(t *testing.T) {
+	for _, line := range []string{"X Trouble: 1", "Content-Length : 2", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) { expectEngineFailed(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nok") })
+	}
+}
--- a/internal/rollout/source.go
+++ b/internal/rollout/source.go
@@ -13,6 +13,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/control"
+	"coveferry/internal/server"
 )
 
 // Keys of the configuration service under which bundles are published.
@@ -72,10 +73,10 @@
 func NewServiceClient(base *url.URL, dial control.Dial) *ServiceClient {
 	return &ServiceClient{
 		url: base.JoinPath(pathValues).String(),
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: server.NewStrictTransport(&http.Transport{
 			DialContext: dial, TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12},
 			TLSHandshakeTimeout: readTimeout, IdleConnTimeout: watchTimeout,
-		}},
+		})},
 	}
 }
 
--- a/internal/router/routed_malformed_test.go
+++ b/internal/router/routed_malformed_test.go
@@ -68,6 +68,49 @@
 	}
 }
 
+// Guards against an answer whose body was read as if one of its lines weren't there.
+func TestAnswerWithABlankInTheNameOfAFieldIsNotPassedOn(t *testing.T) {
+	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", "Content Encoding: gzip", "Content-Length : 5", "Transfer-Encoding : chunked", "Not-Run : 1"} {
+		testMalformed(t, line, "HTTP/1.1 200 OK", line)
+		testMalformed(t, "500 "+line, "HTTP/1.1 500 X", line)
+	}
+}
+
+func TestAnswerWithAnInvalidFieldIsNotPassedOn(t *testing.T) {
+	for _, line := range []string{
+		"X\tTrouble: 1", "X-Trouble\t: 1", "X\x01Trouble: 1", "X\x00Trouble: 1", "X\x7fTrouble: 1", "X\rTrouble: 1", "X\xfcTrouble: 1",
+		": 1", "X-Trouble", "X-Trouble: \x01", "X-Trouble: \x00", "Content-Length: 5",
+	} {
+		testMalformed(t, fmt.Sprintf("%q", line), "HTTP/1.1 200 OK", line)
+	}
+}
+
+// Guards against what a head that is none promises or says of its endpoint.
+func TestRefusalWithABlankInTheNameOfAFieldPromisesNothing(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = func(_ string, req *http.Request, conn net.Conn) {
+			writeAnswer(conn, 503, "Id: "+req.Header.Get("Id")+"\r\nNot-Run: 1\r\nLeaving: 1\r\nX Trouble: 1\r\n", "")
+		}
+		for run := range 3 { // each endpoint is still used
+			g.Expect(call(g, client, "POST", "/once/", "x").status).To(Equal(502))
+			g.Expect(w.receivedCount()).To(Equal(run + 1))
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
+func TestFoldedValueIsPassedOnInOneLine(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = func(_ string, req *http.Request, conn net.Conn) {
+			writeAnswer(conn, 200, "Id: "+req.Header.Get("Id")+"\r\nSigned: x\r\nX-Long: a\r\n  b\r\n", "fine")
+		}
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(got.header.Get("X-Long")).To(Equal("a b"))
+		g.Expect(got.body).To(Equal("fine"))
+	})
+}
+
 // Guards against a share of an endpoint's room that is lost with each answer that is none.
 func TestEndpointGetsAsManyRequestsAfterAnswersWithoutAFinalStatus(t *testing.T) {
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
--- a/internal/server/answerhead.go
+++ b/internal/server/answerhead.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedHeadError is the error of a request whose answer has a head that isn't valid in HTTP/1.1, though
@@ -25,6 +27,9 @@
 	maxFinalStatus = 599
 )
 
+// maxQuotedName is how many bytes of a field name an error quotes.
+const maxQuotedName = 64
+
 // IsFinalStatus reports whether an answer may have a status: it is neither that of an interim answer nor
 // outside of those that HTTP defines. Upgrades of connections, 101, aren't requested.
 func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
@@ -34,6 +39,12 @@
 	if !IsFinalStatus(resp.StatusCode) {
 		return &MalformedHeadError{Reason: fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
+	for name := range resp.Header {
+		// net/http reads a name with a blank as one of its own, so that "Content-Length : 5" is no length.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedHeadError{Reason: fmt.Sprintf("field name %q", name[:min(len(name), maxQuotedName)])}
+		}
+	}
 	return nil
 }
 
--- a/internal/server/answerhead_test.go
+++ b/internal/server/answerhead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -70,3 +71,28 @@
 		}
 	}
 }
+
+func TestAnswerWithABlankInTheNameOfAFieldIsAnError(t *testing.T) {
+	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) { expectMalformed(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n") })
+	}
+}
+
+// Guards against the rest of a malformed answer that is read as the answer to the next request.
+func TestConnectionOfAMalformedAnswerIsNotUsedAgain(t *testing.T) {
+	for name, client := range clientsByName() {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			url := startRawPeer(t, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\nContent-Length: 0\r\n\r\n")
+			for range 10 {
+				reused := true
+				trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }}
+				req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, url, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = client.Do(req)
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(reused).To(BeFalse())
+			}
+		})
+	}
+}
