Reject answers of another major version than the connection's

What callers saw: "HTTP/2.0 200 OK" as the status line of an answer on a connection of HTTP/1 came through as a success.

Cause: net/http reads a status line of any major version. Heads of HTTP/1 have the major version 1 (RFC 9112, 2.3), and those of later versions have another form. An endpoint that writes this doesn't speak the protocol of the connection, so that its framing can't be relied on either.

Change: the check of heads of answers rejects it, as it does other malformed heads. Minor versions are taken as before.

--- a/internal/router/routed_malformed_test.go
+++ b/internal/router/routed_malformed_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// Guards against an answer of another protocol than the connection's.
+func TestAnswerOfAnotherMajorVersionIsNotPassedOn(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"} {
+		testMalformed(t, version, version+" 200 OK", "")
+	}
+}
+
 // Guards against an answer whose body was read as if one of its lines weren't there.
 func TestAnswerWithABlankInTheNameOfAFieldIsNotPassedOn(t *testing.T) {
 	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", "Content Encoding: gzip", "Content-Length : 5", "Transfer-Encoding : chunked", "Not-Run : 1"} {
--- a/internal/server/answerhead.go
+++ b/internal/server/answerhead.go
@@ -21,21 +21,26 @@
 	return "server: malformed head of an answer: " + e.Reason
 }
 
-// The final statuses of HTTP, of which no answer can have another one.
+// The final statuses that HTTP defines. 101 isn't among them, as no upgrade is requested.
 const (
 	minFinalStatus = 200
 	maxFinalStatus = 599
 )
 
+// majorVersion is that of all heads over HTTP/1.
+const majorVersion = 1
+
 // maxQuotedName is how many bytes of a field name an error quotes.
 const maxQuotedName = 64
 
-// IsFinalStatus reports whether an answer may have a status: it is neither that of an interim answer nor
-// outside of those that HTTP defines. Upgrades of connections, 101, aren't requested.
+// IsFinalStatus reports whether a status can be that of an answer, rather than of an interim answer or of none.
 func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
 
 // checkHead returns a *MalformedHeadError unless the head of an answer over HTTP/1 is valid.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != majorVersion {
+		return &MalformedHeadError{Reason: "protocol " + resp.Proto}
+	}
 	if !IsFinalStatus(resp.StatusCode) {
 		return &MalformedHeadError{Reason: fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
--- a/internal/server/answerhead_test.go
+++ b/internal/server/answerhead_test.go
@@ -58,6 +58,12 @@
 	}
 }
 
+func TestAnswerOfAnotherMajorVersionIsAnError(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0"} {
+		t.Run(version, func(t *testing.T) { expectMalformed(t, version+" 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	}
+}
+
 func TestAnswerWithAFinalStatusIsReturned(t *testing.T) {
 	for _, status := range []string{"200 OK", "200", "204 No Content", "299 X", "304 X", "404 X", "500 X", "599 X"} {
 		for name, client := range clientsByName() {
