Read heads of answers of the store and of the configuration service to a bound

Report: bytes without end in a head were kept by the machine that had called, until it ran out of memory. Endpoints' heads have a bound of 32 KB; the clients of the store and of the configuration service had the library's, 10 MB for each call.

Change: the transport that they share bounds heads as the other clients do. Bodies of both had bounds already.

Evidence: go test ./platform -run HeadOfTheStores: 10.5 to 10.7 MB were taken of heads without a status line, with lines, a value or interim answers without end; under .5 MB now.

--- a/internal/server/answerhead.go
+++ b/internal/server/answerhead.go
@@ -67,9 +67,12 @@
 // strictTransport is an http.Transport over HTTP/1 that rejects answers with malformed heads.
 type strictTransport struct{ *http.Transport }
 
-// NewStrictTransport returns a transport over HTTP/1 that rejects answers with malformed heads; the error is a
-// *MalformedHeadError. The clients of NewDirectClient, NewOneShotClient, and of NewClient without TLS have one.
-func NewStrictTransport(t *http.Transport) http.RoundTripper { return strictTransport{t} }
+// NewStrictTransport returns a transport over HTTP/1, with the settings of t, that reads heads of answers up to
+// MaxResponseHeaderBytes and rejects malformed ones; the error is then a *MalformedHeadError.
+func NewStrictTransport(t *http.Transport) http.RoundTripper {
+	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
+	return strictTransport{t}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t strictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
