Refuse requests that come in the grace period of a stop, also before agents

Report: in a planned stop in calm, requests that came late in the grace were taken, passed on and cut at its end.

Cause: routers before agents announced the close of their connections and waited for what was open. A connection that was idle all the while stayed open as long as any answer was under way, and what came on it was sent on to an agent until the end, where it was aborted. Routers without agents refuse new requests then.

Change: one function carries out the planned stop of both, and of fleets in tests: announce, refuse as not run from the end of the drain on, abort near the end.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -343,11 +343,7 @@
 func (d *directRouter) stop() error {
 	d.log.Info().Msg("stopping: reporting not ready and finishing open requests")
 	d.ready.Close(gateServing)
-	plan := stopPlan(d.bounds.Load().StopWithin)
-	return plan.Run(d.router.CloseCallerConnections, d.router.AbortOpenRequests, func() error {
-		d.router.RefuseNewRequests()
-		return d.callers.StopWithin(plan.Grace)
-	})
+	return d.router.Stop(stopPlan(d.bounds.Load().StopWithin), d.callers.StopWithin)
 }
 
 // addLoop adds an actor that runs until the group ends. It does the same as addRunner.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -76,8 +76,7 @@
 	addServer(&g, callers, func() error {
 		log.Info().Stringer("balancer_grace", s.Shutdown.BalancerGrace.Std()).Msg("stopping")
 		ready.Close(gateServing)
-		plan := routerPlan(s.Shutdown)
-		return plan.Run(rt.CloseCallerConnections, rt.AbortOpenRequests, func() error { return callers.StopWithin(plan.Grace) })
+		return rt.Stop(routerPlan(s.Shutdown), callers.StopWithin)
 	}, &stopErr)
 	addServer(&g, admin, admin.Stop, &stopErr)
 	addMembers(&g, s, components, controlServer, id, log)
--- a/internal/fleet/nodes.go
+++ b/internal/fleet/nodes.go
@@ -80,7 +80,7 @@
 }
 
 func (n *RouterNode) stopBy(p server.ShutdownPlan) error {
-	err := p.Run(n.Router.CloseCallerConnections, n.Router.AbortOpenRequests, func() error { return n.server.StopWithin(p.Grace) })
+	err := n.Router.Stop(p, n.server.StopWithin)
 	n.limits.stop()
 	err = errors.CombineErrors(err, n.member.stop())
 	n.client.CloseIdleConnections()
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"coveferry/internal/api"
+	"coveferry/internal/server"
 	"coveferry/internal/wire"
 )
 
@@ -28,6 +30,15 @@
 	return &drain{abortCtx: ctx, abort: cancel}
 }
 
+// Stop carries out a planned stop by the plan. closeServer closes the listener for callers and waits at most so
+// long for the open requests; its error is returned.
+func (rt *Router) Stop(plan server.ShutdownPlan, closeServer func(grace time.Duration) error) error {
+	return plan.Run(rt.CloseCallerConnections, rt.AbortOpenRequests, func() error {
+		rt.RefuseNewRequests()
+		return closeServer(plan.Grace)
+	})
+}
+
 // CloseCallerConnections closes each caller connection after its next answer. The load balancer
 // then opens new ones to other routers, and no idle connection is left when the router stops: a
 // request sent on an idle connection while it closes would be lost.
--- /dev/null
+++ b/internal/router/stop_test.go
@@ -0,0 +1,45 @@
+package router_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"coveferry/internal/router"
+	"coveferry/internal/server"
+)
+
+// testStopPlan is a planned stop of 11 s.
+var testStopPlan = server.ShutdownPlan{DrainTime: time.Second, Grace: 10 * time.Second, HandoverMargin: time.Second}
+
+// stopSlowly begins a planned stop whose open requests take all of the time.
+func stopSlowly(rt *router.Router) {
+	go func() {
+		_ = rt.Stop(testStopPlan, func(grace time.Duration) error {
+			time.Sleep(grace)
+			return nil
+		})
+	}()
+}
+
+// Guards against requests on kept connections that are sent on in the grace period and then cut.
+func TestRequestsThatComeInTheGracePeriodOfAStopAreRefused(t *testing.T) {
+	serve(t, nil, func(g *WithT, rt *router.Router, client *http.Client) {
+		ask := func() string {
+			return send(g, client, http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m","prompt":"x"}`)).Error.Code
+		}
+		stopSlowly(rt)
+		time.Sleep(testStopPlan.DrainTime / 2)
+		g.Expect(ask()).To(Equal("endpoint_lost"), "it is sent on")
+		for range 9 {
+			time.Sleep(time.Second)
+			began := time.Now()
+			g.Expect(ask()).To(Equal("router_stopping"))
+			g.Expect(time.Since(began)).To(BeZero(), "it isn't sent on")
+		}
+		time.Sleep(testStopPlan.Grace)
+	})
+}
