Refuse what was not sent on by half of a stop's grace period

Report: in a planned stop in calm, requests that came late in the grace were taken, passed on and cut at its end, among them requests that may not be repeated.

Cause: whether a request is new was asked when its head came. One whose body took longer was sent on whenever the body was complete, also right before open requests are aborted and, since cancelling takes a moment, right after. Requests that wait for capacity could be sent as late. What was still being uploaded at the end got no answer.

Change: from half of the grace period on, requests that no endpoint has got yet are refused as not run: at once while their bodies arrive or while they wait, so that their callers can go elsewhere. Half of it is left to the last ones that are sent, which serves those whose bodies come early in the stop. Answers of errors announce the close of the connection if the stop began meanwhile, as the server else reads the rest of the body first. What was sent on before is finished or aborted as before.

A test of the wait filter passed a function that says whether the router stops; it now closes a channel, and a new one expects the refusals without another event.

--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,10 +75,14 @@
 // Guards against requests that are sent at a stop, get no answer until their contexts end, or are
 // answered as if they may have run.
 func TestEachWaitingRequestIsAnsweredAtAStop(t *testing.T) {
-	var stopping atomic.Bool
-	inSingleRouter(t, func(c *wait.Config) { c.Stopping = stopping.Load }, func(g *WithT, s *singleRouter) {
+	var stopping chan struct{}
+	withStop := func(c *wait.Config) {
+		stopping = make(chan struct{})
+		c.Stopping = stopping
+	}
+	inSingleRouter(t, withStop, func(g *WithT, s *singleRouter) {
 		s.startAll(places+bound, "/b/")
-		stopping.Store(true)
+		close(stopping)
 		s.end(1, nil)
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
@@ -94,11 +97,30 @@
 		}
 		g.Expect(stopped).To(Equal(bound))
 		s.start(context.Background(), s.request("/b/", time.Minute))
-		stopping.Store(false)
 		g.Expect(s.entered).To(HaveLen(places+1), "places that were not used are free")
 	})
 }
 
+// Guards against requests that are held on at a stop until something else happens at their service.
+func TestWaitingRequestsAreRefusedAtOnceAtAStop(t *testing.T) {
+	var stopping chan struct{}
+	withStop := func(c *wait.Config) {
+		stopping = make(chan struct{})
+		c.Stopping = stopping
+	}
+	inSingleRouter(t, withStop, func(g *WithT, s *singleRouter) {
+		s.startAll(places+bound, "/b/")
+		close(stopping)
+		synctest.Wait()
+		for _, err := range s.collect(bound) {
+			var refused *wait.RefusedError
+			g.Expect(errors.As(err, &refused)).To(BeTrue())
+			g.Expect(refused.Reason).To(Equal(wait.ReasonStopping))
+		}
+		g.Expect(s.entered).To(HaveLen(places))
+	})
+}
+
 // Guards against an answer that leaves open whether a request ran which was never sent.
 func TestRequestThatWasNeverSentIsAnsweredAsNotRun(t *testing.T) {
 	for _, reason := range []wait.Reason{wait.ReasonLate, wait.ReasonFull, wait.ReasonStopping} {
--- a/internal/filters/wait/service.go
+++ b/internal/filters/wait/service.go
@@ -136,6 +136,8 @@
 	case verdict = <-w.verdict:
 	case <-tooLate.C:
 		verdict = s.withdraw(w)
+	case <-s.filter.cfg.Stopping:
+		verdict = s.withdraw(w)
 	case <-ctx.Done():
 		verdict = s.withdraw(w)
 	}
@@ -159,7 +161,7 @@
 // request is to be sent.
 func (s *service) conclude(ctx context.Context, verdict Reason) (Reason, error) {
 	switch {
-	case s.filter.cfg.Stopping():
+	case s.filter.stopping():
 		return ReasonStopping, nil
 	case errors.Is(ctx.Err(), context.Canceled):
 		return "", ctx.Err()
@@ -216,7 +218,7 @@
 // sendWaiting sends waiting requests while there is room, and refuses all at a stop. s.mu is
 // held.
 func (s *service) sendWaiting(now time.Time) {
-	for s.filter.cfg.Stopping() && s.state.Queue.Len() > 0 {
+	for s.filter.stopping() && s.state.Queue.Len() > 0 {
 		s.state.Queue.Pop().Value.(*waiter).verdict <- ReasonStopping
 	}
 	for {
--- a/internal/filters/wait/wait.go
+++ b/internal/filters/wait/wait.go
@@ -34,9 +34,9 @@
 	// wait relative to the wait at which the request is refused. An error refuses the request
 	// and is returned as it is. nil admits all.
 	Admit func(r *request.Request, pressure float64) error
-	// Stopping reports whether all open requests are being aborted. Waiting requests are refused
-	// then, without waiting for their contexts to end. nil means never.
-	Stopping func() bool
+	// Stopping is closed once nothing may be sent any more. Waiting requests are refused then,
+	// without waiting for their contexts to end. nil means never.
+	Stopping <-chan struct{}
 	// Rand returns random numbers from [0, 1).
 	Rand    func() float64
 	Metrics prometheus.Registerer
@@ -55,14 +55,21 @@
 	if cfg.FleetSize == nil {
 		cfg.FleetSize = func() int { return 1 }
 	}
-	if cfg.Stopping == nil {
-		cfg.Stopping = func() bool { return false }
-	}
 	f := &Filter{cfg: cfg, services: make(map[string]*service)}
 	f.metrics = newMetrics(cfg.Metrics, f)
 	return f
 }
 
+// stopping reports whether nothing may be sent any more.
+func (f *Filter) stopping() bool {
+	select {
+	case <-f.cfg.Stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // Name implements pipeline.Filter.
 func (*Filter) Name() string { return "wait" }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -20,14 +20,19 @@
 type drain struct {
 	closeConns atomic.Bool
 	refuseNew  atomic.Bool
+	// sendCtx is canceled to refuse the requests that were not sent to an endpoint yet.
+	sendCtx     context.Context
+	stopSending context.CancelFunc
 	// abortCtx is canceled to abort the requests that are still open.
 	abortCtx context.Context
 	abort    context.CancelCauseFunc
 }
 
 func newDrain() *drain {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	return &drain{abortCtx: ctx, abort: cancel}
+	d := &drain{}
+	d.sendCtx, d.stopSending = context.WithCancel(context.Background())
+	d.abortCtx, d.abort = context.WithCancelCause(context.Background())
+	return d
 }
 
 // Stop carries out a planned stop by the plan. closeServer closes the listener for callers and waits at most so
@@ -35,6 +40,8 @@
 func (rt *Router) Stop(plan server.ShutdownPlan, closeServer func(grace time.Duration) error) error {
 	return plan.Run(rt.CloseCallerConnections, rt.AbortOpenRequests, func() error {
 		rt.RefuseNewRequests()
+		timer := time.AfterFunc(plan.SendUntil(), rt.RefuseUnsentRequests)
+		defer timer.Stop()
 		return closeServer(plan.Grace)
 	})
 }
@@ -48,7 +55,12 @@
 // (server.ShutdownPlan.Grace) to the open ones.
 func (rt *Router) RefuseNewRequests() { rt.drain.refuseNew.Store(true) }
 
-// stoppingError is returned for requests that arrive after RefuseNewRequests.
+// RefuseUnsentRequests refuses the open requests that were not sent to an endpoint yet, since they may not end
+// before open requests are aborted: those whose bodies still arrive, and those that wait for capacity.
+func (rt *Router) RefuseUnsentRequests() { rt.drain.stopSending() }
+
+// stoppingError is returned for requests that arrive after RefuseNewRequests, or that were not sent until
+// RefuseUnsentRequests.
 type stoppingError struct{}
 
 func (stoppingError) Error() string { return "router: stopping, takes no new requests" }
@@ -63,7 +75,10 @@
 
 // AbortOpenRequests aborts the requests that are still open near the end of
 // server.ShutdownPlan.Grace, with a typed error.
-func (rt *Router) AbortOpenRequests() { rt.drain.abort(errAborted) }
+func (rt *Router) AbortOpenRequests() {
+	rt.drain.stopSending()
+	rt.drain.abort(errAborted)
+}
 
 // withAbort returns a context that is canceled with errAborted when open requests are aborted.
 // The returned function must be called once the request has ended.
--- a/internal/router/routed.go
+++ b/internal/router/routed.go
@@ -120,7 +120,7 @@
 	return wait.New(wait.Config{
 		Pool: rt.cfg.Pool, Endpoints: c.Endpoints, FleetSize: c.FleetSize, Admit: c.AdmitWaiting,
 		CheckBeforeWaiting: quarantined.CheckBeforeWaiting,
-		Stopping:           func() bool { return rt.drain.abortCtx.Err() != nil },
+		Stopping:           rt.drain.sendCtx.Done(),
 		Rand:               rt.cfg.Rand, Metrics: rt.cfg.Metrics,
 	})
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -52,6 +52,7 @@
 	err := rt.receiveAndRun(req, r)
 	rt.record(r, err)
 	if err != nil {
+		rt.announceClose(w) // a stop may have begun since the request came
 		rt.answerError(r, err)
 	}
 }
@@ -70,6 +71,9 @@
 	bodyBudget := &budget{pools: rt.capacity.bodies}
 	defer bodyBudget.release()
 	body, err := rt.receiveBody(req, r, bodyBudget)
+	if rt.drain.sendCtx.Err() != nil {
+		return stoppingError{}
+	}
 	if err != nil {
 		return err
 	}
@@ -201,7 +205,7 @@
 }
 
 // receiveBody reads the request's body subject to BodyTimeout, its size limit and the memory
-// left for bodies. A body whose declared size doesn't fit isn't read.
+// left for bodies. A body whose declared size doesn't fit isn't read. RefuseUnsentRequests ends it.
 func (rt *Router) receiveBody(req *http.Request, r *request.Request, budget *budget) ([]byte, error) {
 	limit := bodyLimit(r)
 	if req.ContentLength > limit {
@@ -214,6 +218,7 @@
 	// Connections in tests may not support deadlines; these are read without one.
 	_ = rc.SetReadDeadline(time.Now().Add(rt.cfg.BodyTimeout))
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	defer context.AfterFunc(rt.drain.sendCtx, func() { _ = rc.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(budget.reader(http.MaxBytesReader(r.Writer, req.Body, limit)))
 	if err != nil {
 		return nil, bodyError(err, limit)
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -43,3 +43,28 @@
 		time.Sleep(testStopPlan.Grace)
 	})
 }
+
+func TestBodyThatArrivesEarlyInAStopIsSentOn(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.table = slowConfig(3, noChange)
+		got := slowCall(g, client, "/once/", "k", func() { stopSlowly(w.router) })
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(w.receivedCount()).To(Equal(1))
+		time.Sleep(testStopPlan.Grace)
+	})
+}
+
+// Guards against requests that are sent on so late in a stop that they are cut, and against callers who go on
+// sending a body in vain.
+func TestBodyThatArrivesLateInAStopIsRefusedAsNotRunAtOnce(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.table = slowConfig(3, noChange)
+		began := time.Now()
+		got := slowCall(g, client, "/once/", "k", w.router.RefuseUnsentRequests)
+		g.Expect(got.status).To(Equal(503))
+		g.Expect(got.body).To(ContainSubstring("router_stopping"))
+		g.Expect(time.Since(began)).To(BeNumerically("<", bodyTransferTime))
+		g.Expect(w.receivedCount()).To(BeZero())
+		time.Sleep(bodyTransferTime)
+	})
+}
--- a/internal/server/plan.go
+++ b/internal/server/plan.go
@@ -22,6 +22,10 @@
 // as late as possible, since requests that end before it need no handover.
 func (p ShutdownPlan) HandoverAt() time.Duration { return p.Grace - min(p.HandoverMargin, p.Grace/2) }
 
+// SendUntil returns the time from the end of DrainTime until which open requests may still be
+// sent on: as much of Grace is left to the last of them.
+func (p ShutdownPlan) SendUntil() time.Duration { return p.Grace / 2 }
+
 // Run executes the plan. drain makes the process refuse new requests, handOver
 // moves or ends the requests that still run, and stop closes the listener and
 // waits at most for Grace.
