Bound what routers and agents keep of an answer of the completions protocol

Report: a faulty replica sent a body without end; the machine that had called it kept all of it and ran out of memory.

Cause: heads, events and plain answers are bounded, but the text of an answer in the completions protocol was kept whole to resume it elsewhere, by the router and by the agent, and once more for a caller who doesn't stream, as long as its engine sent chunks.

Change: up to 1 MB of text is kept for resuming; a longer answer goes on but can't be resumed or preempted any more, like one with part of a tool call. An answer that is collected ends at 8 MB, as one without end. Routers reserve both from the memory that they have for long answers, which bounds their sum.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -36,11 +36,16 @@
 	runCount      int      // number of times it was sent to the engine
 }
 
+// maxKeptText bounds the text of an answer that is kept to resume it, in bytes.
+const maxKeptText = 1 << 20
+
 // progress is the output of the engine so far, from which an answer is resumed
 // after a preemption.
 type progress struct {
-	text   strings.Builder
-	tokens int
+	// text is empty once it is longer than maxKeptText.
+	text    strings.Builder
+	tooLong bool
+	tokens  int
 	// lastChunk is the last chunk with text.
 	lastChunk string
 	// runID is the ID of the answer that the latest run brings; empty before its first chunk with one.
@@ -49,6 +54,21 @@
 	finished bool
 }
 
+// fits reports whether the text is kept with some more.
+func (p *progress) fits(more string) bool {
+	return !p.tooLong && p.text.Len()+len(more) <= maxKeptText
+}
+
+// add adds the text of a chunk.
+func (p *progress) add(text string) {
+	if p.fits(text) {
+		p.text.WriteString(text)
+		return
+	}
+	p.tooLong = true
+	p.text.Reset()
+}
+
 // continues reports whether a chunk with an answer's ID is one of the run's answer.
 func (p *progress) continues(id string) bool {
 	if p.runID == "" {
@@ -234,16 +254,17 @@
 	if !a.progress.continues(chunk.ID) {
 		return errors.Mark(errors.Newf("a chunk of answer %s comes in answer %s", chunk.ID, a.progress.runID), errCutOff)
 	}
-	// No engine can resume from anything but text, so the job can no longer
-	// be preempted or moved.
-	if chunk.NonText && !ag.queue.pin(job) {
+	// No engine can resume from anything but text that is kept, so the job can
+	// no longer be preempted or moved.
+	resumable := !chunk.NonText && a.progress.fits(chunk.Text)
+	if !resumable && !ag.queue.pin(job) {
 		return errPreempted
 	}
 	a.progress.finished = a.progress.finished || chunk.Completed()
 	if chunk.Text == "" && !chunk.NonText {
 		return nil
 	}
-	a.progress.text.WriteString(chunk.Text)
+	a.progress.add(chunk.Text)
 	a.progress.lastChunk = event.Data
 	a.progress.tokens++
 	ag.queue.chargeTokens(job, 1)
--- a/internal/completion/collector.go
+++ b/internal/completion/collector.go
@@ -18,8 +18,15 @@
 	text              strings.Builder
 	toolCalls         []openai.ToolCall
 	usage             openai.Usage
+	toolBytes         int // in toolCalls
 }
 
+// toolCallBytes is the memory of a tool call besides its texts.
+const toolCallBytes = 128
+
+// Size returns about how many bytes the collector holds.
+func (c *Collector) Size() int { return c.text.Len() + c.toolBytes }
+
 // Add appends one chunk. Its error is marked ErrMalformed.
 func (c *Collector) Add(kind wire.Kind, data string) error {
 	if kind == wire.KindCompletion {
@@ -73,6 +80,7 @@
 		call := c.toolCall(part)
 		call.Function.Name += part.Function.Name
 		call.Function.Arguments += part.Function.Arguments
+		c.toolBytes += len(part.Function.Name) + len(part.Function.Arguments)
 	}
 }
 
@@ -84,6 +92,7 @@
 	if index < 0 || index >= len(c.toolCalls) {
 		c.toolCalls = append(c.toolCalls, openai.ToolCall{ID: part.ID, Type: part.Type})
 		index = len(c.toolCalls) - 1
+		c.toolBytes += toolCallBytes + len(part.ID)
 	}
 	return &c.toolCalls[index]
 }
--- a/internal/filters/relay/relay.go
+++ b/internal/filters/relay/relay.go
@@ -166,6 +166,9 @@
 	if err := to.chunk(data, c); err != nil {
 		return &CallerError{Cause: err}
 	}
+	if err := checkCollected(r); err != nil {
+		return newBrokenError(r, err)
+	}
 	return nil
 }
 
@@ -186,7 +189,7 @@
 	if d.Tokens == 0 {
 		recordFirstToken(r)
 	}
-	d.Text = append(d.Text, text...)
+	keepText(r, text)
 	d.Tokens++
 }
 
--- a/internal/filters/relay/routedstream.go
+++ b/internal/filters/relay/routedstream.go
@@ -70,8 +70,8 @@
 	comments, duplicateBytes int
 }
 
-// errNoMemory is an event too long for the memory that is left.
-var errNoMemory = errors.New("no memory is left for a long event")
+// errNoMemory is an event or a collected answer too long for the memory that is left.
+var errNoMemory = errors.New("no memory is left for a long event or answer")
 
 // add adds what was received, and delivers the complete events that come next.
 func (s *routedStream) add(received []byte) error {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -62,7 +62,7 @@
 		}),
 		endlessAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_endless_answers_total",
-			Help: "Attempts whose answer was given up since a part of it has no end: head, event, comments or repeats.",
+			Help: "Attempts whose answer was given up since a part of it has no end: head, event, comments, repeats or text.",
 		}, []string{"part"}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "coveferry_router_tokens_total",
