Take a malformed answer as a sign that a stream's process runs on

Cause: since answers with malformed heads are errors, the question whether a stream still runs at an endpoint took them for the end of its process. The check that a process that stood still is asked once more was then left out.

Change: such an answer counts as one of the process, as it did when its status was 000.

Evidence: go test ./internal/runend: the two new cases, evidence "gone" without the change, pass.

--- a/internal/runend/runend.go
+++ b/internal/runend/runend.go
@@ -17,6 +17,7 @@
 
 	"coveferry/internal/bundle"
 	"coveferry/internal/clock"
+	"coveferry/internal/server"
 )
 
 // Evidence says how it is known that a request no longer runs at an endpoint, or that the endpoint can't be
@@ -116,6 +117,8 @@
 		return ""
 	case err == nil:
 		return EvidenceAnswered
+	case isMalformed(err):
+		return EvidenceAnswered
 	case errors.Is(err, ErrNotAsked):
 		return EvidenceNotAsked
 	case isDial(err):
@@ -154,6 +157,12 @@
 	return errors.As(err, &failed) && failed.Op == "dial"
 }
 
+// isMalformed reports whether a process answered, though with a head that isn't valid.
+func isMalformed(err error) bool {
+	var malformed *server.MalformedHeadError
+	return errors.As(err, &malformed)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/runend/runend_test.go
+++ b/internal/runend/runend_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"coveferry/internal/bundle"
+	"coveferry/internal/server"
 )
 
 // reply is what an endpoint does with one question.
@@ -54,6 +55,8 @@
 		"answers":                         {[]reply{{}}, EvidenceAnswered, 0},
 		"runs it, then doesn't":           {[]reply{{running: true}, {running: true}, {}}, EvidenceAnswered, 2 * askInterval},
 		"stands still, then answers":      {[]reply{silent, silent, {}, {}}, EvidenceAnswered, 2*(askInterval+answerTimeout) + askInterval},
+		"answers with a malformed head":   {[]reply{{err: &server.MalformedHeadError{}}}, EvidenceAnswered, 0},
+		"stands still, answers malformed": {[]reply{silent, {err: &server.MalformedHeadError{}}, {}}, EvidenceAnswered, 2*askInterval + answerTimeout},
 		"stands still, then begins it":    {[]reply{silent, {}, {running: true}, {}}, EvidenceAnswered, 3*askInterval + answerTimeout},
 		"stands still, then has ended":    {[]reply{silent, {err: dialError(syscall.ECONNREFUSED)}}, EvidenceGone, askInterval + answerTimeout},
 		"refuses connections":             {[]reply{{err: dialError(syscall.ECONNREFUSED)}}, EvidenceGone, 0},
