--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -36,13 +36,11 @@
 	runCount      int      // number of times it was sent to the engine
 }
 
-// maxKeptText bounds the text of an answer that is kept to resume it, in bytes.
-const maxKeptText = 1 << 20
-
 // progress is the output of the engine so far, from which an answer is resumed
 // after a preemption.
 type progress struct {
-	// text is empty once it is longer than maxKeptText.
+	// text is dropped once it would be longer than completion.MaxResumableText;
+	// tooLong is then set.
 	text    strings.Builder
 	tooLong bool
 	tokens  int
@@ -54,9 +52,9 @@
 	finished bool
 }
 
-// fits reports whether the text is kept with some more.
+// fits reports whether the text is still kept with that of another chunk.
 func (p *progress) fits(more string) bool {
-	return !p.tooLong && p.text.Len()+len(more) <= maxKeptText
+	return !p.tooLong && p.text.Len()+len(more) <= completion.MaxResumableText
 }
 
 // add adds the text of a chunk.
--- a/internal/completion/body.go
+++ b/internal/completion/body.go
@@ -25,6 +25,10 @@
 	return body, errors.Wrap(err, "set priority")
 }
 
+// MaxResumableText is the length of a text, in bytes, up to which an answer can be resumed. It bounds the memory
+// that is needed for that.
+const MaxResumableText = 1 << 20
+
 // Continue rewrites a call's body so that an engine resumes the answer after
 // text, the part already delivered to the caller, which has the given number of
 // tokens.
--- a/internal/filters/relay/kept.go
+++ b/internal/filters/relay/kept.go
@@ -1,14 +1,13 @@
 package relay
 
 import (
+	"coveferry/internal/completion"
 	"coveferry/internal/request"
 	"coveferry/internal/upstream"
 )
 
 // Limits on what is kept of an answer in the completions protocol.
 const (
-	// maxResumableBytes is the length of a text up to which another engine can resume it.
-	maxResumableBytes = 1 << 20
 	// maxCollectedBytes limits an answer that is collected for a caller who doesn't stream.
 	maxCollectedBytes = 8 << 20
 	// keptStepBytes is by how much the reservation for an answer grows.
@@ -23,7 +22,7 @@
 		return
 	}
 	d.Text = append(d.Text, text...)
-	if len(d.Text) > maxResumableBytes || !reserveKept(r) {
+	if len(d.Text) > completion.MaxResumableText || !reserveKept(r) {
 		d.Unresumable, d.Text = true, nil
 	}
 }
--- a/internal/server/answerhead.go
+++ b/internal/server/answerhead.go
@@ -67,7 +67,7 @@
 // strictTransport is an http.Transport over HTTP/1 that rejects answers with malformed heads.
 type strictTransport struct{ *http.Transport }
 
-// NewStrictTransport returns a transport over HTTP/1, with the settings of t, that reads heads of answers up to
+// NewStrictTransport returns t, which must use HTTP/1 only, as a transport that reads heads of answers up to
 // MaxResponseHeaderBytes and rejects malformed ones; the error is then a *MalformedHeadError.
 func NewStrictTransport(t *http.Transport) http.RoundTripper {
 	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
