--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -68,3 +69,28 @@
 		time.Sleep(bodyTransferTime)
 	})
 }
+
+func TestStoppingRouterRefusesNewRequests(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.router.CloseCallerConnections()
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(200))
+		w.router.RefuseNewRequests()
+		got = call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(503))
+		g.Expect(w.receivedCount()).To(Equal(1))
+	})
+}
+
+func TestRequestAbortedByStopDoesNotReportNotRun(t *testing.T) {
+	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
+		w.handle = func(string, *http.Request, net.Conn) { time.Sleep(time.Minute) }
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			w.router.AbortOpenRequests()
+		}()
+		got := call(g, client, "POST", "/once/", "x")
+		g.Expect(got.status).To(Equal(502)) // 503 would guarantee that it didn't run
+		time.Sleep(time.Minute)
+	})
+}
