--- a/internal/filters/relay/kept_test.go
+++ b/internal/filters/relay/kept_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"coveferry/internal/completion/completiontest"
 	"coveferry/internal/filters/relay"
 	"coveferry/internal/request"
 	"coveferry/internal/upstream"
@@ -23,55 +22,14 @@
 	tolerableBytes  = 16 << 20
 )
 
-// longAnswer is an answer of many equal events, which then ends.
-type longAnswer struct {
-	event string
-	read  int
-	rest  string
-	heap  uint64 // in use at the end
-}
-
-// Read implements io.Reader.
-func (l *longAnswer) Read(p []byte) (int, error) {
-	if l.rest == "" && l.read < longAnswerBytes {
-		l.rest = l.event
-	}
-	if l.rest == "" {
-		l.heap = heapInUse()
-		return 0, io.EOF
-	}
-	n := copy(p, l.rest)
-	l.rest = l.rest[n:]
-	l.read += n
-	return n, nil
-}
-
-// Close implements io.Closer.
-func (l *longAnswer) Close() error { return nil }
-
-func heapInUse() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
-// discardWriter is a ResponseWriter that keeps only the header.
-type discardWriter struct{ header http.Header }
-
-func (d discardWriter) Header() http.Header         { return d.header }
-func (d discardWriter) Write(p []byte) (int, error) { return len(p), nil }
-func (d discardWriter) WriteHeader(int)             {}
-func (d discardWriter) Flush()                      {}
-
 // relayLong relays an answer and returns how much of it was read and how much more memory is then in use.
-func relayLong(r *request.Request, event string) (answer *longAnswer, kept int64, err error) {
-	answer = &longAnswer{event: event}
-	r.Writer = discardWriter{http.Header{}}
+func relayLong(r *request.Request, event string) (read int, kept int64, err error) {
+	answer := &completiontest.LongAnswer{Event: event, Bytes: longAnswerBytes}
+	r.Writer = completiontest.NewDiscardWriter()
 	r.Answer = &http.Response{Body: answer, Trailer: http.Header{}}
-	before := heapInUse()
+	before := completiontest.HeapInUse()
 	err = relay.Filter{}.Do(context.Background(), r, nil)
-	return answer, int64(answer.heap) - int64(before), err
+	return answer.BytesRead(), int64(answer.HeapAtEnd()) - int64(before), err
 }
 
 var (
@@ -83,9 +41,9 @@
 func TestTextOfALongStreamIsKeptToABound(t *testing.T) {
 	g := NewWithT(t)
 	r := newStreamRequest()
-	answer, kept, err := relayLong(r, longToken)
+	read, kept, err := relayLong(r, longToken)
 	g.Expect(err).To(HaveOccurred(), "it has no end")
-	g.Expect(answer.read).To(BeNumerically(">=", longAnswerBytes), "its caller gets all of it")
+	g.Expect(read).To(BeNumerically(">=", longAnswerBytes), "its caller gets all of it")
 	g.Expect(kept).To(BeNumerically("<", tolerableBytes))
 	g.Expect(r.Delivered.Unresumable).To(BeTrue())
 }
@@ -95,11 +53,11 @@
 	for name, event := range map[string]string{"text": longToken, "tool call": longToolCall} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			answer, _, err := relayLong(&request.Request{Kind: wire.KindChat}, event)
+			read, _, err := relayLong(&request.Request{Kind: wire.KindChat}, event)
 			var endless *upstream.EndlessError
 			g.Expect(errors.As(err, &endless)).To(BeTrue(), "%v", err)
 			g.Expect(endless.Part).To(Equal(upstream.PartText))
-			g.Expect(answer.read).To(BeNumerically("<", tolerableBytes))
+			g.Expect(read).To(BeNumerically("<", tolerableBytes))
 		})
 	}
 }
--- a/internal/filters/wait/lost_test.go
+++ b/internal/filters/wait/lost_test.go
@@ -72,15 +72,19 @@
 	})
 }
 
+// withStop returns a function that configures a filter to stop once the channel, which it makes, is closed.
+func withStop(stopping *chan struct{}) func(*wait.Config) {
+	return func(c *wait.Config) {
+		*stopping = make(chan struct{})
+		c.Stopping = *stopping
+	}
+}
+
 // Guards against requests that are sent at a stop, get no answer until their contexts end, or are
 // answered as if they may have run.
 func TestEachWaitingRequestIsAnsweredAtAStop(t *testing.T) {
 	var stopping chan struct{}
-	withStop := func(c *wait.Config) {
-		stopping = make(chan struct{})
-		c.Stopping = stopping
-	}
-	inSingleRouter(t, withStop, func(g *WithT, s *singleRouter) {
+	inSingleRouter(t, withStop(&stopping), func(g *WithT, s *singleRouter) {
 		s.startAll(places+bound, "/b/")
 		close(stopping)
 		s.end(1, nil)
@@ -104,11 +108,7 @@
 // Guards against requests that are held on at a stop until something else happens at their service.
 func TestWaitingRequestsAreRefusedAtOnceAtAStop(t *testing.T) {
 	var stopping chan struct{}
-	withStop := func(c *wait.Config) {
-		stopping = make(chan struct{})
-		c.Stopping = stopping
-	}
-	inSingleRouter(t, withStop, func(g *WithT, s *singleRouter) {
+	inSingleRouter(t, withStop(&stopping), func(g *WithT, s *singleRouter) {
 		s.startAll(places+bound, "/b/")
 		close(stopping)
 		synctest.Wait()
