Give every strict transport the connections that tell a reset from an end

Cause: the rule on resets stood beside the one on heads. The clients of the store and of the configuration service had the second only, and the client for one-shot connections asked for both in two places.

Change: NewStrictTransport wraps the dial function itself, so that all who read answers over HTTP/1 follow both. The store's and the service's requests have no bodies, so that nothing was seen there.

--- a/internal/server/answerhead.go
+++ b/internal/server/answerhead.go
@@ -68,9 +68,14 @@
 type strictTransport struct{ *http.Transport }
 
 // NewStrictTransport returns t, which must use HTTP/1 only, as a transport that reads heads of answers up to
-// MaxResponseHeaderBytes and rejects malformed ones; the error is then a *MalformedHeadError.
+// MaxResponseHeaderBytes, rejects malformed ones with a *MalformedHeadError, and takes no reset for the end of an
+// answer.
 func NewStrictTransport(t *http.Transport) http.RoundTripper {
 	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
+	if t.DialContext == nil {
+		t.DialContext = new(net.Dialer).DialContext // the default of net/http
+	}
+	t.DialContext = dialClientConns(t.DialContext)
 	return strictTransport{t}
 }
 
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -100,7 +100,7 @@
 	t := newTransport()
 	t.DisableKeepAlives = true
 	t.HTTP2 = nil
-	t.DialContext = dialClientConns((&net.Dialer{Timeout: connectTimeout}).DialContext)
+	t.DialContext = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	return &http.Client{Transport: NewStrictTransport(t)}
 }
 
--- a/internal/server/earlyreset_test.go
+++ b/internal/server/earlyreset_test.go
@@ -65,6 +65,7 @@
 		"direct":   server.NewDirectClient(),
 		"plain":    server.NewClient(nil, nil),
 		"one shot": server.NewOneShotClient(time.Second),
+		"strict":   {Transport: server.NewStrictTransport(&http.Transport{})},
 	}
 }
 
