--- a/internal/agent/earlyreset_test.go
+++ b/internal/agent/earlyreset_test.go
@@ -14,13 +14,13 @@
 	"coveferry/internal/agent"
 	"coveferry/internal/sched/fifo"
 	"coveferry/internal/server"
+	"coveferry/internal/server/servertest"
 	"coveferry/internal/wire"
 )
 
 // serveEarlyReset answers each upload before it is read, without a length, and resets the connection. The
 // service itself goes on.
 func serveEarlyReset(conn *net.TCPConn) {
-	defer conn.Close()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
@@ -41,18 +41,11 @@
 		uploadBytes = 16 << 20 // more than a connection takes of a body that nobody reads
 	)
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	go func() {
-		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
-			go serveEarlyReset(conn.(*net.TCPConn))
-		}
-	}()
+	address := servertest.ListenRaw(t, serveEarlyReset)
 	client := server.NewClient(nil, nil)
 	defer client.CloseIdleConnections()
 	ag := agent.New(agent.Config{
-		Endpoint: "e", Engine: agent.Engine{URL: "http://" + l.Addr().String()},
+		Endpoint: "e", Engine: agent.Engine{URL: "http://" + address},
 		Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: uploadBytes, Client: client,
 	})
 	for range uploads {
--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -13,27 +13,22 @@
 	"coveferry/internal/agent"
 	"coveferry/internal/sched/fifo"
 	"coveferry/internal/server"
+	"coveferry/internal/server/servertest"
 	"coveferry/internal/wire"
 )
 
 // newRawServiceAgent returns an agent beside a service that answers each request with the same bytes.
 func newRawServiceAgent(t *testing.T, answer string) *agent.Agent {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
-			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
+	address := servertest.ListenRaw(t, func(conn *net.TCPConn) {
+		if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, answer)
 		}
-	}()
+	})
 	client := server.NewClient(nil, nil)
 	t.Cleanup(client.CloseIdleConnections)
 	return agent.New(agent.Config{
-		Endpoint: "e", Engine: agent.Engine{URL: "http://" + l.Addr().String()},
+		Endpoint: "e", Engine: agent.Engine{URL: "http://" + address},
 		Policy: fifo.New(fifo.Config{Slots: 1}), MaxBody: 1 << 10, Client: client,
 	})
 }
--- a/internal/daemon/directalive_test.go
+++ b/internal/daemon/directalive_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"coveferry/internal/follow"
+	"coveferry/internal/server/servertest"
 	"coveferry/internal/upstream"
 )
 
@@ -33,18 +33,6 @@
 	return d.updater
 }
 
-// reusesConnection reports whether a client sends a request over a connection that it has.
-func reusesConnection(t *testing.T, client *http.Client, url string) (reused bool) {
-	g := NewWithT(t)
-	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, url, nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	resp, err := client.Do(req)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(resp.Body.Close()).To(Succeed())
-	return reused
-}
-
 // Guards against taking an answer that a process sent before it ended for a sign that it is alive.
 func TestProcessIsAskedOverANewConnectionWhetherItIsAlive(t *testing.T) {
 	g := NewWithT(t)
@@ -60,7 +48,7 @@
 	peer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer peer.Close()
 	for range 2 {
-		g.Expect(reusesConnection(t, used, peer.URL)).To(BeFalse())
+		g.Expect(servertest.ReusesConnection(t.Context(), used, http.MethodGet, peer.URL)).To(BeFalse())
 	}
 }
 
--- a/internal/router/routed_endless_test.go
+++ b/internal/router/routed_endless_test.go
@@ -10,29 +10,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"coveferry/internal/server/servertest"
 )
 
 // tolerableBytes is what a router may read of an answer that makes no progress, with the buffers of
 // the connection.
 const tolerableBytes = 512 << 10
 
-// writeEndlessly writes the text until the connection closes, at most mostBytes, and returns how
-// many bytes were taken. With a pause it writes one line at a time.
-func writeEndlessly(conn net.Conn, text string, pause time.Duration) (taken int) {
-	const mostBytes = 16 << 20
-	for taken < mostBytes {
-		n, err := io.WriteString(conn, text)
-		taken += n
-		if err != nil {
-			return taken
-		}
-		if pause > 0 {
-			time.Sleep(pause)
-		}
-	}
-	return taken
-}
-
 // endlessAnswers are answers without end: what comes first, and what is repeated.
 var endlessAnswers = []struct {
 	name, route, first, repeated string
@@ -66,7 +51,7 @@
 				w.handle = func(endpoint string, req *http.Request, conn net.Conn) {
 					if bad.CompareAndSwap(nil, endpoint) {
 						n, _ := io.WriteString(conn, c.first)
-						taken.Store(int64(n + writeEndlessly(conn, c.repeated, 0)))
+						taken.Store(int64(n + servertest.WriteEndlessly(conn, c.repeated, 0)))
 						return
 					}
 					if c.route == "/safe/" {
@@ -103,7 +88,7 @@
 			runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 				w.handle = func(_ string, _ *http.Request, conn net.Conn) {
 					_, _ = io.WriteString(conn, c.first)
-					writeEndlessly(conn, c.repeated, 0)
+					servertest.WriteEndlessly(conn, c.repeated, 0)
 				}
 				route := "/once/"
 				if c.route == "/resume/" {
@@ -127,7 +112,7 @@
 	runRouted(t, func(g *WithT, w *routerFixture, client *http.Client) {
 		w.handle = func(_ string, _ *http.Request, conn net.Conn) {
 			_, _ = io.WriteString(conn, okHead)
-			writeEndlessly(conn, "f\r\n: nothing yet\n\n\r\n", 100*time.Millisecond)
+			servertest.WriteEndlessly(conn, "f\r\n: nothing yet\n\n\r\n", 100*time.Millisecond)
 		}
 		got := call(g, client, "POST", "/stream/", "x", "Patience", "3s")
 		g.Expect(got.err).NotTo(HaveOccurred())
--- a/internal/server/answerhead_test.go
+++ b/internal/server/answerhead_test.go
@@ -5,31 +5,22 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/server"
+	"coveferry/internal/server/servertest"
 )
 
 // startRawPeer runs a peer that answers each request with the same bytes, keeps its connections, and returns its
 // URL.
 func startRawPeer(t *testing.T, answer string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
-			go serveRaw(conn, answer)
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + servertest.ListenRaw(t, func(conn *net.TCPConn) { serveRaw(conn, answer) })
 }
 
 func serveRaw(conn net.Conn, answer string) {
-	defer conn.Close()
 	requests := bufio.NewReader(conn)
 	for {
 		if _, err := http.ReadRequest(requests); err != nil {
@@ -91,11 +82,7 @@
 			g := NewWithT(t)
 			url := startRawPeer(t, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\nContent-Length: 0\r\n\r\n")
 			for range 10 {
-				reused := true
-				trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }}
-				req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, url, nil)
-				g.Expect(err).NotTo(HaveOccurred())
-				_, err = client.Do(req)
+				reused, err := servertest.ReusesConnection(t.Context(), client, http.MethodPost, url)
 				g.Expect(err).To(HaveOccurred())
 				g.Expect(reused).To(BeFalse())
 			}
--- a/internal/server/earlyreset_test.go
+++ b/internal/server/earlyreset_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"coveferry/internal/server"
+	"coveferry/internal/server/servertest"
 )
 
 // uploadBytes is more than a connection takes of a request that nobody reads.
@@ -22,7 +22,6 @@
 // answerEarly reads the beginning of a request, answers it without a length and ends the connection while the
 // rest of the request is still being written.
 func answerEarly(conn *net.TCPConn, end func(*net.TCPConn)) {
-	defer conn.Close()
 	_, _ = conn.Read(make([]byte, 1<<10))
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+earlyAnswer)
 	time.Sleep(10 * time.Millisecond)
@@ -31,15 +30,7 @@
 
 // startEarlyPeer runs a peer that answers requests with answerEarly and returns its URL.
 func startEarlyPeer(t *testing.T, end func(*net.TCPConn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
-			go answerEarly(conn.(*net.TCPConn), end)
-		}
-	}()
-	return fmt.Sprintf("http://%s/", l.Addr())
+	return "http://" + servertest.ListenRaw(t, func(conn *net.TCPConn) { answerEarly(conn, end) })
 }
 
 // countWhole uploads a body so many times and returns how many answers look whole.
--- a/internal/server/newconnection_test.go
+++ b/internal/server/newconnection_test.go
@@ -4,10 +4,11 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httptrace"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"coveferry/internal/server/servertest"
 )
 
 func TestRequestWithNewConnectionUsesNoneThatIsOpen(t *testing.T) {
@@ -17,13 +18,8 @@
 	client := NewDirectClient()
 	defer client.CloseIdleConnections()
 	reuses := func(ctx context.Context) bool {
-		reused := false
-		trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }}
-		req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, peer.URL, nil)
-		g.Expect(err).NotTo(HaveOccurred())
-		resp, err := client.Do(req)
+		reused, err := servertest.ReusesConnection(ctx, client, http.MethodGet, peer.URL)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(resp.Body.Close()).To(Succeed())
 		return reused
 	}
 	g.Expect(reuses(t.Context())).To(BeFalse(), "the first")
