--- /dev/null
+++ b/review/_rig2/busy.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// What the case plays: three replicas, whose answers end with their channels, under their usual traffic and then
+// under a burst.
+const (
+	busySlots     = 16
+	busyQueue     = 48
+	busyEvents    = 9
+	busyGap       = 150 * time.Millisecond
+	usualClients  = 12 // of each router
+	burstFactor   = 3
+	burstFor      = 9 * time.Second
+	calmFor       = 6 * time.Second
+	afterBurst    = 4 * time.Second
+	defaultRank   = 5 // of requests that state no urgency, such as liveness checks
+	reviewTimeout = 4 * time.Second
+)
+
+// busyReplica is a stand-in of a model replica with slots and a queue. Liveness checks wait for a slot in the same way
+// as requests do. More urgent requests are admitted first.
+type busyReplica struct {
+	id, address string
+	record      *record
+
+	mu      sync.Mutex
+	running int
+	waiting []*waiter
+	whole   map[string]bool // the requests whose whole answer was sent
+}
+
+// waiter waits for a slot.
+type waiter struct {
+	rank  int
+	admit chan struct{}
+}
+
+func (p *busyReplica) listen() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("%v", err)
+	}
+	p.address, p.whole = l.Addr().String(), make(map[string]bool)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn)
+		}
+	}()
+}
+
+// take waits for a slot. It returns false if the queue is full.
+func (p *busyReplica) take(rank int) bool {
+	p.mu.Lock()
+	if p.running < busySlots {
+		p.running++
+		p.mu.Unlock()
+		return true
+	}
+	if len(p.waiting) >= busyQueue {
+		p.mu.Unlock()
+		return false
+	}
+	w := &waiter{rank: rank, admit: make(chan struct{})}
+	at := len(p.waiting)
+	for at > 0 && p.waiting[at-1].rank > rank {
+		at--
+	}
+	p.waiting = append(p.waiting[:at], append([]*waiter{w}, p.waiting[at:]...)...)
+	p.mu.Unlock()
+	<-w.admit
+	return true
+}
+
+// release gives a slot to the first that waits.
+func (p *busyReplica) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiting) == 0 {
+		p.running--
+		return
+	}
+	close(p.waiting[0].admit)
+	p.waiting = p.waiting[1:]
+}
+
+func (p *busyReplica) load() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", p.running, len(p.waiting), busySlots)
+}
+
+func (p *busyReplica) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get(names["id"])
+		if expected := req.Header.Get(names["expect"]); expected != "" && expected != p.id {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["id"], id, names["instance"], p.id)
+			continue
+		}
+		if req.URL.Path == names["report_path"] {
+			said := `{"stage":"mixed","queued":0,"running":0,"runs":[]}`
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(said), said)
+			continue
+		}
+		began := time.Now()
+		rank := defaultRank
+		if n, err := strconv.Atoi(req.Header.Get(names["urgency"])); err == nil {
+			rank = n
+		}
+		checks := req.URL.Path == "/health"
+		if checks && control() {
+			p.answerCheck(conn, began)
+			continue
+		}
+		if !p.take(rank) {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["id"], id, names["not_run"], names["load"], p.load(), names["instance"], p.id)
+			continue
+		}
+		if checks {
+			time.Sleep(time.Millisecond)
+			p.release()
+			p.answerCheck(conn, began)
+			continue
+		}
+		p.stream(conn, id, time.Since(began))
+		p.release()
+		return
+	}
+}
+
+// answerCheck answers a liveness check that came at a time.
+func (p *busyReplica) answerCheck(conn net.Conn, began time.Time) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["instance"], p.id, names["load"], p.load())
+	p.record.printf("%s answered a liveness check after %s", p.id, time.Since(began).Round(time.Millisecond))
+}
+
+// stream sends an answer that ends with its channel.
+func (p *busyReplica) stream(conn net.Conn, id string, waited time.Duration) {
+	var head strings.Builder
+	fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n%s: %s\r\n%s: sealed-by-%s\r\n%s: %s\r\n\r\n",
+		names["id"], id, names["seal"], p.id, names["load"], p.load())
+	_, err := io.WriteString(conn, head.String())
+	for n := 1; n <= busyEvents && err == nil; n++ {
+		time.Sleep(busyGap)
+		_, err = fmt.Fprintf(conn, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
+	}
+	_ = conn.Close()
+	p.record.printf("%s ran %s, which had waited %s: whole answer sent: %t", p.id, id, waited.Round(time.Millisecond), err == nil)
+	p.mu.Lock()
+	p.whole[id] = err == nil
+	p.mu.Unlock()
+}
+
+func (p *busyReplica) sentWhole(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.whole[id]
+}
+
+// busyCheck checks that no more than three whole answers of sound replicas are cut off.
+func busyCheck(r *rig, trouble bool) int {
+	var replicas []*busyReplica
+	for i, zone := range zones {
+		p := &busyReplica{id: fmt.Sprintf("i-models-%d", i+1), record: r.record}
+		p.listen()
+		r.list(p.id, "models", p.address, zone, "v1", "ready", busySlots, time.Now())
+		replicas = append(replicas, p)
+	}
+	r.startRouters(len(zones))
+	stop, stopBurst := make(chan struct{}), make(chan struct{})
+	var clients sync.WaitGroup
+	var asked, served, refused, cut, cutKept, failed atomic.Int64
+	run := func(x *router, name string, stop chan struct{}) {
+		c := &client{address: x.front}
+		defer c.close()
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			kept := c.conn != nil
+			q := call{method: "POST", path: "/review/a", id: fmt.Sprintf("%s-%s-%d", x.zone, name, i), key: key, timeLeft: reviewTimeout, body: []byte("a constitution"), prompt: true}
+			asked.Add(1)
+			a := c.ask(q)
+			got := len(events(a.body))
+			whole := false
+			for _, p := range replicas {
+				whole = whole || p.sentWhole(q.id)
+			}
+			r.record.printf("client: %s answered %d on a kept channel: %t, complete %t, closed %t, %d of %d events, whole at the replica: %t, in %s", q.id, a.status, kept, a.complete, a.closed, got, busyEvents, whole, a.took.Round(time.Millisecond))
+			switch {
+			case a.status == 200 && a.complete && got == busyEvents:
+				served.Add(1)
+			case a.status == 429 || a.status == 503:
+				refused.Add(1)
+				after, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+				time.Sleep(min(time.Second, max(50*time.Millisecond, time.Duration(after*float64(time.Second)))))
+			case a.closed && whole:
+				cut.Add(1)
+				if kept {
+					cutKept.Add(1)
+				}
+			default:
+				failed.Add(1)
+			}
+		}
+	}
+	start := func(n int, kind string, stop chan struct{}) {
+		for _, x := range r.routers {
+			for i := range n {
+				clients.Go(func() { run(x, fmt.Sprintf("%s%d", kind, i), stop) })
+			}
+		}
+	}
+	start(usualClients, "u", stop)
+	time.Sleep(calmFor)
+	if trouble {
+		r.record.printf("burst: %d times the traffic", burstFactor)
+		start((burstFactor-1)*usualClients, "b", stopBurst)
+	}
+	time.Sleep(burstFor)
+	close(stopBurst)
+	time.Sleep(afterBurst)
+	close(stop)
+	clients.Wait()
+	r.record.result("%d asked, %d served, %d refused, %d whole answers cut off (%d on kept channels), %d failed otherwise",
+		asked.Load(), served.Load(), refused.Load(), cut.Load(), cutKept.Load(), failed.Load())
+	if n := cutKept.Load(); n > allowedClosings {
+		return int(n)
+	}
+	return 0
+}
