--- a/review/_rig2/busy.go
+++ b/review/_rig2/busy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 type busyReplica struct {
 	id, address string
 	record      *record
+	slots       int
 
 	mu      sync.Mutex
 	running int
@@ -67,7 +69,7 @@
 // take waits for a slot. It returns false if the queue is full.
 func (p *busyReplica) take(rank int) bool {
 	p.mu.Lock()
-	if p.running < busySlots {
+	if p.running < p.slots {
 		p.running++
 		p.mu.Unlock()
 		return true
@@ -102,7 +104,7 @@
 func (p *busyReplica) load() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d", p.running, len(p.waiting), busySlots)
+	return fmt.Sprintf("%d,%d,%d", p.running, len(p.waiting), p.slots)
 }
 
 func (p *busyReplica) serve(conn net.Conn) {
@@ -179,76 +181,100 @@
 	return p.whole[id]
 }
 
-// busyCheck checks that no more than three whole answers of sound replicas are cut off.
+// busyCheck checks that no more than three whole answers of sound replicas are cut off under a burst.
 func busyCheck(r *rig, trouble bool) int {
-	var replicas []*busyReplica
+	l := r.startReviews(busySlots)
+	stop := make(chan struct{})
+	time.Sleep(calmFor)
+	if trouble {
+		r.record.printf("burst: %d times the traffic", burstFactor)
+		l.start((burstFactor-1)*usualClients, "b", stop)
+	}
+	time.Sleep(burstFor)
+	close(stop)
+	time.Sleep(afterBurst)
+	return l.end()
+}
+
+// reviews is the load of a case: three replicas whose answers end with their channels, and clients that stream
+// reviews from them, one after the other over kept channels.
+type reviews struct {
+	rig                                            *rig
+	replicas                                       []*busyReplica
+	stop                                           chan struct{}
+	clients                                        sync.WaitGroup
+	asked, served, refused, cut, cutOnKept, failed atomic.Int64
+}
+
+// startReviews starts replicas with so many slots, the routers and the usual clients.
+func (r *rig) startReviews(slots int) *reviews {
+	l := &reviews{rig: r, stop: make(chan struct{})}
 	for i, zone := range zones {
-		p := &busyReplica{id: fmt.Sprintf("i-models-%d", i+1), record: r.record}
+		p := &busyReplica{id: fmt.Sprintf("i-models-%d", i+1), record: r.record, slots: slots}
 		p.listen()
-		r.list(p.id, "models", p.address, zone, "v1", "ready", busySlots, time.Now())
-		replicas = append(replicas, p)
+		r.list(p.id, "models", p.address, zone, "v1", "ready", slots, time.Now())
+		l.replicas = append(l.replicas, p)
 	}
 	r.startRouters(len(zones))
-	stop, stopBurst := make(chan struct{}), make(chan struct{})
-	var clients sync.WaitGroup
-	var asked, served, refused, cut, cutKept, failed atomic.Int64
-	run := func(x *router, name string, stop chan struct{}) {
-		c := &client{address: x.front}
-		defer c.close()
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			kept := c.conn != nil
-			q := call{method: "POST", path: "/review/a", id: fmt.Sprintf("%s-%s-%d", x.zone, name, i), key: key, timeLeft: reviewTimeout, body: []byte("a constitution"), prompt: true}
-			asked.Add(1)
-			a := c.ask(q)
-			got := len(events(a.body))
-			whole := false
-			for _, p := range replicas {
-				whole = whole || p.sentWhole(q.id)
-			}
-			r.record.printf("client: %s answered %d on a kept channel: %t, complete %t, closed %t, %d of %d events, whole at the replica: %t, in %s", q.id, a.status, kept, a.complete, a.closed, got, busyEvents, whole, a.took.Round(time.Millisecond))
-			switch {
-			case a.status == 200 && a.complete && got == busyEvents:
-				served.Add(1)
-			case a.status == 429 || a.status == 503:
-				refused.Add(1)
-				after, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
-				time.Sleep(min(time.Second, max(50*time.Millisecond, time.Duration(after*float64(time.Second)))))
-			case a.closed && whole:
-				cut.Add(1)
-				if kept {
-					cutKept.Add(1)
-				}
-			default:
-				failed.Add(1)
-			}
+	l.start(usualClients, "u", l.stop)
+	return l
+}
+
+// start starts so many clients of each router, which ask until stop is closed.
+func (l *reviews) start(n int, kind string, stop chan struct{}) {
+	for _, x := range l.rig.routers {
+		for i := range n {
+			l.clients.Go(func() { l.ask(x, fmt.Sprintf("%s-%s%d", x.zone, kind, i), stop) })
 		}
 	}
-	start := func(n int, kind string, stop chan struct{}) {
-		for _, x := range r.routers {
-			for i := range n {
-				clients.Go(func() { run(x, fmt.Sprintf("%s%d", kind, i), stop) })
-			}
+}
+
+// ask has one client ask for reviews.
+func (l *reviews) ask(x *router, name string, stop chan struct{}) {
+	c := &client{address: x.front}
+	defer c.close()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
 		}
+		kept := c.conn != nil
+		q := call{method: "POST", path: "/review/a", id: fmt.Sprintf("%s-%d", name, i), key: key, timeLeft: reviewTimeout, body: []byte("a constitution"), prompt: true}
+		l.asked.Add(1)
+		l.count(q, c.ask(q), kept)
 	}
-	start(usualClients, "u", stop)
-	time.Sleep(calmFor)
-	if trouble {
-		r.record.printf("burst: %d times the traffic", burstFactor)
-		start((burstFactor-1)*usualClients, "b", stopBurst)
+}
+
+// count counts an answer. A client that was refused waits as it was told.
+func (l *reviews) count(q call, a answer, kept bool) {
+	got := len(events(a.body))
+	whole := slices.ContainsFunc(l.replicas, func(p *busyReplica) bool { return p.sentWhole(q.id) })
+	l.rig.record.printf("client: %s answered %d on a kept channel: %t, complete %t, closed %t, %d of %d events, whole at the replica: %t, in %s", q.id, a.status, kept, a.complete, a.closed, got, busyEvents, whole, a.took.Round(time.Millisecond))
+	switch {
+	case a.status == 200 && a.complete && got == busyEvents:
+		l.served.Add(1)
+	case a.status == 429 || a.status == 503:
+		l.refused.Add(1)
+		after, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		time.Sleep(min(reviewTimeout/3, max(50*time.Millisecond, time.Duration(after*float64(time.Second)))))
+	case a.closed && whole:
+		l.cut.Add(1)
+		if kept {
+			l.cutOnKept.Add(1)
+		}
+	default:
+		l.failed.Add(1)
 	}
-	time.Sleep(burstFor)
-	close(stopBurst)
-	time.Sleep(afterBurst)
-	close(stop)
-	clients.Wait()
-	r.record.result("%d asked, %d served, %d refused, %d whole answers cut off (%d on kept channels), %d failed otherwise",
-		asked.Load(), served.Load(), refused.Load(), cut.Load(), cutKept.Load(), failed.Load())
-	if n := cutKept.Load(); n > allowedClosings {
+}
+
+// end ends the load and returns how many whole answers were cut off on kept channels if they are too many.
+func (l *reviews) end() int {
+	close(l.stop)
+	l.clients.Wait()
+	l.rig.record.result("%d asked, %d served, %d refused, %d whole answers cut off (%d on kept channels), %d failed otherwise",
+		l.asked.Load(), l.served.Load(), l.refused.Load(), l.cut.Load(), l.cutOnKept.Load(), l.failed.Load())
+	if n := l.cutOnKept.Load(); n > allowedClosings {
 		return int(n)
 	}
 	return 0
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken int){
 	"stale-report": staleReport,
 	"busy":         busyCheck,
+	"evacuated":    evacuated,
 	"numbering":    newNumbering,
 	"reborn":       rebornBehindCut,
 }
