--- a/review/_rig2/busy.go
+++ b/review/_rig2/busy.go
@@ -229,7 +229,11 @@
 	}
 }
 
-// ask has one client ask for reviews.
+// usualPace is the time between two requests of a client, so that refused clients send no more than others.
+const usualPace = busyEvents*busyGap + 50*time.Millisecond
+
+// ask has one client ask for reviews, one each usualPace at most. A request that is refused is tried once more, when
+// the answer says.
 func (l *reviews) ask(x *router, name string, stop chan struct{}) {
 	c := &client{address: x.front}
 	defer c.close()
@@ -239,15 +243,21 @@
 			return
 		default:
 		}
-		kept := c.conn != nil
-		q := call{method: "POST", path: "/review/a", id: fmt.Sprintf("%s-%d", name, i), key: key, timeLeft: reviewTimeout, body: []byte("a constitution"), prompt: true}
-		l.asked.Add(1)
-		l.count(q, c.ask(q), kept)
+		next := time.Now().Add(usualPace)
+		if wait, refused := l.try(c, fmt.Sprintf("%s-%d", name, i)); refused {
+			time.Sleep(wait)
+			l.try(c, fmt.Sprintf("%s-%d-again", name, i))
+		}
+		time.Sleep(time.Until(next))
 	}
 }
 
-// count counts an answer. A client that was refused waits as it was told.
-func (l *reviews) count(q call, a answer, kept bool) {
+// try sends one request. If it was refused, it returns how long to wait before it is tried again.
+func (l *reviews) try(c *client, id string) (wait time.Duration, refused bool) {
+	kept := c.conn != nil
+	q := call{method: "POST", path: "/review/a", id: id, key: key, timeLeft: reviewTimeout, body: []byte("a constitution"), prompt: true}
+	l.asked.Add(1)
+	a := c.ask(q)
 	got := len(events(a.body))
 	whole := slices.ContainsFunc(l.replicas, func(p *busyReplica) bool { return p.sentWhole(q.id) })
 	l.rig.record.printf("client: %s answered %d on a kept channel: %t, complete %t, closed %t, %d of %d events, whole at the replica: %t, in %s", q.id, a.status, kept, a.complete, a.closed, got, busyEvents, whole, a.took.Round(time.Millisecond))
@@ -257,7 +267,7 @@
 	case a.status == 429 || a.status == 503:
 		l.refused.Add(1)
 		after, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
-		time.Sleep(min(reviewTimeout/3, max(50*time.Millisecond, time.Duration(after*float64(time.Second)))))
+		return min(reviewTimeout/3, time.Duration(after*float64(time.Second))), true
 	case a.closed && whole:
 		l.cut.Add(1)
 		if kept {
@@ -266,6 +276,7 @@
 	default:
 		l.failed.Add(1)
 	}
+	return 0, false
 }
 
 // end ends the load and returns how many whole answers were cut off on kept channels if they are too many.
--- a/review/_rig2/numbering.go
+++ b/review/_rig2/numbering.go
@@ -7,9 +7,11 @@
 	"time"
 )
 
-// What the case plays: three replicas whose events are numbered 1, 2, 3; two of them are replaced, one after the
+// What the case plays: four replicas whose events are numbered 1, 2, 3; two of them are replaced, one after the
 // other, by a version whose events bear the number of their first token: 1, 7, 13.
 const (
+	queryReplicas   = 4
+	replaced        = 2 // a share of .5
 	queryEvents     = 20
 	queryGap        = 30 * time.Millisecond
 	queryClients    = 4 // of each router
@@ -27,7 +29,7 @@
 func newNumbering(r *rig, trouble bool) (broken int) {
 	start := func(i int, version string, number func(int) int) *replica {
 		p := &replica{
-			id: fmt.Sprintf("i-models-%s-%d", version, i+1), zone: zones[i], record: r.record, reportLag: reportLag,
+			id: fmt.Sprintf("i-models-%s-%d", version, i+1), zone: zones[i%len(zones)], record: r.record, reportLag: reportLag,
 			events: queryEvents, gap: queryGap, number: number,
 		}
 		p.listen()
@@ -35,7 +37,7 @@
 		return p
 	}
 	var old []*replica
-	for i := range zones {
+	for i := range queryReplicas {
 		old = append(old, start(i, "v1", plainNumbers))
 	}
 	r.startRouters(len(zones))
@@ -78,7 +80,7 @@
 		numbers = plainNumbers
 	}
 	if trouble {
-		for i := range 2 {
+		for i := range replaced {
 			start(i, "v2", numbers)
 			r.record.printf("release: i-models-v2-%d has started, %s drains", i+1, old[i].id)
 			r.list(old[i].id, "models", old[i].address, old[i].zone, "v1", "draining", 64, time.Now())
--- a/review/_rig2/reborn.go
+++ b/review/_rig2/reborn.go
@@ -7,17 +7,18 @@
 	"time"
 )
 
-// What the case plays: one of three replicas is cut off for cutFor. After crashAfter its process crashes, and after
+// What the case plays: one of five replicas is cut off for cutFor. After crashAfter its process crashes, and after
 // rebornAfter it starts again, still behind the cut, under the ID that it had.
 const (
-	reviewPieces = 9
-	reviewGap    = 200 * time.Millisecond
-	cutAt        = 700 * time.Millisecond // after the requests were sent
-	crashAfter   = 500 * time.Millisecond
-	rebornAfter  = 600 * time.Millisecond
-	cutFor       = 1600 * time.Millisecond
-	reviewLimit  = 4 * time.Second
-	reviewCalls  = 9
+	reviewReplicas = 5
+	reviewPieces   = 9
+	reviewGap      = 200 * time.Millisecond
+	cutAt          = 700 * time.Millisecond // after the requests were sent
+	crashAfter     = 500 * time.Millisecond
+	rebornAfter    = 600 * time.Millisecond
+	cutFor         = 1600 * time.Millisecond
+	reviewLimit    = 4 * time.Second
+	reviewCalls    = 9
 )
 
 // rebornBehindCut checks that no answer that ends early looks complete.
@@ -28,7 +29,8 @@
 		process           *child
 	}
 	var places []*place
-	for i, zone := range zones {
+	for i := range reviewReplicas {
+		zone := zones[i%len(zones)]
 		p := &place{id: fmt.Sprintf("i-models-%d", i+1), zone: zone, address: freeAddress()}
 		p.process = startReplica(r.record, p.id, p.address, reviewPieces, reviewGap)
 		p.proxy = newProxy(p.address)
